--- /dev/null
+++ b/src/decisions/mod.rs
@@ -0,0 +1,16 @@
+//! Decisions without input or output.
+//!
+//! Everything here takes the time, events and where needed a seeded random source, and
+//! returns what to do. The shells in `control`, `peer` and `traffic` carry it out
+//! (`docs/design.md`, 2).
+
+pub mod circuit;
+pub mod config_version;
+pub mod fair_queue;
+pub mod membership;
+pub mod once;
+pub mod quota;
+pub mod rendezvous;
+pub mod retry;
+pub mod routing;
+pub mod slots;
--- /dev/null
+++ b/src/manifest/mod.rs
@@ -0,0 +1,14 @@
+//! The manifest: what operators declare, as one checked value.
+//!
+//! `docs/design.md`, 3.2 says how it is split into parts and distributed.
+
+mod check;
+mod document;
+mod index;
+
+pub use check::parse_manifest;
+pub use document::{
+    DataCentre, DataCentreState, Endpoint, EndpointState, KeyDigest, Manifest, Model, Organisation,
+    Pipeline, Stage, StageKind, VmEntry, VmList, VmState,
+};
+pub use index::{ManifestIndex, PartReference, part_digest};
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,345 @@
+//! Newtypes for names, identifiers, points in time and rates.
+//!
+//! They keep an organisation from being passed where an endpoint is meant. See the
+//! state table in `docs/design.md`.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Longest accepted name, so that log lines and metric labels stay bounded.
+const MAX_NAME_BYTES: usize = 63;
+
+/// Says why a text is not a valid value of one of the newtypes in this module.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ParseError {
+    /// The text is empty, too long or has a character outside `[A-Za-z0-9_-]`.
+    #[error("{0:?} is not a name: use 1 to {MAX_NAME_BYTES} of the characters A-Z a-z 0-9 _ -")]
+    Name(String),
+    /// The text is not a number of the expected kind.
+    #[error("{text:?} is not {expected}")]
+    Number {
+        /// The text as given.
+        text: String,
+        /// What would have been accepted.
+        expected: &'static str,
+    },
+    /// The text is not a request id as issued by a VM.
+    #[error("{0:?} is not a request id")]
+    RequestId(String),
+}
+
+fn check_name(text: &str) -> Result<Arc<str>, ParseError> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'-';
+    if text.is_empty() || text.len() > MAX_NAME_BYTES || !text.bytes().all(allowed) {
+        return Err(ParseError::Name(text.to_owned()));
+    }
+    Ok(Arc::from(text))
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.pad(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                check_name(text).map(Self)
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Names a VM of the system; the platform's VM list uses the same name.
+    VmId
+);
+name_type!(
+    /// Names an organisation, the unit that rates and keys belong to.
+    OrganisationName
+);
+name_type!(
+    /// Names a data centre.
+    DataCentreName
+);
+name_type!(
+    /// Names a region, a set of data centres that can lose contact with the rest.
+    RegionName
+);
+name_type!(
+    /// Names an endpoint: one back-end process that runs stages.
+    EndpointName
+);
+name_type!(
+    /// Names the service that an endpoint offers and a stage needs.
+    ServiceName
+);
+name_type!(
+    /// Names a pipeline.
+    PipelineName
+);
+name_type!(
+    /// Names a stage within its pipeline.
+    StageName
+);
+name_type!(
+    /// Names a model that an engine can load.
+    ModelName
+);
+
+/// Version of a platform document; the platform numbers them in a total order.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+impl fmt::Display for Version {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+impl FromStr for Version {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse_number(text, "a version number").map(Self)
+    }
+}
+
+fn parse_number<T: FromStr>(text: &str, expected: &'static str) -> Result<T, ParseError> {
+    text.parse().map_err(|_| ParseError::Number {
+        text: text.to_owned(),
+        expected,
+    })
+}
+
+/// One run of a daemon. A restarted VM has a new incarnation, since it keeps nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseError::Number {
+                text: text.to_owned(),
+                expected: "an incarnation in hexadecimal",
+            })
+    }
+}
+
+/// A point on this machine's boot-time clock, in microseconds.
+///
+/// The clock counts suspended time, so a process that was paused sees that its leases
+/// lapsed. Times of different machines are never compared (`docs/design.md`, 3.1).
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Time {
+    /// Microseconds since the machine started.
+    pub micros: u64,
+}
+
+impl Time {
+    /// The start of the clock, earlier than any event.
+    pub const ZERO: Self = Self { micros: 0 };
+
+    /// Makes a time from milliseconds, mostly for tests.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self {
+            micros: millis * 1_000,
+        }
+    }
+
+    /// Returns the time from `earlier` to here, or zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.micros.saturating_sub(earlier.micros))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self {
+            micros: self.micros.saturating_add(micros),
+        }
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self {
+            micros: self.micros.saturating_sub(micros),
+        }
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}us", self.micros)
+    }
+}
+
+impl FromStr for Time {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.strip_suffix("us").unwrap_or(text);
+        parse_number(digits, "a time in microseconds").map(|micros| Self { micros })
+    }
+}
+
+/// Requests a second that an organisation is allowed across the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RatePerSecond(pub f64);
+
+impl fmt::Display for RatePerSecond {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/s", self.0)
+    }
+}
+
+impl FromStr for RatePerSecond {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.strip_suffix("/s").unwrap_or(text);
+        parse_number(digits, "a rate a second").map(Self)
+    }
+}
+
+/// Requests that an organisation may send at once on top of its rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Burst(pub u32);
+
+impl fmt::Display for Burst {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+impl FromStr for Burst {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse_number(text, "a number of requests").map(Self)
+    }
+}
+
+/// Identifies one request. It names the VM and incarnation that alone may run it
+/// (`docs/design.md`, 3.4).
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestId {
+    /// The VM that issued the id.
+    pub vm: VmId,
+    /// The run of that VM's daemon.
+    pub incarnation: Incarnation,
+    /// When the id was issued, on the issuer's clock.
+    pub issued_at: Time,
+    /// Distinguishes ids issued in the same microsecond.
+    pub counter: u64,
+    /// Proves to the issuer that it issued the id, so that unused ids need no memory.
+    pub mac: u64,
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{}.{}.{:x}.{:x}.{:016x}",
+            self.vm, self.incarnation, self.issued_at.micros, self.counter, self.mac
+        )
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let bad = || ParseError::RequestId(text.to_owned());
+        let hex = |part: &str| u64::from_str_radix(part, 16).map_err(|_| bad());
+        let parts: Vec<&str> = text.split('.').collect();
+        let [vm, incarnation, issued, counter, mac] = parts.as_slice() else {
+            return Err(bad());
+        };
+        Ok(Self {
+            vm: vm.parse().map_err(|_| bad())?,
+            incarnation: Incarnation(hex(incarnation)?),
+            issued_at: Time {
+                micros: hex(issued)?,
+            },
+            counter: hex(counter)?,
+            mac: hex(mac)?,
+        })
+    }
+}
+
+impl TryFrom<String> for RequestId {
+    type Error = ParseError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<RequestId> for String {
+    fn from(id: RequestId) -> Self {
+        id.to_string()
+    }
+}
