--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,11 @@
 //! `docs/design.md` gives the requirements, the modules and the reasons behind them.
 
 pub mod blackboard;
+pub mod cli;
 pub mod clock;
 pub mod context;
 pub mod decisions;
 pub mod findings;
+pub mod http;
 pub mod manifest;
 pub mod units;
