--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,212 @@
+//! Cost of decisions as the fleet grows; `docs/CAPACITY.md` takes its slopes from here.
+//!
+//! Run with `cargo bench --bench decisions`.
+
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use primrosewalk::blackboard::{Catalogue, SlotGrant, Snapshot};
+use primrosewalk::decisions::membership::{MemberList, Membership, MembershipConfig, Tenure};
+use primrosewalk::decisions::once::{OnceConfig, OnceTable};
+use primrosewalk::decisions::quota::{Allowance, Quota, QuotaConfig};
+use primrosewalk::decisions::rendezvous::rendezvous_order;
+use primrosewalk::decisions::routing::{RouteRequest, Router, RoutingConfig};
+use primrosewalk::manifest::{KeyDigest, Manifest, parse_manifest};
+use primrosewalk::units::{Burst, Incarnation, RatePerSecond, Time, Version, VmId};
+
+fn vm_ids(count: usize) -> Vec<VmId> {
+    (0..count)
+        .map(|index| format!("vm-{index}").parse().unwrap())
+        .collect()
+}
+
+fn manifest_json(organisations: usize, endpoints: usize) -> Vec<u8> {
+    let organisations: Vec<_> = (0..organisations)
+        .map(|index| {
+            let digests = [0, 1].map(|key| KeyDigest::of_key(&format!("key-{index}-{key}")));
+            serde_json::json!({"name": format!("organisation-{index}"), "rate_per_second": 10.0,
+                "burst": 20, "key_digests": digests})
+        })
+        .collect();
+    let endpoints: Vec<_> = (0..endpoints)
+        .map(|index| {
+            serde_json::json!({"name": format!("engine-{index}"), "kind": "generate",
+                "service": "assistant", "address": "127.0.0.1:9", "models": ["m"],
+                "data_centre": format!("dc-{}", index % 5), "slots": 64, "cold_slots": 2})
+        })
+        .collect();
+    let centres: Vec<_> = (0..5)
+        .map(|index| serde_json::json!({"name": format!("dc-{index}"), "region": "r"}))
+        .collect();
+    let stage = serde_json::json!({"name": "answer", "kind": "generate", "service": "assistant",
+        "model": "m"});
+    let manifest = serde_json::json!({"data_centres": centres, "models": [{"name": "m"}],
+        "endpoints": endpoints, "organisations": organisations,
+        "pipelines": [{"name": "ask", "deadline_ms": 3000, "stages": [stage]}]});
+    manifest.to_string().into_bytes()
+}
+
+fn parse(organisations: usize, endpoints: usize) -> Manifest {
+    let json = manifest_json(organisations, endpoints);
+    parse_manifest(Version(1), [("all", json.as_slice())]).unwrap()
+}
+
+fn bench_manifest(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("parse_manifest_organisations");
+    for organisations in [100, 1_000, 4_700] {
+        let json = manifest_json(organisations, 670);
+        group.bench_with_input(
+            BenchmarkId::from_parameter(organisations),
+            &json,
+            |bench, json| {
+                bench.iter(|| {
+                    let manifest = parse_manifest(Version(1), [("all", json.as_slice())]);
+                    Catalogue::new(manifest.unwrap())
+                });
+            },
+        );
+    }
+}
+
+fn bench_rendezvous(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("rendezvous_vms");
+    for vms in [8, 22, 330] {
+        let ids = vm_ids(vms);
+        group.bench_with_input(BenchmarkId::from_parameter(vms), &ids, |bench, ids| {
+            bench.iter(|| rendezvous_order(black_box("organisation-17"), ids).len());
+        });
+    }
+}
+
+fn bench_choose(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choose_endpoints");
+    for endpoints in [12, 45, 670] {
+        let catalogue = Catalogue::new(parse(5, endpoints));
+        let valid_until = Time::from_millis(1_000);
+        let grant = SlotGrant {
+            slots: 8,
+            valid_until,
+        };
+        let names = catalogue
+            .manifest
+            .endpoints
+            .iter()
+            .map(|item| item.name.clone());
+        let grants: HashMap<_, _> = names.map(|name| (name, grant)).collect();
+        let stage = catalogue.manifest.pipelines[0].stages[0].clone();
+        let snapshot = Snapshot {
+            catalogue: Some(Arc::new(catalogue)),
+            grants: Arc::new(grants),
+            ..Snapshot::default()
+        };
+        let router = Router::new(RoutingConfig::default(), "dc-0".parse().unwrap());
+        let mut random = ChaCha8Rng::seed_from_u64(1);
+        group.bench_function(BenchmarkId::from_parameter(endpoints), |bench| {
+            bench.iter(|| {
+                let request = RouteRequest {
+                    stage: &stage,
+                    exclude: &[],
+                    avoid: None,
+                    prefix: None,
+                };
+                router.choose(Time::from_millis(1), &snapshot, &request, &mut random)
+            });
+        });
+    }
+}
+
+fn bench_quota(criterion: &mut Criterion) {
+    let organisation = "organisation-1".parse().unwrap();
+    let allowance = Allowance {
+        rate: RatePerSecond(1e9),
+        burst: Burst(1_000),
+    };
+    let until = Time::from_millis(u64::MAX / 10_000);
+    let tenure = Tenure {
+        number: 1,
+        since: Time::ZERO,
+        until,
+    };
+    let mut quota = Quota::new(QuotaConfig::default());
+    let mut now = Time::from_millis(10_000);
+    criterion.bench_function("quota_reserve", |bench| {
+        bench.iter(|| {
+            now = now + Duration::from_micros(1);
+            quota.reserve(
+                now,
+                &organisation,
+                allowance,
+                tenure,
+                Duration::from_secs(1),
+            )
+        });
+    });
+}
+
+fn bench_once(criterion: &mut Criterion) {
+    let config = OnceConfig {
+        id_life: Duration::from_millis(100),
+        ..OnceConfig::default()
+    };
+    let mut table = OnceTable::new(config, "vm-0".parse().unwrap(), Incarnation(1), [7; 32]);
+    let mut now = Time::ZERO;
+    criterion.bench_function("once_issue_begin_end", |bench| {
+        bench.iter(|| {
+            now = now + Duration::from_micros(10);
+            let id = table.issue(now);
+            black_box(table.begin(now, &id));
+            table.end(&id, (), 0);
+            if id.counter.is_multiple_of(1_000) {
+                table.expire(now);
+            }
+        });
+    });
+}
+
+fn bench_membership(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("membership_round_vms");
+    for vms in [8, 22, 330] {
+        let ids = vm_ids(vms);
+        let list = MemberList {
+            version: Version(1),
+            members: ids.iter().cloned().collect(),
+        };
+        let start = Time::from_millis(1_000);
+        let new = |id: &VmId| {
+            let config = MembershipConfig::default();
+            let mut member = Membership::new(config, id.clone(), Incarnation(1), start);
+            member.install_list(start, list.clone(), []);
+            member
+        };
+        let mut members = [new(&ids[0]), new(&ids[1])];
+        let mut now = start;
+        group.bench_function(BenchmarkId::from_parameter(vms), |bench| {
+            bench.iter(|| {
+                now = now + Duration::from_millis(200);
+                for peer in &ids[1..] {
+                    let heartbeat = members[0].heartbeat_for(now, peer);
+                    let answer = members[1].on_heartbeat(now, &ids[0], &heartbeat);
+                    members[0].on_acknowledgement(now, peer, &answer);
+                }
+                members[0].in_force_until(now)
+            });
+        });
+    }
+}
+
+criterion_group!(
+    benches,
+    bench_manifest,
+    bench_rendezvous,
+    bench_choose,
+    bench_quota,
+    bench_once,
+    bench_membership
+);
+criterion_main!(benches);
