--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,126 @@
+# Starts and stops a fleet of stand-ins and daemons; other scripts source this file.
+#
+# Set `bin` (directory of the binaries) and `dir` (directory written by
+# `primrosewalk-standins fleet`) first. Logs go to $dir/logs, process ids to $dir/pids.
+
+daemon_names=()
+standin_names=()
+
+# start_process NAME COMMAND...
+start_process() {
+    local name=$1
+    shift
+    mkdir -p "$dir/logs" "$dir/pids"
+    "$@" >"$dir/logs/$name.out" 2>"$dir/logs/$name.log" </dev/null &
+    echo $! >"$dir/pids/$name.pid"
+}
+
+# Prints the status code of a GET, or nothing when the connection fails.
+http_status() {
+    local address=$1 path=$2 line=''
+    {
+        exec 9<>"/dev/tcp/${address%:*}/${address##*:}" || return 0
+        printf 'GET %s HTTP/1.1\r\nhost: fleet\r\nconnection: close\r\n\r\n' "$path" >&9
+        IFS=' ' read -r -t 2 _ line _ <&9 || true
+        exec 9>&-
+    } 2>/dev/null
+    echo "$line"
+}
+
+# wait_for NAME ADDRESS PATH SECONDS: waits for status 200.
+wait_for() {
+    local name=$1 address=$2 path=$3 end=$((SECONDS + $4)) pid
+    pid=$(cat "$dir/pids/$name.pid")
+    until [ "$(http_status "$address" "$path")" = 200 ]; do
+        if ! kill -0 "$pid" 2>/dev/null; then
+            echo "$name ended before it was ready; its log:" >&2
+            tail -n 5 "$dir/logs/$name.log" >&2
+            return 1
+        fi
+        if [ "$SECONDS" -ge "$end" ]; then
+            echo "$name is not ready after $4 s; its log:" >&2
+            tail -n 5 "$dir/logs/$name.log" >&2
+            return 1
+        fi
+        sleep 0.1
+    done
+}
+
+# Prints the value of a flag in a line of $dir/daemons.txt.
+flag_of() {
+    sed -n "s/.*--$1 \([^ ]*\).*/\1/p" <<<"$2"
+}
+
+# start_standins FLAGS...: the flags go to the endpoints.
+start_standins() {
+    local platform
+    platform=$(flag_of platform-address "$(head -n 1 "$dir/daemons.txt")")
+    start_process platform "$bin/primrosewalk-standins" platform --listen "$platform" --dir "$dir"
+    standin_names+=(platform)
+    start_process endpoints "$bin/primrosewalk-standins" endpoints \
+        --file "$dir/manifest.json" "$@"
+    standin_names+=(endpoints)
+    wait_for platform "$platform" /control/counts 10
+    local address
+    for address in $(sed -n 's/.*"address": "\(.*\)".*/\1/p' "$dir/manifest.json"); do
+        wait_for endpoints "$address" /control/state 10
+    done
+}
+
+# start_daemons FLAGS...: the flags go to every daemon.
+start_daemons() {
+    local flags name
+    while IFS= read -r flags; do
+        name=$(flag_of vm "$flags")
+        # The flags hold no spaces within, so splitting them is right.
+        # shellcheck disable=SC2086
+        start_process "$name" "$bin/primrosewalkd" $flags "$@"
+        daemon_names+=("$name")
+    done <"$dir/daemons.txt"
+    while IFS= read -r flags; do
+        wait_for "$(flag_of vm "$flags")" "$(flag_of operator-address "$flags")" /readyz 30
+    done <"$dir/daemons.txt"
+}
+
+# stop_processes NAME...: ends each by its id; fails when one has to be killed.
+stop_processes() {
+    local name pid end=$((SECONDS + 30)) failed=0
+    for name in "$@"; do
+        kill -TERM "$(cat "$dir/pids/$name.pid")" 2>/dev/null || true
+    done
+    for name in "$@"; do
+        pid=$(cat "$dir/pids/$name.pid")
+        while kill -0 "$pid" 2>/dev/null && [ "$SECONDS" -lt "$end" ]; do
+            sleep 0.05
+        done
+        if kill -0 "$pid" 2>/dev/null; then
+            echo "$name (process $pid) did not end on SIGTERM; killing it" >&2
+            kill -KILL "$pid" 2>/dev/null || true
+            failed=1
+        fi
+        wait "$pid" 2>/dev/null || true
+    done
+    return "$failed"
+}
+
+# Stops daemons first, so that running requests can end. Safe to call twice.
+stop_fleet() {
+    local failed=0
+    stop_processes "${daemon_names[@]}" || failed=1
+    stop_processes "${standin_names[@]}" || failed=1
+    daemon_names=()
+    standin_names=()
+    return "$failed"
+}
+
+# check_gone: fails when a process of the fleet is still there.
+check_gone() {
+    local file failed=0
+    for file in "$dir"/pids/*.pid; do
+        if kill -0 "$(cat "$file")" 2>/dev/null; then
+            echo "still there: $(basename "$file" .pid)" >&2
+            failed=1
+        fi
+    done
+    return "$failed"
+}
