--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -36,6 +36,8 @@
     pub loads: Arc<HashMap<EndpointName, EndpointLoad>>,
     /// VMs that a majority denies; callers are not sent there.
     pub absent_vms: Arc<Vec<VmId>>,
+    /// Whether this VM holds a majority lease, for the status page.
+    pub in_force: bool,
     /// Set once a planned stop began.
     pub stopping: bool,
 }
--- a/src/context.rs
+++ b/src/context.rs
@@ -5,6 +5,7 @@
 use slog::Logger;
 
 use crate::blackboard::SharedSnapshot;
+use crate::explain::DecisionLog;
 use crate::units::{DataCentreName, Incarnation, VmId};
 
 /// Passed everywhere in place of globals, so that tests can build their own.
@@ -20,4 +21,6 @@
     pub logger: Logger,
     /// The control thread's latest published state.
     pub snapshot: Arc<SharedSnapshot>,
+    /// The latest decisions, which operators read.
+    pub decisions: Arc<DecisionLog>,
 }
--- a/src/decisions/routing.rs
+++ b/src/decisions/routing.rs
@@ -112,7 +112,8 @@
         grant.is_some_and(|grant| now < grant.valid_until && self.in_flight(endpoint) < grant.slots)
     }
 
-    fn circuit(&self, endpoint: &EndpointName) -> Circuit {
+    /// Returns the state of an endpoint's circuit, for the status page.
+    pub fn circuit(&self, endpoint: &EndpointName) -> Circuit {
         self.circuits.get(endpoint).copied().unwrap_or_default()
     }
 
--- /dev/null
+++ b/src/traffic/address.rs
@@ -0,0 +1,118 @@
+//! Which VM a caller should use, and the issue of request ids.
+
+use std::net::SocketAddr;
+
+use hyper::{HeaderMap, StatusCode};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::blackboard::Snapshot;
+use crate::decisions::rendezvous::rendezvous_order;
+use crate::manifest::VmEntry;
+use crate::traffic::http_body::{self, Answer};
+use crate::traffic::key;
+use crate::traffic::refusal::{Refusal, RefusalCode};
+use crate::traffic::state::Traffic;
+use crate::units::{OrganisationName, RequestId, VmId};
+
+/// Answer to `GET /v1/address`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AddressAnswer {
+    /// Where to connect.
+    pub address: SocketAddr,
+    /// The VM that listens there.
+    pub vm: VmId,
+    /// An id for one request, only when the address is that of the VM that answers. Only
+    /// the VM that runs a request issues its id, so that it can vouch for it.
+    pub request_id: Option<RequestId>,
+    /// How long to keep the address before asking again.
+    pub valid_for_ms: u64,
+}
+
+/// Answer to `POST /v1/request-ids`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestIdAnswer {
+    /// An id for one request, to be sent to this VM.
+    pub request_id: RequestId,
+    /// The VM that issued it.
+    pub vm: VmId,
+    /// How long a request with the id may begin.
+    pub valid_for_ms: u64,
+}
+
+/// Serves `GET /v1/address`.
+pub fn serve_address(traffic: &Traffic, headers: &HeaderMap) -> Answer {
+    let snapshot = traffic.context.snapshot.load();
+    let organisation = organisation_of(&snapshot, headers);
+    let Some(vm) = preferred_vm(traffic, &snapshot, organisation.as_ref()) else {
+        let message = "no VM can take requests now";
+        return http_body::refusal(&Refusal::not_run(RefusalCode::NoCapacity, message));
+    };
+    let is_self = vm.id == traffic.context.vm;
+    let answer = AddressAnswer {
+        address: vm.caller_address,
+        vm: vm.id.clone(),
+        request_id: is_self.then(|| traffic.ids.issue()),
+        valid_for_ms: millis(traffic.config.address_life),
+    };
+    http_body::json(StatusCode::OK, &answer)
+}
+
+/// Serves `POST /v1/request-ids`.
+pub fn serve_request_id(traffic: &Traffic) -> Answer {
+    if traffic.is_stopping() {
+        return http_body::refusal(&stopping(traffic, None));
+    }
+    let answer = RequestIdAnswer {
+        request_id: traffic.ids.issue(),
+        vm: traffic.context.vm.clone(),
+        valid_for_ms: millis(traffic.config.once.id_life),
+    };
+    http_body::json(StatusCode::OK, &answer)
+}
+
+/// Makes the refusal of new work during a planned stop.
+pub fn stopping(traffic: &Traffic, organisation: Option<&OrganisationName>) -> Refusal {
+    let snapshot = traffic.context.snapshot.load();
+    let other = preferred_vm(traffic, &snapshot, organisation);
+    let address = other.map(|vm| vm.caller_address);
+    let message = match address {
+        Some(address) => format!("this VM is stopping; use {address}"),
+        None => "this VM is stopping".to_owned(),
+    };
+    Refusal {
+        address,
+        ..Refusal::not_run(RefusalCode::Stopping, message)
+    }
+}
+
+fn millis(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn organisation_of(snapshot: &Snapshot, headers: &HeaderMap) -> Option<OrganisationName> {
+    let digest = key::key_digest(headers)?;
+    let organisation = snapshot.catalogue.as_ref()?.organisation_of_key(&digest)?;
+    Some(organisation.name.clone())
+}
+
+/// Returns the first VM in the organisation's order, or a random one without a key.
+fn preferred_vm<'a>(
+    traffic: &Traffic,
+    snapshot: &'a Snapshot,
+    organisation: Option<&OrganisationName>,
+) -> Option<&'a VmEntry> {
+    let is_stopping = traffic.is_stopping();
+    let callable = snapshot.callable_vms();
+    let vms: SmallVec<[&VmEntry; 8]> = callable
+        .filter(|vm| !is_stopping || vm.id != traffic.context.vm)
+        .collect();
+    let Some(organisation) = organisation else {
+        let index = rand::rng().random_range(0..vms.len().max(1));
+        return vms.get(index).copied();
+    };
+    let order = rendezvous_order(organisation.as_str(), vms.iter().map(|vm| &vm.id));
+    let first = order.first()?;
+    vms.iter().copied().find(|vm| vm.id == **first)
+}
--- /dev/null
+++ b/src/traffic/config.rs
@@ -0,0 +1,102 @@
+//! Settings of the traffic side.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::decisions::once::OnceConfig;
+use crate::decisions::retry::RetryConfig;
+use crate::decisions::routing::RoutingConfig;
+
+/// Where a request's token comes from.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaMode {
+    /// The organisation's home VM holds the whole bucket.
+    #[default]
+    Home,
+    /// Each VM holds a fixed share of the rate and the burst: the baseline.
+    StaticShare,
+}
+
+/// How an endpoint is chosen among those with a free slot.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum RoutingMode {
+    /// By data centre, load and circuit.
+    #[default]
+    Scored,
+    /// Uniformly at random, without circuits: the baseline.
+    Random,
+}
+
+/// Settings of [`crate::traffic::serve`].
+#[derive(Clone)]
+pub struct TrafficConfig {
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where operators connect.
+    pub operator_address: SocketAddr,
+    /// Source of tokens.
+    pub quota_mode: QuotaMode,
+    /// Choice of endpoints.
+    pub routing_mode: RoutingMode,
+    /// Whether retries draw on the shared budget. Without it, only the attempts of each
+    /// stage are bounded: the baseline.
+    pub retry_budget_enabled: bool,
+    /// Settings of the scored routing.
+    pub routing: RoutingConfig,
+    /// Settings of retries.
+    pub retry: RetryConfig,
+    /// Bounds of the request id table.
+    pub once: OnceConfig,
+    /// Kept answers of all request ids together.
+    pub kept_answers_limit_bytes: usize,
+    /// Largest request body.
+    pub body_limit_bytes: usize,
+    /// Largest answer that is taken from an endpoint or an owner VM.
+    pub answer_limit_bytes: usize,
+    /// Longest time for a caller to send the head of a request.
+    pub header_read_timeout: Duration,
+    /// Longest time for a caller to send the body of a request.
+    pub body_read_timeout: Duration,
+    /// Longest time to connect to an endpoint or an owner VM.
+    pub connect_timeout: Duration,
+    /// How long a non-idempotent attempt may go on after its stage's time, so that its
+    /// outcome can be kept for the caller's next try.
+    pub non_idempotent_extra: Duration,
+    /// How long callers may use an address before they ask again.
+    pub address_life: Duration,
+    /// Connections of callers at once.
+    pub connection_limit: usize,
+    /// Longest planned stop; connections that are still open then are closed.
+    pub drain_limit: Duration,
+    /// Renders the metrics page, when a recorder is installed.
+    pub metrics: Option<PrometheusHandle>,
+}
+
+impl Default for TrafficConfig {
+    fn default() -> Self {
+        Self {
+            caller_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            operator_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            quota_mode: QuotaMode::default(),
+            routing_mode: RoutingMode::default(),
+            retry_budget_enabled: true,
+            routing: RoutingConfig::default(),
+            retry: RetryConfig::default(),
+            once: OnceConfig::default(),
+            kept_answers_limit_bytes: 64 * 1024 * 1024,
+            body_limit_bytes: 1024 * 1024,
+            answer_limit_bytes: 16 * 1024 * 1024,
+            header_read_timeout: Duration::from_secs(30),
+            body_read_timeout: Duration::from_secs(10),
+            connect_timeout: Duration::from_millis(500),
+            non_idempotent_extra: Duration::from_secs(30),
+            address_life: Duration::from_secs(30),
+            connection_limit: 10_000,
+            // The longest pipeline deadline that a manifest may set is ten minutes.
+            drain_limit: Duration::from_secs(660),
+            metrics: None,
+        }
+    }
+}
--- /dev/null
+++ b/src/traffic/operator.rs
@@ -0,0 +1,177 @@
+//! The operator interface: metrics, health, status and decisions (`docs/design.md`, 6).
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde::Serialize;
+
+use crate::blackboard::{Catalogue, Snapshot};
+use crate::clock;
+use crate::manifest::{Endpoint, VmState};
+use crate::status::{CircuitStatus, EndpointStatus, OrganisationStatus, PeerStatus, Status};
+use crate::traffic::http_body::{self, Answer};
+use crate::traffic::key::ConnectionKeys;
+use crate::traffic::state::Traffic;
+use crate::units::Time;
+
+/// Decisions in one answer.
+const DECISION_LIMIT: usize = 1000;
+
+/// Serves one request of an operator.
+pub async fn serve_operator(
+    traffic: Arc<Traffic>,
+    _: Arc<ConnectionKeys>,
+    request: Request<Incoming>,
+) -> Answer {
+    if request.method() != Method::GET {
+        return http_body::text(StatusCode::METHOD_NOT_ALLOWED, "only GET is served\n");
+    }
+    let decisions = &traffic.context.decisions;
+    match request.uri().path() {
+        "/metrics" => serve_metrics(&traffic),
+        "/healthz" => http_body::text(StatusCode::OK, "ok\n"),
+        "/readyz" => serve_readiness(&traffic),
+        "/v1/status" => http_body::json(StatusCode::OK, &status(&traffic)),
+        "/v1/decisions" => match after(request.uri().query()) {
+            Ok(after) => http_body::json(StatusCode::OK, &decisions.after(after, DECISION_LIMIT)),
+            Err(problem) => http_body::text(StatusCode::BAD_REQUEST, problem),
+        },
+        path => match path.strip_prefix("/v1/explain/") {
+            Some(id) => http_body::json(StatusCode::OK, &decisions.about(id)),
+            None => http_body::text(StatusCode::NOT_FOUND, format!("nothing is at {path}\n")),
+        },
+    }
+}
+
+fn after(query: Option<&str>) -> Result<u64, &'static str> {
+    let mut pairs = query.unwrap_or_default().split('&');
+    let Some(value) = pairs.find_map(|pair| pair.strip_prefix("after=")) else {
+        return Ok(0);
+    };
+    value
+        .parse()
+        .map_err(|_| "after is not a sequence number\n")
+}
+
+fn serve_metrics(traffic: &Traffic) -> Answer {
+    metrics::gauge!("primrosewalk_running_requests").set(traffic.runs.len() as f64);
+    match &traffic.config.metrics {
+        Some(handle) => http_body::whole(
+            StatusCode::OK,
+            "text/plain; version=0.0.4; charset=utf-8",
+            handle.render(),
+        ),
+        None => http_body::text(StatusCode::NOT_FOUND, "no metrics recorder is installed\n"),
+    }
+}
+
+#[derive(Serialize)]
+struct Readiness {
+    ready: bool,
+    reasons: Vec<&'static str>,
+}
+
+fn serve_readiness(traffic: &Traffic) -> Answer {
+    let snapshot = traffic.context.snapshot.load();
+    let conditions = [
+        (snapshot.catalogue.is_none(), "no manifest is in force"),
+        (snapshot.vms.vms.is_empty(), "no VM list is in force"),
+        (traffic.is_stopping(), "a planned stop began"),
+    ];
+    let failed = conditions.into_iter().filter(|(failed, _)| *failed);
+    let reasons: Vec<&str> = failed.map(|(_, reason)| reason).collect();
+    let ready = reasons.is_empty();
+    let status = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    http_body::json(status, &Readiness { ready, reasons })
+}
+
+fn status(traffic: &Traffic) -> Status {
+    let snapshot = traffic.context.snapshot.load_full();
+    let now = clock::now();
+    let catalogue = snapshot.catalogue.as_deref();
+    let endpoints = catalogue.map(|catalogue| endpoints(traffic, &snapshot, catalogue, now));
+    Status {
+        vm: traffic.context.vm.clone(),
+        incarnation: traffic.context.incarnation,
+        data_centre: traffic.context.data_centre.clone(),
+        stopping: traffic.is_stopping(),
+        in_force: snapshot.in_force,
+        manifest_version: catalogue.map(|catalogue| catalogue.manifest.version),
+        list_version: snapshot.vms.version,
+        keys_fresh: now < snapshot.keys_fresh_until,
+        running_requests: traffic.runs.len(),
+        peers: peers(&snapshot),
+        endpoints: endpoints.unwrap_or_default(),
+        organisations: organisations(traffic),
+    }
+}
+
+fn peers(snapshot: &Snapshot) -> Vec<PeerStatus> {
+    let vms = snapshot.vms.vms.iter();
+    vms.map(|vm| PeerStatus {
+        vm: vm.id.clone(),
+        data_centre: vm.data_centre.clone(),
+        caller_address: vm.caller_address,
+        leaving: vm.state == VmState::Leaving,
+        absent: snapshot.absent_vms.contains(&vm.id),
+    })
+    .collect()
+}
+
+fn endpoints(
+    traffic: &Traffic,
+    snapshot: &Snapshot,
+    catalogue: &Catalogue,
+    now: Time,
+) -> Vec<EndpointStatus> {
+    let endpoints = catalogue.manifest.endpoints.iter();
+    endpoints
+        .map(|endpoint| endpoint_status(traffic, snapshot, catalogue, endpoint, now))
+        .collect()
+}
+
+fn endpoint_status(
+    traffic: &Traffic,
+    snapshot: &Snapshot,
+    catalogue: &Catalogue,
+    endpoint: &Endpoint,
+    now: Time,
+) -> EndpointStatus {
+    let (in_flight, allowed) = traffic.router.endpoint_state(now, &endpoint.name);
+    let grant = snapshot.grants.get(&endpoint.name);
+    let granted = grant.filter(|grant| now < grant.valid_until);
+    EndpointStatus {
+        endpoint: endpoint.name.clone(),
+        service: endpoint.service.clone(),
+        data_centre: endpoint.data_centre.clone(),
+        state: endpoint.state,
+        in_service: catalogue.in_service(&endpoint.data_centre),
+        granted_slots: granted.map_or(0, |grant| grant.slots),
+        slots: endpoint.slots,
+        in_flight,
+        circuit: if allowed {
+            CircuitStatus::Closed
+        } else {
+            CircuitStatus::Open
+        },
+        cold: snapshot.loads.get(&endpoint.name).map(|load| load.cold),
+    }
+}
+
+fn organisations(traffic: &Traffic) -> Vec<OrganisationStatus> {
+    let counts = traffic.counts().into_iter();
+    let mut list: Vec<OrganisationStatus> = counts
+        .map(|(organisation, counts)| OrganisationStatus {
+            organisation,
+            admitted: counts.admitted,
+            refused: counts.refused,
+        })
+        .collect();
+    list.sort_by(|left, right| left.organisation.cmp(&right.organisation));
+    list
+}
--- /dev/null
+++ b/src/traffic/router_state.rs
@@ -0,0 +1,443 @@
+//! Endpoint slots of this VM: the router, the queues and the retry budget behind one mutex.
+//!
+//! A slot is held by a [`Slot`] and given back when that is dropped, so that no early
+//! return can lose one.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+use tokio::sync::{Notify, oneshot};
+
+use crate::blackboard::{Catalogue, SharedSnapshot, SlotDemand, Snapshot};
+use crate::clock;
+use crate::decisions::circuit::FailureClass;
+use crate::decisions::fair_queue::{FairQueue, Ticket};
+use crate::decisions::retry::RetryBudget;
+use crate::decisions::routing::{Choice, RouteRequest, Router};
+use crate::manifest::{Endpoint, Stage, StageKind};
+use crate::traffic::config::{RoutingMode, TrafficConfig};
+use crate::units::{DataCentreName, EndpointName, ModelName, OrganisationName, ServiceName, Time};
+
+type ServiceKey = (StageKind, ServiceName);
+
+/// What a request wants a slot for.
+#[derive(Debug, Clone)]
+pub struct SlotRequest {
+    /// The stage to run.
+    pub stage: Stage,
+    /// Who waits.
+    pub organisation: OrganisationName,
+    /// The organisation's weight in the queue.
+    pub weight: f64,
+    /// Endpoints that failed earlier attempts of the stage.
+    pub exclude: Vec<EndpointName>,
+    /// The data centre of the last failure.
+    pub avoid: Option<DataCentreName>,
+    /// Hash of the prompt prefix.
+    pub prefix: Option<u64>,
+}
+
+impl SlotRequest {
+    fn route(&self) -> RouteRequest<'_> {
+        RouteRequest {
+            stage: &self.stage,
+            exclude: &self.exclude,
+            avoid: self.avoid.as_ref(),
+            prefix: self.prefix,
+        }
+    }
+}
+
+/// Why no slot was given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoSlot {
+    /// No endpoint in service offers the stage.
+    NoEndpoint,
+    /// None became free in time.
+    TimedOut,
+}
+
+struct Waiter {
+    request: SlotRequest,
+    reply: oneshot::Sender<Slot>,
+}
+
+struct Inner {
+    router: Router,
+    queues: HashMap<ServiceKey, FairQueue<Waiter>>,
+    /// Requests that wait, by service and model, for the demand report.
+    waiting: HashMap<(ServiceKey, Option<ModelName>), u32>,
+    /// Endpoints whose cold start was reported, and when.
+    cold_since: HashMap<EndpointName, Time>,
+    budget: RetryBudget,
+    random: ChaCha8Rng,
+}
+
+/// Shared by all requests of the VM.
+pub struct RouterState {
+    inner: Mutex<Inner>,
+    snapshot: Arc<SharedSnapshot>,
+    mode: RoutingMode,
+    budget_enabled: bool,
+    attempts_per_stage: u32,
+    /// Woken when a request begins to wait, so that demand is reported at once.
+    pub wait_began: Notify,
+}
+
+/// One slot at an endpoint.
+pub struct Slot {
+    state: Arc<RouterState>,
+    /// The endpoint as the manifest had it when the slot was given.
+    pub endpoint: Endpoint,
+    /// Why the endpoint was chosen.
+    pub reason: &'static str,
+    result: Option<Result<(), FailureClass>>,
+}
+
+impl Slot {
+    /// Gives the slot back with the attempt's result.
+    pub fn finish(mut self, result: Result<(), FailureClass>) {
+        self.result = Some(result);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.state.release(&self.endpoint, self.result);
+    }
+}
+
+/// Takes a waiting request out of its queue when the wait ends for any reason.
+struct QueueEntry<'a> {
+    state: &'a RouterState,
+    key: ServiceKey,
+    ticket: Ticket,
+}
+
+impl Drop for QueueEntry<'_> {
+    fn drop(&mut self) {
+        let waiter = {
+            let mut inner = self.state.inner.lock();
+            let queue = inner.queues.get_mut(&self.key);
+            let waiter = queue.and_then(|queue| queue.remove(self.ticket));
+            if let Some(waiter) = &waiter {
+                inner.on_wait_ended(&self.key, &waiter.request.stage);
+            }
+            waiter
+        };
+        drop(waiter);
+    }
+}
+
+impl Inner {
+    fn on_wait_began(&mut self, key: &ServiceKey, stage: &Stage) {
+        let group = (key.clone(), stage.model.clone());
+        *self.waiting.entry(group).or_default() += 1;
+    }
+
+    fn on_wait_ended(&mut self, key: &ServiceKey, stage: &Stage) {
+        let group = (key.clone(), stage.model.clone());
+        if let Some(count) = self.waiting.get_mut(&group) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.waiting.remove(&group);
+            }
+        }
+    }
+}
+
+impl RouterState {
+    /// Starts without requests.
+    pub fn new(
+        config: &TrafficConfig,
+        data_centre: DataCentreName,
+        snapshot: Arc<SharedSnapshot>,
+    ) -> Self {
+        let inner = Inner {
+            router: Router::new(config.routing, data_centre),
+            queues: HashMap::new(),
+            waiting: HashMap::new(),
+            cold_since: HashMap::new(),
+            budget: RetryBudget::new(config.retry),
+            random: ChaCha8Rng::from_rng(&mut rand::rng()),
+        };
+        Self {
+            inner: Mutex::new(inner),
+            snapshot,
+            mode: config.routing_mode,
+            budget_enabled: config.retry_budget_enabled,
+            attempts_per_stage: config.retry.attempts_per_stage,
+            wait_began: Notify::new(),
+        }
+    }
+
+    /// Waits for a slot, in fair order among organisations.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none. No work has started then.
+    pub async fn acquire(
+        self: &Arc<Self>,
+        request: SlotRequest,
+        max_wait: Duration,
+    ) -> Result<Slot, NoSlot> {
+        let key = (request.stage.kind, request.stage.service.clone());
+        let (entry, mut receiver) = {
+            let mut inner = self.inner.lock();
+            let snapshot = self.snapshot.load();
+            let queue_is_empty = inner.queues.get(&key).is_none_or(FairQueue::is_empty);
+            match self.choose(&mut inner, &snapshot, &request) {
+                Choice::Endpoint { name, reason } if queue_is_empty => {
+                    let slot = self.start(&mut inner, &snapshot, &name, reason);
+                    return slot.ok_or(NoSlot::NoEndpoint);
+                }
+                Choice::None => return Err(NoSlot::NoEndpoint),
+                Choice::Endpoint { .. } | Choice::Busy => {}
+            }
+            let (reply, receiver) = oneshot::channel();
+            inner.on_wait_began(&key, &request.stage);
+            let queue = inner.queues.entry(key.clone()).or_default();
+            let organisation = request.organisation.clone();
+            let weight = request.weight;
+            let ticket = queue.push(&organisation, weight, Waiter { request, reply });
+            let entry = QueueEntry {
+                state: self,
+                key: key.clone(),
+                ticket,
+            };
+            (entry, receiver)
+        };
+        self.wait_began.notify_one();
+        self.serve_queue(&key);
+        let slot = tokio::time::timeout(max_wait, &mut receiver).await;
+        drop(entry);
+        match slot {
+            Ok(Ok(slot)) => Ok(slot),
+            // A slot that was given in the last moment is still good.
+            _ => receiver.try_recv().map_err(|_| NoSlot::TimedOut),
+        }
+    }
+
+    fn choose(&self, inner: &mut Inner, snapshot: &Snapshot, request: &SlotRequest) -> Choice {
+        let Inner { router, random, .. } = inner;
+        let now = clock::now();
+        match self.mode {
+            RoutingMode::Scored => router.choose(now, snapshot, &request.route(), random),
+            RoutingMode::Random => choose_at_random(router, now, snapshot, request, random),
+        }
+    }
+
+    fn start(
+        self: &Arc<Self>,
+        inner: &mut Inner,
+        snapshot: &Snapshot,
+        name: &EndpointName,
+        reason: &'static str,
+    ) -> Option<Slot> {
+        let endpoint = snapshot.catalogue.as_ref()?.endpoint(name)?.clone();
+        inner.router.on_start(name);
+        Some(Slot {
+            state: Arc::clone(self),
+            endpoint,
+            reason,
+            result: None,
+        })
+    }
+
+    fn release(self: &Arc<Self>, endpoint: &Endpoint, result: Option<Result<(), FailureClass>>) {
+        let now = clock::now();
+        let mut inner = self.inner.lock();
+        inner.router.on_end(now, &endpoint.name, result);
+        drop(inner);
+        self.serve_queue(&(endpoint.kind, endpoint.service.clone()));
+    }
+
+    /// Gives free slots to the requests that wait for any service.
+    pub fn serve_all_queues(self: &Arc<Self>) {
+        let keys: Vec<ServiceKey> = {
+            let mut inner = self.inner.lock();
+            inner.queues.retain(|_, queue| !queue.is_empty());
+            inner.queues.keys().cloned().collect()
+        };
+        for key in keys {
+            self.serve_queue(&key);
+        }
+    }
+
+    fn serve_queue(self: &Arc<Self>, key: &ServiceKey) {
+        loop {
+            let Some((waiter, slot)) = self.serve_one(key) else {
+                return;
+            };
+            // A request that gave up drops its slot here, outside the lock.
+            drop(waiter.reply.send(slot));
+        }
+    }
+
+    fn serve_one(self: &Arc<Self>, key: &ServiceKey) -> Option<(Waiter, Slot)> {
+        let mut inner = self.inner.lock();
+        let snapshot = self.snapshot.load();
+        let mut queue = inner.queues.remove(key)?;
+        let mut chosen = None;
+        let mut busy_models: SmallVec<[Option<ModelName>; 4]> = SmallVec::new();
+        let waiter = queue.pop(|waiter| {
+            let request = &waiter.request;
+            if busy_models.contains(&request.stage.model) {
+                return false;
+            }
+            match self.choose(&mut inner, &snapshot, request) {
+                Choice::Endpoint { name, reason } => chosen = Some((name, reason)),
+                // Whoever may go anywhere finds nothing free: neither will the others.
+                _ if request.exclude.is_empty() => busy_models.push(request.stage.model.clone()),
+                _ => {}
+            }
+            chosen.is_some()
+        });
+        inner.queues.insert(key.clone(), queue);
+        let waiter = waiter?;
+        inner.on_wait_ended(key, &waiter.request.stage);
+        let (name, reason) = chosen?;
+        let slot = self.start(&mut inner, &snapshot, &name, reason)?;
+        Some((waiter, slot))
+    }
+
+    /// Returns whether any request waits for a slot.
+    pub fn has_waiters(&self) -> bool {
+        let inner = self.inner.lock();
+        inner.queues.values().any(|queue| !queue.is_empty())
+    }
+
+    /// Notes the first attempt of a stage.
+    pub fn on_first_attempt(&self) {
+        self.inner.lock().budget.on_first_attempt();
+    }
+
+    /// Returns whether a stage may be tried again after `attempts` attempts.
+    pub fn take_retry(&self, attempts: u32) -> bool {
+        if !self.budget_enabled {
+            return attempts < self.attempts_per_stage;
+        }
+        self.inner.lock().budget.take(attempts)
+    }
+
+    /// Returns whether a sign of a cold start begins one, rather than repeats a known one.
+    /// Only the first is reported, because each report sends the ramp back to its start.
+    pub fn is_first_cold_sign(&self, endpoint: &EndpointName) -> bool {
+        let snapshot = self.snapshot.load();
+        let mut inner = self.inner.lock();
+        let since = inner.cold_since.get(endpoint);
+        let warm_since = since.is_some_and(|since| {
+            let load = snapshot.loads.get(endpoint);
+            load.is_some_and(|load| !load.cold && load.read_at > *since)
+        });
+        let is_first = since.is_none() || warm_since;
+        if is_first {
+            inner.cold_since.insert(endpoint.clone(), clock::now());
+        }
+        is_first
+    }
+
+    /// Notes an answer without a sign of a cold start.
+    pub fn on_warm_answer(&self, endpoint: &EndpointName) {
+        self.inner.lock().cold_since.remove(endpoint);
+    }
+
+    /// Returns the requests in flight at an endpoint and whether its circuit lets one start.
+    pub fn endpoint_state(&self, now: Time, endpoint: &EndpointName) -> (u32, bool) {
+        let inner = self.inner.lock();
+        let allowed = inner.router.circuit(endpoint).allows(now);
+        (inner.router.in_flight(endpoint), allowed)
+    }
+
+    /// Returns what this VM wants of each endpoint.
+    ///
+    /// Requests that wait for a service count at each endpoint in service that offers it,
+    /// in proportion to the endpoint's slots and rounded up, because any of them can end
+    /// the wait.
+    pub fn demand(&self) -> HashMap<EndpointName, SlotDemand> {
+        let snapshot = self.snapshot.load();
+        let Some(catalogue) = &snapshot.catalogue else {
+            return HashMap::new();
+        };
+        let inner = self.inner.lock();
+        let mut demand: HashMap<EndpointName, SlotDemand> = HashMap::new();
+        for endpoint in &catalogue.manifest.endpoints {
+            let in_flight = inner.router.in_flight(&endpoint.name);
+            if in_flight > 0 {
+                let entry = demand.entry(endpoint.name.clone()).or_default();
+                entry.in_flight = in_flight;
+            }
+        }
+        for ((key, model), waiting) in &inner.waiting {
+            add_waiting(&mut demand, catalogue, key, model.as_ref(), *waiting);
+        }
+        demand
+    }
+}
+
+fn add_waiting(
+    demand: &mut HashMap<EndpointName, SlotDemand>,
+    catalogue: &Catalogue,
+    key: &ServiceKey,
+    model: Option<&ModelName>,
+    waiting: u32,
+) {
+    let offers = |endpoint: &&Endpoint| {
+        endpoint.kind == key.0
+            && endpoint.service == key.1
+            && model.is_none_or(|model| endpoint.models.contains(model))
+            && catalogue.accepts_work(endpoint)
+    };
+    let offered: Vec<&Endpoint> = catalogue.manifest.endpoints.iter().filter(offers).collect();
+    let all_slots: u64 = offered.iter().map(|item| u64::from(item.slots)).sum();
+    for endpoint in offered {
+        let share = (u64::from(waiting) * u64::from(endpoint.slots)).div_ceil(all_slots.max(1));
+        let entry = demand.entry(endpoint.name.clone()).or_default();
+        let share = u32::try_from(share).unwrap_or(u32::MAX);
+        entry.waiting = entry.waiting.saturating_add(share);
+    }
+}
+
+fn choose_at_random(
+    router: &Router,
+    now: Time,
+    snapshot: &Snapshot,
+    request: &SlotRequest,
+    random: &mut ChaCha8Rng,
+) -> Choice {
+    let Some(catalogue) = &snapshot.catalogue else {
+        return Choice::None;
+    };
+    let stage = &request.stage;
+    let offers = |endpoint: &&Endpoint| {
+        let model = stage.model.as_ref();
+        endpoint.kind == stage.kind
+            && endpoint.service == stage.service
+            && model.is_none_or(|model| endpoint.models.contains(model))
+            && !request.exclude.contains(&endpoint.name)
+            && catalogue.accepts_work(endpoint)
+    };
+    let offered: Vec<&Endpoint> = catalogue.manifest.endpoints.iter().filter(offers).collect();
+    if offered.is_empty() {
+        return Choice::None;
+    }
+    let has_slot = |endpoint: &&&Endpoint| {
+        snapshot.grants.get(&endpoint.name).is_some_and(|grant| {
+            now < grant.valid_until && router.in_flight(&endpoint.name) < grant.slots
+        })
+    };
+    let free: Vec<&&Endpoint> = offered.iter().filter(has_slot).collect();
+    if free.is_empty() {
+        return Choice::Busy;
+    }
+    let endpoint = free[random.random_range(0..free.len())];
+    Choice::Endpoint {
+        name: endpoint.name.clone(),
+        reason: "random among endpoints with a free slot",
+    }
+}
--- /dev/null
+++ b/src/traffic/sse.rs
@@ -0,0 +1,95 @@
+//! Server-sent events: reading those of engines, writing those for callers.
+
+use bytes::{Bytes, BytesMut};
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// The event's name; `message` when it has none.
+    pub name: String,
+    /// The data lines, joined by line feeds.
+    pub data: String,
+}
+
+/// Cuts a byte stream into events.
+#[derive(Debug, Default)]
+pub struct EventParser {
+    buffer: BytesMut,
+}
+
+impl EventParser {
+    /// Adds bytes as they arrived.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns how many bytes wait for the end of their event.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Takes the next whole event; `None` until more bytes arrive.
+    pub fn next_event(&mut self) -> Option<Event> {
+        loop {
+            let end = end_of_event(&self.buffer)?;
+            let block = self.buffer.split_to(end);
+            if let Some(event) = parse_block(&String::from_utf8_lossy(&block)) {
+                return Some(event);
+            }
+        }
+    }
+}
+
+/// Returns the position after the empty line that ends the first event.
+fn end_of_event(buffer: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (index, byte) in buffer.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &buffer[line_start..index];
+        if line.is_empty() || line == b"\r" {
+            return Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    None
+}
+
+fn parse_block(block: &str) -> Option<Event> {
+    let mut name = None;
+    let mut data: Option<String> = None;
+    for line in block.lines() {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match (field, &mut data) {
+            ("event", _) => name = Some(value.to_owned()),
+            ("data", Some(data)) => {
+                data.push('\n');
+                data.push_str(value);
+            }
+            ("data", None) => data = Some(value.to_owned()),
+            _ => {}
+        }
+    }
+    if name.is_none() && data.is_none() {
+        return None;
+    }
+    Some(Event {
+        name: name.unwrap_or_else(|| "message".to_owned()),
+        data: data.unwrap_or_default(),
+    })
+}
+
+/// Writes an event whose data is a JSON document.
+pub fn encode(name: &str, json: &str) -> Bytes {
+    let mut text = format!("event: {name}\n");
+    // A bare carriage return ends a line of the stream, and is only white space in JSON.
+    for line in json.split(['\n', '\r']) {
+        text.push_str("data: ");
+        text.push_str(line);
+        text.push('\n');
+    }
+    text.push('\n');
+    Bytes::from(text)
+}
--- /dev/null
+++ b/src/traffic/stage.rs
@@ -0,0 +1,369 @@
+//! One stage of a request: a slot, an attempt, and where allowed further attempts.
+//!
+//! `docs/design.md`, 3.4 and 3.5 give the rules.
+
+use std::future::Future;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use sha2::{Digest, Sha256};
+use slog::info;
+
+use crate::blackboard::ControlCommand;
+use crate::clock;
+use crate::decisions::retry::stage_time;
+use crate::manifest::{Stage, StageKind};
+use crate::traffic::endpoint_client::{Call, CallError, Ran, Reply};
+use crate::traffic::refusal::{Refusal, RefusalCode};
+use crate::traffic::router_state::{NoSlot, Slot, SlotRequest};
+use crate::traffic::run::{Run, StageSummary};
+use crate::traffic::token_relay::{Diverged, TokenRelay};
+use crate::units::Time;
+
+/// Bytes of an engine's input that count as its prompt prefix.
+const PREFIX_BYTES: usize = 256;
+
+/// Shortest time that an attempt gets before another one is tried.
+const SHORTEST_ATTEMPT: Duration = Duration::from_millis(20);
+
+/// A stage that ended well.
+pub struct StageDone {
+    /// For the caller's summary.
+    pub summary: StageSummary,
+    /// Input of the next stage.
+    pub output: Box<RawValue>,
+}
+
+/// State of one stage over its attempts.
+struct StageRun<'a> {
+    run: &'a Run,
+    stage: &'a Stage,
+    input: &'a RawValue,
+    until: Time,
+    relay: TokenRelay,
+    request: SlotRequest,
+    attempts: u32,
+}
+
+/// Runs one stage of a request to its end.
+///
+/// # Errors
+///
+/// Returns the refusal for the caller.
+pub async fn run_stage(run: &Run, index: usize, input: &RawValue) -> Result<StageDone, Refusal> {
+    let started = clock::now();
+    let stages = &run.pipeline.stages;
+    let stage = &stages[index];
+    let later = stages[index + 1..].iter().map(|stage| stage.weight);
+    let until = started + stage_time(run.remaining(), stage.weight, later);
+    let is_last = index + 1 == stages.len();
+    let streams = run.stream && is_last && stage.kind == StageKind::Generate;
+    let mut state = StageRun {
+        run,
+        stage,
+        input,
+        until,
+        relay: TokenRelay::new(streams.then(|| run.messages.clone())),
+        request: slot_request(run, stage, input),
+        attempts: 0,
+    };
+    run.traffic.router.on_first_attempt();
+    let done = state.attempts_until_done().await;
+    let elapsed = clock::now().since(started);
+    let outcome = if done.is_ok() { "answered" } else { "failed" };
+    metrics::histogram!("primrosewalk_stage_seconds", "pipeline" => run.pipeline.name.to_string(),
+        "stage" => stage.name.to_string(), "outcome" => outcome)
+    .record(elapsed.as_secs_f64());
+    let (endpoint, output) = done?;
+    let summary = StageSummary {
+        stage: stage.name.clone(),
+        endpoint,
+        attempts: state.attempts,
+        elapsed_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+    };
+    Ok(StageDone { summary, output })
+}
+
+fn slot_request(run: &Run, stage: &Stage, input: &RawValue) -> SlotRequest {
+    let prefix = (stage.kind == StageKind::Generate).then(|| {
+        let bytes = input.get().as_bytes();
+        let digest = Sha256::digest(&bytes[..bytes.len().min(PREFIX_BYTES)]);
+        digest[..8]
+            .iter()
+            .fold(0, |hash, byte| (hash << 8) | u64::from(*byte))
+    });
+    SlotRequest {
+        stage: stage.clone(),
+        organisation: run.caller.organisation.clone(),
+        weight: run.caller.weight,
+        exclude: Vec::new(),
+        avoid: None,
+        prefix,
+    }
+}
+
+type Answer = (crate::units::EndpointName, Box<RawValue>);
+
+impl StageRun<'_> {
+    async fn attempts_until_done(&mut self) -> Result<Answer, Refusal> {
+        loop {
+            let slot = self.wait_for_slot().await?;
+            self.attempts += 1;
+            let endpoint = slot.endpoint.clone();
+            let error = match self.attempt(slot).await? {
+                Ok(output) => return Ok((endpoint.name, output)),
+                Err(error) => error,
+            };
+            let logger = &self.run.traffic.context.logger;
+            info!(logger, "retry: attempt failed: {}", error.message;
+                "request" => %self.run.id, "stage" => %self.stage.name,
+                "endpoint" => %endpoint.name, "attempt" => self.attempts);
+            self.check_retry(&error)?;
+            metrics::counter!("primrosewalk_retries_total",
+                "service" => self.stage.service.to_string())
+            .increment(1);
+            self.request.exclude.push(endpoint.name);
+            self.request.avoid = Some(endpoint.data_centre);
+        }
+    }
+
+    async fn wait_for_slot(&mut self) -> Result<Slot, Refusal> {
+        let run = self.run;
+        let started = clock::now();
+        let slot = tokio::select! {
+            slot = self.acquire() => slot,
+            refusal = run.interrupted() => return Err(refusal),
+        };
+        let waited = clock::now().since(started);
+        metrics::histogram!("primrosewalk_slot_wait_seconds",
+            "service" => self.stage.service.to_string())
+        .record(waited.as_secs_f64());
+        let logger = &run.traffic.context.logger;
+        match slot {
+            Ok(slot) => {
+                info!(logger, "routing: chose {}: {}", slot.endpoint.name, slot.reason;
+                    "request" => %run.id, "stage" => %self.stage.name,
+                    "attempt" => self.attempts + 1, "waited_ms" => waited.as_millis());
+                Ok(slot)
+            }
+            Err(reason) => {
+                let message = match reason {
+                    NoSlot::NoEndpoint => "no endpoint in service offers the stage",
+                    NoSlot::TimedOut => "no endpoint had a free slot in the stage's time",
+                };
+                info!(logger, "routing: {message}"; "request" => %run.id,
+                    "stage" => %self.stage.name, "waited_ms" => waited.as_millis());
+                Err(run.refusal(RefusalCode::NoCapacity, message))
+            }
+        }
+    }
+
+    async fn acquire(&mut self) -> Result<Slot, NoSlot> {
+        let router = &self.run.traffic.router;
+        let wait = self.until.since(clock::now());
+        let slot = router.acquire(self.request.clone(), wait).await;
+        if !matches!(slot, Err(NoSlot::NoEndpoint)) || self.request.exclude.is_empty() {
+            return slot;
+        }
+        // All others are gone: an endpoint that failed once is better than none.
+        self.request.exclude.clear();
+        let wait = self.until.since(clock::now());
+        router.acquire(self.request.clone(), wait).await
+    }
+
+    /// Makes one attempt. The outer error ends the request, the inner one the attempt.
+    async fn attempt(&mut self, slot: Slot) -> Result<Result<Box<RawValue>, CallError>, Refusal> {
+        let run = self.run;
+        let endpoint = slot.endpoint.clone();
+        let started = clock::now();
+        let result = if self.stage.idempotent {
+            tokio::select! {
+                result = self.exchange(&slot) => result,
+                refusal = run.interrupted() => {
+                    run.set_may_have_run();
+                    info!(run.traffic.context.logger, "retry: cancelled the attempt";
+                        "request" => %run.id, "stage" => %self.stage.name,
+                        "endpoint" => %endpoint.name, "reason" => refusal.code.as_str());
+                    return Err(Refusal { outcome: run.refusal(refusal.code, "").outcome, ..refusal });
+                }
+            }
+        } else {
+            let extra = run.traffic.config.non_idempotent_extra;
+            let limit = self.until.since(started) + extra;
+            let late = || CallError::transient(Ran::Maybe, "no answer in time");
+            let exchange = tokio::time::timeout(limit, self.exchange(&slot)).await;
+            exchange.unwrap_or_else(|_| Err(late()))
+        };
+        if !matches!(&result, Err(error) if error.ran == Ran::No) {
+            run.set_may_have_run();
+        }
+        self.settle(slot, &result, started);
+        Ok(result)
+    }
+
+    /// Gives the slot back and reports what the attempt showed of the endpoint.
+    fn settle(&self, slot: Slot, result: &Result<Box<RawValue>, CallError>, started: Time) {
+        let traffic = &self.run.traffic;
+        let name = slot.endpoint.name.clone();
+        let outcome = match result {
+            Ok(_) => "answered",
+            Err(_) => "failed",
+        };
+        metrics::histogram!("primrosewalk_attempt_seconds",
+            "service" => self.stage.service.to_string(), "outcome" => outcome)
+        .record(clock::now().since(started).as_secs_f64());
+        match result {
+            Ok(_) => {
+                slot.finish(Ok(()));
+                traffic.report(ControlCommand::AttemptCompleted { endpoint: name });
+            }
+            Err(error) => {
+                if error.is_cold {
+                    self.report_cold(&slot);
+                }
+                slot.finish(error.class.map_or(Ok(()), Err));
+            }
+        }
+    }
+
+    fn report_cold(&self, slot: &Slot) {
+        let endpoint = slot.endpoint.name.clone();
+        if !self.run.traffic.router.is_first_cold_sign(&endpoint) {
+            return;
+        }
+        info!(self.run.traffic.context.logger, "routing: {endpoint} is in a cold start";
+            "request" => %self.run.id);
+        let commands = self.run.traffic.commands.clone();
+        let command = ControlCommand::EndpointCold { endpoint };
+        // The sign must not be dropped, and the request must not wait for it.
+        tokio::spawn(async move { commands.send(command).await });
+    }
+
+    async fn exchange(&mut self, slot: &Slot) -> Result<Box<RawValue>, CallError> {
+        let run = self.run;
+        self.relay.begin_attempt();
+        let attempt_id = format!("{}/{}/{}", run.id, self.stage.name, self.attempts);
+        let call = Call {
+            address: slot.endpoint.address,
+            stage: self.stage,
+            input: self.input,
+            id: &run.id,
+            attempt_id: &attempt_id,
+            organisation: &run.caller.organisation,
+            time: self.until.since(clock::now()),
+        };
+        let may_send = || !run.is_interrupted() && !run.remaining().is_zero();
+        let head = run.traffic.client.call(&call, may_send);
+        let reply = self.in_time(head).await?;
+        if reply.is_cold {
+            self.report_cold(slot);
+        } else {
+            run.traffic.router.on_warm_answer(&slot.endpoint.name);
+        }
+        if reply.is_stream {
+            self.read_stream(reply).await
+        } else {
+            let output = self.in_time(reply.output()).await?;
+            self.relay.finish_attempt().map_err(diverged)?;
+            Ok(output)
+        }
+    }
+
+    async fn read_stream(&mut self, mut reply: Reply) -> Result<Box<RawValue>, CallError> {
+        loop {
+            let Some(event) = self.in_time(reply.next_event()).await? else {
+                let message = "the stream ended without its end event";
+                return Err(CallError::transient(Ran::Maybe, message));
+            };
+            match event.name.as_str() {
+                "token" => {
+                    let text = token_text(&event.data)?;
+                    self.relay.push(&text).await.map_err(diverged)?;
+                }
+                "end" => {
+                    let text = self.relay.finish_attempt().map_err(diverged)?;
+                    return end_output(&event.data, text);
+                }
+                "error" => {
+                    let message = format!("the engine reported {}", event.data);
+                    return Err(CallError::transient(Ran::Maybe, message));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Limits one step of an idempotent attempt to half of the stage's remaining time, so
+    /// that a retry fits after an endpoint that hangs. A non-idempotent attempt has no
+    /// retry and is limited as a whole.
+    async fn in_time<T>(
+        &self,
+        step: impl Future<Output = Result<T, CallError>>,
+    ) -> Result<T, CallError> {
+        if !self.stage.idempotent {
+            return step.await;
+        }
+        let remaining = self.until.since(clock::now());
+        let limit = (remaining / 2).max(SHORTEST_ATTEMPT);
+        let late = || CallError::transient(Ran::Maybe, "no answer in time");
+        let result = tokio::time::timeout(limit, step).await;
+        result.unwrap_or_else(|_| Err(late()))
+    }
+
+    /// Passes when another attempt may start.
+    fn check_retry(&self, error: &CallError) -> Result<(), Refusal> {
+        let run = self.run;
+        let message = format!("stage {} failed: {}", self.stage.name, error.message);
+        if !self.stage.idempotent && error.ran == Ran::Maybe {
+            return Err(run.refusal(RefusalCode::OutcomeUnknown, message));
+        }
+        if run.is_interrupted() || run.remaining().is_zero() {
+            return Err(run.interrupt_refusal());
+        }
+        let has_time = !self.until.since(clock::now()).is_zero();
+        if !error.can_retry || !has_time || !run.traffic.router.take_retry(self.attempts) {
+            return Err(run.refusal(RefusalCode::StageFailed, message));
+        }
+        Ok(())
+    }
+}
+
+fn diverged(_: Diverged) -> CallError {
+    CallError {
+        class: None,
+        can_retry: false,
+        ..CallError::transient(Ran::Maybe, "a replayed stream differs from what was sent")
+    }
+}
+
+fn token_text(data: &str) -> Result<String, CallError> {
+    #[derive(Deserialize)]
+    struct Token {
+        text: String,
+    }
+    let token: Result<Token, _> = serde_json::from_str(data);
+    token.map(|token| token.text).map_err(|error| {
+        CallError::transient(Ran::Maybe, format!("a token is not as documented: {error}"))
+    })
+}
+
+/// Returns the output of the `end` event, or the streamed text when it carries none.
+fn end_output(data: &str, text: &str) -> Result<Box<RawValue>, CallError> {
+    #[derive(Deserialize)]
+    struct End {
+        #[serde(default)]
+        output: Option<Box<RawValue>>,
+    }
+    let bad = |error: serde_json::Error| {
+        CallError::transient(Ran::Maybe, format!("the end is not as documented: {error}"))
+    };
+    let output = match data.trim() {
+        "" => None,
+        data => serde_json::from_str::<End>(data).map_err(bad)?.output,
+    };
+    match output {
+        Some(output) => Ok(output),
+        None => serde_json::value::to_raw_value(text).map_err(bad),
+    }
+}
