--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -15,7 +15,7 @@
     VmList, VmState,
 };
 use crate::units::{
-    DataCentreName, EndpointName, ModelName, OrganisationName, PipelineName, Time, VmId,
+    DataCentreName, EndpointName, ModelName, OrganisationName, PipelineName, Time, Version, VmId,
 };
 
 /// The latest snapshot, replaced as a whole by the control thread.
@@ -38,6 +38,23 @@
     pub absent_vms: Arc<Vec<VmId>>,
     /// Set once a planned stop began.
     pub stopping: bool,
+    /// Until when a majority acknowledged this VM's lease; past when it is not in force.
+    pub in_force_until: Time,
+    /// The VM list version that leases go by.
+    pub list_version: Version,
+    /// The manifest version in force.
+    pub manifest_version: Version,
+    /// Keys whose home this VM is, for operators.
+    pub homes_held: HomesHeld,
+}
+
+/// Number of keys whose home this VM is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HomesHeld {
+    /// Organisations whose buckets this VM holds.
+    pub organisations: usize,
+    /// Endpoints whose slots this VM divides.
+    pub endpoints: usize,
 }
 
 /// Slots that this VM may have in use at one endpoint.
--- /dev/null
+++ b/src/control/acquire.rs
@@ -0,0 +1,254 @@
+//! Quota tokens: reserved here when this VM is the home, else asked of the home.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use metrics::counter;
+use slog::{debug, info};
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use crate::blackboard::AcquireOutcome;
+use crate::clock;
+use crate::control::keys::organisation_key;
+use crate::control::state::Control;
+use crate::decisions::membership::Tenure;
+use crate::decisions::quota::{Allowance, Reservation};
+use crate::peer::calls::AcquireAnswer;
+use crate::settings::QuotaMode;
+use crate::units::{Burst, OrganisationName, RatePerSecond, Time, VmId};
+
+/// Pause before the home is looked up and asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Part of the wait that is left for the answer's way back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(5);
+
+/// Answers [`crate::blackboard::ControlCommand::Acquire`]. `asked_at` is when the command
+/// was taken.
+pub async fn acquire(
+    control: Rc<Control>,
+    organisation: OrganisationName,
+    max_wait: Duration,
+    reply: oneshot::Sender<AcquireOutcome>,
+) {
+    let Some(_permit) = control.begin_acquire() else {
+        finish(&control, &organisation, reply, AcquireOutcome::Unavailable);
+        return;
+    };
+    let outcome = match control.config.quota_mode {
+        QuotaMode::Home => acquire_of_home(&control, &organisation, max_wait, &reply).await,
+        QuotaMode::StaticShare => acquire_of_share(&control, &organisation, max_wait).await,
+    };
+    finish(&control, &organisation, reply, outcome);
+}
+
+fn finish(
+    control: &Control,
+    organisation: &OrganisationName,
+    reply: oneshot::Sender<AcquireOutcome>,
+    outcome: AcquireOutcome,
+) {
+    let label = match outcome {
+        AcquireOutcome::Granted { .. } => "granted",
+        AcquireOutcome::RateExceeded => "rate_exceeded",
+        AcquireOutcome::Unavailable => "unavailable",
+    };
+    counter!("primrosewalk_control_acquires_total", "outcome" => label).increment(1);
+    if !matches!(outcome, AcquireOutcome::Granted { .. }) {
+        info!(control.logger(), "quota: {organisation} refused"; "reason" => label);
+    }
+    // The request may have gone; its token stays spent.
+    let _ = reply.send(outcome);
+}
+
+/// Counts an ask in progress until it is dropped.
+struct AcquirePermit(Rc<Control>);
+
+impl Drop for AcquirePermit {
+    fn drop(&mut self) {
+        self.0.state.borrow_mut().acquires -= 1;
+    }
+}
+
+impl Control {
+    fn begin_acquire(self: &Rc<Self>) -> Option<AcquirePermit> {
+        let mut state = self.state.borrow_mut();
+        if state.acquires >= self.config.acquires_limit {
+            return None;
+        }
+        state.acquires += 1;
+        Some(AcquirePermit(self.clone()))
+    }
+
+    fn allowance(&self, organisation: &OrganisationName) -> Option<Allowance> {
+        let state = self.state.borrow();
+        let entry = state.catalogue.as_ref()?.organisation(organisation)?;
+        Some(Allowance {
+            rate: entry.rate_per_second,
+            burst: entry.burst,
+        })
+    }
+}
+
+async fn acquire_of_home(
+    control: &Rc<Control>,
+    organisation: &OrganisationName,
+    max_wait: Duration,
+    reply: &oneshot::Sender<AcquireOutcome>,
+) -> AcquireOutcome {
+    let key = organisation_key(organisation);
+    let give_up_at = clock::now() + max_wait;
+    loop {
+        let asked_at = clock::now();
+        let remaining = give_up_at.since(asked_at);
+        if remaining.is_zero() || reply.is_closed() {
+            return AcquireOutcome::Unavailable;
+        }
+        let home = control.state.borrow().membership.home_of(asked_at, &key);
+        let answer = match home {
+            Some(vm) if vm == control.context.vm => {
+                Some(answer_here(control, organisation, remaining).await)
+            }
+            Some(vm) => ask_home(control, &vm, &key, organisation, remaining).await,
+            None => None,
+        };
+        match answer {
+            Some(AcquireAnswer::RateExceeded) => return AcquireOutcome::RateExceeded,
+            Some(AcquireAnswer::Granted { held_us }) => {
+                let held = Duration::from_micros(held_us);
+                let usable_until = asked_at + held + control.config.quota.credit_life;
+                if clock::now() < usable_until {
+                    return AcquireOutcome::Granted { usable_until };
+                }
+                debug!(
+                    control.logger(),
+                    "quota: a credit of {organisation} came too late"
+                );
+            }
+            Some(AcquireAnswer::NotHome | AcquireAnswer::Busy) | None => {}
+        }
+        let left = give_up_at.since(clock::now());
+        sleep(RETRY_PAUSE.min(left)).await;
+    }
+}
+
+/// Asks another VM. It gives up when the home moves; the token may then be spent in vain.
+async fn ask_home(
+    control: &Rc<Control>,
+    vm: &VmId,
+    key: &str,
+    organisation: &OrganisationName,
+    remaining: Duration,
+) -> Option<AcquireAnswer> {
+    let address = control.state.borrow().addresses.get(vm)?.call?;
+    let max_wait = remaining.saturating_sub(ANSWER_MARGIN.min(remaining / 4));
+    let call = control
+        .clients
+        .acquire(vm, address, organisation.clone(), max_wait, remaining);
+    let moved = async {
+        loop {
+            sleep(RETRY_PAUSE).await;
+            let home = control.state.borrow().membership.home_of(clock::now(), key);
+            if home.as_ref() != Some(vm) {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        result = call => {
+            if let Err(error) = &result {
+                debug!(control.logger(), "quota: home {vm} of {organisation} not asked: {error}");
+            }
+            result.ok()
+        }
+        () = moved => None,
+    }
+}
+
+/// Answers an ask as the home. It holds the answer until the token is due.
+pub async fn answer_here(
+    control: &Rc<Control>,
+    organisation: &OrganisationName,
+    max_wait: Duration,
+) -> AcquireAnswer {
+    let asked_at = clock::now();
+    let key = organisation_key(organisation);
+    let Some(allowance) = control.allowance(organisation) else {
+        return AcquireAnswer::NotHome;
+    };
+    let tenure = control.state.borrow_mut().membership.tenure(asked_at, &key);
+    let Some(tenure) = tenure.filter(|tenure| asked_at < tenure.until) else {
+        return AcquireAnswer::NotHome;
+    };
+    let due_at = match reserve(control, asked_at, organisation, allowance, tenure, max_wait) {
+        Reservation::DueAt(due_at) => due_at,
+        Reservation::Refused { .. } => return AcquireAnswer::RateExceeded,
+    };
+    sleep_until(due_at).await;
+    // The process may have been paused while it waited.
+    let now = clock::now();
+    let current = control.state.borrow_mut().membership.tenure(now, &key);
+    let same = |current: &Tenure| current.number == tenure.number && now < current.until;
+    if current.as_ref().is_some_and(same) {
+        let held = now.since(asked_at).as_micros();
+        AcquireAnswer::Granted {
+            held_us: u64::try_from(held).unwrap_or(u64::MAX),
+        }
+    } else {
+        AcquireAnswer::NotHome
+    }
+}
+
+fn reserve(
+    control: &Control,
+    now: Time,
+    organisation: &OrganisationName,
+    allowance: Allowance,
+    tenure: Tenure,
+    max_wait: Duration,
+) -> Reservation {
+    let mut state = control.state.borrow_mut();
+    let quota = &mut state.quota;
+    quota.reserve(now, organisation, allowance, tenure, max_wait)
+}
+
+async fn sleep_until(due_at: Time) {
+    loop {
+        let left = due_at.since(clock::now());
+        if left.is_zero() {
+            return;
+        }
+        sleep(left).await;
+    }
+}
+
+/// Reserves from this VM's equal part of the allowance. No other VM is asked.
+async fn acquire_of_share(
+    control: &Rc<Control>,
+    organisation: &OrganisationName,
+    max_wait: Duration,
+) -> AcquireOutcome {
+    let now = clock::now();
+    let Some(whole) = control.allowance(organisation) else {
+        return AcquireOutcome::Unavailable;
+    };
+    let parts = control.state.borrow().vms.vms.len().max(1);
+    let part = Allowance {
+        rate: RatePerSecond(whole.rate.0 / parts as f64),
+        burst: Burst((whole.burst.0 / u32::try_from(parts).unwrap_or(u32::MAX)).max(1)),
+    };
+    let tenure = Tenure {
+        number: 1,
+        since: control.config.started_at,
+        until: Time { micros: u64::MAX },
+    };
+    match reserve(control, now, organisation, part, tenure, max_wait) {
+        Reservation::Refused { .. } => AcquireOutcome::RateExceeded,
+        Reservation::DueAt(due_at) => {
+            sleep_until(due_at).await;
+            AcquireOutcome::Granted {
+                usable_until: clock::now() + control.config.quota.credit_life,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/control/config.rs
@@ -0,0 +1,303 @@
+//! The manifest: read from the platform or a peer, checked as a whole, put in force.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use metrics::counter;
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::blackboard::Catalogue;
+use crate::clock;
+use crate::control::cost::thread_cpu;
+use crate::control::platform::{Next, PlatformReader, Seen, watch_key};
+use crate::control::state::{Control, ControlState, ManifestBytes};
+use crate::findings::Findings;
+use crate::manifest::{Manifest, ManifestIndex, parse_manifest, part_digest};
+use crate::peer::calls::ManifestBundle;
+use crate::units::{Time, Version, VmId};
+
+/// Time that the own watch gets to deliver a version before it is fetched from a peer.
+const PEER_FETCH_DELAY: Duration = Duration::from_millis(400);
+
+/// Watches the platform's manifest for ever.
+pub async fn watch_manifest(control: Rc<Control>) {
+    let reader = PlatformReader::new(control.config.platform_address, control.config.platform);
+    let held = || control.state.borrow().versions.newest();
+    let pass = async |reader: &mut PlatformReader, at, seen| match seen {
+        Seen::Unchanged(version) => {
+            control.state.borrow_mut().versions.confirm(at, version);
+            control.publish();
+            Next::After(version)
+        }
+        Seen::Value(bytes) => take_index(&control, reader, at, bytes).await,
+    };
+    let fail = |error: &_| warn!(control.logger(), "config: manifest not read: {error}");
+    watch_key(reader, "manifest", held, pass, fail).await;
+}
+
+async fn take_index(
+    control: &Rc<Control>,
+    reader: &mut PlatformReader,
+    at: Time,
+    bytes: Bytes,
+) -> Next {
+    let index: ManifestIndex = match serde_json::from_slice(&bytes) {
+        Ok(index) => index,
+        Err(error) => {
+            warn!(control.logger(), "config: manifest index refused: {error}");
+            return Next::Retry;
+        }
+    };
+    let version = index.version;
+    if !wanted(control, version) {
+        control.state.borrow_mut().versions.confirm(at, version);
+        return Next::Retry;
+    }
+    let mut parts = HashMap::new();
+    for part in &index.parts {
+        let kept = control
+            .state
+            .borrow()
+            .manifest
+            .parts
+            .get(&part.sha256)
+            .cloned();
+        let part_bytes = match kept {
+            Some(bytes) => bytes,
+            None => match reader
+                .value(&format!("manifest/part/{}", part.sha256))
+                .await
+            {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    let name = &part.name;
+                    warn!(control.logger(), "config: part {name} not read: {error}");
+                    return Next::Retry;
+                }
+            },
+        };
+        parts.insert(part.sha256.clone(), part_bytes);
+    }
+    match apply(control, index, bytes, parts, "platform").await {
+        Applied::InForce | Applied::Older => {
+            control.state.borrow_mut().versions.confirm(at, version);
+            control.publish();
+            Next::After(version)
+        }
+        Applied::Bad => Next::After(version),
+        Applied::Damaged => Next::Retry,
+    }
+}
+
+/// Returns whether a version from the platform is newer than all that is known.
+fn wanted(control: &Control, version: Version) -> bool {
+    let state = control.state.borrow();
+    let held = state.versions.newest();
+    if state.versions.wants(version) && version >= state.newest_shown {
+        return true;
+    }
+    if version < held.max(state.newest_shown) {
+        warn!(control.logger(), "config: older manifest {version} refused";
+            "held" => held.0, "shown_by_peers" => state.newest_shown.0);
+    }
+    false
+}
+
+enum Applied {
+    InForce,
+    /// Another version came first.
+    Older,
+    /// The manifest has findings; the same version stays bad.
+    Bad,
+    /// Bytes do not match their digests; another read may help.
+    Damaged,
+}
+
+async fn apply(
+    control: &Rc<Control>,
+    index: ManifestIndex,
+    index_bytes: Bytes,
+    parts: HashMap<String, Bytes>,
+    source: &str,
+) -> Applied {
+    let version = index.version;
+    let bytes = ManifestBytes {
+        index: index_bytes,
+        order: index.parts.iter().map(|part| part.sha256.clone()).collect(),
+        parts,
+    };
+    let checked_bytes = bytes.clone();
+    // Checking a large manifest takes longer than a heartbeat may be late.
+    let check = move || {
+        let before = thread_cpu();
+        let result = check(&index, &checked_bytes);
+        let spent = thread_cpu().saturating_sub(before).as_micros();
+        counter!("primrosewalk_control_cpu_microseconds_total").increment(spent as u64);
+        result
+    };
+    let Ok(checked) = tokio::task::spawn_blocking(check).await else {
+        return Applied::Damaged;
+    };
+    let manifest = match checked {
+        Err(Refused::Damaged(name)) => {
+            warn!(control.logger(), "config: part {name} does not match its digest";
+                "version" => version.0, "source" => source);
+            return Applied::Damaged;
+        }
+        Err(Refused::Findings(findings)) => {
+            counter!("primrosewalk_control_manifests_refused_total").increment(1);
+            let refused = &mut control.state.borrow_mut().refused_version;
+            *refused = version.max(*refused);
+            let count = findings.items().len();
+            warn!(control.logger(), "config: manifest {version} refused: {findings}";
+                "findings" => count, "source" => source);
+            return Applied::Bad;
+        }
+        Ok(manifest) => manifest,
+    };
+    if put_in_force(control, manifest, bytes, source) {
+        Applied::InForce
+    } else {
+        Applied::Older
+    }
+}
+
+enum Refused {
+    Damaged(String),
+    Findings(Findings),
+}
+
+fn check(index: &ManifestIndex, bytes: &ManifestBytes) -> Result<Manifest, Refused> {
+    let mut named = Vec::new();
+    for part in &index.parts {
+        let found = bytes.parts.get(&part.sha256);
+        let intact = found.filter(|bytes| part_digest(bytes) == part.sha256);
+        let Some(part_bytes) = intact else {
+            return Err(Refused::Damaged(part.name.clone()));
+        };
+        named.push((part.name.as_str(), part_bytes.as_ref()));
+    }
+    parse_manifest(index.version, named).map_err(Refused::Findings)
+}
+
+fn put_in_force(
+    control: &Rc<Control>,
+    manifest: Manifest,
+    bytes: ManifestBytes,
+    source: &str,
+) -> bool {
+    let now = clock::now();
+    let version = manifest.version;
+    let catalogue = Arc::new(Catalogue::new(manifest));
+    let mut state = control.state.borrow_mut();
+    if !state.versions.accept(version) {
+        return false;
+    }
+    state.ramp_returned(now, &catalogue);
+    state.forget_endpoints(&catalogue);
+    state.catalogue = Some(catalogue);
+    state.manifest = bytes;
+    if !state.vms.vms.is_empty() {
+        state.install_members(now);
+    }
+    drop(state);
+    counter!("primrosewalk_control_manifests_accepted_total").increment(1);
+    info!(control.logger(), "config: manifest {version} in force"; "source" => source);
+    control.note_homes();
+    control.publish();
+    control.wake_peers();
+    true
+}
+
+impl ControlState {
+    /// Returns whether a version that a peer showed should be fetched from it.
+    pub fn wants_from_peer(&self, version: Version) -> bool {
+        self.versions.wants(version) && version > self.refused_version
+    }
+}
+
+impl Control {
+    /// Fetches the manifest from a peer that showed a newer version, unless the own watch
+    /// delivers it first.
+    pub fn fetch_from_peer(self: &Rc<Self>, vm: &VmId) {
+        let control = self.clone();
+        let vm = vm.clone();
+        if let Some(peer) = self.state.borrow_mut().peers.get_mut(&vm)
+            && std::mem::replace(&mut peer.fetching, true)
+        {
+            return;
+        }
+        tokio::task::spawn_local(async move {
+            sleep(PEER_FETCH_DELAY).await;
+            control.fetch_now(&vm).await;
+            if let Some(peer) = control.state.borrow_mut().peers.get_mut(&vm) {
+                peer.fetching = false;
+            }
+        });
+    }
+
+    async fn fetch_now(self: &Rc<Self>, vm: &VmId) {
+        let (address, held) = {
+            let state = self.state.borrow();
+            let held = state.versions.newest();
+            let shown = state.peers.get(vm).map(|peer| peer.manifest_version);
+            if shown.is_none_or(|shown| !state.wants_from_peer(shown)) {
+                return;
+            }
+            let address = state.addresses.get(vm).and_then(|item| item.call);
+            (address, held)
+        };
+        let Some(address) = address else {
+            return;
+        };
+        match self.clients.fetch_manifest(vm, address, held.0).await {
+            Ok(Some(bundle)) => self.take_bundle(vm, bundle).await,
+            Ok(None) => {}
+            Err(error) => {
+                warn!(
+                    self.logger(),
+                    "config: manifest not fetched from {vm}: {error}"
+                );
+            }
+        }
+    }
+
+    async fn take_bundle(self: &Rc<Self>, vm: &VmId, bundle: ManifestBundle) {
+        let index: ManifestIndex = match serde_json::from_slice(&bundle.index) {
+            Ok(index) => index,
+            Err(error) => {
+                warn!(
+                    self.logger(),
+                    "config: manifest index from {vm} refused: {error}"
+                );
+                return;
+            }
+        };
+        if !self.state.borrow().wants_from_peer(index.version) {
+            return;
+        }
+        let digests = index.parts.iter().map(|part| part.sha256.clone());
+        let parts = digests
+            .zip(bundle.parts.into_iter().map(Bytes::from))
+            .collect();
+        apply(self, index, bundle.index.into(), parts, vm.as_str()).await;
+    }
+
+    /// Returns the manifest in force if it is newer than `after`.
+    pub fn manifest_after(&self, after: Version) -> Option<ManifestBundle> {
+        let state = self.state.borrow();
+        if state.versions.newest() <= after {
+            return None;
+        }
+        let parts = state.manifest.order.iter();
+        let bytes = parts.map(|digest| Some(state.manifest.parts.get(digest)?.to_vec()));
+        Some(ManifestBundle {
+            index: state.manifest.index.to_vec(),
+            parts: bytes.collect::<Option<_>>()?,
+        })
+    }
+}
--- /dev/null
+++ b/src/control/event_loop.rs
@@ -0,0 +1,298 @@
+//! The control thread's entry point and its loop over commands, calls and ticks.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use anyhow::Context as _;
+use slog::info;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::blackboard::{ControlCommand, HomesHeld};
+use crate::clock;
+use crate::context::Context;
+use crate::control::acquire::{acquire, answer_here};
+use crate::control::config::watch_manifest;
+use crate::control::cost::measure_cost;
+use crate::control::loads::{LoadsConfig, read_loads};
+use crate::control::platform::PlatformConfig;
+use crate::control::slots::ColdSigns;
+use crate::control::state::{Control, ControlState, HomesBasis, ManifestBytes};
+use crate::control::vms::watch_vms;
+use crate::decisions::config_version::{ConfigVersion, FreshnessConfig};
+use crate::decisions::membership::{Membership, MembershipConfig};
+use crate::decisions::quota::{Quota, QuotaConfig};
+use crate::decisions::slots::{SlotHolder, SlotKeeper, SlotsConfig};
+use crate::manifest::VmList;
+use crate::peer::calls::{CallClients, CallConfig, IncomingCall, serve_calls};
+use crate::peer::link::{LinkConfig, serve_links};
+use crate::settings::QuotaMode;
+use crate::units::{Time, Version};
+
+/// Calls of other VMs that may wait for the loop.
+const WAITING_CALLS: usize = 1_024;
+
+/// Settings of the control thread.
+#[derive(Debug, Clone)]
+pub struct ControlConfig {
+    /// The platform's configuration service.
+    pub platform_address: SocketAddr,
+    /// Where other VMs send state messages to this one.
+    pub own_state_address: SocketAddr,
+    /// When the daemon started.
+    pub started_at: Time,
+    /// How rates count fleet-wide.
+    pub quota_mode: QuotaMode,
+    /// Asks for tokens in progress at once.
+    pub acquires_limit: usize,
+    /// VMs that are not on the list but get answers, at most.
+    pub unlisted_peers_limit: usize,
+    /// Leases.
+    pub membership: MembershipConfig,
+    /// Quota.
+    pub quota: QuotaConfig,
+    /// Slots.
+    pub slots: SlotsConfig,
+    /// Freshness of the configuration.
+    pub freshness: FreshnessConfig,
+    /// Reads from the platform.
+    pub platform: PlatformConfig,
+    /// Links to peers.
+    pub link: LinkConfig,
+    /// Calls between VMs.
+    pub calls: CallConfig,
+    /// Load reports.
+    pub loads: LoadsConfig,
+}
+
+impl ControlConfig {
+    /// Returns the defaults for a platform and the own address for state messages.
+    pub fn new(platform_address: SocketAddr, own_state_address: SocketAddr) -> Self {
+        Self {
+            platform_address,
+            own_state_address,
+            started_at: clock::now(),
+            quota_mode: QuotaMode::Home,
+            acquires_limit: 10_000,
+            unlisted_peers_limit: 32,
+            membership: MembershipConfig::default(),
+            quota: QuotaConfig::default(),
+            slots: SlotsConfig::default(),
+            freshness: FreshnessConfig::default(),
+            platform: PlatformConfig::default(),
+            link: LinkConfig::default(),
+            calls: CallConfig::default(),
+            loads: LoadsConfig::default(),
+        }
+    }
+}
+
+/// Sockets that the control thread serves, bound before it starts so that an address in use
+/// is reported at once.
+#[derive(Debug)]
+pub struct Listeners {
+    /// For state messages.
+    pub peer_state: StdListener,
+    /// For calls.
+    pub peer_call: StdListener,
+}
+
+impl Listeners {
+    /// Binds both addresses.
+    ///
+    /// # Errors
+    ///
+    /// Names the address that cannot be bound.
+    pub fn bind(peer_state: SocketAddr, peer_call: SocketAddr) -> anyhow::Result<Self> {
+        let bind = |address: SocketAddr| {
+            let listener = StdListener::bind(address);
+            listener.with_context(|| format!("cannot listen on {address}"))
+        };
+        Ok(Self {
+            peer_state: bind(peer_state)?,
+            peer_call: bind(peer_call)?,
+        })
+    }
+}
+
+/// Serves control on the calling thread until `ended` turns true, which follows the end of
+/// traffic. `stop` turns true when a planned stop begins, here or elsewhere.
+///
+/// # Errors
+///
+/// Returns why the runtime or a socket could not be set up.
+pub fn run_control(
+    context: Context,
+    config: ControlConfig,
+    listeners: Listeners,
+    commands: mpsc::Receiver<ControlCommand>,
+    stop: watch::Sender<bool>,
+    mut ended: watch::Receiver<bool>,
+) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(2)
+        .build()
+        .context("cannot start the control runtime")?;
+    let tasks = LocalSet::new();
+    let served = tasks.block_on(&runtime, async move {
+        let control = Rc::new(new_control(context, config, stop));
+        let calls = start_tasks(&control, listeners)?;
+        tokio::select! {
+            () = serve_commands(&control, commands, calls) => {}
+            _ = ended.wait_for(|ended| *ended) => {}
+        }
+        anyhow::Ok(())
+    });
+    runtime.shutdown_background();
+    served
+}
+
+fn new_control(context: Context, config: ControlConfig, stop: watch::Sender<bool>) -> Control {
+    let now = clock::now();
+    let membership = Membership::new(
+        config.membership,
+        context.vm.clone(),
+        context.incarnation,
+        now,
+    );
+    let state = ControlState {
+        membership,
+        versions: ConfigVersion::new(config.freshness),
+        quota: Quota::new(config.quota),
+        keeper: SlotKeeper::new(config.slots),
+        holder: SlotHolder::default(),
+        catalogue: None,
+        manifest: ManifestBytes::default(),
+        newest_shown: Version::default(),
+        refused_version: Version::default(),
+        vms: Arc::new(VmList::default()),
+        addresses: HashMap::new(),
+        peers: HashMap::new(),
+        demands: HashMap::new(),
+        loads: HashMap::new(),
+        cold: ColdSigns::default(),
+        keepers: HashMap::new(),
+        homes_basis: HomesBasis::default(),
+        homes_held: HomesHeld::default(),
+        was_in_force: false,
+        logged_slots: HashMap::new(),
+        stopping: false,
+        acquires: 0,
+    };
+    Control {
+        clients: CallClients::new(config.calls),
+        context,
+        config,
+        state: RefCell::new(state),
+        stop,
+    }
+}
+
+fn start_tasks(
+    control: &Rc<Control>,
+    listeners: Listeners,
+) -> anyhow::Result<mpsc::Receiver<IncomingCall>> {
+    let state_listener = to_tokio(listeners.peer_state)?;
+    let call_listener = to_tokio(listeners.peer_call)?;
+    let (calls_sender, calls) = mpsc::channel(WAITING_CALLS);
+    let receiver = control.clone();
+    let receive = Rc::new(move |message| receiver.take_message(&message));
+    spawn_local(serve_links(state_listener, control.config.link, receive));
+    spawn_local(serve_calls(
+        call_listener,
+        control.config.calls,
+        calls_sender,
+    ));
+    spawn_local(watch_manifest(control.clone()));
+    spawn_local(watch_vms(control.clone()));
+    spawn_local(read_loads(control.clone()));
+    spawn_local(measure_cost());
+    Ok(calls)
+}
+
+fn to_tokio(listener: StdListener) -> anyhow::Result<TcpListener> {
+    listener.set_nonblocking(true)?;
+    Ok(TcpListener::from_std(listener)?)
+}
+
+async fn serve_commands(
+    control: &Rc<Control>,
+    mut commands: mpsc::Receiver<ControlCommand>,
+    mut calls: mpsc::Receiver<IncomingCall>,
+) {
+    let mut ticks = interval(control.config.membership.heartbeat);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut stop = control.stop.subscribe();
+    loop {
+        tokio::select! {
+            Some(command) = commands.recv() => take_command(control, command),
+            Some(call) = calls.recv() => take_call(control, call),
+            _ = ticks.tick() => on_tick(control),
+            Ok(_) = stop.wait_for(|stop| *stop), if !control.state.borrow().stopping => {
+                begin_stop(control);
+            }
+        }
+    }
+}
+
+fn on_tick(control: &Rc<Control>) {
+    control.note_homes();
+    control.sync_links();
+    control.grant_to_self();
+    control.log_grants();
+    control.publish();
+}
+
+fn take_command(control: &Rc<Control>, command: ControlCommand) {
+    match command {
+        ControlCommand::Acquire {
+            organisation,
+            max_wait,
+            reply,
+        } => {
+            spawn_local(acquire(control.clone(), organisation, max_wait, reply));
+        }
+        ControlCommand::EndpointCold { endpoint } => control.take_cold(&endpoint, "answer"),
+        ControlCommand::Demand { by_endpoint } => control.take_demand(&by_endpoint),
+        ControlCommand::AttemptCompleted { endpoint } => control.take_completed(&endpoint),
+        ControlCommand::Stop => {
+            control.stop.send_replace(true);
+        }
+    }
+}
+
+fn take_call(control: &Rc<Control>, call: IncomingCall) {
+    match call {
+        IncomingCall::Acquire {
+            organisation,
+            max_wait,
+            reply,
+        } => {
+            let control = control.clone();
+            spawn_local(async move {
+                let answer = answer_here(&control, &organisation, max_wait).await;
+                // The asker may have gone; its token stays spent.
+                let _ = reply.send(answer);
+            });
+        }
+        IncomingCall::FetchManifest {
+            after_version,
+            reply,
+        } => {
+            let _ = reply.send(control.manifest_after(Version(after_version)));
+        }
+    }
+}
+
+fn begin_stop(control: &Rc<Control>) {
+    info!(control.logger(), "membership: planned stop begins");
+    control.state.borrow_mut().stopping = true;
+    control.publish();
+    control.wake_peers();
+}
--- /dev/null
+++ b/src/control/http.rs
@@ -0,0 +1,126 @@
+//! A small HTTP client for reads over one kept connection, with bounds on time and size.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HOST;
+use hyper::{HeaderMap, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use metrics::counter;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Says why a read gave no reply.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// No connection, or it broke.
+    #[error("the connection failed: {0}")]
+    Connection(String),
+    /// No whole reply within the limit.
+    #[error("no reply within {0:?}")]
+    Timeout(Duration),
+    /// The body is larger than the limit.
+    #[error("the reply is larger than {0} bytes")]
+    TooLarge(usize),
+}
+
+/// A reply of any status.
+#[derive(Debug)]
+pub struct Reply {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
+/// Reads from one address over a connection that is kept while it works.
+pub struct HttpReader {
+    address: SocketAddr,
+    kind: &'static str,
+    size_limit_bytes: usize,
+    sender: Option<SendRequest<Empty<Bytes>>>,
+}
+
+impl HttpReader {
+    /// Makes a reader; `kind` names it in the metrics.
+    pub fn new(address: SocketAddr, kind: &'static str, size_limit_bytes: usize) -> Self {
+        Self {
+            address,
+            kind,
+            size_limit_bytes,
+            sender: None,
+        }
+    }
+
+    /// Reads `path`. The connection is given up after any error.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no whole reply.
+    pub async fn get(&mut self, path: &str, limit: Duration) -> Result<Reply, ReadError> {
+        let sender = self.sender.take();
+        let read = timeout(limit, self.read(sender, path)).await;
+        let (sender, reply) = read.map_err(|_| ReadError::Timeout(limit))??;
+        self.sender = Some(sender);
+        let labels = [("kind", self.kind), ("direction", "received")];
+        counter!("primrosewalk_control_messages_total", &labels).increment(1);
+        counter!("primrosewalk_control_bytes_total", &labels).increment(reply.body.len() as u64);
+        Ok(reply)
+    }
+
+    async fn read(
+        &self,
+        sender: Option<SendRequest<Empty<Bytes>>>,
+        path: &str,
+    ) -> Result<(SendRequest<Empty<Bytes>>, Reply), ReadError> {
+        let mut sender = match sender.filter(|sender| !sender.is_closed()) {
+            Some(sender) => sender,
+            None => self.connect().await?,
+        };
+        let broken = |error: hyper::Error| ReadError::Connection(error.to_string());
+        sender.ready().await.map_err(broken)?;
+        let request = Request::get(path)
+            .header(HOST, self.address.to_string())
+            .body(Empty::new())
+            .map_err(|error| ReadError::Connection(error.to_string()))?;
+        let (head, body) = sender
+            .send_request(request)
+            .await
+            .map_err(broken)?
+            .into_parts();
+        let body = Limited::new(body, self.size_limit_bytes).collect().await;
+        let body = body.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                ReadError::TooLarge(self.size_limit_bytes)
+            } else {
+                ReadError::Connection(error.to_string())
+            }
+        })?;
+        let reply = Reply {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        };
+        Ok((sender, reply))
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, ReadError> {
+        let refused = |error: std::io::Error| ReadError::Connection(error.to_string());
+        let stream = TcpStream::connect(self.address).await.map_err(refused)?;
+        let _ = stream.set_nodelay(true);
+        let shaken = handshake(TokioIo::new(stream)).await;
+        let (sender, connection) =
+            shaken.map_err(|error| ReadError::Connection(error.to_string()))?;
+        tokio::task::spawn_local(async move {
+            // Errors reach the reader through the sender.
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/src/control/keys.rs
@@ -0,0 +1,13 @@
+//! Keys in the rendezvous order. All VMs must derive the same key for the same thing.
+
+use crate::units::{EndpointName, OrganisationName};
+
+/// Key of the home that holds an organisation's bucket.
+pub fn organisation_key(organisation: &OrganisationName) -> String {
+    format!("organisation/{organisation}")
+}
+
+/// Key of the home that keeps an endpoint's slots.
+pub fn endpoint_key(endpoint: &EndpointName) -> String {
+    format!("endpoint/{endpoint}")
+}
--- /dev/null
+++ b/src/control/links.rs
@@ -0,0 +1,86 @@
+//! Which peers this VM keeps links to.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock;
+use crate::control::state::{Control, ControlState};
+use crate::peer::link::run_link;
+use crate::units::VmId;
+
+/// How long an unlisted VM that was heard gets answers. Its list is newer than ours, or it
+/// goes by an older one.
+const UNLISTED_LIFE: Duration = Duration::from_secs(5);
+
+impl Control {
+    /// Starts links to new peers and ends those to VMs that are gone or moved.
+    pub fn sync_links(self: &Rc<Self>) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let listed = state.membership.peers();
+        let heard = state.peers.iter().filter(|(_, peer)| {
+            let recent = |at| now.since(at) < UNLISTED_LIFE;
+            peer.heard_at.is_some_and(recent)
+        });
+        let mut wanted: HashSet<VmId> = heard.map(|(vm, _)| vm.clone()).collect();
+        wanted.extend(listed);
+        state.drop_links(&wanted);
+        for vm in wanted {
+            let Some(addresses) = state.addresses.get(&vm) else {
+                continue;
+            };
+            let address = addresses.state;
+            let peer = state.peers.entry(vm.clone()).or_default();
+            match &peer.link {
+                Some((current, _)) if *current == address => continue,
+                Some((_, task)) => task.abort(),
+                None => {}
+            }
+            let control = self.clone();
+            let next = move || control.message_for(&vm);
+            let link = run_link(address, self.config.link, peer.wake.clone(), next);
+            let task = tokio::task::spawn_local(link);
+            peer.link = Some((address, task.abort_handle()));
+        }
+        let addresses = &state.addresses;
+        self.clients.retain(|vm| addresses.contains_key(vm));
+    }
+
+    /// Makes every link send at once.
+    pub fn wake_peers(&self) {
+        let state = self.state.borrow();
+        state.peers.values().for_each(|peer| peer.wake.notify_one());
+    }
+}
+
+impl ControlState {
+    /// Makes the link to one peer send at once.
+    pub fn wake(&self, vm: &VmId) {
+        if let Some(peer) = self.peers.get(vm) {
+            peer.wake.notify_one();
+        }
+    }
+
+    fn drop_links(&mut self, wanted: &HashSet<VmId>) {
+        let gone = |vm: &&VmId| !wanted.contains(*vm);
+        let gone: Vec<VmId> = self.peers.keys().filter(gone).cloned().collect();
+        let now = clock::now();
+        for vm in gone {
+            let Some(peer) = self.peers.remove(&vm) else {
+                continue;
+            };
+            if let Some((_, task)) = peer.link {
+                task.abort();
+            }
+            for endpoint in peer.demands.into_keys() {
+                self.note_demand(now, &endpoint, &vm, Default::default());
+            }
+        }
+        let vms = &self.vms.vms;
+        let listed = |vm: &VmId| vms.iter().any(|entry| entry.id == *vm);
+        self.addresses
+            .retain(|vm, _| wanted.contains(vm) || listed(vm));
+    }
+}
--- /dev/null
+++ b/src/control/loads.rs
@@ -0,0 +1,153 @@
+//! Load reports of the endpoints that this VM keeps.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use metrics::counter;
+use serde::Deserialize;
+use slog::debug;
+use tokio::task::AbortHandle;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::blackboard::EndpointLoad;
+use crate::clock;
+use crate::control::http::HttpReader;
+use crate::control::state::Control;
+use crate::units::{EndpointName, ModelName};
+
+/// Settings of load reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadsConfig {
+    /// Time between reads of an endpoint.
+    pub period: Duration,
+    /// Longest time for a read.
+    pub timeout: Duration,
+    /// Largest report.
+    pub size_limit_bytes: usize,
+}
+
+impl Default for LoadsConfig {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_millis(500),
+            timeout: Duration::from_millis(400),
+            size_limit_bytes: 64 * 1024,
+        }
+    }
+}
+
+/// The body of `GET /load`. Fields that other versions of an endpoint add are ignored.
+#[derive(Debug, Deserialize)]
+struct Report {
+    state: ReportedState,
+    running: u32,
+    queued: u32,
+    #[serde(default)]
+    models: Vec<ModelName>,
+}
+
+#[derive(Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum ReportedState {
+    Warm,
+    Cold,
+}
+
+type Readers = HashMap<EndpointName, (SocketAddr, AbortHandle)>;
+
+/// Keeps one reader for each endpoint that this VM keeps, for ever.
+pub async fn read_loads(control: Rc<Control>) {
+    let mut readers = Readers::new();
+    let mut ticks = interval(control.config.loads.period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        sync_readers(&control, &mut readers);
+    }
+}
+
+fn sync_readers(control: &Rc<Control>, readers: &mut Readers) {
+    let kept = kept_endpoints(control);
+    readers.retain(|endpoint, (address, task)| {
+        let keep = kept.get(endpoint) == Some(address);
+        if !keep {
+            task.abort();
+        }
+        keep
+    });
+    for (endpoint, address) in kept {
+        readers.entry(endpoint.clone()).or_insert_with(|| {
+            let task = tokio::task::spawn_local(read_endpoint(control.clone(), endpoint, address));
+            (address, task.abort_handle())
+        });
+    }
+}
+
+fn kept_endpoints(control: &Control) -> HashMap<EndpointName, SocketAddr> {
+    let now = clock::now();
+    let mut state = control.state.borrow_mut();
+    let Some(catalogue) = state.catalogue.clone() else {
+        return HashMap::new();
+    };
+    let endpoints = catalogue.manifest.endpoints.iter();
+    let kept = endpoints.filter(|endpoint| {
+        state.keeper_of(now, &endpoint.name).as_ref() == Some(&control.context.vm)
+    });
+    kept.map(|endpoint| (endpoint.name.clone(), endpoint.address))
+        .collect()
+}
+
+async fn read_endpoint(control: Rc<Control>, endpoint: EndpointName, address: SocketAddr) {
+    let config = control.config.loads;
+    let mut http = HttpReader::new(address, "load", config.size_limit_bytes);
+    let mut ticks = interval(config.period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let asked_at = clock::now();
+        let report = match http.get("/load", config.timeout).await {
+            Ok(reply) if reply.status == StatusCode::OK => {
+                serde_json::from_slice::<Report>(&reply.body).map_err(|error| error.to_string())
+            }
+            Ok(reply) => Err(reply.status.to_string()),
+            Err(error) => Err(error.to_string()),
+        };
+        match report {
+            Ok(report) => take_report(&control, &endpoint, asked_at, report),
+            Err(error) => {
+                counter!("primrosewalk_control_load_failures_total").increment(1);
+                debug!(
+                    control.logger(),
+                    "slots: no load report of {endpoint}: {error}"
+                );
+            }
+        }
+    }
+}
+
+fn take_report(
+    control: &Control,
+    endpoint: &EndpointName,
+    read_at: crate::units::Time,
+    report: Report,
+) {
+    let cold = report.state == ReportedState::Cold;
+    let load = EndpointLoad {
+        read_at,
+        cold,
+        running: report.running,
+        queued: report.queued,
+        models: report.models,
+    };
+    control
+        .state
+        .borrow_mut()
+        .loads
+        .insert(endpoint.clone(), load);
+    if cold {
+        control.take_cold(endpoint, "load report");
+    }
+}
--- /dev/null
+++ b/src/control/snapshot.rs
@@ -0,0 +1,152 @@
+//! Publishes what traffic reads, and logs changes of leases and homes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use slog::info;
+
+use crate::blackboard::{HomesHeld, Snapshot};
+use crate::clock;
+use crate::control::keys::organisation_key;
+use crate::control::state::{Control, ControlState, HomesBasis};
+use crate::manifest::{VmList, VmState};
+use crate::units::{Time, VmId};
+
+impl Control {
+    /// Publishes a new snapshot if anything in it changed.
+    pub fn publish(&self) {
+        let now = clock::now();
+        let state = self.state.borrow();
+        let current = self.context.snapshot.load();
+        let in_force_until = state.membership.in_force_until(now);
+        let absent = state.absent_vms(now);
+        let next = Snapshot {
+            catalogue: state.catalogue.clone(),
+            vms: keep_same(&current.vms, state.vms_with_leaving(&self.context.vm)),
+            keys_fresh_until: state.versions.keys_fresh_until(in_force_until),
+            grants: keep_same_map(&current.grants, state.holder.grants()),
+            loads: keep_same_map(&current.loads, &state.loads),
+            absent_vms: keep_same(&current.absent_vms, absent),
+            stopping: state.stopping,
+            in_force_until,
+            list_version: state.membership.list_version(),
+            manifest_version: state.versions.newest(),
+            homes_held: state.homes_held,
+        };
+        if differs(&current, &next) {
+            self.context.snapshot.store(Arc::new(next));
+        }
+    }
+
+    /// Notes changes of the lease and of homes, and logs them.
+    pub fn note_homes(&self) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let in_force = now < state.membership.in_force_until(now);
+        if std::mem::replace(&mut state.was_in_force, in_force) != in_force {
+            let text = if in_force { "in force" } else { "not in force" };
+            info!(self.logger(), "membership: this VM is {text}";
+                "list" => state.membership.list_version().0);
+        }
+        let basis = HomesBasis {
+            list_version: state.membership.list_version(),
+            manifest_version: state.versions.newest(),
+            absent: state.absent_vms(now),
+        };
+        if basis == state.homes_basis {
+            return;
+        }
+        if basis.absent != state.homes_basis.absent {
+            let names: Vec<&str> = basis.absent.iter().map(VmId::as_str).collect();
+            info!(self.logger(), "membership: absent VMs: {}", names.join(" "));
+        }
+        state.homes_basis = basis;
+        state.keepers.clear();
+        state.homes_held = state.count_homes(now, &self.context.vm);
+        let homes = state.homes_held;
+        info!(self.logger(), "membership: homes held changed";
+            "organisations" => homes.organisations, "endpoints" => homes.endpoints);
+    }
+}
+
+impl ControlState {
+    fn absent_vms(&self, now: Time) -> Vec<VmId> {
+        let mut absent = self.membership.absent(now).into_vec();
+        absent.sort_unstable();
+        absent
+    }
+
+    fn count_homes(&mut self, now: Time, me: &VmId) -> HomesHeld {
+        let Some(catalogue) = self.catalogue.clone() else {
+            return HomesHeld::default();
+        };
+        let mut organisations = 0;
+        for organisation in &catalogue.manifest.organisations {
+            let home = self
+                .membership
+                .home_of(now, &organisation_key(&organisation.name));
+            organisations += usize::from(home.as_ref() == Some(me));
+        }
+        let mut endpoints = 0;
+        for endpoint in &catalogue.manifest.endpoints {
+            let keeper = self.keeper_of(now, &endpoint.name);
+            endpoints += usize::from(keeper.as_ref() == Some(me));
+        }
+        HomesHeld {
+            organisations,
+            endpoints,
+        }
+    }
+
+    /// Returns the VM list with VMs shown as leaving that said so before the platform did.
+    fn vms_with_leaving(&self, me: &VmId) -> VmList {
+        let mut list = VmList::clone(&self.vms);
+        for vm in &mut list.vms {
+            let said = self.peers.get(&vm.id).is_some_and(|peer| peer.leaving);
+            if said || (self.stopping && vm.id == *me) {
+                vm.state = VmState::Leaving;
+            }
+        }
+        list
+    }
+}
+
+/// Keeps the current value if the next is equal, so that readers can compare by pointer.
+fn keep_same<T: PartialEq>(current: &Arc<T>, next: T) -> Arc<T> {
+    if **current == next {
+        current.clone()
+    } else {
+        Arc::new(next)
+    }
+}
+
+fn keep_same_map<K, V>(current: &Arc<HashMap<K, V>>, next: &HashMap<K, V>) -> Arc<HashMap<K, V>>
+where
+    K: Clone + Eq + std::hash::Hash,
+    V: Clone + PartialEq,
+{
+    if **current == *next {
+        current.clone()
+    } else {
+        Arc::new(next.clone())
+    }
+}
+
+fn differs(current: &Snapshot, next: &Snapshot) -> bool {
+    let same_catalogue = match (&current.catalogue, &next.catalogue) {
+        (None, None) => true,
+        (Some(current), Some(next)) => Arc::ptr_eq(current, next),
+        _ => false,
+    };
+    !same_catalogue
+        || !Arc::ptr_eq(&current.vms, &next.vms)
+        || !Arc::ptr_eq(&current.grants, &next.grants)
+        || !Arc::ptr_eq(&current.loads, &next.loads)
+        || !Arc::ptr_eq(&current.absent_vms, &next.absent_vms)
+        || current.keys_fresh_until != next.keys_fresh_until
+        || current.in_force_until != next.in_force_until
+        || current.stopping != next.stopping
+        || current.list_version != next.list_version
+        || current.manifest_version != next.manifest_version
+        || current.homes_held != next.homes_held
+}
--- /dev/null
+++ b/src/control/state.rs
@@ -0,0 +1,190 @@
+//! The state of the control thread and what its tasks share.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use slog::Logger;
+use tokio::sync::{Notify, watch};
+use tokio::task::AbortHandle;
+
+use crate::blackboard::{Catalogue, EndpointLoad, HomesHeld, SlotDemand};
+use crate::context::Context;
+use crate::control::event_loop::ControlConfig;
+use crate::control::slots::{ColdSigns, OwnDemand};
+use crate::decisions::config_version::ConfigVersion;
+use crate::decisions::membership::{Acknowledgement, Membership};
+use crate::decisions::quota::Quota;
+use crate::decisions::slots::{SlotHolder, SlotKeeper};
+use crate::manifest::VmList;
+use crate::peer::calls::CallClients;
+use crate::units::{EndpointName, Incarnation, Time, Version, VmId};
+
+/// Messages to a peer whose time of sending is remembered. It covers more than a grant's
+/// and a lease's life at the shortest gap between periodic messages.
+const SENT_LIMIT: usize = 64;
+
+/// What all tasks of the control thread share.
+pub struct Control {
+    /// Settings, logger and the published snapshot.
+    pub context: Context,
+    /// Settings of the control thread.
+    pub config: ControlConfig,
+    /// All control state.
+    pub state: RefCell<ControlState>,
+    /// Kept connections for calls.
+    pub clients: CallClients,
+    /// Turns true when a planned stop begins.
+    pub stop: watch::Sender<bool>,
+}
+
+impl Control {
+    /// Returns the logger.
+    pub fn logger(&self) -> &Logger {
+        &self.context.logger
+    }
+}
+
+/// Control state; the control thread is its one owner.
+pub struct ControlState {
+    /// Leases and homes.
+    pub membership: Membership,
+    /// Manifest version and freshness.
+    pub versions: ConfigVersion,
+    /// Buckets of organisations whose home this VM is.
+    pub quota: Quota,
+    /// Slots of endpoints whose home this VM is.
+    pub keeper: SlotKeeper,
+    /// Grants to this VM.
+    pub holder: SlotHolder,
+    /// The manifest in force.
+    pub catalogue: Option<Arc<Catalogue>>,
+    /// Its bytes, for peers that ask.
+    pub manifest: ManifestBytes,
+    /// Newest manifest version that a peer showed.
+    pub newest_shown: Version,
+    /// Newest manifest version that was refused for its findings.
+    pub refused_version: Version,
+    /// The platform's VM list, as it gave it.
+    pub vms: Arc<VmList>,
+    /// Addresses of every VM listed or heard of.
+    pub addresses: HashMap<VmId, PeerAddresses>,
+    /// What is known of other VMs.
+    pub peers: HashMap<VmId, Peer>,
+    /// What traffic on this VM wants of endpoints.
+    pub demands: HashMap<EndpointName, OwnDemand>,
+    /// Load reports, read here or passed on by keepers.
+    pub loads: HashMap<EndpointName, EndpointLoad>,
+    /// Signs of cold starts.
+    pub cold: ColdSigns,
+    /// Cached keepers of endpoints; empty after a change of homes.
+    pub keepers: HashMap<EndpointName, VmId>,
+    /// What the cached homes were derived from.
+    pub homes_basis: HomesBasis,
+    /// Cached number of homes held.
+    pub homes_held: HomesHeld,
+    /// Whether this VM was in force at the last look, for the log.
+    pub was_in_force: bool,
+    /// Last logged slots of each grant, for the log.
+    pub logged_slots: HashMap<EndpointName, u32>,
+    /// Whether a planned stop began.
+    pub stopping: bool,
+    /// Asks for tokens in progress.
+    pub acquires: usize,
+}
+
+/// What homes depend on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HomesBasis {
+    /// The VM list.
+    pub list_version: Version,
+    /// The manifest.
+    pub manifest_version: Version,
+    /// Denied VMs.
+    pub absent: Vec<VmId>,
+}
+
+/// The bytes of the manifest in force.
+#[derive(Debug, Default, Clone)]
+pub struct ManifestBytes {
+    /// The index as published.
+    pub index: Bytes,
+    /// Digests of the parts in the order of the index.
+    pub order: Vec<String>,
+    /// Parts by digest; only those that the index refers to.
+    pub parts: HashMap<String, Bytes>,
+}
+
+/// Where other VMs reach a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerAddresses {
+    /// For state messages.
+    pub state: SocketAddr,
+    /// For calls; unknown for a VM that was only heard of.
+    pub call: Option<SocketAddr>,
+}
+
+/// What this VM knows of another one.
+#[derive(Default)]
+pub struct Peer {
+    /// Notified to send a message at once.
+    pub wake: Rc<Notify>,
+    /// The task that sends to it, and the address that it goes to.
+    pub link: Option<(SocketAddr, AbortHandle)>,
+    /// Its run.
+    pub incarnation: Option<Incarnation>,
+    /// Sequence of its newest message.
+    pub sequence: u64,
+    /// When its newest message came.
+    pub heard_at: Option<Time>,
+    /// Answer to its newest heartbeat that was not sent yet.
+    pub acknowledgement: Option<Acknowledgement>,
+    /// Sequences and times of the last messages to it.
+    pub sent: VecDeque<(u64, Time)>,
+    /// What it wants of endpoints that this VM keeps.
+    pub demands: HashMap<EndpointName, SlotDemand>,
+    /// Its running totals of completed attempts.
+    pub completed: HashMap<EndpointName, u64>,
+    /// Read time of the load report last sent to it.
+    pub loads_sent: HashMap<EndpointName, Time>,
+    /// Highest cold mark seen from it.
+    pub cold_number: u64,
+    /// Whether it began a planned stop.
+    pub leaving: bool,
+    /// The manifest version that it showed.
+    pub manifest_version: Version,
+    /// Whether a fetch of a manifest from it is in progress.
+    pub fetching: bool,
+}
+
+impl Peer {
+    /// Remembers when a message was sent.
+    pub fn note_sent(&mut self, sequence: u64, now: Time) {
+        if self.sent.len() == SENT_LIMIT {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((sequence, now));
+    }
+
+    /// Returns when a message was sent, if that is still remembered.
+    pub fn sent_at(&self, sequence: u64) -> Option<Time> {
+        let found = self.sent.iter().find(|(sent, _)| *sent == sequence);
+        found.map(|(_, at)| *at)
+    }
+
+    /// Forgets what an earlier run of the peer reported.
+    pub fn restart(&mut self, incarnation: Incarnation) {
+        let old = std::mem::take(self);
+        *self = Self {
+            wake: old.wake,
+            link: old.link,
+            sent: old.sent,
+            incarnation: Some(incarnation),
+            fetching: old.fetching,
+            ..Self::default()
+        };
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,181 @@
+//! The daemon: one control thread, a runtime for traffic, and signals.
+//!
+//! `docs/design.md`, 3.9 describes the planned stop.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::thread;
+
+use anyhow::Context as _;
+use clap::Parser;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use slog::{Discard, error, info, warn};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Duration, interval, timeout};
+
+use crate::blackboard::{ControlCommand, SharedSnapshot, Snapshot};
+use crate::context::Context;
+use crate::control::{ControlConfig, Listeners, run_control};
+use crate::logger::build_logger;
+use crate::settings::{Arguments, Settings};
+use crate::units::Incarnation;
+
+/// Exit code when the daemon could not start or run.
+const EXIT_FAILURE: u8 = 1;
+/// Exit code for settings with findings; clap uses the same for flags that it does not know.
+const EXIT_USAGE: u8 = 2;
+/// Added to a signal's number in the exit code, as shells do.
+const EXIT_SIGNAL: i32 = 128;
+
+/// Reads the settings and serves until a planned stop has ended.
+pub fn run_daemon() -> ExitCode {
+    let arguments = Arguments::parse();
+    let settings = match arguments.validate() {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if arguments.check {
+        println!("settings: no findings");
+        return ExitCode::SUCCESS;
+    }
+    let (logger, _flush) = build_logger(settings.log_format, settings.log_level, Discard);
+    let context = Context {
+        vm: settings.vm.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: Incarnation(rand::random()),
+        logger: logger.clone(),
+        snapshot: Arc::new(SharedSnapshot::from_pointee(Snapshot::default())),
+    };
+    match serve(context, &settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!(logger, "daemon: {error:#}");
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
+
+fn serve(context: Context, settings: &Settings) -> anyhow::Result<()> {
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .context("cannot install the metrics recorder")?;
+    let listeners = Listeners::bind(settings.peer_state_address, settings.peer_call_address)?;
+    let (commands_sender, commands) = mpsc::channel(settings.commands_limit);
+    let (stop, stop_receiver) = watch::channel(false);
+    let (ended, ended_receiver) = watch::channel(false);
+    let control_thread = {
+        let context = context.clone();
+        let config = control_config(settings);
+        let stop = stop.clone();
+        let run = move || run_control(context, config, listeners, commands, stop, ended_receiver);
+        let builder = thread::Builder::new().name("control".to_owned());
+        builder
+            .spawn(run)
+            .context("cannot start the control thread")?
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .context("cannot start the traffic runtime")?;
+    info!(context.logger, "daemon: {} started", settings.vm;
+        "incarnation" => context.incarnation.to_string());
+    let served = runtime.block_on(async {
+        tokio::spawn(stop_on_signals(context.clone(), stop.clone()));
+        tokio::spawn(keep_metrics(metrics.clone()));
+        let traffic = serve_traffic(
+            context.clone(),
+            settings,
+            metrics,
+            commands_sender,
+            stop_receiver.clone(),
+        );
+        drain_in_time(settings.drain_limit, traffic, stop_receiver).await
+    });
+    ended.send_replace(true);
+    runtime.shutdown_background();
+    let controlled = control_thread.join();
+    served?;
+    controlled.map_err(|_| anyhow::anyhow!("the control thread panicked"))??;
+    info!(context.logger, "daemon: stopped");
+    Ok(())
+}
+
+fn control_config(settings: &Settings) -> ControlConfig {
+    let mut config = ControlConfig::new(settings.platform_address, settings.peer_state_address);
+    config.quota_mode = settings.quota;
+    config.acquires_limit = settings.acquires_limit;
+    config.link.connections_limit = settings.peer_connections_limit;
+    config.calls.connections_limit = settings.peer_connections_limit;
+    config.calls.calls_limit = settings.acquires_limit;
+    config
+}
+
+/// The one place where the traffic side is called. It waits for the stop until
+/// `traffic::serve` takes over.
+async fn serve_traffic(
+    context: Context,
+    settings: &Settings,
+    metrics: PrometheusHandle,
+    commands: mpsc::Sender<ControlCommand>,
+    mut stop: watch::Receiver<bool>,
+) -> anyhow::Result<()> {
+    let _ = (context, settings, metrics, commands);
+    stop.wait_for(|stop| *stop).await?;
+    Ok(())
+}
+
+/// Waits for the end of traffic, and no longer than the limit once the stop began.
+async fn drain_in_time(
+    limit: Duration,
+    traffic: impl Future<Output = anyhow::Result<()>>,
+    mut stop: watch::Receiver<bool>,
+) -> anyhow::Result<()> {
+    tokio::pin!(traffic);
+    tokio::select! {
+        served = &mut traffic => return served,
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    let drained = timeout(limit, traffic).await;
+    drained.unwrap_or_else(|_| Err(anyhow::anyhow!("requests still ran at the drain limit")))
+}
+
+/// Begins the planned stop at the first SIGTERM or SIGINT and exits at the second.
+async fn stop_on_signals(context: Context, stop: watch::Sender<bool>) {
+    let streams = signal(SignalKind::terminate())
+        .and_then(|terminate| Ok((terminate, signal(SignalKind::interrupt())?)));
+    let (mut terminate, mut interrupt) = match streams {
+        Ok(streams) => streams,
+        Err(error) => {
+            error!(context.logger, "daemon: cannot receive signals: {error}");
+            return;
+        }
+    };
+    let mut stopping = false;
+    loop {
+        let kind = tokio::select! {
+            _ = terminate.recv() => SignalKind::terminate(),
+            _ = interrupt.recv() => SignalKind::interrupt(),
+        };
+        if stopping {
+            std::process::exit(EXIT_SIGNAL + kind.as_raw_value());
+        }
+        stopping = true;
+        warn!(context.logger, "daemon: planned stop begins"; "signal" => kind.as_raw_value());
+        stop.send_replace(true);
+    }
+}
+
+/// Lets the recorder fold its histograms, which otherwise grow with each sample.
+async fn keep_metrics(metrics: PrometheusHandle) {
+    let mut ticks = interval(Duration::from_secs(5));
+    loop {
+        ticks.tick().await;
+        metrics.run_upkeep();
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,12 @@
 pub mod blackboard;
 pub mod clock;
 pub mod context;
+pub mod control;
+pub mod daemon;
 pub mod decisions;
 pub mod findings;
+pub mod logger;
 pub mod manifest;
+pub mod peer;
+pub mod settings;
 pub mod units;
--- /dev/null
+++ b/src/logger.rs
@@ -0,0 +1,50 @@
+//! The logger of a daemon: text or JSON lines on standard error.
+
+use std::panic::{RefUnwindSafe, UnwindSafe};
+
+use slog::{Drain, Level, Logger, Never, SendSyncRefUnwindSafeDrain, o};
+use slog_async::{Async, AsyncGuard, OverflowStrategy};
+
+/// Lines that may wait for the writer. Beyond it lines are dropped and counted, so that a
+/// slow reader of the log never delays a decision.
+const WAITING_LINES: usize = 4_096;
+
+/// Shape of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One line of text for people.
+    Text,
+    /// One JSON object a line for machines.
+    Json,
+}
+
+/// Builds the logger. `decisions` receives every line of the level too, for the record of
+/// decisions that operators query.
+///
+/// The guard writes the waiting lines when it is dropped.
+pub fn build_logger<D>(format: LogFormat, level: Level, decisions: D) -> (Logger, AsyncGuard)
+where
+    D: SendSyncRefUnwindSafeDrain<Ok = (), Err = Never> + UnwindSafe + RefUnwindSafe + 'static,
+{
+    let (writer, guard) = match format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
+            buffer(drain)
+        }
+        LogFormat::Json => buffer(slog_json::Json::default(std::io::stderr()).ignore_res()),
+    };
+    let both = slog::Duplicate::new(writer.ignore_res(), decisions).ignore_res();
+    let filtered = both.filter_level(level).ignore_res();
+    (Logger::root(filtered, o!()), guard)
+}
+
+fn buffer<D>(drain: D) -> (Async, AsyncGuard)
+where
+    D: Drain<Ok = (), Err = Never> + Send + 'static,
+{
+    Async::new(drain)
+        .chan_size(WAITING_LINES)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard()
+}
--- /dev/null
+++ b/src/peer/backoff.rs
@@ -0,0 +1,60 @@
+//! Exponential backoff with full jitter.
+
+use std::time::Duration;
+
+/// Bounds of the pauses between attempts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BackoffConfig {
+    /// Upper end of the first pause.
+    pub first: Duration,
+    /// Upper end of every later pause.
+    pub longest: Duration,
+}
+
+impl Default for BackoffConfig {
+    fn default() -> Self {
+        Self {
+            first: Duration::from_millis(200),
+            longest: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Pauses that grow with each failure. Full jitter keeps the VMs of a fleet from trying
+/// again at the same moment.
+#[derive(Debug, Default)]
+pub struct Backoff {
+    config: BackoffConfig,
+    failures: u32,
+}
+
+impl Backoff {
+    /// Starts without failures.
+    pub fn new(config: BackoffConfig) -> Self {
+        Self {
+            config,
+            failures: 0,
+        }
+    }
+
+    /// Notes a success, so that the next pause is short again.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Notes a failure and returns the pause before the next attempt. `fraction` is a random
+    /// number from 0 to 1.
+    pub fn next_pause(&mut self, fraction: f64) -> Duration {
+        let ceiling = self.config.first * 2_u32.pow(self.failures.min(16));
+        self.failures = self.failures.saturating_add(1);
+        ceiling
+            .min(self.config.longest)
+            .mul_f64(fraction.clamp(0.0, 1.0))
+    }
+
+    /// Waits for the pause before the next attempt.
+    pub async fn pause(&mut self) {
+        let pause = self.next_pause(rand::random());
+        tokio::time::sleep(pause).await;
+    }
+}
