--- a/src/traffic/operator.rs
+++ b/src/traffic/operator.rs
@@ -100,7 +100,7 @@
         incarnation: traffic.context.incarnation,
         data_centre: traffic.context.data_centre.clone(),
         stopping: traffic.is_stopping(),
-        in_force: snapshot.in_force,
+        in_force: clock::now() < snapshot.in_force_until,
         manifest_version: catalogue.map(|catalogue| catalogue.manifest.version),
         list_version: snapshot.vms.version,
         keys_fresh: now < snapshot.keys_fresh_until,
