--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,458 @@
+//! Starts a fleet of real processes on loopback for the integration tests.
+//!
+//! Each VM has a platform stand-in of its own, so that its view can be cut off or stale, and
+//! links to each peer through the fault proxy when the plan asks for it. Every process is
+//! ended by its id when the fleet is dropped.
+
+#![allow(dead_code)]
+
+mod http_calls;
+mod processes;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+pub use http_calls::{Caller, get_json, post};
+use processes::Process;
+pub use processes::Signal;
+
+const STANDINS: &str = env!("CARGO_BIN_EXE_primrosewalk-standins");
+const DAEMON: &str = env!("CARGO_BIN_EXE_primrosewalkd");
+
+/// Ports that one fleet may use; test binaries run one after another.
+const PORTS_PER_FLEET: u16 = 700;
+static NEXT_FLEET: AtomicU16 = AtomicU16::new(0);
+
+/// Longest time for a fleet to become ready on a busy machine.
+pub const START_LIMIT: Duration = Duration::from_secs(60);
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Number of VMs.
+    pub vms: usize,
+    /// Further flags of the fleet generator.
+    pub fleet_flags: Vec<&'static str>,
+    /// Flags of the endpoint stand-ins.
+    pub endpoint_flags: Vec<&'static str>,
+    /// Flags of every daemon.
+    pub daemon_flags: Vec<&'static str>,
+    /// Whether links between VMs go through the fault proxy.
+    pub proxied_peers: bool,
+    /// Whether links to endpoints go through the fault proxy.
+    pub proxied_endpoints: bool,
+    /// VMs that are on the list but not started at once.
+    pub late_vms: usize,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            vms: 3,
+            fleet_flags: Vec::new(),
+            endpoint_flags: Vec::new(),
+            daemon_flags: Vec::new(),
+            proxied_peers: false,
+            proxied_endpoints: false,
+            late_vms: 0,
+        }
+    }
+}
+
+/// One VM of the fleet.
+pub struct Vm {
+    pub id: String,
+    pub data_centre: String,
+    pub caller: SocketAddr,
+    pub operator: SocketAddr,
+    platform: SocketAddr,
+    platform_dir: PathBuf,
+    flags: Vec<String>,
+    daemon: Option<Process>,
+}
+
+/// One endpoint of the fleet.
+#[derive(Debug, Clone)]
+pub struct EndpointPlace {
+    pub name: String,
+    pub service: String,
+    pub data_centre: String,
+    /// Where the stand-in itself listens.
+    pub address: SocketAddr,
+}
+
+/// A running fleet.
+pub struct Fleet {
+    dir: TempDir,
+    pub vms: Vec<Vm>,
+    pub endpoints: Vec<EndpointPlace>,
+    /// Manifest as published last.
+    pub manifest: Value,
+    list: Value,
+    version: u64,
+    proxy_control: SocketAddr,
+    /// Proxy listener by source VM, target VM and kind of link.
+    peer_links: HashMap<(usize, usize, &'static str), SocketAddr>,
+    /// Proxy listener by endpoint name.
+    endpoint_links: HashMap<String, SocketAddr>,
+    daemon_flags: Vec<&'static str>,
+    scaffolding: Vec<Process>,
+}
+
+fn address(value: &Value) -> SocketAddr {
+    value.as_str().unwrap().parse().unwrap()
+}
+
+fn read(path: &Path) -> Value {
+    serde_json::from_slice(&std::fs::read(path).unwrap()).unwrap()
+}
+
+/// Replaces a file as a whole, so that the platform never reads half of it.
+fn replace(path: &Path, value: &Value) {
+    let next = path.with_extension("next");
+    std::fs::write(&next, value.to_string()).unwrap();
+    std::fs::rename(&next, path).unwrap();
+}
+
+impl Fleet {
+    /// Starts all processes and waits until every started VM is ready and in force.
+    pub async fn start(plan: &Plan) -> Self {
+        let mut fleet = Self::prepare(plan);
+        fleet.start_scaffolding(plan).await;
+        let started = plan.vms - plan.late_vms;
+        for vm in 0..started {
+            fleet.start_vm(vm);
+        }
+        for vm in 0..started {
+            fleet.wait_in_force(vm).await;
+        }
+        fleet
+    }
+
+    fn prepare(plan: &Plan) -> Self {
+        let block = NEXT_FLEET.fetch_add(1, Ordering::Relaxed) % 25;
+        let first_port = 12_000 + block * PORTS_PER_FLEET;
+        let mut next_port = first_port + 200;
+        let mut port = || {
+            next_port += 1;
+            SocketAddr::from(([127, 0, 0, 1], next_port))
+        };
+        let dir = tempfile::tempdir().unwrap();
+        let mut generate = std::process::Command::new(STANDINS);
+        generate.args(["fleet", "--first-port", &first_port.to_string()]);
+        generate.args(["--vms", &plan.vms.to_string(), "--dir"]);
+        generate.arg(dir.path()).args(&plan.fleet_flags);
+        assert!(generate.status().unwrap().success());
+        let generated = read(&dir.path().join("fleet.json"));
+        let mut document = read(&dir.path().join("manifest.json"));
+        let list = read(&dir.path().join("vms.json"));
+
+        let endpoints: Vec<EndpointPlace> = document["manifest"]["endpoints"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .map(|endpoint| EndpointPlace {
+                name: endpoint["name"].as_str().unwrap().to_owned(),
+                service: endpoint["service"].as_str().unwrap().to_owned(),
+                data_centre: endpoint["data_centre"].as_str().unwrap().to_owned(),
+                address: address(&endpoint["address"]),
+            })
+            .collect();
+        let mut endpoint_links = HashMap::new();
+        if plan.proxied_endpoints {
+            let listed = document["manifest"]["endpoints"].as_array_mut().unwrap();
+            for endpoint in listed {
+                let link = port();
+                endpoint_links.insert(endpoint["name"].as_str().unwrap().to_owned(), link);
+                endpoint["address"] = json!(link);
+            }
+        }
+        let mut peer_links = HashMap::new();
+        if plan.proxied_peers {
+            for source in 0..plan.vms {
+                for target in (0..plan.vms).filter(|target| *target != source) {
+                    for kind in ["peer_state_address", "peer_call_address"] {
+                        peer_links.insert((source, target, kind), port());
+                    }
+                }
+            }
+        }
+        let vms = generated["daemons"].as_array().unwrap().iter().enumerate();
+        let vms = vms.map(|(index, daemon)| {
+            let text = |name: &str| daemon[name].as_str().unwrap().to_owned();
+            let platform = port();
+            let flags = [
+                ("--vm", text("id")),
+                ("--data-centre", text("data_centre")),
+                ("--platform-address", platform.to_string()),
+                ("--caller-address", text("caller_address")),
+                ("--operator-address", text("operator_address")),
+                ("--peer-state-address", text("peer_state_address")),
+                ("--peer-call-address", text("peer_call_address")),
+            ];
+            let platform_dir = dir.path().join(format!("platform-{index}"));
+            std::fs::create_dir(&platform_dir).unwrap();
+            Vm {
+                id: text("id"),
+                data_centre: text("data_centre"),
+                caller: address(&daemon["caller_address"]),
+                operator: address(&daemon["operator_address"]),
+                platform,
+                platform_dir,
+                flags: flags
+                    .into_iter()
+                    .flat_map(|(name, value)| [name.to_owned(), value])
+                    .collect(),
+                daemon: None,
+            }
+        });
+        Self {
+            vms: vms.collect(),
+            endpoints,
+            manifest: document["manifest"].take(),
+            list,
+            version: 1,
+            proxy_control: address(&generated["fault_proxy_control_address"]),
+            peer_links,
+            endpoint_links,
+            daemon_flags: plan.daemon_flags.clone(),
+            scaffolding: Vec::new(),
+            dir,
+        }
+    }
+
+    async fn start_scaffolding(&mut self, plan: &Plan) {
+        self.write_documents();
+        let file = self.dir.path().join("manifest.json");
+        let mut flags: Vec<String> = vec!["endpoints".into(), "--file".into()];
+        flags.push(file.to_str().unwrap().to_owned());
+        flags.extend(plan.endpoint_flags.iter().map(|flag| (*flag).to_owned()));
+        // The stand-ins listen on the addresses as generated, not on those of the proxy.
+        self.scaffolding
+            .push(Process::start(STANDINS, &flags, None));
+        for vm in &self.vms {
+            let dir = vm.platform_dir.to_str().unwrap();
+            let flags = [
+                "platform",
+                "--listen",
+                &vm.platform.to_string(),
+                "--dir",
+                dir,
+            ];
+            self.scaffolding
+                .push(Process::start(STANDINS, &flags, None));
+        }
+        let mut flags = vec!["fault-proxy".to_owned(), "--control".to_owned()];
+        flags.push(self.proxy_control.to_string());
+        for ((_, target, kind), listen) in &self.peer_links {
+            let to = self.list["vms"][target][kind].as_str().unwrap();
+            flags.extend(["--link".to_owned(), format!("{listen}={to}")]);
+        }
+        for endpoint in &self.endpoints {
+            if let Some(listen) = self.endpoint_links.get(&endpoint.name) {
+                flags.extend([
+                    "--link".to_owned(),
+                    format!("{listen}={}", endpoint.address),
+                ]);
+            }
+        }
+        if flags.len() > 3 {
+            self.scaffolding
+                .push(Process::start(STANDINS, &flags, None));
+            wait_listening(self.proxy_control).await;
+        }
+        for address in self.vms.iter().map(|vm| vm.platform) {
+            wait_listening(address).await;
+        }
+        for endpoint in &self.endpoints {
+            wait_listening(endpoint.address).await;
+        }
+    }
+
+    /// Writes what each VM's platform publishes: the same but for the peers' addresses.
+    fn write_documents(&self) {
+        let document = json!({ "version": self.version, "manifest": self.manifest });
+        for source in 0..self.vms.len() {
+            let dir = &self.vms[source].platform_dir;
+            let mut list = self.list.clone();
+            for ((from, target, kind), listen) in &self.peer_links {
+                if *from == source && !list["vms"][target].is_null() {
+                    list["vms"][target][*kind] = json!(listen);
+                }
+            }
+            replace(&dir.join("manifest.json"), &document);
+            replace(&dir.join("vms.json"), &list);
+        }
+    }
+
+    /// Changes the manifest and publishes it under the next version, to all VMs.
+    pub fn publish(&mut self, edit: impl FnOnce(&mut Value)) -> u64 {
+        edit(&mut self.manifest);
+        self.version += 1;
+        self.write_documents();
+        self.version
+    }
+
+    /// Starts or restarts a daemon; a restarted one remembers nothing.
+    pub fn start_vm(&mut self, vm: usize) {
+        let mut flags = self.vms[vm].flags.clone();
+        flags.extend(self.daemon_flags.iter().map(|flag| (*flag).to_owned()));
+        let log = self.dir.path().join(format!("{}.log", self.vms[vm].id));
+        self.vms[vm].daemon = Some(Process::start(DAEMON, &flags, Some(&log)));
+    }
+
+    /// Sends a signal to a daemon.
+    pub fn signal(&self, vm: usize, signal: Signal) {
+        self.vms[vm].daemon.as_ref().unwrap().signal(signal);
+    }
+
+    /// Kills a daemon at once and waits until it is gone.
+    pub fn kill(&mut self, vm: usize) {
+        self.vms[vm].daemon = None;
+    }
+
+    /// Waits until a daemon has ended by itself and returns its exit code.
+    pub async fn exit_code(&mut self, vm: usize, limit: Duration) -> Option<i32> {
+        let end = Instant::now() + limit;
+        let daemon = self.vms[vm].daemon.as_mut().unwrap();
+        while Instant::now() < end {
+            if let Some(code) = daemon.exit_code() {
+                return Some(code);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        None
+    }
+
+    /// Reads a VM's status page.
+    pub async fn status(&self, vm: usize) -> anyhow::Result<Value> {
+        get_json(self.vms[vm].operator, "/v1/status").await
+    }
+
+    /// Waits until a VM is ready and holds a majority lease.
+    pub async fn wait_in_force(&self, vm: usize) {
+        self.wait_status(vm, "in force", |status| {
+            status["in_force"] == true && !status["manifest_version"].is_null()
+        })
+        .await;
+    }
+
+    /// Waits until a VM's status satisfies a condition, and returns how long it took.
+    pub async fn wait_status(
+        &self,
+        vm: usize,
+        what: &str,
+        condition: impl Fn(&Value) -> bool,
+    ) -> Duration {
+        let start = Instant::now();
+        let mut last = None;
+        while start.elapsed() < START_LIMIT {
+            last = self.status(vm).await.ok();
+            if last.as_ref().is_some_and(&condition) {
+                return start.elapsed();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!(
+            "{} is not {what}: {last:?}\n{}",
+            self.vms[vm].id,
+            self.log(vm)
+        );
+    }
+
+    /// Returns a daemon's log.
+    pub fn log(&self, vm: usize) -> String {
+        let path = self.dir.path().join(format!("{}.log", self.vms[vm].id));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Returns a caller of an organisation.
+    pub fn caller(&self, organisation: &str) -> Caller {
+        Caller::new(&format!("key-{organisation}-1"))
+    }
+
+    /// Sends a command to a VM's platform, such as `/control/stop`.
+    pub async fn platform(&self, vm: usize, command: &str) {
+        post(self.vms[vm].platform, command).await;
+    }
+
+    /// Sends a command to all links from `source` to `target`, such as `cut` or `freeze`.
+    pub async fn peer_link(&self, source: usize, target: usize, command: &str) {
+        for kind in ["peer_state_address", "peer_call_address"] {
+            let link = self.peer_links[&(source, target, kind)];
+            self.proxy(&link, command).await;
+        }
+    }
+
+    /// Cuts or restores all links between a VM and the others, in both directions.
+    pub async fn isolate(&self, vm: usize, command: &str) {
+        for other in (0..self.vms.len()).filter(|other| *other != vm) {
+            self.peer_link(vm, other, command).await;
+            self.peer_link(other, vm, command).await;
+        }
+    }
+
+    /// Sends a command to the link to an endpoint.
+    pub async fn endpoint_link(&self, endpoint: &str, command: &str) {
+        let link = self.endpoint_links[endpoint];
+        self.proxy(&link, command).await;
+    }
+
+    async fn proxy(&self, link: &SocketAddr, command: &str) {
+        let mark = if command.contains('?') { '&' } else { '?' };
+        post(
+            self.proxy_control,
+            &format!("/control/{command}{mark}link={link}"),
+        )
+        .await;
+    }
+
+    /// Returns the endpoints of a service.
+    pub fn service(&self, service: &str) -> impl Iterator<Item = &EndpointPlace> {
+        self.endpoints
+            .iter()
+            .filter(move |endpoint| endpoint.service == service)
+    }
+
+    /// Sends a command to an endpoint stand-in.
+    pub async fn endpoint(&self, name: &str, command: &str) {
+        let endpoint = self.endpoints.iter().find(|endpoint| endpoint.name == name);
+        post(endpoint.unwrap().address, command).await;
+    }
+
+    /// Returns the runs of all endpoints of a service, each with the endpoint's name.
+    pub async fn runs(&self, service: &str) -> Vec<Value> {
+        let mut runs = Vec::new();
+        for endpoint in self.service(service) {
+            let ledger = get_json(endpoint.address, "/ledger").await.unwrap();
+            for run in ledger["runs"].as_array().unwrap() {
+                let mut run = run.clone();
+                run["endpoint"] = json!(endpoint.name);
+                runs.push(run);
+            }
+        }
+        runs
+    }
+
+    /// Returns how many runs a service's ledgers have for a request id.
+    pub async fn runs_of(&self, service: &str, request_id: &str) -> usize {
+        let runs = self.runs(service).await;
+        runs.iter()
+            .filter(|run| run["request_id"] == request_id)
+            .count()
+    }
+}
+
+async fn wait_listening(address: SocketAddr) {
+    let end = Instant::now() + START_LIMIT;
+    while tokio::net::TcpStream::connect(address).await.is_err() {
+        assert!(Instant::now() < end, "{address} does not listen");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
