--- /dev/null
+++ b/tests/planned_changes.rs
@@ -0,0 +1,147 @@
+//! Planned changes cut no request and stop new work in time (P3, P9, P10).
+
+mod support;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use support::{Fleet, Plan, Signal};
+
+/// Longest time until a data centre taken out or a leaving endpoint gets no new work.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
+fn set_state(list: &mut Value, name: &str, state: &str) {
+    let items = list.as_array_mut().unwrap();
+    let item = items.iter_mut().find(|item| item["name"] == name);
+    item.unwrap()["state"] = json!(state);
+}
+
+/// Guards P10: SIGTERM cuts no running stream, new work is refused as not run with another
+/// address, and the daemon ends with 0.
+#[gtest]
+#[tokio::test]
+async fn a_planned_stop_ends_running_requests_and_exits_with_zero() {
+    let plan = Plan {
+        endpoint_flags: vec!["--tokens", "50", "--token-ms", "30"],
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::start(&plan).await;
+    let address = fleet.vms[0].caller;
+    let running: Vec<_> = (0..10)
+        .map(|number| {
+            let caller = fleet.caller("org-0");
+            tokio::spawn(async move {
+                caller
+                    .send(address, "answer", &[], &json!({ "number": number }))
+                    .await
+            })
+        })
+        .collect();
+    let ten = |status: &Value| status["running_requests"] == 10;
+    fleet.wait_status(0, "running ten requests", ten).await;
+    fleet.signal(0, Signal::TERM);
+    fleet
+        .wait_status(0, "stopping", |status| status["stopping"] == true)
+        .await;
+    let caller = fleet.caller("org-0");
+    let refused = caller.send(address, "answer", &[], &json!({})).await;
+    if let Ok(refused) = refused {
+        expect_that!(
+            (refused.code(), refused.outcome()),
+            eq(("stopping", "not_run"))
+        );
+    }
+    for request in running {
+        let answer = request.await.unwrap().unwrap();
+        expect_that!(answer.is_whole(), eq(true), "{answer:?}");
+    }
+    expect_that!(
+        fleet.exit_code(0, Duration::from_secs(20)).await,
+        eq(Some(0))
+    );
+    let elsewhere = caller
+        .send(fleet.vms[1].caller, "answer", &[], &json!({}))
+        .await
+        .unwrap();
+    expect_that!(elsewhere.is_whole(), eq(true), "{elsewhere:?}");
+}
+
+/// Sends requests through all VMs for a while; all must be answered whole.
+async fn send_for(fleet: &Fleet, duration: Duration) {
+    let caller = fleet.caller("org-0");
+    let end = std::time::Instant::now() + duration;
+    while std::time::Instant::now() < end {
+        let sent = fleet.vms.iter().map(|vm| {
+            let caller = caller.clone();
+            async move { caller.send(vm.caller, "catalogue", &[], &json!({})).await }
+        });
+        for answer in futures::future::join_all(sent).await {
+            let answer = answer.unwrap();
+            expect_that!(answer.is_whole(), eq(true), "{answer:?}");
+        }
+    }
+}
+
+async fn runs_in(fleet: &Fleet, data_centre: &str) -> usize {
+    let mut count = 0;
+    for endpoint in fleet
+        .endpoints
+        .iter()
+        .filter(|item| item.data_centre == data_centre)
+    {
+        let ledger = support::get_json(endpoint.address, "/ledger")
+            .await
+            .unwrap();
+        count += ledger["runs"].as_array().unwrap().len();
+    }
+    count
+}
+
+/// Guards P3: new work stops within 5 s, nothing fails meanwhile, and the data centre gets
+/// work again after its return.
+#[gtest]
+#[tokio::test]
+async fn a_data_centre_leaves_and_returns_without_a_failed_request() {
+    let plan = Plan {
+        fleet_flags: vec!["--rate", "1000", "--burst", "1000"],
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::start(&plan).await;
+    send_for(&fleet, Duration::from_millis(500)).await;
+    expect_that!(runs_in(&fleet, "dc-1").await, gt(0));
+    fleet.publish(|manifest| set_state(&mut manifest["data_centres"], "dc-1", "out"));
+    send_for(&fleet, STOP_LIMIT).await;
+    let after_limit = runs_in(&fleet, "dc-1").await;
+    send_for(&fleet, Duration::from_secs(1)).await;
+    expect_that!(runs_in(&fleet, "dc-1").await, eq(after_limit));
+    let address = support::get_json(fleet.vms[1].caller, "/v1/address")
+        .await
+        .unwrap();
+    expect_that!(address["vm"], not(eq(&json!("vm-1"))));
+    fleet.publish(|manifest| set_state(&mut manifest["data_centres"], "dc-1", "in"));
+    send_for(&fleet, STOP_LIMIT).await;
+    expect_that!(runs_in(&fleet, "dc-1").await, gt(after_limit));
+}
+
+/// Guards P9: a leaving endpoint gets no new work after 5 s.
+#[gtest]
+#[tokio::test]
+async fn a_leaving_endpoint_gets_no_new_work() {
+    let plan = Plan {
+        fleet_flags: vec!["--rate", "1000", "--burst", "1000"],
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::start(&plan).await;
+    send_for(&fleet, Duration::from_millis(500)).await;
+    fleet.publish(|manifest| set_state(&mut manifest["endpoints"], "encoder-1", "leaving"));
+    send_for(&fleet, STOP_LIMIT).await;
+    let runs = |runs: Vec<Value>| {
+        let there = runs.iter().filter(|run| run["endpoint"] == "encoder-1");
+        there.count()
+    };
+    let after_limit = runs(fleet.runs("encoder").await);
+    expect_that!(after_limit, gt(0));
+    send_for(&fleet, Duration::from_secs(1)).await;
+    expect_that!(runs(fleet.runs("encoder").await), eq(after_limit));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,7 +4,7 @@
 //! links to each peer through the fault proxy when the plan asks for it. Every process is
 //! ended by its id when the fleet is dropped.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod http_calls;
 mod processes;
@@ -18,7 +18,7 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-pub use http_calls::{Caller, get_json, post};
+pub use http_calls::{Answer, Caller, get_json, post};
 use processes::Process;
 pub use processes::Signal;
 
