--- a/src/decisions/config_version.rs
+++ b/src/decisions/config_version.rs
@@ -27,6 +27,19 @@
     config: FreshnessConfig,
     newest: Version,
     confirmed_at: Option<Time>,
+    /// The newest version that failed its check.
+    refused: Version,
+    /// A newer version that is known of but not yet in force.
+    pending: Option<Pending>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    version: Version,
+    /// When this VM first knew that its own version is outdated.
+    since: Time,
+    /// When the platform last showed the version, if it did.
+    shown_at: Option<Time>,
 }
 
 impl ConfigVersion {
@@ -36,6 +49,8 @@
             config,
             newest: Version::default(),
             confirmed_at: None,
+            refused: Version::default(),
+            pending: None,
         }
     }
 
@@ -46,36 +61,90 @@
 
     /// Returns whether a version should be fetched and checked.
     pub fn wants(&self, version: Version) -> bool {
-        version > self.newest
+        version > self.newest && version > self.refused
     }
 
     /// Puts a checked version in force; returns false and changes nothing if it is not newer.
     pub fn accept(&mut self, version: Version) -> bool {
-        let newer = self.wants(version);
+        let newer = version > self.newest;
         if newer {
             self.newest = version;
+            self.settle(version);
         }
         newer
     }
 
+    /// Notes that a version failed its check. The version in force stays, and what shows the
+    /// refused one confirms it.
+    pub fn refuse(&mut self, version: Version) {
+        if version > self.newest {
+            self.refused = self.refused.max(version);
+            self.settle(version);
+        }
+    }
+
+    fn settle(&mut self, version: Version) {
+        let Some(pending) = self.pending.filter(|pending| pending.version <= version) else {
+            return;
+        };
+        self.pending = None;
+        if pending.version == version {
+            self.confirmed_at = self.confirmed_at.max(pending.shown_at);
+        }
+    }
+
     /// Notes that the platform showed `version` at time `at` (for a peer's word: now minus
-    /// the age that it gave). An older version than held confirms nothing.
+    /// the age that it gave). An older version than held confirms nothing. A newer one is
+    /// noted as outdating the version in force until [`ConfigVersion::accept`] or
+    /// [`ConfigVersion::refuse`].
     pub fn confirm(&mut self, at: Time, version: Version) {
-        if version >= self.newest {
+        if self.wants(version) {
+            self.note_pending(at, version, Some(at));
+        } else if version >= self.newest {
             self.confirmed_at = self.confirmed_at.max(Some(at));
         }
     }
 
+    /// Notes that a peer has put `version` in force. If it is newer, this VM's own version
+    /// is outdated, even while its lease holds.
+    pub fn on_peer_version(&mut self, now: Time, version: Version) {
+        if self.wants(version) {
+            self.note_pending(now, version, None);
+        }
+    }
+
+    fn note_pending(&mut self, at: Time, version: Version, shown_at: Option<Time>) {
+        let Some(pending) = &mut self.pending else {
+            self.pending = Some(Pending {
+                version,
+                since: at,
+                shown_at,
+            });
+            return;
+        };
+        pending.since = pending.since.min(at);
+        if version > pending.version {
+            pending.version = version;
+            pending.shown_at = shown_at;
+        } else if version == pending.version {
+            pending.shown_at = pending.shown_at.max(shown_at);
+        }
+    }
+
     /// Returns when the platform was last known to confirm the version in force.
     pub fn confirmed_at(&self) -> Option<Time> {
         self.confirmed_at
     }
 
     /// Returns until when keyed requests may run, given until when this VM is in force.
+    ///
+    /// Neither a lease nor a confirmation keeps a version fresh that is known to be outdated
+    /// for longer than a confirmation counts: a newer one may withdraw keys.
     pub fn keys_fresh_until(&self, in_force_until: Time) -> Time {
-        let by_platform = self
-            .confirmed_at
-            .map(|at| at + self.config.confirmation_life);
-        in_force_until.max(by_platform.unwrap_or_default())
+        let life = self.config.confirmation_life;
+        let by_platform = self.confirmed_at.map(|at| at + life);
+        let fresh = in_force_until.max(by_platform.unwrap_or_default());
+        let outdated = self.pending.map(|pending| pending.since + life);
+        outdated.map_or(fresh, |outdated| fresh.min(outdated))
     }
 }
--- a/src/decisions/membership.rs
+++ b/src/decisions/membership.rs
@@ -1,12 +1,25 @@
 //! Who is in force: leases that a majority of the VM list acknowledged.
 //!
-//! `docs/design.md`, 3.1 gives the rules and why they are safe.
+//! `docs/design.md`, 3.1 gives the rules and why they are safe. The parts: `peer` keeps what
+//! was exchanged with one VM, `lease` counts majorities, `recovery` restores a restarted VM,
+//! `denial` votes that a VM is absent, and `tenure` derives the right to act for a key.
+
+mod denial;
+mod lease;
+mod peer;
+mod recovery;
+mod tenure;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
+use self::denial::Absence;
+use self::lease::Lease;
+use self::peer::Peer;
+use self::recovery::Recovery;
+use self::tenure::KeyTenure;
 use crate::decisions::rendezvous::rendezvous_order;
 use crate::units::{Incarnation, Time, Version, VmId};
 
@@ -46,6 +59,13 @@
     pub members: SmallVec<[VmId; 8]>,
 }
 
+impl MemberList {
+    /// Returns how many VMs any two of which sets must share a member.
+    fn majority(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+}
+
 /// Asks a peer to acknowledge this VM's lease.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -74,6 +94,8 @@
     pub recovering: bool,
     /// Older lists of which a majority is not yet known to have moved on.
     pub predecessors: Vec<MemberList>,
+    /// The newest list that is known to have been in force; older ones can no longer be.
+    pub resolved: Version,
     /// VMs that the acknowledger will not acknowledge for another `denial`.
     pub denials: SmallVec<[VmId; 2]>,
 }
@@ -81,7 +103,7 @@
 /// The right to act as home of a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Tenure {
-    /// Rises by one with each new tenure of this VM over the key.
+    /// Rises with each new tenure of this VM over the key.
     pub number: u64,
     /// Nothing that an earlier home granted can be used from this time on.
     pub since: Time,
@@ -95,21 +117,41 @@
     config: MembershipConfig,
     me: VmId,
     incarnation: Incarnation,
-    started_at: Time,
     list: MemberList,
-    sequences: HashMap<VmId, u64>,
+    predecessors: Vec<MemberList>,
+    resolved: Version,
+    fenced: SmallVec<[VmId; 2]>,
+    peers: HashMap<VmId, Peer>,
+    recovery: Recovery,
+    lease: Lease,
+    absences: HashMap<VmId, Absence>,
+    tenures: HashMap<String, KeyTenure>,
+    tenure_count: u64,
+    active_at: Time,
 }
 
 impl Membership {
     /// Starts without a list and without memory of earlier runs.
     pub fn new(config: MembershipConfig, me: VmId, incarnation: Incarnation, now: Time) -> Self {
+        assert!(
+            config.denial <= config.lease,
+            "a restarted VM is silent for one lease, which must outlast its denials"
+        );
         Self {
             config,
             me,
             incarnation,
-            started_at: now,
             list: MemberList::default(),
-            sequences: HashMap::new(),
+            predecessors: Vec::new(),
+            resolved: Version::default(),
+            fenced: SmallVec::new(),
+            peers: HashMap::new(),
+            recovery: Recovery::new(now, &config),
+            lease: Lease::default(),
+            absences: HashMap::new(),
+            tenures: HashMap::new(),
+            tenure_count: 0,
+            active_at: now,
         }
     }
 
@@ -122,25 +164,67 @@
         list: MemberList,
         fenced: impl IntoIterator<Item = VmId>,
     ) {
-        let _ = (now, fenced.into_iter());
+        self.refresh(now);
+        for vm in fenced {
+            if !self.fenced.contains(&vm) {
+                self.fenced.push(vm);
+            }
+        }
         if list.version > self.list.version {
-            self.list = list;
+            self.lease.carry();
+            self.lease.hold(&list);
+            let old = std::mem::replace(&mut self.list, list);
+            if !old.members.is_empty() {
+                self.adopt([&old]);
+            }
+            self.absences.clear();
+            self.peers.values_mut().for_each(Peer::forget_answers);
+            for vm in self.list.members.iter().filter(|vm| **vm != self.me) {
+                let peer = self.peers.entry(vm.clone());
+                peer.or_insert_with(|| Peer::new(now));
+            }
+            self.forget_silent_peers(now);
         }
+        self.refresh(now);
+    }
+
+    /// Drops VMs that are on no list any more and that no promise concerns.
+    fn forget_silent_peers(&mut self, now: Time) {
+        let listed = self.peers();
+        let keep = 10 * self.config.lease;
+        self.peers
+            .retain(|vm, peer| listed.contains(vm) || now.since(peer.heard_at) < keep);
     }
 
-    /// Returns the VMs that heartbeats go to.
+    /// Returns the VMs that heartbeats go to: the list, unresolved predecessors, and VMs that
+    /// sent heartbeats lately, which may know a predecessor that this VM does not.
     pub fn peers(&self) -> SmallVec<[VmId; 8]> {
-        let members = self.list.members.iter();
-        members.filter(|vm| **vm != self.me).cloned().collect()
+        let mut peers: SmallVec<[VmId; 8]> = SmallVec::new();
+        let lists = std::iter::once(&self.list).chain(&self.predecessors);
+        let listed = lists.flat_map(|list| &list.members);
+        let keep = 2 * self.config.lease;
+        let lately = self.peers.iter().filter(|(_, peer)| {
+            let heard = peer.sequence_heard > 0;
+            heard && self.active_at.since(peer.heard_at) < keep
+        });
+        for vm in listed.chain(lately.map(|(vm, _)| vm)) {
+            if *vm != self.me && !peers.contains(vm) {
+                peers.push(vm.clone());
+            }
+        }
+        // The map's order differs from run to run; decisions must not.
+        peers.sort_unstable();
+        peers
     }
 
     /// Makes the next heartbeat for a peer and notes when it was sent.
     pub fn heartbeat_for(&mut self, now: Time, peer: &VmId) -> Heartbeat {
-        let _ = now;
-        let sequence = self.sequences.entry(peer.clone()).or_default();
-        *sequence += 1;
+        self.refresh(now);
+        let lease = self.config.lease;
+        let entry = self.peers.entry(peer.clone());
+        let entry = entry.or_insert_with(|| Peer::new(now));
         Heartbeat {
-            sequence: *sequence,
+            sequence: entry.note_sent(now, lease),
             incarnation: self.incarnation,
             list_version: self.list.version,
         }
@@ -153,59 +237,136 @@
         from: &VmId,
         heartbeat: &Heartbeat,
     ) -> Acknowledgement {
-        let _ = (now, from);
+        self.refresh(now);
+        let agrees = self.is_recovered() && heartbeat.list_version == self.list.version;
+        let peer = self.peers.entry(from.clone());
+        let peer = peer.or_insert_with(|| Peer::new(now));
+        peer.note_heard(now, heartbeat);
+        let granted = agrees && now >= peer.denied_until;
+        if granted {
+            peer.leased_until = now + self.config.lease;
+        }
+        let denials = self.promise_denials(now);
+        assert!(
+            !(granted && denials.contains(from)),
+            "a VM is acknowledged and denied at once"
+        );
         Acknowledgement {
             sequence: heartbeat.sequence,
             to_incarnation: heartbeat.incarnation,
             incarnation: self.incarnation,
             list_version: self.list.version,
-            granted: heartbeat.list_version == self.list.version,
-            recovering: false,
-            predecessors: Vec::new(),
-            denials: SmallVec::new(),
+            granted,
+            recovering: !self.is_recovered(),
+            predecessors: self.predecessors.clone(),
+            resolved: self.resolved,
+            denials,
         }
     }
 
     /// Notes a peer's answer.
     pub fn on_acknowledgement(&mut self, now: Time, from: &VmId, answer: &Acknowledgement) {
-        let _ = (now, from, answer);
+        self.refresh(now);
+        if answer.to_incarnation != self.incarnation || answer.list_version != self.list.version {
+            return;
+        }
+        let Some(peer) = self.peers.get_mut(from) else {
+            return;
+        };
+        let Some(sent_at) = peer.sent_at(answer.sequence) else {
+            return;
+        };
+        peer.note_answer(sent_at, answer, &self.config);
+        self.adopt(&answer.predecessors);
+        self.resolve(answer.resolved);
+        self.refresh(now);
     }
 
     /// Returns until when this VM is in force; not after `now` when it is not.
     pub fn in_force_until(&self, now: Time) -> Time {
-        if self.list.members.contains(&self.me) {
-            now + self.config.lease
-        } else {
-            Time::ZERO
-        }
+        self.lease_until(now)
     }
 
     /// Returns the VM that acts for `key`, as far as this VM knows.
     pub fn home_of(&self, now: Time, key: &str) -> Option<VmId> {
-        let _ = now;
-        rendezvous_order(key, &self.list.members)
-            .first()
-            .map(|vm| (*vm).clone())
+        let mut order = rendezvous_order(key, &self.list.members).into_iter();
+        order.find(|vm| !self.is_absent(now, vm)).cloned()
     }
 
     /// Returns this VM's tenure over `key`, if it may act as its home now.
     pub fn tenure(&mut self, now: Time, key: &str) -> Option<Tenure> {
-        let home = self.home_of(now, key)?;
-        (home == self.me).then(|| Tenure {
-            number: 1,
-            since: self.started_at,
-            until: self.in_force_until(now),
-        })
+        self.refresh(now);
+        self.tenure_of(now, key)
     }
 
     /// Returns the VMs that a majority denies now.
     pub fn absent(&self, now: Time) -> SmallVec<[VmId; 2]> {
-        let _ = now;
-        SmallVec::new()
+        let members = self.list.members.iter();
+        members
+            .filter(|vm| self.is_absent(now, vm))
+            .cloned()
+            .collect()
     }
 
     /// Returns the version of the list that this VM goes by.
     pub fn list_version(&self) -> Version {
         self.list.version
     }
+
+    /// Returns the list that this VM goes by, for peers that ask for a newer one.
+    pub fn list(&self) -> &MemberList {
+        &self.list
+    }
+
+    /// Returns older lists of which a majority is not yet known to have moved on.
+    pub fn predecessors(&self) -> &[MemberList] {
+        &self.predecessors
+    }
+
+    /// Returns whether this VM acknowledges others, which it does not after a restart until
+    /// it has relearned what an earlier incarnation may have promised.
+    pub fn is_recovered(&self) -> bool {
+        self.recovery.is_finished()
+    }
+
+    /// Updates everything that depends on the time or on what was heard.
+    fn refresh(&mut self, now: Time) {
+        self.restart_suspicion_after_pause(now);
+        self.finish_recovery(now);
+        self.note_own_denials(now);
+        self.update_absences(now);
+        self.update_lease(now);
+    }
+
+    /// Silence proves nothing about peers while this VM itself was not running.
+    fn restart_suspicion_after_pause(&mut self, now: Time) {
+        if now.since(self.active_at) > self.config.suspicion / 2 {
+            self.presume_heard(now);
+        }
+        self.active_at = self.active_at.max(now);
+    }
+
+    fn presume_heard(&mut self, now: Time) {
+        for peer in self.peers.values_mut() {
+            peer.heard_at = peer.heard_at.max(now);
+        }
+    }
+
+    /// Adds unresolved predecessors.
+    fn adopt<'a>(&mut self, lists: impl IntoIterator<Item = &'a MemberList>) {
+        for list in lists {
+            let open = list.version >= self.resolved && list.version < self.list.version;
+            let known = |held: &MemberList| held.version == list.version;
+            if open && !self.predecessors.iter().any(known) {
+                self.predecessors.push(list.clone());
+            }
+        }
+    }
+
+    /// Drops predecessors that a list known to have been in force excludes.
+    fn resolve(&mut self, version: Version) {
+        self.resolved = self.resolved.max(version);
+        let resolved = self.resolved;
+        self.predecessors.retain(|list| list.version >= resolved);
+    }
 }
--- /dev/null
+++ b/src/decisions/membership/denial.rs
@@ -0,0 +1,103 @@
+//! Denials: time-limited votes that a VM is absent.
+//!
+//! A VM denies another only after its acknowledgement to it lapsed, and does not acknowledge
+//! it until the denial lapsed. So no VM is in force while a majority denies it.
+
+use std::collections::BTreeSet;
+
+use smallvec::SmallVec;
+
+use super::Membership;
+use super::lease::nth_latest;
+use crate::units::{Time, VmId};
+
+/// An uninterrupted time in which a majority denies a VM.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Absence {
+    /// When this VM first held the majority.
+    pub since: Time,
+    /// When the majority lapses unless it is renewed.
+    pub until: Time,
+}
+
+impl Membership {
+    /// Returns the VMs that this VM denies now, and promises not to acknowledge them.
+    pub(super) fn promise_denials(&mut self, now: Time) -> SmallVec<[VmId; 2]> {
+        if !self.is_recovered() {
+            return SmallVec::new();
+        }
+        let config = self.config;
+        let mut denied = SmallVec::new();
+        for vm in &self.list.members {
+            let Some(peer) = self.peers.get_mut(vm).filter(|_| *vm != self.me) else {
+                continue;
+            };
+            let silent = now.since(peer.heard_at) > config.suspicion;
+            if silent && now >= peer.leased_until + config.margin {
+                // The margin covers a clock that runs faster than the receiver's.
+                peer.denied_until = now + config.denial + config.margin;
+                denied.push(vm.clone());
+            }
+        }
+        denied
+    }
+
+    /// Counts this VM's own denials as if they had come by message.
+    pub(super) fn note_own_denials(&mut self, now: Time) {
+        for vm in self.promise_denials(now) {
+            if let Some(peer) = self.peers.get_mut(&vm) {
+                peer.own_denial_until = now + self.config.denial;
+            }
+        }
+    }
+
+    /// Follows which VMs a majority denies.
+    pub(super) fn update_absences(&mut self, now: Time) {
+        for vm in self.denied_vms(now) {
+            let until = self.denied_by_majority_until(&vm);
+            if until <= now {
+                continue;
+            }
+            let fresh = Absence { since: now, until };
+            let absence = self.absences.entry(vm).or_insert(fresh);
+            if absence.until <= now {
+                *absence = fresh;
+            }
+            absence.until = absence.until.max(until);
+        }
+    }
+
+    fn denied_vms(&self, now: Time) -> BTreeSet<VmId> {
+        let mut vms = BTreeSet::new();
+        for (vm, peer) in &self.peers {
+            if peer.own_denial_until > now {
+                vms.insert(vm.clone());
+            }
+            let valid = peer.denials.iter().filter(|(_, until)| **until > now);
+            vms.extend(valid.map(|(vm, _)| vm.clone()));
+        }
+        vms
+    }
+
+    fn denied_by_majority_until(&self, denied: &VmId) -> Time {
+        let denial_of = |voter: &VmId| {
+            if *voter == self.me {
+                return self.peers.get(denied).map(|peer| peer.own_denial_until);
+            }
+            self.peers.get(voter)?.denials.get(denied).copied()
+        };
+        let votes = self.list.members.iter().filter_map(denial_of);
+        nth_latest(votes, self.list.majority())
+    }
+
+    /// Returns until when a majority denies `vm`, and since when.
+    pub(super) fn absence(&self, now: Time, vm: &VmId) -> Option<Absence> {
+        let absence = self.absences.get(vm).copied();
+        absence.filter(|absence| now < absence.until)
+    }
+
+    /// Returns whether a majority denies `vm` now.
+    pub(super) fn is_absent(&self, now: Time, vm: &VmId) -> bool {
+        self.absence(now, vm).is_some()
+    }
+}
--- /dev/null
+++ b/src/decisions/membership/tenure.rs
@@ -0,0 +1,105 @@
+//! Tenures: since when and until when this VM may act as home of a key.
+//!
+//! A tenure is derived from the lease, the lists and the absences whenever it is asked for,
+//! so a key that nobody asked about for a while is judged the same. Each interruption moves
+//! the start forward, and a later start is a new tenure.
+
+use smallvec::SmallVec;
+
+use super::{Membership, Tenure};
+use crate::decisions::rendezvous::rendezvous_order;
+use crate::units::{Time, Version, VmId};
+
+/// What is kept about one key.
+#[derive(Debug, Default)]
+pub(super) struct KeyTenure {
+    number: u64,
+    since: Time,
+    /// When the tenure was last handed out.
+    acted_at: Time,
+    ranks: Ranks,
+}
+
+/// Ranks of a key, which cost hashes and change only with the lists.
+#[derive(Debug, Default, Clone)]
+struct Ranks {
+    list: Version,
+    oldest: Version,
+    held: usize,
+    /// VMs before this one in the current list; `None` when it is not on the list.
+    earlier: Option<SmallVec<[VmId; 2]>>,
+    /// The first held list from which on this VM comes first in all.
+    first_since: usize,
+}
+
+impl Membership {
+    pub(super) fn tenure_of(&mut self, now: Time, key: &str) -> Option<Tenure> {
+        let mut until = self.lease_until(now);
+        if until <= now {
+            return None;
+        }
+        let mut record = self.tenures.remove(key).unwrap_or_default();
+        self.update_ranks(key, &mut record.ranks);
+        let start = self.start_of(now, &record.ranks, &mut until);
+        let tenure = start.and_then(|start| {
+            if start > record.since || record.number == 0 {
+                self.tenure_count += 1;
+                record.number = self.tenure_count;
+                record.since = start.max(record.acted_at);
+            }
+            (now >= record.since).then_some(Tenure {
+                number: record.number,
+                since: record.since,
+                until,
+            })
+        });
+        if let Some(tenure) = tenure {
+            assert!(tenure.since <= now && now < tenure.until);
+            record.acted_at = now;
+        }
+        self.tenures.insert(key.to_owned(), record);
+        tenure
+    }
+
+    /// Returns when a tenure by these ranks starts, and shortens `until` to the absence of
+    /// the VMs before this one.
+    fn start_of(&self, now: Time, ranks: &Ranks, until: &mut Time) -> Option<Time> {
+        let earlier = ranks.earlier.as_ref()?;
+        let held = self.lease.held.get(ranks.first_since..)?;
+        let in_force_at = held.iter().find_map(|held| held.in_force_at)?;
+        let takeover = self.config.lease + self.config.margin;
+        let mut start = self.lease.since.max(in_force_at + takeover);
+        for vm in earlier {
+            let absence = self.absence(now, vm)?;
+            start = start.max(absence.since);
+            *until = absence.until.min(*until);
+        }
+        Some(start)
+    }
+
+    fn update_ranks(&self, key: &str, ranks: &mut Ranks) {
+        let held = &self.lease.held;
+        let oldest = held.first().map(|held| held.list.version);
+        let oldest = oldest.unwrap_or_default();
+        let same_lists = ranks.oldest == oldest && ranks.held == held.len();
+        if ranks.list == self.list.version && same_lists {
+            return;
+        }
+        let order = rendezvous_order(key, &self.list.members);
+        let rank = order.iter().position(|vm| **vm == self.me);
+        let earlier = |rank| order[..rank].iter().map(|vm| (*vm).clone()).collect();
+        let is_first = |index: &usize| {
+            let order = rendezvous_order(key, &held[*index].list.members);
+            order.first().is_some_and(|vm| **vm == self.me)
+        };
+        let current = held.len().saturating_sub(1);
+        let first_in = (0..held.len()).rev().take_while(is_first).last();
+        *ranks = Ranks {
+            list: self.list.version,
+            oldest,
+            held: held.len(),
+            earlier: rank.map(earlier),
+            first_since: first_in.unwrap_or(current),
+        };
+    }
+}
