--- a/src/decisions/circuit.rs
+++ b/src/decisions/circuit.rs
@@ -1,9 +1,13 @@
 //! Circuit breakers by failure class.
 //!
-//! `docs/design.md`, 3.5 gives the classes. One endpoint's failures never condemn the rest.
+//! `docs/design.md`, 3.5 gives the classes. One endpoint's failures never exclude the others.
+
+mod network;
 
 use std::time::Duration;
 
+pub use network::{NetworkConfig, NetworkWatch};
+
 use crate::units::Time;
 
 /// Settings of a circuit.
@@ -40,43 +44,128 @@
     Cold,
 }
 
-/// State of one endpoint's circuit.
+/// Whether an attempt tests an open circuit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Started while the circuit was closed.
+    Ordinary,
+    /// The one attempt that an open circuit allows, with its number. The number keeps a probe
+    /// of an earlier opening from ending the present one.
+    Probe(u64),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Open {
+    since: Time,
+    until: Time,
+    failed_probes: u32,
+    probe: Option<u64>,
+}
+
+/// State of one endpoint's circuit, or of one model at an endpoint.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct Circuit {
     failures: u32,
-    open_until: Option<Time>,
-    probing: bool,
+    open: Option<Open>,
+    probes: u64,
+    permanent: bool,
 }
 
 impl Circuit {
     /// Returns whether an attempt may start now. An open circuit whose pause is over allows
     /// one attempt, the probe, until it ends.
     pub fn allows(&self, now: Time) -> bool {
-        match self.open_until {
-            None => true,
-            Some(until) => now >= until && !self.probing,
-        }
+        !self.permanent
+            && self
+                .open
+                .is_none_or(|open| now >= open.until && open.probe.is_none())
+    }
+
+    /// Returns whether the circuit is open; a probe may still be allowed.
+    pub fn is_open(&self) -> bool {
+        self.permanent || self.open.is_some()
+    }
+
+    /// Notes the start of an attempt that [`Circuit::allows`] has let through.
+    pub fn on_start(&mut self) -> Role {
+        let Some(open) = &mut self.open else {
+            return Role::Ordinary;
+        };
+        assert!(
+            open.probe.is_none(),
+            "an open circuit has at most one probe"
+        );
+        self.probes += 1;
+        open.probe = Some(self.probes);
+        Role::Probe(self.probes)
     }
 
-    /// Notes the start of an attempt.
-    pub fn on_start(&mut self) {
-        self.probing |= self.open_until.is_some();
+    /// Returns the role of the only attempt under way.
+    pub fn role_of_last(&self) -> Role {
+        let probe = self.open.and_then(|open| open.probe);
+        probe.map_or(Role::Ordinary, Role::Probe)
     }
 
-    /// Notes an attempt that ended well.
+    /// Notes an attempt that ended well, whichever it was: the endpoint works.
     pub fn on_success(&mut self) {
-        *self = Self::default();
+        self.failures = 0;
+        self.open = None;
     }
 
     /// Notes an attempt that failed for a transient reason.
-    pub fn on_failure(&mut self, now: Time, config: &CircuitConfig) {
+    ///
+    /// Attempts that were in flight when the circuit opened fail together with its cause, so
+    /// only a failed probe makes the pause longer.
+    pub fn on_failure(&mut self, now: Time, role: Role, config: &CircuitConfig) {
         self.failures = self.failures.saturating_add(1);
-        self.probing = false;
-        if self.failures < config.failures_to_open {
-            return;
+        match (&mut self.open, role) {
+            (Some(open), Role::Probe(number)) if open.probe == Some(number) => {
+                open.failed_probes = open.failed_probes.saturating_add(1);
+                open.until = now + pause(open.failed_probes, config);
+                open.probe = None;
+            }
+            (None, _) if self.failures >= config.failures_to_open => {
+                self.open = Some(Open {
+                    since: now,
+                    until: now + pause(0, config),
+                    failed_probes: 0,
+                    probe: None,
+                });
+            }
+            _ => {}
         }
-        let doublings = (self.failures - config.failures_to_open).min(16);
-        let pause = config.first_pause * 2_u32.pow(doublings);
-        self.open_until = Some(now + pause.min(config.longest_pause));
     }
+
+    /// Notes a refusal that lasts until the manifest changes.
+    pub fn on_permanent(&mut self) {
+        self.permanent = true;
+    }
+
+    /// Notes an attempt that ended without a verdict on the endpoint, such as a cancelled one.
+    pub fn on_no_verdict(&mut self, role: Role) {
+        if let (Some(open), Role::Probe(number)) = (&mut self.open, role)
+            && open.probe == Some(number)
+        {
+            open.probe = None;
+        }
+    }
+
+    /// Allows attempts again after the manifest changed.
+    pub fn on_manifest_change(&mut self) {
+        self.permanent = false;
+    }
+
+    /// Closes a circuit that opened at `time` or later, when the cause turns out to be this
+    /// VM's own network. A probe that is under way ends as an ordinary attempt.
+    pub fn withdraw_since(&mut self, time: Time) {
+        if self.open.is_some_and(|open| open.since >= time) {
+            self.on_success();
+        }
+    }
+}
+
+fn pause(failed_probes: u32, config: &CircuitConfig) -> Duration {
+    let doublings = failed_probes.min(16);
+    let pause = config.first_pause * 2_u32.pow(doublings);
+    pause.min(config.longest_pause)
 }
--- a/src/decisions/once.rs
+++ b/src/decisions/once.rs
@@ -1,6 +1,11 @@
 //! The at-most-once table of request ids that this VM issued.
 //!
-//! `docs/design.md`, 3.4 gives the states and why the owner is the issuer.
+//! `docs/design.md`, 3.4 gives the states and why the owner is the issuer. One bit per
+//! issued id says whether it began or was refused. Records and answers can therefore be
+//! dropped at any time without a second run.
+
+mod answers;
+mod spent;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -8,6 +13,8 @@
 use sha2::{Digest, Sha256};
 
 use crate::units::{Incarnation, RequestId, Time, VmId};
+use answers::Answers;
+use spent::Spent;
 
 /// Bounds of the table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,8 +23,13 @@
     pub id_life: Duration,
     /// Largest answer that is kept for a caller that asks again.
     pub answer_limit_bytes: usize,
-    /// Records kept at once; beyond it no new request begins.
+    /// All kept answers together; the oldest go first.
+    pub answers_limit_bytes: usize,
+    /// Requests that run and answers that are kept, each; beyond it no new request begins
+    /// and the oldest answer goes.
     pub record_limit: usize,
+    /// Issued ids that are remembered, at a bit each; an older one counts as expired.
+    pub id_limit: usize,
 }
 
 impl Default for OnceConfig {
@@ -25,7 +37,9 @@
         Self {
             id_life: Duration::from_secs(600),
             answer_limit_bytes: 64 * 1024,
+            answers_limit_bytes: 32 * 1024 * 1024,
             record_limit: 200_000,
+            id_limit: 8_000_000,
         }
     }
 }
@@ -47,15 +61,17 @@
     EarlierIncarnation,
     /// No VM issued this id.
     Forged,
-    /// The table is full; the request has not run.
+    /// Too many requests run; this one has not run and never will under this id.
     Full,
 }
 
-#[derive(Debug)]
-enum Record<A> {
-    Running,
-    Ended(A),
-    EndedWithoutAnswer,
+/// Outcome of [`OnceTable::refuse`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refuse<A> {
+    /// The id has not run and never will; "not run" is true.
+    Final,
+    /// "Not run" must not be said on account of this refusal; the state is as given.
+    Known(Begin<A>),
 }
 
 /// Ids of one incarnation of one VM. `A` is a finished answer or a final refusal.
@@ -65,8 +81,13 @@
     vm: VmId,
     incarnation: Incarnation,
     secret: [u8; 32],
-    counter: u64,
-    records: HashMap<RequestId, Record<A>>,
+    /// The latest time seen. Threads read the clock before they wait for the lock, so a call
+    /// can bring an earlier time than the one before it.
+    latest: Time,
+    spent: Spent,
+    /// Issue times of running ids, by counter.
+    running: HashMap<u64, Time>,
+    answers: Answers<A>,
 }
 
 impl<A: Clone> OnceTable<A> {
@@ -77,23 +98,31 @@
             vm,
             incarnation,
             secret,
-            counter: 0,
-            records: HashMap::new(),
+            latest: Time::ZERO,
+            spent: Spent::new(config.id_limit),
+            running: HashMap::new(),
+            answers: Answers::new(config.record_limit, config.answers_limit_bytes),
         }
     }
 
     /// Issues an id that only this incarnation will run.
     pub fn issue(&mut self, now: Time) -> RequestId {
-        self.counter += 1;
+        let issued_at = self.advance(now);
+        let counter = self.spent.issue();
         RequestId {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
-            issued_at: now,
-            counter: self.counter,
-            mac: self.mac(now, self.counter),
+            issued_at,
+            counter,
+            mac: self.mac(issued_at, counter),
         }
     }
 
+    fn advance(&mut self, now: Time) -> Time {
+        self.latest = self.latest.max(now);
+        self.latest
+    }
+
     fn mac(&self, issued_at: Time, counter: u64) -> u64 {
         let mut hasher = Sha256::new();
         hasher.update(self.secret);
@@ -108,54 +137,92 @@
     /// Decides what to do with a request that carries `id`, and marks it as running if it
     /// is to run.
     pub fn begin(&mut self, now: Time, id: &RequestId) -> Begin<A> {
+        if let Some(known) = self.known(now, id) {
+            return known;
+        }
+        // The mark comes first, so that no later step can lead to a second run.
+        let newly_spent = self.spent.mark(id.counter);
+        assert!(newly_spent, "request id {id} would run twice");
+        if self.running.len() >= self.config.record_limit {
+            return Begin::Full;
+        }
+        self.running.insert(id.counter, id.issued_at);
+        Begin::Run
+    }
+
+    /// Refuses an id that has not begun, finally. The refusal is kept for later copies as far
+    /// as there is room.
+    pub fn refuse(
+        &mut self,
+        now: Time,
+        id: &RequestId,
+        refusal: A,
+        size_bytes: usize,
+    ) -> Refuse<A> {
+        if let Some(known) = self.known(now, id) {
+            return Refuse::Known(known);
+        }
+        self.spent.mark(id.counter);
+        self.keep(id.counter, id.issued_at, refusal, size_bytes);
+        Refuse::Final
+    }
+
+    /// Returns the state of an id that cannot begin, and nothing for one that can.
+    fn known(&mut self, now: Time, id: &RequestId) -> Option<Begin<A>> {
         if id.vm != self.vm {
-            return Begin::Foreign(id.vm.clone());
+            return Some(Begin::Foreign(id.vm.clone()));
         }
         if id.incarnation != self.incarnation {
-            return Begin::EarlierIncarnation;
+            return Some(Begin::EarlierIncarnation);
         }
         if id.mac != self.mac(id.issued_at, id.counter) {
-            return Begin::Forged;
+            return Some(Begin::Forged);
         }
-        match self.records.get(id) {
-            Some(Record::Running) => return Begin::AlreadyRunning,
-            Some(Record::Ended(answer)) => return Begin::Ended(answer.clone()),
-            Some(Record::EndedWithoutAnswer) => return Begin::Forgotten,
-            None => {}
+        if self.running.contains_key(&id.counter) {
+            return Some(Begin::AlreadyRunning);
         }
-        if now.since(id.issued_at) >= self.config.id_life {
-            return Begin::Forgotten;
-        }
-        if self.records.len() >= self.config.record_limit {
-            return Begin::Full;
+        if let Some(answer) = self.answers.get(id.counter) {
+            return Some(Begin::Ended(answer.clone()));
         }
-        self.records.insert(id.clone(), Record::Running);
-        Begin::Run
+        let expired = self.advance(now).since(id.issued_at) >= self.config.id_life;
+        let spent = self.spent.contains(id.counter);
+        (expired || spent).then_some(Begin::Forgotten)
     }
 
-    /// Notes the end of a request. `size_bytes` is the answer's size.
+    /// Notes the end of a request: its answer, or a final refusal as not run. `size_bytes` is
+    /// the answer's size. An id that does not run keeps its first outcome.
     pub fn end(&mut self, id: &RequestId, answer: A, size_bytes: usize) {
-        let record = if size_bytes <= self.config.answer_limit_bytes {
-            Record::Ended(answer)
-        } else {
-            Record::EndedWithoutAnswer
-        };
-        self.records.insert(id.clone(), record);
+        if let Some(issued_at) = self.running.remove(&id.counter) {
+            self.keep(id.counter, issued_at, answer, size_bytes);
+        }
+    }
+
+    /// Notes that a running request ended without an answer to keep, such as a task that
+    /// failed. Its outcome is unknown to later copies.
+    pub fn abandon(&mut self, id: &RequestId) {
+        self.running.remove(&id.counter);
+    }
+
+    fn keep(&mut self, counter: u64, issued_at: Time, answer: A, size_bytes: usize) {
+        if size_bytes <= self.config.answer_limit_bytes {
+            let expires_at = issued_at + self.config.id_life;
+            self.answers.insert(counter, expires_at, answer, size_bytes);
+        }
     }
 
     /// Drops records of ids that have expired. Running ones stay.
     pub fn expire(&mut self, now: Time) {
-        let life = self.config.id_life;
-        self.records.retain(|id, record| {
-            matches!(record, Record::Running) || now.since(id.issued_at) < life
-        });
+        let now = self.advance(now);
+        self.answers.expire(now);
     }
 
     /// Returns how many requests run now.
     pub fn running(&self) -> usize {
-        let records = self.records.values();
-        records
-            .filter(|record| matches!(record, Record::Running))
-            .count()
+        self.running.len()
+    }
+
+    /// Returns how many bytes of answers are kept.
+    pub fn kept_bytes(&self) -> usize {
+        self.answers.size_bytes()
     }
 }
--- a/src/decisions/routing.rs
+++ b/src/decisions/routing.rs
@@ -2,20 +2,73 @@
 //!
 //! `docs/design.md`, 3.5 gives the order of preference.
 
+mod choice;
+mod prefix;
+mod score;
+
 use std::collections::HashMap;
+use std::sync::Arc;
 
-use rand::Rng;
+use crate::blackboard::{Catalogue, Snapshot};
+use crate::decisions::circuit::{
+    Circuit, CircuitConfig, FailureClass, NetworkConfig, NetworkWatch, Role,
+};
+use crate::decisions::slots::SlotsConfig;
+use crate::manifest::Stage;
+use crate::units::{DataCentreName, EndpointName, ModelName, Time};
+use prefix::PrefixMemory;
 
-use crate::blackboard::Snapshot;
-use crate::decisions::circuit::{Circuit, CircuitConfig, FailureClass};
-use crate::manifest::{Endpoint, Stage};
-use crate::units::{DataCentreName, EndpointName, Time};
+pub use prefix::PrefixConfig;
+pub use score::ScoreConfig;
 
 /// Settings of routing.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RoutingConfig {
+    /// How one of several endpoints is picked.
+    pub policy: Policy,
+    /// Whether the VM's own data centre comes first; off is a baseline.
+    pub own_data_centre_first: bool,
+    /// Whether a cached prefix counts; off is a baseline.
+    pub prefix_affinity: bool,
+    /// Load of the own data centre from which others serve as well, and load of an engine
+    /// from which its cached prefix does not count.
+    pub load_limit: f64,
+    /// How loads are blended.
+    pub score: ScoreConfig,
+    /// What is remembered of prefixes.
+    pub prefix: PrefixConfig,
     /// Settings of circuits.
     pub circuit: CircuitConfig,
+    /// Settings of the detection of own network faults.
+    pub network: NetworkConfig,
+    /// Settings of slots, for the age of grants.
+    pub slots: SlotsConfig,
+}
+
+impl Default for RoutingConfig {
+    fn default() -> Self {
+        Self {
+            policy: Policy::default(),
+            own_data_centre_first: true,
+            prefix_affinity: true,
+            load_limit: 0.8,
+            score: ScoreConfig::default(),
+            prefix: PrefixConfig::default(),
+            circuit: CircuitConfig::default(),
+            network: NetworkConfig::default(),
+            slots: SlotsConfig::default(),
+        }
+    }
+}
+
+/// How one of several endpoints is picked.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// The lower load of two drawn at random.
+    #[default]
+    PowerOfTwoChoices,
+    /// One drawn at random; the baseline.
+    Random,
 }
 
 /// What an attempt needs.
@@ -47,13 +100,36 @@
     None,
 }
 
+/// An attempt under way, for [`Router::finish`].
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "an attempt that is not finished keeps its slot"]
+pub struct Attempt {
+    endpoint: EndpointName,
+    model: Option<ModelName>,
+    role: Role,
+    model_role: Role,
+}
+
+impl Attempt {
+    /// Returns the endpoint that the attempt goes to.
+    pub fn endpoint(&self) -> &EndpointName {
+        &self.endpoint
+    }
+}
+
 /// Own knowledge about endpoints: in-flight counts and circuits.
 #[derive(Debug)]
 pub struct Router {
     config: RoutingConfig,
     data_centre: DataCentreName,
+    catalogue: Option<Arc<Catalogue>>,
     in_flight: HashMap<EndpointName, u32>,
     circuits: HashMap<EndpointName, Circuit>,
+    model_circuits: HashMap<(EndpointName, ModelName), Circuit>,
+    network: NetworkWatch,
+    prefixes: PrefixMemory,
+    /// Only grants that answer a message sent after this time count.
+    cold_at: HashMap<EndpointName, Time>,
 }
 
 impl Router {
@@ -61,89 +137,209 @@
     pub fn new(config: RoutingConfig, data_centre: DataCentreName) -> Self {
         Self {
             config,
+            network: NetworkWatch::new(config.network, data_centre.clone()),
+            prefixes: PrefixMemory::new(config.prefix),
             data_centre,
+            catalogue: None,
             in_flight: HashMap::new(),
             circuits: HashMap::new(),
+            model_circuits: HashMap::new(),
+            cold_at: HashMap::new(),
         }
     }
 
-    /// Chooses an endpoint. The caller follows with [`Router::on_start`] under the same lock.
-    pub fn choose(
-        &self,
-        now: Time,
-        snapshot: &Snapshot,
-        request: &RouteRequest<'_>,
-        random: &mut impl Rng,
-    ) -> Choice {
-        let _ = random;
-        let Some(catalogue) = &snapshot.catalogue else {
-            return Choice::None;
+    /// Takes up a manifest that differs from the one known.
+    fn learn(&mut self, snapshot: &Snapshot) {
+        let same = match (&self.catalogue, &snapshot.catalogue) {
+            (Some(known), Some(new)) => Arc::ptr_eq(known, new),
+            (_, new) => new.is_none(),
         };
-        let offers = |endpoint: &&Endpoint| {
-            endpoint.kind == request.stage.kind
-                && endpoint.service == request.stage.service
-                && !request.exclude.contains(&endpoint.name)
-                && catalogue.accepts_work(endpoint)
-        };
-        let offered: Vec<&Endpoint> = catalogue.manifest.endpoints.iter().filter(offers).collect();
-        if offered.is_empty() {
-            return Choice::None;
+        if same {
+            return;
         }
-        let free = offered
-            .into_iter()
-            .filter(|endpoint| self.has_slot(now, snapshot, &endpoint.name))
-            .filter(|endpoint| self.circuit(&endpoint.name).allows(now));
-        let best = free.min_by_key(|endpoint| {
-            let avoided = request.avoid == Some(&endpoint.data_centre);
-            let remote = endpoint.data_centre != self.data_centre;
-            (avoided, remote, self.in_flight(&endpoint.name))
-        });
-        match best {
-            None => Choice::Busy,
-            Some(endpoint) => Choice::Endpoint {
-                name: endpoint.name.clone(),
-                reason: "fewest in flight, own data centre first",
-            },
+        self.catalogue.clone_from(&snapshot.catalogue);
+        let Some(catalogue) = &self.catalogue else {
+            return;
+        };
+        let exists = |name: &EndpointName| catalogue.endpoint(name).is_some();
+        self.circuits.retain(|name, _| exists(name));
+        self.model_circuits.retain(|(name, _), _| exists(name));
+        self.cold_at.retain(|name, _| exists(name));
+        for circuit in self.circuits.values_mut() {
+            circuit.on_manifest_change();
         }
+        let endpoints = catalogue.manifest.endpoints.iter();
+        let serving = endpoints.filter(|endpoint| catalogue.accepts_work(endpoint));
+        let places = serving.map(|item| (item.name.clone(), item.data_centre.clone()));
+        self.network.set_endpoints(places);
     }
 
-    fn has_slot(&self, now: Time, snapshot: &Snapshot, endpoint: &EndpointName) -> bool {
-        let grant = snapshot.grants.get(endpoint);
-        grant.is_some_and(|grant| now < grant.valid_until && self.in_flight(endpoint) < grant.slots)
+    /// Returns this VM's requests in flight at an endpoint.
+    pub fn in_flight(&self, endpoint: &EndpointName) -> u32 {
+        self.in_flight.get(endpoint).copied().unwrap_or(0)
+    }
+
+    /// Returns the endpoints with requests in flight and their counts.
+    pub fn all_in_flight(&self) -> impl Iterator<Item = (&EndpointName, u32)> {
+        self.in_flight.iter().map(|(name, count)| (name, *count))
     }
 
-    fn circuit(&self, endpoint: &EndpointName) -> Circuit {
+    /// Returns the circuit of an endpoint.
+    pub fn circuit(&self, endpoint: &EndpointName) -> Circuit {
         self.circuits.get(endpoint).copied().unwrap_or_default()
     }
 
-    /// Returns this VM's requests in flight at an endpoint.
-    pub fn in_flight(&self, endpoint: &EndpointName) -> u32 {
-        self.in_flight.get(endpoint).copied().unwrap_or(0)
+    fn model_circuit(&self, endpoint: &EndpointName, model: &ModelName) -> Circuit {
+        let key = (endpoint.clone(), model.clone());
+        self.model_circuits.get(&key).copied().unwrap_or_default()
+    }
+
+    /// Notes the start of an attempt at the chosen endpoint, with the model and prefix that
+    /// it was chosen for.
+    pub fn start(
+        &mut self,
+        now: Time,
+        endpoint: &EndpointName,
+        request: &RouteRequest<'_>,
+    ) -> Attempt {
+        if let Some(prefix) = request.prefix {
+            self.prefixes.on_sent(now, prefix, endpoint);
+        }
+        let model = request.stage.model.clone();
+        let key = model.clone().map(|model| (endpoint.clone(), model));
+        let model_circuit = key.and_then(|key| self.model_circuits.get_mut(&key));
+        let model_role = model_circuit.map_or(Role::Ordinary, Circuit::on_start);
+        Attempt {
+            endpoint: endpoint.clone(),
+            model,
+            role: self.on_start(endpoint),
+            model_role,
+        }
     }
 
     /// Notes the start of an attempt.
-    pub fn on_start(&mut self, endpoint: &EndpointName) {
+    pub fn on_start(&mut self, endpoint: &EndpointName) -> Role {
         *self.in_flight.entry(endpoint.clone()).or_default() += 1;
-        if let Some(circuit) = self.circuits.get_mut(endpoint) {
-            circuit.on_start();
-        }
+        let circuit = self.circuits.get_mut(endpoint);
+        circuit.map_or(Role::Ordinary, Circuit::on_start)
     }
 
     /// Notes the end of an attempt. `None` is an attempt that was cancelled.
+    pub fn finish(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        result: Option<Result<(), FailureClass>>,
+    ) {
+        self.release(&attempt.endpoint);
+        self.note_model(now, &attempt, result);
+        self.note_result(now, &attempt.endpoint, attempt.role, result);
+    }
+
+    /// Notes the end of an attempt that [`Router::on_start`] began. `None` is an attempt that
+    /// was cancelled.
+    ///
+    /// Without the attempt itself, it can be taken for the probe only when no other is in
+    /// flight there; [`Router::finish`] knows at once.
     pub fn on_end(
         &mut self,
         now: Time,
         endpoint: &EndpointName,
         result: Option<Result<(), FailureClass>>,
     ) {
-        if let Some(count) = self.in_flight.get_mut(endpoint) {
-            *count = count.saturating_sub(1);
+        self.release(endpoint);
+        let role = if self.in_flight(endpoint) == 0 {
+            self.circuit(endpoint).role_of_last()
+        } else {
+            Role::Ordinary
+        };
+        self.note_result(now, endpoint, role, result);
+    }
+
+    fn release(&mut self, endpoint: &EndpointName) {
+        let Some(count) = self.in_flight.get_mut(endpoint) else {
+            debug_assert!(false, "an attempt ended that never started");
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.in_flight.remove(endpoint);
+        }
+    }
+
+    fn note_result(
+        &mut self,
+        now: Time,
+        endpoint: &EndpointName,
+        role: Role,
+        result: Option<Result<(), FailureClass>>,
+    ) {
+        if result == Some(Err(FailureClass::Transient)) {
+            self.note_transient(now, endpoint, role);
+            return;
         }
         let circuit = self.circuits.entry(endpoint.clone()).or_default();
+        let Some(result) = result else {
+            circuit.on_no_verdict(role);
+            return;
+        };
+        // Any answer shows that the endpoint can be reached.
+        circuit.on_success();
         match result {
-            Some(Ok(())) => circuit.on_success(),
-            Some(Err(FailureClass::Transient)) => circuit.on_failure(now, &self.config.circuit),
-            Some(Err(_)) | None => {}
+            Err(FailureClass::Permanent) => circuit.on_permanent(),
+            Err(FailureClass::Cold) => self.on_cold(now, endpoint),
+            Ok(()) | Err(FailureClass::Model | FailureClass::Transient) => {}
+        }
+        self.network.on_success(now, endpoint);
+    }
+
+    fn note_transient(&mut self, now: Time, endpoint: &EndpointName, role: Role) {
+        self.network.on_failure(now, endpoint);
+        if self.network.is_own_fault(now) {
+            let since = self.network.window_start(now);
+            for circuit in self.circuits.values_mut() {
+                circuit.withdraw_since(since);
+            }
+            self.circuits
+                .entry(endpoint.clone())
+                .or_default()
+                .on_no_verdict(role);
+            return;
+        }
+        let circuit = self.circuits.entry(endpoint.clone()).or_default();
+        circuit.on_failure(now, role, &self.config.circuit);
+    }
+
+    fn note_model(
+        &mut self,
+        now: Time,
+        attempt: &Attempt,
+        result: Option<Result<(), FailureClass>>,
+    ) {
+        let Some(model) = &attempt.model else {
+            return;
+        };
+        let key = (attempt.endpoint.clone(), model.clone());
+        if result == Some(Err(FailureClass::Model)) {
+            // One refusal is certain, so that one opens the circuit.
+            let config = CircuitConfig {
+                failures_to_open: 1,
+                ..self.config.circuit
+            };
+            let circuit = self.model_circuits.entry(key).or_default();
+            circuit.on_failure(now, attempt.model_role, &config);
+        } else if let Some(circuit) = self.model_circuits.get_mut(&key) {
+            match result {
+                Some(Ok(())) => circuit.on_success(),
+                _ => circuit.on_no_verdict(attempt.model_role),
+            }
         }
     }
+
+    /// Takes a sign of a cold start at once, without waiting for the next snapshot. Grants
+    /// from before it are not used any more, and the engine's cache is gone.
+    pub fn on_cold(&mut self, now: Time, endpoint: &EndpointName) {
+        self.cold_at.insert(endpoint.clone(), now);
+        self.prefixes.forget(endpoint);
+    }
 }
--- a/src/decisions/slots.rs
+++ b/src/decisions/slots.rs
@@ -1,25 +1,47 @@
 //! Slots of endpoints: the keeper divides them, holders send only within their grants.
 //!
-//! `docs/design.md`, 3.6 gives the rules for cold starts and takeover.
+//! `docs/design.md`, 3.6 gives the rules for cold starts and takeover. The safety argument
+//! rests on cause and effect between messages, not on their delay: a report names the
+//! newest grant that its sender has taken, so the keeper knows what the report came after.
+
+mod division;
+mod holder;
+mod keeper;
+mod ramp;
+mod share;
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::blackboard::{SlotDemand, SlotGrant};
-use crate::decisions::membership::Tenure;
-use crate::units::{EndpointName, Time, VmId};
+pub use holder::{Measured, SlotHolder};
+pub use keeper::SlotKeeper;
+
+use crate::blackboard::SlotDemand;
+use crate::units::Incarnation;
 
 /// Settings of slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SlotsConfig {
     /// How long a grant is valid.
     pub grant_life: Duration,
+    /// Longest time that an attempt runs. A silent VM's work counts for this long after its
+    /// last grant lapsed. The default is the longest deadline that a manifest may have.
+    pub request_life: Duration,
+    /// A load report describes the endpoint at most this long before it was read.
+    pub load_lag: Duration,
+    /// Longest age of a demand that arrives without a sequence number.
+    pub demand_lag: Duration,
+    /// Longest time from a change of grants to its use by traffic.
+    pub publication_lag: Duration,
 }
 
 impl Default for SlotsConfig {
     fn default() -> Self {
         Self {
             grant_life: Duration::from_secs(1),
+            request_life: Duration::from_secs(600),
+            load_lag: Duration::from_secs(1),
+            demand_lag: Duration::from_millis(500),
+            publication_lag: Duration::from_millis(20),
         }
     }
 }
@@ -33,94 +55,33 @@
     pub cold: u32,
 }
 
-#[derive(Debug, Default)]
-struct Kept {
-    demands: HashMap<VmId, SlotDemand>,
-}
-
-/// The keeper's side: endpoints whose home this VM is.
-#[derive(Debug, Default)]
-pub struct SlotKeeper {
-    config: SlotsConfig,
-    endpoints: HashMap<EndpointName, Kept>,
-}
-
-impl SlotKeeper {
-    /// Starts without endpoints.
-    pub fn new(config: SlotsConfig) -> Self {
-        Self {
-            config,
-            endpoints: HashMap::new(),
-        }
-    }
-
-    /// Notes what a VM wants of an endpoint.
-    pub fn on_demand(&mut self, now: Time, endpoint: &EndpointName, vm: &VmId, demand: SlotDemand) {
-        let _ = now;
-        let kept = self.endpoints.entry(endpoint.clone()).or_default();
-        kept.demands.insert(vm.clone(), demand);
-    }
-
-    /// Notes a sign of a cold start.
-    pub fn on_cold(&mut self, now: Time, endpoint: &EndpointName) {
-        let _ = (now, endpoint);
-    }
-
-    /// Notes attempts that were answered whole, which lets a cold endpoint ramp up.
-    pub fn on_completed(&mut self, now: Time, endpoint: &EndpointName, count: u32) {
-        let _ = (now, endpoint, count);
-    }
-
-    /// Returns the slots that `vm` may use from now on, and notes the grant. A grant counts
-    /// against the capacity until `grant_life` after `now`.
-    pub fn grant(
-        &mut self,
-        now: Time,
-        endpoint: &EndpointName,
-        vm: &VmId,
-        limits: SlotLimits,
-        tenure: Tenure,
-    ) -> u32 {
-        let _ = (now, tenure, self.config);
-        let Some(kept) = self.endpoints.get(endpoint) else {
-            return 0;
-        };
-        let holders = u32::try_from(kept.demands.len()).unwrap_or(u32::MAX).max(1);
-        if kept.demands.contains_key(vm) {
-            (limits.warm / holders).max(1)
-        } else {
-            0
-        }
-    }
-}
-
-/// The holder's side: what keepers granted to this VM.
-#[derive(Debug, Default)]
-pub struct SlotHolder {
-    grants: HashMap<EndpointName, SlotGrant>,
+/// What a holder tells the keeper about one endpoint, as part of a state message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlotReport {
+    /// The holder's run. Work of an earlier run ended with its connections.
+    pub incarnation: Incarnation,
+    /// Rises with each state message of this run to this keeper, starting above zero.
+    pub sequence: u64,
+    /// Requests in flight and waiting.
+    pub demand: SlotDemand,
+    /// Sequence that the newest grant taken answers; zero before the first.
+    pub taken: u64,
+    /// No grant that answers a message before this one is used any more, and `demand`
+    /// counts all that was started under such grants.
+    pub released_before: u64,
+    /// Set while the keeper may not have heard of a cold sign that this VM saw.
+    pub cold: bool,
+    /// Ramp capacity that the newest grant named, for a successor of its keeper.
+    pub ramp: Option<u32>,
 }
 
-impl SlotHolder {
-    /// Takes a grant that answers a state message sent at `asked_at`.
-    pub fn on_grant(
-        &mut self,
-        asked_at: Time,
-        endpoint: EndpointName,
-        slots: u32,
-        config: &SlotsConfig,
-    ) {
-        let valid_until = asked_at + config.grant_life;
-        self.grants
-            .insert(endpoint, SlotGrant { slots, valid_until });
-    }
-
-    /// Drops the grant for an endpoint that turned cold.
-    pub fn on_cold(&mut self, endpoint: &EndpointName) {
-        self.grants.remove(endpoint);
-    }
-
-    /// Returns all grants, for the snapshot.
-    pub fn grants(&self) -> &HashMap<EndpointName, SlotGrant> {
-        &self.grants
-    }
+/// What the keeper answers to a [`SlotReport`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlotAnswer {
+    /// Sequence of the report that this answers.
+    pub sequence: u64,
+    /// Requests that the holder may have in flight.
+    pub slots: u32,
+    /// Capacity of an endpoint that ramps up; `None` for a warm one.
+    pub ramp: Option<u32>,
 }
--- /dev/null
+++ b/src/decisions/slots/holder.rs
@@ -0,0 +1,246 @@
+//! The holder's side of slots.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::blackboard::{SlotDemand, SlotGrant};
+use crate::decisions::slots::{SlotAnswer, SlotReport, SlotsConfig};
+use crate::units::{EndpointName, Incarnation, Time, VmId};
+
+/// Messages remembered per endpoint. Answers to messages beyond it are not taken, so that
+/// a burst of messages needs no more memory.
+const REMEMBERED: usize = 64;
+
+/// What traffic counted at one endpoint, and when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Measured {
+    /// When traffic counted. All that started before is in the count or has ended.
+    pub at: Time,
+    /// Requests in flight and waiting.
+    pub demand: SlotDemand,
+}
+
+#[derive(Debug, Default)]
+struct Held {
+    keeper: Option<VmId>,
+    /// Sequence and send time of messages whose answers may still come.
+    sent: VecDeque<(u64, Time)>,
+    last_sequence: u64,
+    taken: u64,
+    /// Grants that answer messages before this sequence are refused.
+    accept_from: u64,
+    /// What the next reports may state, once traffic has obeyed it when it counted.
+    obeyed: VecDeque<Obeyed>,
+    /// A grant of a former keeper may be in use until then.
+    bridged_until: Time,
+    /// The first message that tells the keeper of a cold sign, until it is answered.
+    cold_told: Option<u64>,
+    cold_untold: bool,
+    ramp: Option<u32>,
+    /// Send time of the message that the newest unsequenced grant answers.
+    asked_at: Time,
+    refused_until: Option<Time>,
+}
+
+/// A change of grants, and when traffic has surely seen it.
+#[derive(Debug, Clone, Copy)]
+struct Obeyed {
+    at: Time,
+    accept_from: u64,
+    taken: u64,
+}
+
+/// The holder's side: what keepers granted to this VM.
+#[derive(Debug, Default)]
+pub struct SlotHolder {
+    grants: HashMap<EndpointName, SlotGrant>,
+    held: HashMap<EndpointName, Held>,
+}
+
+impl SlotHolder {
+    /// Makes the report about an endpoint that goes out now in message `sequence` to
+    /// `keeper`.
+    pub fn report(
+        &mut self,
+        now: Time,
+        keeper: &VmId,
+        endpoint: &EndpointName,
+        message: (Incarnation, u64),
+        measured: Measured,
+        config: &SlotsConfig,
+    ) -> SlotReport {
+        let (incarnation, sequence) = message;
+        let held = self.held.entry(endpoint.clone()).or_default();
+        let usable_until = self.grants.get(endpoint).map(|grant| grant.valid_until);
+        held.follow(keeper, sequence, usable_until.unwrap_or(Time::ZERO));
+        held.forget_lapsed(now.min(measured.at), config);
+        if held.sent.len() < REMEMBERED {
+            held.sent.push_back((sequence, now));
+        }
+        let (taken, released_before) = held.obeyed_at(measured.at);
+        if held.cold_untold {
+            held.cold_untold = false;
+            held.cold_told = Some(sequence);
+        }
+        SlotReport {
+            incarnation,
+            sequence,
+            demand: measured.demand,
+            taken,
+            released_before,
+            cold: held.cold_told.is_some(),
+            ramp: held.ramp,
+        }
+    }
+
+    /// Takes the answer to a report, unless it came too late, was overtaken, or comes from a
+    /// VM that this one no longer reports to. Returns whether it was taken.
+    pub fn on_answer(
+        &mut self,
+        now: Time,
+        keeper: &VmId,
+        endpoint: &EndpointName,
+        answer: &SlotAnswer,
+        config: &SlotsConfig,
+    ) -> bool {
+        let Some(held) = self.held.get_mut(endpoint) else {
+            return false;
+        };
+        if held.keeper.as_ref() != Some(keeper) || answer.sequence < held.accept_from {
+            return false;
+        }
+        let mut sent = held.sent.iter();
+        let Some((_, asked_at)) = sent.find(|(sequence, _)| *sequence == answer.sequence) else {
+            return false;
+        };
+        let valid_until = *asked_at + config.grant_life;
+        if answer.sequence <= held.taken || now >= valid_until {
+            return false;
+        }
+        held.taken = answer.sequence;
+        held.ramp = answer.ramp;
+        held.accept_only_from(now, answer.sequence, config);
+        if held.cold_told.is_some_and(|told| told <= answer.sequence) {
+            held.cold_told = None;
+        }
+        let slots = answer.slots;
+        self.grants
+            .insert(endpoint.clone(), SlotGrant { slots, valid_until });
+        true
+    }
+
+    /// Takes a sign of a cold start, seen here or passed on by a peer. Drops the grant,
+    /// refuses those that answer earlier messages, and tells the keeper with every report
+    /// until one is answered: a keeper that does not know yet would grant warm slots again.
+    ///
+    /// Returns whether the sign is news. Only a sign that this VM saw itself, and that is
+    /// news, is passed to the peers.
+    pub fn on_cold_sign(
+        &mut self,
+        now: Time,
+        endpoint: &EndpointName,
+        config: &SlotsConfig,
+    ) -> bool {
+        self.on_cold(endpoint);
+        let held = self.held.entry(endpoint.clone()).or_default();
+        let is_news = !held.cold_untold && held.cold_told.is_none();
+        held.cold_untold = true;
+        held.accept_only_from(now, held.last_sequence + 1, config);
+        is_news
+    }
+
+    /// Takes a grant that answers a state message sent at `asked_at`, over a link that keeps
+    /// the order. [`SlotHolder::on_answer`] does not need one.
+    pub fn on_grant(
+        &mut self,
+        asked_at: Time,
+        endpoint: EndpointName,
+        slots: u32,
+        config: &SlotsConfig,
+    ) {
+        let held = self.held.entry(endpoint.clone()).or_default();
+        let refused = held.refused_until.is_some_and(|until| asked_at <= until);
+        if refused || asked_at < held.asked_at {
+            return;
+        }
+        held.asked_at = asked_at;
+        let valid_until = asked_at + config.grant_life;
+        self.grants
+            .insert(endpoint, SlotGrant { slots, valid_until });
+    }
+
+    /// Drops the grant for an endpoint that turned cold.
+    pub fn on_cold(&mut self, endpoint: &EndpointName) {
+        self.grants.remove(endpoint);
+        let held = self.held.entry(endpoint.clone()).or_default();
+        held.refused_until = Some(held.asked_at);
+    }
+
+    /// Returns all grants, for the snapshot.
+    pub fn grants(&self) -> &HashMap<EndpointName, SlotGrant> {
+        &self.grants
+    }
+
+    /// Drops grants that lapsed and records of endpoints that are not wanted any more.
+    pub fn expire(&mut self, now: Time, wanted: impl Fn(&EndpointName) -> bool) {
+        self.grants.retain(|_, grant| now < grant.valid_until);
+        let grants = &self.grants;
+        self.held
+            .retain(|endpoint, _| wanted(endpoint) || grants.contains_key(endpoint));
+    }
+}
+
+impl Held {
+    fn follow(&mut self, keeper: &VmId, sequence: u64, usable_until: Time) {
+        self.last_sequence = sequence;
+        if self.keeper.as_ref() == Some(keeper) {
+            return;
+        }
+        // Sequences count per keeper, so those of the former keeper mean nothing here. Its
+        // grant stays usable: the new keeper waits until it has lapsed.
+        self.keeper = Some(keeper.clone());
+        self.sent.clear();
+        self.obeyed.clear();
+        self.taken = 0;
+        self.accept_from = sequence;
+        self.bridged_until = usable_until;
+        self.cold_untold |= self.cold_told.take().is_some();
+    }
+
+    fn accept_only_from(&mut self, now: Time, sequence: u64, config: &SlotsConfig) {
+        self.accept_from = self.accept_from.max(sequence);
+        if self.obeyed.len() >= REMEMBERED {
+            // Stating the change later only keeps slots counted for longer.
+            self.obeyed.pop_back();
+        }
+        self.obeyed.push_back(Obeyed {
+            at: now + config.publication_lag,
+            accept_from: self.accept_from,
+            taken: self.taken,
+        });
+    }
+
+    fn forget_lapsed(&mut self, now: Time, config: &SlotsConfig) {
+        let lapsed = |sent_at: Time| sent_at + config.grant_life <= now;
+        while self.sent.front().is_some_and(|entry| lapsed(entry.1)) {
+            self.sent.pop_front();
+        }
+    }
+
+    /// Returns the newest grant taken, and the first message whose grant may have been in
+    /// use, at the time when traffic counted.
+    fn obeyed_at(&mut self, measured_at: Time) -> (u64, u64) {
+        while self.obeyed.len() > 1 && self.obeyed[1].at <= measured_at {
+            self.obeyed.pop_front();
+        }
+        let obeyed = self.obeyed.front().filter(|entry| entry.at <= measured_at);
+        let (taken, replaced) = obeyed.map_or((0, 0), |entry| (entry.taken, entry.accept_from));
+        if measured_at < self.bridged_until {
+            return (taken, 0);
+        }
+        let unlapsed = self
+            .sent
+            .front()
+            .map_or(self.last_sequence, |entry| entry.0);
+        (taken, replaced.max(unlapsed))
+    }
+}
--- /dev/null
+++ b/src/decisions/slots/keeper.rs
@@ -0,0 +1,301 @@
+//! The keeper's side of slots.
+
+use std::collections::{BTreeMap, HashMap};
+
+use smallvec::SmallVec;
+
+use crate::blackboard::{EndpointLoad, SlotDemand};
+use crate::decisions::membership::Tenure;
+use crate::decisions::slots::division::{Wish, divide};
+use crate::decisions::slots::ramp::Ramp;
+use crate::decisions::slots::share::Share;
+use crate::decisions::slots::{SlotAnswer, SlotLimits, SlotReport, SlotsConfig};
+use crate::units::{EndpointName, Incarnation, Time, VmId};
+
+#[derive(Debug, Default)]
+struct Kept {
+    tenure: Option<Tenure>,
+    limits: Option<SlotLimits>,
+    /// Ordered, so that a division does not depend on hashing.
+    shares: BTreeMap<VmId, Share>,
+    ramp: Option<Ramp>,
+    served: u64,
+}
+
+/// The keeper's side: endpoints whose home this VM is.
+#[derive(Debug, Default)]
+pub struct SlotKeeper {
+    config: SlotsConfig,
+    members: SmallVec<[VmId; 8]>,
+    endpoints: HashMap<EndpointName, Kept>,
+}
+
+impl SlotKeeper {
+    /// Starts without endpoints.
+    pub fn new(config: SlotsConfig) -> Self {
+        Self {
+            config,
+            members: SmallVec::new(),
+            endpoints: HashMap::new(),
+        }
+    }
+
+    /// Sets the VMs that may hold slots: all on the VM list, absent ones included. The work
+    /// of a VM that is not on it any more does not count.
+    pub fn set_members(&mut self, members: impl IntoIterator<Item = VmId>) {
+        self.members = members.into_iter().collect();
+        let members = &self.members;
+        for kept in self.endpoints.values_mut() {
+            kept.shares.retain(|vm, _| members.contains(vm));
+        }
+    }
+
+    /// Drops what is known of endpoints whose home this VM no longer is.
+    pub fn retain(&mut self, is_kept: impl Fn(&EndpointName) -> bool) {
+        self.endpoints.retain(|endpoint, _| is_kept(endpoint));
+    }
+
+    /// Notes a VM's report. Late and repeated ones change nothing.
+    pub fn on_report(
+        &mut self,
+        now: Time,
+        endpoint: &EndpointName,
+        vm: &VmId,
+        report: &SlotReport,
+    ) {
+        let kept = self.endpoints.entry(endpoint.clone()).or_default();
+        let open_from = kept.open_from(&self.config);
+        let Some(share) = kept.share(now, vm, report.incarnation) else {
+            return;
+        };
+        if !share.on_report(now, report) {
+            return;
+        }
+        let tells_of_earlier_keeper = !open_from.is_some_and(|time| share.heard_after(time));
+        if let Some(ramp) = report.ramp.filter(|_| tells_of_earlier_keeper) {
+            kept.join_ramp(now, ramp);
+        }
+        if report.cold {
+            kept.turn_cold(now);
+        }
+    }
+
+    /// Notes what a VM wants of an endpoint, from a source that keeps the order and is at
+    /// most `demand_lag` old. [`SlotKeeper::on_report`] needs neither.
+    pub fn on_demand(&mut self, now: Time, endpoint: &EndpointName, vm: &VmId, demand: SlotDemand) {
+        let kept = self.endpoints.entry(endpoint.clone()).or_default();
+        let incarnation = kept.shares.get(vm).map(|share| share.incarnation);
+        let incarnation = incarnation.unwrap_or(Incarnation(0));
+        let measured_from = now - self.config.demand_lag;
+        if let Some(share) = kept.share(now, vm, incarnation) {
+            share.on_demand(now, measured_from, demand);
+        }
+    }
+
+    /// Notes a load report of the endpoint. It bounds the work of VMs that are silent, and
+    /// may be a sign of a cold start. Returns whether it is the first sign, which is passed
+    /// to the peers.
+    pub fn on_load(&mut self, now: Time, endpoint: &EndpointName, load: &EndpointLoad) -> bool {
+        let kept = self.endpoints.entry(endpoint.clone()).or_default();
+        let is_news = load.cold && kept.ramp.is_none();
+        if load.cold {
+            kept.turn_cold(now);
+        }
+        let busy = load.running.saturating_add(load.queued);
+        for share in kept.shares.values_mut() {
+            share.on_load(load.read_at, busy, &self.config);
+        }
+        is_news
+    }
+
+    /// Notes a sign of a cold start, or the return of the endpoint's data centre.
+    pub fn on_cold(&mut self, now: Time, endpoint: &EndpointName) {
+        let kept = self.endpoints.entry(endpoint.clone()).or_default();
+        kept.turn_cold(now);
+    }
+
+    /// Notes attempts that were answered whole, which lets a cold endpoint ramp up.
+    pub fn on_completed(&mut self, now: Time, endpoint: &EndpointName, count: u32) {
+        let Some(kept) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        if let (Some(ramp), Some(limits)) = (&mut kept.ramp, kept.limits) {
+            ramp.on_completed(count);
+            ramp.capacity(now, limits);
+        }
+    }
+
+    /// Returns what an endpoint bears now, as far as its keeper knows.
+    pub fn capacity(&mut self, now: Time, endpoint: &EndpointName) -> Option<u32> {
+        let kept = self.endpoints.get_mut(endpoint)?;
+        let limits = kept.limits?;
+        Some(kept.capacity(now, limits))
+    }
+
+    /// Returns the slots that `vm` may use from now on, and notes the grant. A grant counts
+    /// against the capacity until `grant_life` after `now`, and its work to the work's end.
+    pub fn grant(
+        &mut self,
+        now: Time,
+        endpoint: &EndpointName,
+        vm: &VmId,
+        limits: SlotLimits,
+        tenure: Tenure,
+    ) -> u32 {
+        self.answer(now, endpoint, vm, limits, tenure)
+            .map_or(0, |answer| answer.slots)
+    }
+
+    /// Answers the newest report of `vm`, as [`SlotKeeper::grant`] does. A grant of no slots
+    /// must be sent as well: its receipt shows what the next report comes after.
+    pub fn answer(
+        &mut self,
+        now: Time,
+        endpoint: &EndpointName,
+        vm: &VmId,
+        limits: SlotLimits,
+        tenure: Tenure,
+    ) -> Option<SlotAnswer> {
+        if now >= tenure.until {
+            return None;
+        }
+        let config = self.config;
+        let kept = self.endpoints.get_mut(endpoint)?;
+        if !kept.shares.contains_key(vm) {
+            return None;
+        }
+        kept.begin_tenure(now, tenure, &self.members, &config);
+        kept.limits = Some(limits);
+        let open_from = tenure.since + config.grant_life;
+        let slots = kept.slots_for(now, vm, limits, open_from, &config);
+        let capacity = kept.capacity(now, limits);
+        let share = kept.shares.get_mut(vm)?;
+        share.give(now, slots, &config);
+        if slots > 0 {
+            kept.served += 1;
+            share.served = kept.served;
+        }
+        let sequence = share.sequence;
+        Some(SlotAnswer {
+            sequence,
+            slots,
+            ramp: (capacity < limits.warm).then_some(capacity),
+        })
+    }
+}
+
+impl Kept {
+    /// Returns the record of a VM's run, or nothing for a run that has been replaced.
+    fn share(&mut self, now: Time, vm: &VmId, incarnation: Incarnation) -> Option<&mut Share> {
+        let share = self
+            .shares
+            .entry(vm.clone())
+            .or_insert_with(|| Share::new(now, incarnation));
+        if share.incarnation > incarnation {
+            return None;
+        }
+        if share.incarnation < incarnation {
+            share.restart(now, incarnation);
+        }
+        Some(share)
+    }
+
+    /// The cold capacity is not known before the first grant; the ramp then starts at zero,
+    /// and [`Ramp::capacity`] lifts it.
+    fn turn_cold(&mut self, now: Time) {
+        let cold = self.limits.map_or(0, |limits| limits.cold);
+        self.ramp = Some(Ramp::new(now, cold));
+    }
+
+    /// Goes on with the ramp that an earlier keeper was in.
+    fn join_ramp(&mut self, now: Time, capacity: u32) {
+        let current = self.ramp.as_ref().map(Ramp::current);
+        if current.is_none_or(|current| capacity < current) {
+            self.ramp = Some(Ramp::new(now, capacity));
+        }
+    }
+
+    /// A VM that has not reported yet may have work running that an earlier keeper allowed.
+    fn begin_tenure(&mut self, now: Time, tenure: Tenure, members: &[VmId], config: &SlotsConfig) {
+        let known = self.tenure.replace(tenure).map(|tenure| tenure.number);
+        if known == Some(tenure.number) {
+            return;
+        }
+        for vm in members {
+            let unheard = || Share::new(now, Incarnation(0));
+            self.shares.entry(vm.clone()).or_insert_with(unheard);
+        }
+        let open_from = tenure.since + config.grant_life;
+        for share in self.shares.values_mut() {
+            share.doubt_before(open_from);
+        }
+    }
+
+    fn open_from(&self, config: &SlotsConfig) -> Option<Time> {
+        self.tenure.map(|tenure| tenure.since + config.grant_life)
+    }
+
+    fn capacity(&mut self, now: Time, limits: SlotLimits) -> u32 {
+        let Some(ramp) = &mut self.ramp else {
+            return limits.warm;
+        };
+        let capacity = ramp.capacity(now, limits);
+        if capacity >= limits.warm {
+            self.ramp = None;
+        }
+        capacity
+    }
+
+    fn slots_for(
+        &mut self,
+        now: Time,
+        vm: &VmId,
+        limits: SlotLimits,
+        open_from: Time,
+        config: &SlotsConfig,
+    ) -> u32 {
+        let capacity = self.capacity(now, limits);
+        let heard = |share: &Share| share.heard_after(open_from);
+        if now < open_from || !self.shares.get(vm).is_some_and(heard) {
+            return 0;
+        }
+        let taken = self.taken(now, config, |other, _| other != vm);
+        let free = capacity.saturating_sub(taken);
+        let slots = self.fair_slots(now, vm, capacity, config).min(free);
+        assert!(slots == 0 || u64::from(slots) + u64::from(taken) <= u64::from(capacity));
+        slots
+    }
+
+    /// Adds up the shares of the VMs that `counts` selects.
+    fn taken(
+        &self,
+        now: Time,
+        config: &SlotsConfig,
+        counts: impl Fn(&VmId, &Share) -> bool,
+    ) -> u32 {
+        let counted = self.shares.iter().filter(|(vm, share)| counts(vm, share));
+        let slots = counted.map(|(_, share)| share.slots(now, config));
+        slots.fold(0, u32::saturating_add)
+    }
+
+    fn fair_slots(&self, now: Time, vm: &VmId, capacity: u32, config: &SlotsConfig) -> u32 {
+        let silent = self.taken(now, config, |_, share| !share.is_present(now, config));
+        let present: SmallVec<[_; 8]> = self
+            .shares
+            .iter()
+            .filter(|(_, share)| share.is_present(now, config))
+            .collect();
+        let wishes: SmallVec<[Wish; 8]> = present
+            .iter()
+            .map(|(_, share)| Wish {
+                demand: share.demand.in_flight.saturating_add(share.demand.waiting),
+                served: share.served,
+            })
+            .collect();
+        let slots = divide(capacity.saturating_sub(silent), &wishes);
+        let mut pairs = present.iter().zip(slots);
+        pairs
+            .find(|((other, _), _)| *other == vm)
+            .map_or(0, |(_, slots)| slots)
+    }
+}
--- /dev/null
+++ b/src/decisions/slots/share.rs
@@ -0,0 +1,162 @@
+//! What one VM may have running at an endpoint, as far as its keeper knows.
+
+use smallvec::SmallVec;
+
+use crate::blackboard::SlotDemand;
+use crate::decisions::slots::{SlotReport, SlotsConfig};
+use crate::units::{Incarnation, Time};
+
+/// Grants remembered singly; older ones are merged, which only counts more.
+const REMEMBERED: usize = 32;
+
+#[derive(Debug, Clone, Copy)]
+struct Given {
+    sequence: u64,
+    slots: u32,
+    /// No later than the time when the first of the merged grants was given.
+    at: Time,
+    until: Time,
+}
+
+/// One VM's record at the keeper.
+#[derive(Debug)]
+pub(super) struct Share {
+    pub(super) incarnation: Incarnation,
+    pub(super) sequence: u64,
+    pub(super) demand: SlotDemand,
+    /// The newest report was sent after this time of the keeper's clock.
+    pub(super) known_from: Time,
+    /// Position in the rotation for scarce slots; the lowest is next.
+    pub(super) served: u64,
+    given: SmallVec<[Given; 8]>,
+    /// No grant is usable from this time on.
+    lapsed_at: Time,
+    heard_at: Time,
+    /// Upper bound from load reports that were taken after all grants had lapsed.
+    ceiling: Option<u32>,
+    /// Reports from before this time say too little: an earlier keeper's grants were in use.
+    unknown_before: Time,
+}
+
+impl Share {
+    pub(super) fn new(now: Time, incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            sequence: 0,
+            demand: SlotDemand::default(),
+            known_from: Time::ZERO,
+            served: 0,
+            given: SmallVec::new(),
+            lapsed_at: now,
+            heard_at: now,
+            ceiling: None,
+            unknown_before: Time::ZERO,
+        }
+    }
+
+    /// Goes on with the VM's next run. The work of the former run ended with its
+    /// connections, but the new one started after all that is known of the former.
+    pub(super) fn restart(&mut self, now: Time, incarnation: Incarnation) {
+        *self = Self {
+            known_from: self.known_from,
+            served: self.served,
+            lapsed_at: self.lapsed_at,
+            unknown_before: self.unknown_before,
+            ..Self::new(now, incarnation)
+        };
+    }
+
+    /// Assumes the worst of the VM until it is heard after `open_from`, when the grants of
+    /// earlier keepers have lapsed.
+    pub(super) fn doubt_before(&mut self, open_from: Time) {
+        self.unknown_before = open_from;
+        self.lapsed_at = self.lapsed_at.max(open_from);
+        self.ceiling = None;
+    }
+
+    /// Takes a newer report; one that was overtaken says nothing new.
+    pub(super) fn on_report(&mut self, now: Time, report: &SlotReport) -> bool {
+        if report.sequence <= self.sequence {
+            return false;
+        }
+        let taken = self
+            .given
+            .iter()
+            .find(|given| given.sequence == report.taken);
+        if let Some(taken) = taken {
+            self.known_from = self.known_from.max(taken.at);
+        }
+        self.given
+            .retain(|given| given.sequence >= report.released_before);
+        self.sequence = report.sequence;
+        self.demand = report.demand;
+        self.heard_at = now;
+        self.ceiling = None;
+        true
+    }
+
+    /// Takes a demand that was measured at or after `measured_from`.
+    pub(super) fn on_demand(&mut self, now: Time, measured_from: Time, demand: SlotDemand) {
+        self.known_from = self.known_from.max(measured_from);
+        let known_from = self.known_from;
+        self.given.retain(|given| given.until > known_from);
+        self.sequence += 1;
+        self.demand = demand;
+        self.heard_at = now;
+        self.ceiling = None;
+    }
+
+    pub(super) fn give(&mut self, now: Time, slots: u32, config: &SlotsConfig) {
+        let until = now + config.grant_life;
+        self.lapsed_at = self.lapsed_at.max(until);
+        self.ceiling = None;
+        if let Some(last) = self.given.last_mut()
+            && last.sequence == self.sequence
+        {
+            last.slots = last.slots.max(slots);
+            last.until = until;
+            return;
+        }
+        if self.given.len() >= REMEMBERED {
+            let oldest = self.given.remove(0);
+            let second = &mut self.given[0];
+            second.slots = second.slots.max(oldest.slots);
+            second.at = oldest.at;
+        }
+        self.given.push(Given {
+            sequence: self.sequence,
+            slots,
+            at: now,
+            until,
+        });
+    }
+
+    pub(super) fn on_load(&mut self, read_at: Time, busy: u32, config: &SlotsConfig) {
+        if read_at >= self.lapsed_at + config.load_lag {
+            self.ceiling = Some(self.ceiling.map_or(busy, |ceiling| ceiling.min(busy)));
+        }
+    }
+
+    /// Returns the most that the VM can have running from now on without a new grant.
+    pub(super) fn slots(&self, now: Time, config: &SlotsConfig) -> u32 {
+        if now >= self.lapsed_at.max(self.heard_at) + config.request_life {
+            return 0;
+        }
+        let granted = self.given.iter().map(|given| given.slots).max();
+        let known = self.demand.in_flight.max(granted.unwrap_or(0));
+        let doubted = !self.heard_after(self.unknown_before);
+        let most = if doubted { u32::MAX } else { known };
+        self.ceiling.map_or(most, |ceiling| most.min(ceiling))
+    }
+
+    /// Returns whether the VM has reported lately. A silent one keeps its share but gets no
+    /// part of a division, or its last wish would keep slots from all others.
+    pub(super) fn is_present(&self, now: Time, config: &SlotsConfig) -> bool {
+        now < self.heard_at + config.grant_life
+    }
+
+    /// Returns whether a report from after `time` is known.
+    pub(super) fn heard_after(&self, time: Time) -> bool {
+        self.known_from >= time
+    }
+}
