--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -86,6 +86,9 @@
     /// The newest list that the acknowledger held when it answered.
     #[prost(uint64, tag = "7")]
     pub list_version: u64,
+    /// Lists before this version are resolved: none of them can be in force any more.
+    #[prost(uint64, tag = "8")]
+    pub resolved: u64,
 }
 
 /// A [`MemberList`] on the wire, with addresses for VMs that the recipient never listed.
@@ -213,6 +216,7 @@
             granted: wire.granted,
             recovering: wire.recovering,
             predecessors: predecessors.collect::<Result<_, _>>()?,
+            resolved: Version(wire.resolved),
             denials: denials.collect::<Result<_, ParseError>>()?,
         }))
     }
@@ -237,6 +241,7 @@
             predecessors: answer.predecessors.iter().map(list).collect(),
             denials: answer.denials.iter().map(VmId::to_string).collect(),
             list_version: answer.list_version.0,
+            resolved: answer.resolved.0,
         }
     }
 }
