--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod context;
 pub mod decisions;
 pub mod findings;
+pub mod load;
 pub mod manifest;
 pub mod units;
--- a/standins/ledger.rs
+++ b/standins/ledger.rs
@@ -1,6 +1,7 @@
 //! What an endpoint saw: runs in their order, refusals and signs of a caller's key.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use serde::Serialize;
 
@@ -31,6 +32,10 @@
     pub attempt_id: String,
     pub organisation: String,
     pub outcome: Outcome,
+    /// Time from arrival to the end, in milliseconds; 0 while it runs.
+    pub elapsed_ms: f64,
+    #[serde(skip)]
+    begun: Instant,
 }
 
 /// How far a run came.
@@ -60,6 +65,8 @@
             attempt_id: call.header("x-attempt-id"),
             organisation: call.header("x-organisation"),
             outcome: Outcome::Running,
+            elapsed_ms: 0.0,
+            begun: Instant::now(),
         });
         self.runs.len() - 1
     }
@@ -71,6 +78,7 @@
         }
         if let Some(run) = self.runs.get_mut(place) {
             run.outcome = outcome;
+            run.elapsed_ms = run.begun.elapsed().as_secs_f64() * 1e3;
         }
     }
 
