--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,6 +15,12 @@
     echo $! >"$dir/pids/$name.pid"
 }
 
+# is_running PID: whether this shell's child still runs. The id of a child that has ended
+# may belong to a stranger by now, so the table of jobs is asked, not the kernel.
+is_running() {
+    jobs -pr | grep -qx "$1"
+}
+
 # Prints the status code of a GET, or nothing when the connection fails.
 http_status() {
     local address=$1 path=$2 line=''
@@ -32,7 +38,7 @@
     local name=$1 address=$2 path=$3 end=$((SECONDS + $4)) pid
     pid=$(cat "$dir/pids/$name.pid")
     until [ "$(http_status "$address" "$path")" = 200 ]; do
-        if ! kill -0 "$pid" 2>/dev/null; then
+        if ! is_running "$pid"; then
             echo "$name ended before it was ready; its log:" >&2
             tail -n 5 "$dir/logs/$name.log" >&2
             return 1
@@ -86,14 +92,17 @@
 stop_processes() {
     local name pid end=$((SECONDS + 30)) failed=0
     for name in "$@"; do
-        kill -TERM "$(cat "$dir/pids/$name.pid")" 2>/dev/null || true
+        pid=$(cat "$dir/pids/$name.pid")
+        if is_running "$pid"; then
+            kill -TERM "$pid" || true
+        fi
     done
     for name in "$@"; do
         pid=$(cat "$dir/pids/$name.pid")
-        while kill -0 "$pid" 2>/dev/null && [ "$SECONDS" -lt "$end" ]; do
+        while is_running "$pid" && [ "$SECONDS" -lt "$end" ]; do
             sleep 0.05
         done
-        if kill -0 "$pid" 2>/dev/null; then
+        if is_running "$pid"; then
             echo "$name (process $pid) did not end on SIGTERM; killing it" >&2
             kill -KILL "$pid" 2>/dev/null || true
             failed=1
@@ -117,7 +126,7 @@
 check_gone() {
     local file failed=0
     for file in "$dir"/pids/*.pid; do
-        if kill -0 "$(cat "$file")" 2>/dev/null; then
+        if is_running "$(cat "$file")"; then
             echo "still there: $(basename "$file" .pid)" >&2
             failed=1
         fi
--- /dev/null
+++ b/scripts/scenario.sh
@@ -0,0 +1,80 @@
+#!/usr/bin/env bash
+# Runs a scenario against a fleet on loopback and stops everything.
+#
+#     scripts/scenario.sh nakheel|mwangaza [baseline]
+#
+# `baseline` starts the daemons with --quota static-share. Distances between data centres
+# are under 2 ms in both scenarios and are not emulated. The report is printed and, with the
+# plot, written to target/scenarios. BIN names a directory with built binaries; without it
+# they are built first. SCENARIO_FLAGS goes to `primrosewalk load`.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+name=${1:-}
+variant=${2:-}
+daemon_flags=()
+case $variant in
+'') ;;
+baseline) daemon_flags=(--quota static-share) ;;
+*) name='' ;;
+esac
+case $name in
+nakheel)
+    fleet_flags=(--vms 6 --engines 9 --rate 60 --rate 60 --rate 25 --rate 15 --rate 8
+        --pipeline job-brief=encoder,retriever,reranker,engine
+        --pipeline season-plan=encoder,retriever,reranker,engine
+        --pipeline quote=encoder,retriever,engine
+        --pipeline booking=encoder,bookings!
+        --pipeline payout=records,payments!
+        --pipeline record=encoder,retriever,records
+        --open-pipeline catalogue=encoder,retriever,reranker)
+    ;;
+mwangaza)
+    fleet_flags=(--vms 7 --engines 12 --rate 75 --rate 75 --rate 30 --rate 15 --rate 8
+        --pipeline assistant=encoder,retriever,reranker,engine
+        --pipeline balance=records,retriever,reranker
+        --pipeline top-up=records,payments!
+        --open-pipeline tariffs=encoder,retriever,reranker)
+    ;;
+*)
+    echo "use: scripts/scenario.sh nakheel|mwangaza [baseline]" >&2
+    exit 2
+    ;;
+esac
+bin=${BIN:-target/release}
+if [ -z "${BIN:-}" ]; then
+    cargo build --release --bins --locked
+fi
+dir=$(mktemp -d)
+# shellcheck source=scripts/fleet.sh
+. scripts/fleet.sh
+finish() {
+    local code=$?
+    trap - EXIT
+    # A VM that the scenario kills is gone already and is no failure.
+    stop_fleet || code=1
+    check_gone || code=1
+    if [ "$code" -eq 0 ]; then
+        rm -rf "$dir"
+    else
+        echo "failed; logs are in $dir/logs" >&2
+    fi
+    exit "$code"
+}
+trap finish EXIT
+trap 'exit 130' INT TERM
+
+"$bin/primrosewalk-standins" fleet --dir "$dir" --data-centres 3 --organisations 5 \
+    --endpoints-per-service 4 --burst 40 "${fleet_flags[@]}"
+forbidden=()
+while read -r _ key; do
+    # Keys of one organisation share their beginning, so added ones are found too.
+    forbidden+=(--forbidden "${key%-*}-")
+done <"$dir/keys.txt"
+start_standins "${forbidden[@]}"
+start_daemons "${daemon_flags[@]}"
+mkdir -p target/scenarios
+out=target/scenarios/$name${variant:+-$variant}
+# shellcheck disable=SC2086
+"$bin/primrosewalk" load --scenario "scenarios/$name.toml" --fleet-dir "$dir" \
+    --json "$out.json" --plot "$out.svg" ${SCENARIO_FLAGS:-} | tee "$out.txt"
+echo "report and plot: $out.json $out.svg"
