--- a/standins/run.rs
+++ b/standins/run.rs
@@ -131,15 +131,6 @@
     pub fn lagging_report(&self) -> LoadReport {
         let mut state = self.state.lock();
         self.note_report(&mut state);
-        let now = Instant::now();
-        let lag = Duration::from_millis(self.options.behaviour.load_lag_ms);
-        while state
-            .reports
-            .get(1)
-            .is_some_and(|(since, _)| now - *since >= lag)
-        {
-            state.reports.pop_front();
-        }
         match state.reports.front() {
             Some((_, report)) => report.clone(),
             None => self.report_of(&mut state),
@@ -157,10 +148,17 @@
         }
     }
 
+    /// Notes a change, and forgets reports that a reader cannot get any more.
     fn note_report(&self, state: &mut State) {
         let report = self.report_of(state);
+        let now = Instant::now();
         if state.reports.back().is_none_or(|(_, last)| *last != report) {
-            state.reports.push_back((Instant::now(), report));
+            state.reports.push_back((now, report));
+        }
+        let lag = Duration::from_millis(self.options.behaviour.load_lag_ms);
+        let is_due = |(since, _): &(Instant, LoadReport)| now - *since >= lag;
+        while state.reports.get(1).is_some_and(is_due) {
+            state.reports.pop_front();
         }
     }
 
--- /dev/null
+++ b/tests/load.rs
@@ -0,0 +1,356 @@
+//! Guards the load generator: a wrong classification or retry would make every figure lie.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use primrosewalk::load::{
+    Allowance, LoadOptions, Outcome, Report, RequestRecord, Scenario, make_report, run, schedule,
+};
+use serde_json::{Value, json};
+
+const SCENARIO: &str = r#"
+name = "test"
+duration_s = 20.0
+max_requests = 2000
+seed = 7
+[[organisation]]
+name = "steady"
+rate_per_second = 5.0
+deadline_ms = 1000
+pipelines = { answer = 1, payout = 1 }
+[[organisation]]
+name = "bursty"
+rate_per_second = 5.0
+deadline_ms = 1000
+pipelines = { answer = 1 }
+[[event]]
+at_s = 10.0
+label = "ten times"
+kind = "rate"
+organisation = "bursty"
+factor = 10.0
+"#;
+
+fn scenario() -> Scenario {
+    toml::from_str::<Scenario>(SCENARIO)
+        .unwrap()
+        .check()
+        .unwrap()
+}
+
+fn allowances() -> BTreeMap<primrosewalk::units::OrganisationName, Allowance> {
+    let allowance = Allowance {
+        rate_per_second: 10.0,
+        burst: 30.0,
+    };
+    ["steady", "bursty"]
+        .map(|name| (name.parse().unwrap(), allowance))
+        .into()
+}
+
+#[gtest]
+fn arrivals_follow_from_the_seed_and_events() {
+    let scenario = scenario();
+    let arrivals = schedule(&scenario, 7, &allowances());
+    expect_that!(schedule(&scenario, 7, &allowances()), eq(&arrivals));
+    expect_that!(schedule(&scenario, 8, &allowances()) == arrivals, eq(false));
+    let count = |organisation, from, to| {
+        let range = Duration::from_secs(from)..Duration::from_secs(to);
+        let of = arrivals
+            .iter()
+            .filter(|arrival| arrival.organisation == organisation);
+        of.filter(|arrival| range.contains(&arrival.at)).count()
+    };
+    // Five standard deviations around the mean of a Poisson count.
+    expect_that!(count(0, 0, 20), all![ge(50), le(150)]);
+    expect_that!(count(1, 0, 10), all![ge(15), le(85)]);
+    expect_that!(count(1, 10, 20), all![ge(388), le(612)]);
+    let outside = arrivals.iter().filter(|arrival| !arrival.inside_rate);
+    let outside: Vec<_> = outside
+        .map(|arrival| (arrival.organisation, arrival.at.as_secs()))
+        .collect();
+    expect_that!(
+        outside
+            .iter()
+            .all(|(name, second)| *name == 1 && *second >= 10),
+        eq(true)
+    );
+    expect_that!(outside.len(), ge(200));
+}
+
+#[gtest]
+fn scenario_findings_come_together() {
+    let text = SCENARIO
+        .replace("20.0", "-1.0")
+        .replace("deadline_ms = 1000", "deadline_ms = 0");
+    let findings = toml::from_str::<Scenario>(&text)
+        .unwrap()
+        .check()
+        .unwrap_err();
+    let places: Vec<_> = findings
+        .items()
+        .iter()
+        .map(|item| item.place.as_str())
+        .collect();
+    let expected = [
+        "duration_s",
+        "organisation[0].deadline_ms",
+        "organisation[1].deadline_ms",
+        "event[0].at_s",
+    ];
+    expect_that!(places, eq(&expected.to_vec()));
+}
+
+#[gtest]
+fn shipped_scenarios_are_valid() {
+    for name in ["nakheel", "mwangaza"] {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("scenarios/{name}.toml"));
+        expect_that!(Scenario::read(&path).is_ok(), eq(true), "{name}");
+    }
+}
+
+struct RecordCase {
+    organisation: usize,
+    inside_rate: bool,
+    elapsed_ms: u64,
+    outcome: Outcome,
+    is_misdelivered: bool,
+}
+
+#[gtest]
+fn only_whole_answers_in_time_to_the_right_caller_are_attained() {
+    let refused = |code: &str| Outcome::Refused {
+        code: code.into(),
+        not_run: true,
+    };
+    let case = |organisation, inside_rate, elapsed_ms, outcome| RecordCase {
+        organisation,
+        inside_rate,
+        elapsed_ms,
+        outcome,
+        is_misdelivered: false,
+    };
+    let cases = [
+        case(0, true, 10, Outcome::Whole),
+        case(0, true, 1000, Outcome::Whole),
+        case(0, true, 1001, Outcome::Whole),
+        RecordCase {
+            is_misdelivered: true,
+            ..case(0, true, 10, Outcome::Whole)
+        },
+        case(1, true, 10, refused("rate_exceeded")),
+        case(1, false, 10, refused("rate_exceeded")),
+        case(1, false, 10, Outcome::Whole),
+    ];
+    let records: Vec<_> = cases.into_iter().map(record).collect();
+    let report = make_report(&scenario(), &records, Vec::new(), Default::default());
+    expect_that!(report.overall.attained, eq(3));
+    expect_that!(report.organisations["steady"].attainment(), eq(0.5));
+    expect_that!(report.organisations["bursty"].attainment_inside(), eq(0.0));
+    expect_that!(report.worst_organisation.as_deref(), some(eq("bursty")));
+    expect_that!(report.misdelivered, eq(1));
+    let rate = &report.refusals["rate_exceeded"];
+    expect_that!(
+        (rate.inside_rate, rate.outside_rate, rate.not_run),
+        eq((1, 1, 2))
+    );
+}
+
+fn record(case: RecordCase) -> RequestRecord {
+    RequestRecord {
+        at: Duration::ZERO,
+        organisation: case.organisation,
+        inside_rate: case.inside_rate,
+        deadline: Duration::from_secs(1),
+        outcome: case.outcome,
+        elapsed: Duration::from_millis(case.elapsed_ms),
+        request_id: None,
+        tries: 1,
+        stages: Vec::new(),
+        first_token: None,
+        token_gaps: Vec::new(),
+        is_misdelivered: case.is_misdelivered,
+    }
+}
+
+/// How a substitute VM treats requests to run a pipeline.
+#[derive(Clone, Copy, PartialEq)]
+enum Manner {
+    Answers,
+    /// Refuses with `stopping`, not run.
+    Stops,
+    /// Closes the connection after it read the request.
+    Breaks,
+    /// Streams a token and closes without `end`.
+    CutsStream,
+}
+
+type Seen = Arc<Mutex<Vec<(Manner, Option<String>)>>>;
+
+/// Serves one request on each connection until the test process ends.
+fn start_vm(manner: Manner, seen: Seen) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let mut issued = 0;
+        for stream in listener.incoming() {
+            issued += 1;
+            let _ = answer(stream.unwrap(), address, manner, issued, &seen);
+        }
+    });
+    address
+}
+
+fn answer(
+    stream: TcpStream,
+    address: SocketAddr,
+    manner: Manner,
+    issued: u32,
+    seen: &Seen,
+) -> std::io::Result<()> {
+    let mut reader = BufReader::new(&stream);
+    let (mut first, mut id, mut length) = (String::new(), None, 0);
+    reader.read_line(&mut first)?;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let Some((name, value)) = line.trim().split_once(": ") else {
+            break;
+        };
+        match name {
+            "content-length" => length = value.parse().unwrap(),
+            "x-request-id" => id = Some(value.to_owned()),
+            _ => {}
+        }
+    }
+    reader.read_exact(&mut vec![0; length])?;
+    let own_id = format!("id-{}-{issued}", address.port());
+    if first.starts_with("GET /v1/address") {
+        let found =
+            json!({ "address": address, "vm": "v", "request_id": own_id, "valid_for_ms": 60000 });
+        return reply(stream, "200 OK", &found);
+    }
+    seen.lock().unwrap().push((manner, id.clone()));
+    let id = id.unwrap_or(own_id);
+    match manner {
+        Manner::Answers => {
+            let stage = json!({ "stage": "s", "endpoint": "e", "attempts": 2, "elapsed_ms": 3.5 });
+            let output = json!({ "request_id": id });
+            reply(
+                stream,
+                "200 OK",
+                &json!({ "request_id": id, "output": output, "stages": [stage] }),
+            )
+        }
+        Manner::Stops => {
+            let error = json!({ "code": "stopping", "message": "", "outcome": "not_run", "request_id": id });
+            reply(
+                stream,
+                "503 Service Unavailable",
+                &json!({ "error": error }),
+            )
+        }
+        Manner::Breaks => Ok(()),
+        Manner::CutsStream => write!(
+            &stream,
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n\
+             event: token\ndata: {{}}\n\n"
+        ),
+    }
+}
+
+fn reply(mut stream: TcpStream, status: &str, body: &Value) -> std::io::Result<()> {
+    let body = body.to_string();
+    let length = body.len();
+    write!(
+        stream,
+        "HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Runs the load generator against one faulty and one healthy VM.
+fn run_against(manner: Manner, pipeline: &str) -> (Report, Vec<(Manner, Option<String>)>) {
+    let seen = Seen::default();
+    let faulty = start_vm(manner, seen.clone());
+    let healthy = start_vm(Manner::Answers, seen.clone());
+    let dir = tempfile::tempdir().unwrap();
+    let daemons = [("vm-0", faulty), ("vm-1", healthy)];
+    let daemons = daemons.map(|(id, address)| json!({ "id": id, "caller_address": address }));
+    let write = |name: &str, text: String| std::fs::write(dir.path().join(name), text).unwrap();
+    write(
+        "fleet.json",
+        json!({ "platform_address": faulty, "daemons": daemons }).to_string(),
+    );
+    let stage = |name: &str, once: bool| {
+        let stages = [json!({ "name": "s", "kind": "plain", "service": "s", "idempotent": !once })];
+        json!({ "name": name, "deadline_ms": 9000, "stages": stages })
+    };
+    let pipelines = [stage("answer", false), stage("payout", true)];
+    write(
+        "manifest.json",
+        json!({ "version": 1, "manifest": { "pipelines": pipelines } }).to_string(),
+    );
+    let text = SCENARIO.replace("deadline_ms = 1000", "deadline_ms = 9000");
+    let text = text.replace("answer = 1, payout = 1", &format!("{pipeline} = 1"));
+    write("scenario.toml", text);
+    let options = LoadOptions {
+        scenario: dir.path().join("scenario.toml"),
+        fleet_dir: dir.path().to_owned(),
+        seed: None,
+        duration_s: Some(1.0),
+        max_requests: Some(1),
+        json: Some(dir.path().join("report.json")),
+        plot: Some(dir.path().join("plot.svg")),
+    };
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let report = runtime.block_on(run(options)).unwrap();
+    let plot = std::fs::read_to_string(dir.path().join("plot.svg")).unwrap();
+    assert_that!(plot, contains_substring("</svg>"));
+    let seen = seen.lock().unwrap().clone();
+    (report, seen)
+}
+
+struct FollowCase {
+    manner: Manner,
+    pipeline: &'static str,
+    /// Whether the second try must carry the id of the first.
+    same_id: Option<bool>,
+}
+
+#[gtest]
+fn callers_follow_to_another_vm_and_never_get_a_new_id_for_what_may_have_run() {
+    let case = |manner, pipeline, same_id| FollowCase {
+        manner,
+        pipeline,
+        same_id,
+    };
+    let cases = [
+        case(Manner::Stops, "answer", None),
+        case(Manner::Breaks, "answer", None),
+        case(Manner::CutsStream, "answer", None),
+        case(Manner::Stops, "payout", Some(false)),
+        case(Manner::Breaks, "payout", Some(true)),
+        case(Manner::CutsStream, "payout", Some(true)),
+    ];
+    for case in cases {
+        let (report, seen) = run_against(case.manner, case.pipeline);
+        expect_that!((report.overall.sent, report.overall.attained), eq((1, 1)));
+        expect_that!(report.misdelivered, eq(0));
+        expect_that!(report.stages["s"].attempts, eq(2));
+        expect_that!(seen.len(), eq(2), "{}", case.pipeline);
+        expect_that!(
+            seen[0].0 == case.manner && seen[1].0 == Manner::Answers,
+            eq(true)
+        );
+        let same = seen[0].1 == seen[1].1;
+        match case.same_id {
+            Some(expected) => expect_that!(same, eq(expected), "{}", case.pipeline),
+            None => expect_that!(seen[0].1.is_none() && seen[1].1.is_none(), eq(true)),
+        }
+    }
+}
