--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -20,7 +20,8 @@
 use clap::Args;
 
 pub use arrivals::{Arrival, schedule};
-pub use fleet::Allowance;
+pub use fleet::{Allowance, Fleet};
+pub use ledgers::{LedgerReport, Ledgers, compare};
 pub use record::{Outcome, RequestRecord, StageTime};
 pub use report::{Report, make_report};
 pub use run::run;
--- a/standins/endpoint.rs
+++ b/standins/endpoint.rs
@@ -1,9 +1,4 @@
 //! Endpoints: engines, encoders, retrievers, rerankers and plain services.
-//!
-//! Control by HTTP (`POST`): `/control/cold`, `/control/fail?count=N&status=S`,
-//! `/control/slow?ms=N`, `/control/pause`, `/control/resume`. `GET /ledger` shows what the
-//! endpoint saw and `GET /load` its load report. `GET /control/state` shows what holds now,
-//! without the lag.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/standins/fault_proxy.rs
+++ b/standins/fault_proxy.rs
@@ -1,8 +1,4 @@
 //! A TCP proxy that injects faults between two processes.
-//!
-//! Control by HTTP (`POST`): `/control/pass`, `/control/cut`, `/control/delay?ms=N`,
-//! `/control/freeze`, `/control/resume` (as `pass`), `/control/half-open?forward=to|from`.
-//! `?link=LISTEN` limits a command to one link. `GET /control/state` shows all links.
 
 use std::net::SocketAddr;
 use std::str::FromStr;
--- a/standins/fleet.rs
+++ b/standins/fleet.rs
@@ -23,11 +23,6 @@
 const PORTS_APART: u32 = 250;
 
 /// Flags of `fleet`.
-///
-/// Writes into DIR: `manifest.json` and `vms.json` for the platform stand-in, `fleet.json`
-/// with all addresses and keys, `daemons.txt` with the flags of one daemon a line, and
-/// `keys.txt` with one organisation and key a line. The key of organisation NAME is
-/// `key-NAME-1`.
 #[derive(Args)]
 pub struct FleetOptions {
     /// Directory to write to; made when it is not there.
--- a/standins/main.rs
+++ b/standins/main.rs
@@ -23,14 +23,35 @@
 #[derive(Subcommand)]
 enum Command {
     /// Serves the read-and-watch interface of the configuration service.
+    ///
+    /// DIR holds `manifest.json`, {"version": N, "manifest": {...}}, and `vms.json`, a VM list
+    /// with its own version. Replace the files by renaming; they are published as soon as they
+    /// change. A 304 carries in x-version the version that the platform still holds.
+    ///
+    /// Control: POST /control/stop, /control/start, /control/stale?version=N&vms_version=M
+    /// (either may be left out), /control/fresh; GET /control/counts.
     Platform(platform::PlatformOptions),
     /// Serves one endpoint.
+    ///
+    /// Control: POST /control/cold, /control/fail?count=N&status=S (status 0 closes the
+    /// connection), /control/slow?ms=N (added to each run), /control/pause, /control/resume.
+    /// GET /ledger shows runs in order with their ids, refusals in a cold start and places
+    /// where a key stood; GET /control/state the load report without the lag.
     Endpoint(endpoint::EndpointOptions),
     /// Serves all endpoints of a manifest document on their addresses in one process.
     Endpoints(endpoint::EndpointsOptions),
     /// Forwards TCP links and injects faults by HTTP control.
+    ///
+    /// Control: POST /control/pass, /control/cut (resets all connections, refuses new ones),
+    /// /control/delay?ms=N (each way), /control/freeze (keeps connections open and delivers
+    /// late), /control/resume (as pass), /control/half-open?forward=to|from (one direction).
+    /// `link=LISTEN` limits a command to one link. GET /control/state shows all links.
     FaultProxy(fault_proxy::FaultProxyOptions),
     /// Writes manifest, VM list, addresses and keys of a fleet, then ends.
+    ///
+    /// Writes into DIR: `manifest.json` and `vms.json` for the platform, `fleet.json` with all
+    /// addresses and keys, `daemons.txt` with the flags of one daemon a line, and `keys.txt`
+    /// with one organisation and key a line. The key of organisation NAME is key-NAME-1.
     Fleet(fleet::FleetOptions),
 }
 
--- a/standins/platform.rs
+++ b/standins/platform.rs
@@ -1,7 +1,4 @@
 //! The configuration service: values that can only be read and watched.
-//!
-//! Control by HTTP: `POST /control/stop`, `/control/start`,
-//! `/control/stale?version=N[&vms_version=M]`, `/control/fresh`; `GET /control/counts`.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -25,10 +22,6 @@
 const MAX_WAIT_MS: u64 = 60_000;
 
 /// Flags of `platform`.
-///
-/// DIR holds `manifest.json`, `{"version": N, "manifest": {...}}`, and `vms.json`, a VM list
-/// with its own version. Replace the files by renaming; both are published as soon as
-/// they change. A 304 carries in `x-version` the version that the platform still holds.
 #[derive(Args)]
 pub struct PlatformOptions {
     /// Address to listen on.
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -1,6 +1,6 @@
 //! Guards the load generator: a wrong classification or retry would make every figure lie.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
@@ -9,7 +9,8 @@
 
 use googletest::prelude::*;
 use primrosewalk::load::{
-    Allowance, LoadOptions, Outcome, Report, RequestRecord, Scenario, make_report, run, schedule,
+    Allowance, Fleet, Ledgers, LoadOptions, Outcome, Report, RequestRecord, Scenario, compare,
+    make_report, run, schedule,
 };
 use serde_json::{Value, json};
 
@@ -354,3 +355,50 @@
         }
     }
 }
+
+fn ledgers_of(runs: &[(&str, &str, &[&str])]) -> Ledgers {
+    let entry = |(endpoint, service, ids): &(&str, &str, &[&str])| {
+        let runs = ids
+            .iter()
+            .map(|id| json!({ "request_id": id, "elapsed_ms": 2.0 }));
+        let ledger = json!({ "runs": runs.collect::<Vec<_>>() });
+        let ledger = serde_json::from_value(ledger).unwrap();
+        (
+            endpoint.parse().unwrap(),
+            (service.parse().unwrap(), ledger),
+        )
+    };
+    runs.iter().map(entry).collect()
+}
+
+#[gtest]
+fn ledgers_show_doubled_ids_across_endpoints_and_work_without_profit() {
+    let dir = tempfile::tempdir().unwrap();
+    let write = |name: &str, value: Value| {
+        std::fs::write(dir.path().join(name), value.to_string()).unwrap();
+    };
+    let stage = |service: &str, once: bool| json!({ "name": service, "kind": "plain", "service": service, "idempotent": !once });
+    let stages = [stage("records", false), stage("payments", true)];
+    let pipeline = json!({ "name": "payout", "deadline_ms": 1, "stages": stages });
+    write(
+        "manifest.json",
+        json!({ "manifest": { "pipelines": [pipeline] } }),
+    );
+    write(
+        "fleet.json",
+        json!({ "platform_address": "127.0.0.1:1", "daemons": [] }),
+    );
+    let fleet = Fleet::read(dir.path()).unwrap();
+    let before = ledgers_of(&[("pay-0", "payments", &["old"]), ("rec-0", "records", &[])]);
+    let after = ledgers_of(&[
+        ("pay-0", "payments", &["old", "a", "b"]),
+        ("pay-1", "payments", &["old", "c", "a"]),
+        ("rec-0", "records", &["a", "b", "b", "c"]),
+    ]);
+    let report = compare(&fleet, &before, &after, &HashSet::from(["a", "c"]));
+    expect_that!(report.doubled_request_ids, elements_are![eq("a")]);
+    let payments = &report.work["payments"];
+    expect_that!((payments.runs, payments.lost_runs), eq((5, 2)));
+    let records = &report.work["records"];
+    expect_that!((records.elapsed_ms, records.lost_ms), eq((8.0, 4.0)));
+}
