--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -105,7 +105,7 @@
             grants: Arc::new(grants),
             ..Snapshot::default()
         };
-        let router = Router::new(RoutingConfig::default(), "dc-0".parse().unwrap());
+        let mut router = Router::new(RoutingConfig::default(), "dc-0".parse().unwrap());
         let mut random = ChaCha8Rng::seed_from_u64(1);
         group.bench_function(BenchmarkId::from_parameter(endpoints), |bench| {
             bench.iter(|| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod explain;
 pub mod findings;
 pub mod http;
+pub mod load;
 pub mod logger;
 pub mod manifest;
 pub mod peer;
