--- a/src/explain.rs
+++ b/src/explain.rs
@@ -111,7 +111,6 @@
 
 impl Serializer for Fields {
     fn emit_arguments(&mut self, key: Key, value: &fmt::Arguments<'_>) -> slog::Result {
-        let key: &str = key.as_ref();
         match key {
             "request" => self.request = Some(value.to_string()),
             "decision" => self.is_decision = true,
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -40,6 +40,14 @@
 use crate::traffic::http_server::Server;
 use crate::traffic::state::{Traffic, watch_changes};
 
+/// Sockets that are bound already, for callers who need to know the ports.
+pub struct Listeners {
+    /// Where callers connect.
+    pub caller: TcpListener,
+    /// Where operators connect.
+    pub operator: TcpListener,
+}
+
 /// Serves callers and operators until `stop` turns true, then refuses new work, lets
 /// running requests finish and returns.
 ///
@@ -52,8 +60,22 @@
     commands: mpsc::Sender<ControlCommand>,
     stop: watch::Receiver<bool>,
 ) -> anyhow::Result<()> {
-    let caller_listener = bind(config.caller_address, "callers").await?;
-    let operator_listener = bind(config.operator_address, "operators").await?;
+    let listeners = Listeners {
+        caller: bind(config.caller_address, "callers").await?,
+        operator: bind(config.operator_address, "operators").await?,
+    };
+    serve_on(listeners, context, config, commands, stop).await;
+    Ok(())
+}
+
+/// Does what [`serve`] does on bound sockets.
+pub async fn serve_on(
+    listeners: Listeners,
+    context: Context,
+    config: TrafficConfig,
+    commands: mpsc::Sender<ControlCommand>,
+    stop: watch::Receiver<bool>,
+) {
     let (changes_sender, changes) = watch::channel(0);
     let traffic = Arc::new(Traffic::new(context, config, commands, stop, changes));
     // Dropping the set ends these tasks.
@@ -67,16 +89,15 @@
     let operators = Server::new(&traffic);
     let serve_callers = async {
         tokio::select! {
-            () = callers.accept(&caller_listener, caller::serve_caller) => {}
+            () = callers.accept(&listeners.caller, caller::serve_caller) => {}
             () = drained(&traffic) => {}
         }
         finish(&traffic, &callers).await;
     };
     tokio::select! {
-        () = operators.accept(&operator_listener, operator::serve_operator) => {}
+        () = operators.accept(&listeners.operator, operator::serve_operator) => {}
         () = serve_callers => {}
     }
-    Ok(())
 }
 
 /// Lets callers read their answers to the end.
--- a/src/traffic/run.rs
+++ b/src/traffic/run.rs
@@ -168,14 +168,9 @@
             () = run.messages.closed() => Interrupt::CallerGone,
             () = tokio::time::sleep(run.remaining()) => Interrupt::DeadlinePassed,
         };
-        let _ = run.interrupt.set(reason);
-        run.stop.cancel();
+        run.interrupt_for(reason);
         tokio::time::sleep(INTERRUPT_REPLY).await;
-        let refusal = Refusal {
-            outcome: Outcome::Unknown,
-            ..run.interrupt_refusal()
-        };
-        run.reply(Err(refusal)).await;
+        run.reply(Err(run.early_refusal())).await;
         std::future::pending::<()>().await;
     };
     let result = tokio::select! {
@@ -268,6 +263,33 @@
         }
     }
 
+    fn interrupt_for(&self, reason: Interrupt) {
+        let _ = self.interrupt.set(reason);
+        self.stop.cancel();
+        let reason = match reason {
+            Interrupt::CallerGone => "the caller left",
+            Interrupt::KeyLost(code) => code.as_str(),
+            Interrupt::DeadlinePassed => "the deadline passed",
+        };
+        info!(self.traffic.context.logger, "once: starting nothing more: {reason}";
+            "request" => %self.id);
+    }
+
+    /// Makes the refusal for a caller that does not learn how the attempt in flight ends.
+    fn early_refusal(&self) -> Refusal {
+        let refusal = self.interrupt_refusal();
+        let code = match refusal.code {
+            RefusalCode::DeadlinePassed => RefusalCode::OutcomeUnknown,
+            code => code,
+        };
+        Refusal {
+            code,
+            outcome: Outcome::Unknown,
+            message: format!("{}; a stage is still in flight", refusal.message),
+            ..refusal
+        }
+    }
+
     fn record_end(&self, result: Result<Bytes, Refusal>) {
         let owner = Some((self.caller.organisation.clone(), self.fingerprint));
         self.traffic.ids.end(&self.id, Kept { owner, result });
--- /dev/null
+++ b/tests/traffic_fixture/endpoint.rs
@@ -0,0 +1,175 @@
+//! A tiny endpoint that follows a script and records what it was sent.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// What to do with one attempt.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// Answers with this status line, these header lines and this body.
+    Answer(&'static str, &'static str, &'static str),
+    /// Closes the connection after the request was read.
+    Cut,
+    /// Waits for [`Fake::release`], then answers as with `Answer`.
+    Wait(&'static str),
+    /// Streams these texts, then the end event.
+    Stream(&'static [&'static str]),
+    /// Streams these texts, then closes the connection.
+    CutStream(&'static [&'static str]),
+    /// Streams these texts, waits for [`Fake::release`], then sends the end event.
+    WaitStream(&'static [&'static str]),
+}
+
+pub const OK: Step = Step::Answer("200 OK", "", r#"{"output":{"done":true}}"#);
+
+/// One endpoint.
+#[derive(Clone)]
+pub struct Fake {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+    closed_early: Arc<Notify>,
+    release: Arc<Notify>,
+    arrived: Arc<Notify>,
+}
+
+impl Fake {
+    /// Listens and takes one step per attempt; the last step repeats.
+    pub async fn start(steps: &[Step]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let fake = Self {
+            address: listener.local_addr().unwrap(),
+            seen: Arc::default(),
+            closed_early: Arc::default(),
+            release: Arc::default(),
+            arrived: Arc::default(),
+        };
+        let served = fake.clone();
+        let mut steps: VecDeque<Step> = steps.iter().cloned().collect();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let step = match steps.len() {
+                    1 => steps[0].clone(),
+                    _ => steps.pop_front().unwrap(),
+                };
+                tokio::spawn(served.clone().attempt(stream, step));
+            }
+        });
+        fake
+    }
+
+    /// Returns the requests received, head and body as sent.
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Lets a waiting attempt go on.
+    pub fn release(&self) {
+        self.release.notify_one();
+    }
+
+    /// Waits until an attempt has arrived.
+    pub async fn arrived(&self) {
+        self.arrived.notified().await;
+    }
+
+    /// Waits until the other side closed the connection of a waiting attempt.
+    pub async fn closed_early(&self) {
+        self.closed_early.notified().await;
+    }
+
+    async fn attempt(self, mut stream: TcpStream, step: Step) {
+        let Some(request) = read_request(&mut stream).await else {
+            return;
+        };
+        self.seen.lock().unwrap().push(request);
+        self.arrived.notify_one();
+        let _ = match step {
+            Step::Answer(status, headers, body) => answer(&mut stream, status, headers, body).await,
+            Step::Cut => Ok(()),
+            Step::Wait(body) => {
+                self.wait(&mut stream).await;
+                answer(&mut stream, "200 OK", "", body).await
+            }
+            Step::Stream(texts) => {
+                tokens(&mut stream, texts).await;
+                end(&mut stream).await
+            }
+            Step::CutStream(texts) => {
+                tokens(&mut stream, texts).await;
+                Ok(())
+            }
+            Step::WaitStream(texts) => {
+                tokens(&mut stream, texts).await;
+                self.wait(&mut stream).await;
+                end(&mut stream).await
+            }
+        };
+    }
+
+    async fn wait(&self, stream: &mut TcpStream) {
+        let mut byte = [0];
+        tokio::select! {
+            () = self.release.notified() => {}
+            _ = stream.read(&mut byte) => self.closed_early.notify_one(),
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| {
+                let (name, value) = line.split_once(": ")?;
+                let is_length = name.eq_ignore_ascii_case("content-length");
+                is_length.then(|| value.parse::<usize>().ok())?
+            });
+            if body.len() >= length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+async fn answer(
+    stream: &mut TcpStream,
+    status: &str,
+    headers: &str,
+    body: &str,
+) -> std::io::Result<()> {
+    let length = body.len();
+    let text = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\nconnection: close\r\n{headers}\
+         content-length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(text.as_bytes()).await
+}
+
+async fn tokens(stream: &mut TcpStream, texts: &[&str]) {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                transfer-encoding: chunked\r\nconnection: close\r\n\r\n";
+    let _ = stream.write_all(head.as_bytes()).await;
+    for text in texts {
+        let data = serde_json::json!({ "text": text });
+        let _ = chunk(stream, &format!("event: token\ndata: {data}\n\n")).await;
+    }
+}
+
+async fn end(stream: &mut TcpStream) -> std::io::Result<()> {
+    chunk(stream, "event: end\ndata: {}\n\n").await?;
+    stream.write_all(b"0\r\n\r\n").await
+}
+
+async fn chunk(stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(chunk.as_bytes()).await
+}
--- /dev/null
+++ b/tests/traffic_fixture/mod.rs
@@ -0,0 +1,349 @@
+//! One VM's traffic side with a hand-made snapshot and a tiny control side.
+
+pub mod endpoint;
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use primrosewalk::blackboard::{AcquireOutcome, Catalogue, ControlCommand, SlotGrant, Snapshot};
+use primrosewalk::clock;
+use primrosewalk::context::Context;
+use primrosewalk::explain::DecisionLog;
+use primrosewalk::manifest::{KeyDigest, VmList, parse_manifest};
+use primrosewalk::traffic::{Listeners, TrafficConfig, serve_on};
+use primrosewalk::units::{Incarnation, Time, Version};
+use serde_json::{Value, json};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+
+use endpoint::Fake;
+
+pub const KEY: &str = "key-of-clinic";
+pub const OTHER_KEY: &str = "key-of-depot";
+
+/// Far longer than anything here takes; a hang fails the test.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What one VM of a test is made of.
+pub struct Setup {
+    pub vm: &'static str,
+    pub config: TrafficConfig,
+    /// Endpoints by service: `first` and `second` (plain), `pay` (plain, non-idempotent
+    /// stages) and `engine` (generate).
+    pub endpoints: Vec<(&'static str, Fake)>,
+    /// Slots granted at each endpoint.
+    pub granted_slots: u32,
+    /// Answers to asks for tokens; afterwards all are granted.
+    pub outcomes: Vec<AcquireOutcome>,
+}
+
+impl Setup {
+    pub fn new(endpoints: Vec<(&'static str, Fake)>) -> Self {
+        Self {
+            vm: "vm-1",
+            config: TrafficConfig::default(),
+            endpoints,
+            granted_slots: 4,
+            outcomes: Vec::new(),
+        }
+    }
+}
+
+/// One running VM.
+pub struct Vm {
+    pub caller: SocketAddr,
+    pub operator: SocketAddr,
+    pub snapshot: Arc<ArcSwap<Snapshot>>,
+    pub asked: Arc<Mutex<u32>>,
+    pub reports: Arc<Mutex<Vec<ControlCommand>>>,
+    pub stop: watch::Sender<bool>,
+    pub served: JoinHandle<()>,
+}
+
+/// Builds the manifest: endpoint `n` stands in data centre `dc-n`.
+pub fn manifest(endpoints: &[(&str, Fake)], keys: &[(&str, &str)]) -> Catalogue {
+    let endpoints: Vec<Value> = endpoints
+        .iter()
+        .enumerate()
+        .map(|(index, (service, fake))| {
+            let kind = if *service == "engine" {
+                "generate"
+            } else {
+                "plain"
+            };
+            json!({ "name": format!("{service}-{index}"), "kind": kind, "service": service,
+                "address": fake.address, "data_centre": format!("dc-{index}"), "slots": 4,
+                "models": ["m"] })
+        })
+        .collect();
+    let services: Vec<&str> = endpoints
+        .iter()
+        .filter_map(|item| item["service"].as_str())
+        .collect();
+    let stage = |name: &str| match name {
+        "engine" => json!({ "name": name, "kind": "generate", "service": name, "model": "m" }),
+        "pay" => json!({ "name": name, "kind": "plain", "service": name, "idempotent": false }),
+        _ => json!({ "name": name, "kind": "plain", "service": name }),
+    };
+    let wanted = [
+        ("simple", vec!["first"]),
+        ("payout", vec!["pay"]),
+        ("pay-then-first", vec!["pay", "first"]),
+        ("answer", vec!["first", "engine"]),
+        ("chat", vec!["engine"]),
+    ];
+    let offered = wanted
+        .iter()
+        .filter(|(_, stages)| stages.iter().all(|stage| services.contains(stage)));
+    let pipelines: Vec<Value> = offered
+        .map(|(name, stages)| {
+            let stages: Vec<Value> = stages.iter().map(|name| stage(name)).collect();
+            json!({ "name": name, "deadline_ms": 15000, "stages": stages })
+        })
+        .collect();
+    let centres: Vec<Value> = (0..endpoints.len())
+        .map(|index| json!({ "name": format!("dc-{index}"), "region": "r" }))
+        .collect();
+    let organisations: Vec<Value> = keys
+        .iter()
+        .map(|(name, key)| {
+            json!({ "name": name, "rate_per_second": 100.0, "burst": 10,
+                "key_digests": [KeyDigest::of_key(key).to_string()] })
+        })
+        .collect();
+    let part = json!({ "data_centres": centres, "models": [{ "name": "m" }],
+        "pipelines": pipelines, "endpoints": endpoints, "organisations": organisations });
+    let bytes = serde_json::to_vec(&part).unwrap();
+    let parsed = parse_manifest(Version(7), [("all", bytes.as_slice())]);
+    Catalogue::new(parsed.unwrap_or_else(|findings| panic!("{findings}")))
+}
+
+pub const KEYS: &[(&str, &str)] = &[("clinic", KEY), ("depot", OTHER_KEY)];
+
+impl Vm {
+    pub async fn start(setup: Setup) -> Self {
+        let listeners = Listeners {
+            caller: TcpListener::bind("127.0.0.1:0").await.unwrap(),
+            operator: TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        };
+        let caller = listeners.caller.local_addr().unwrap();
+        let operator = listeners.operator.local_addr().unwrap();
+        let catalogue = manifest(&setup.endpoints, KEYS);
+        let grant = SlotGrant {
+            slots: setup.granted_slots,
+            valid_until: clock::now() + Duration::from_secs(600),
+        };
+        let names = catalogue
+            .manifest
+            .endpoints
+            .iter()
+            .map(|item| item.name.clone());
+        let grants: HashMap<_, _> = names.map(|name| (name, grant)).collect();
+        let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot {
+            catalogue: Some(Arc::new(catalogue)),
+            vms: Arc::new(vm_list(&[(setup.vm, caller)])),
+            keys_fresh_until: Time { micros: u64::MAX },
+            grants: Arc::new(grants),
+            ..Snapshot::default()
+        }));
+        let decisions = Arc::new(DecisionLog::default());
+        let context = Context {
+            vm: setup.vm.parse().unwrap(),
+            data_centre: "dc-0".parse().unwrap(),
+            incarnation: Incarnation(0xab),
+            logger: slog::Logger::root(Arc::clone(&decisions), slog::o!()),
+            snapshot: Arc::clone(&snapshot),
+            decisions,
+        };
+        let (commands, receiver) = mpsc::channel(1024);
+        let (stop, stopped) = watch::channel(false);
+        let asked = Arc::new(Mutex::new(0));
+        let reports = Arc::new(Mutex::new(Vec::new()));
+        let outcomes = setup.outcomes.into();
+        tokio::spawn(control(
+            receiver,
+            outcomes,
+            Arc::clone(&asked),
+            Arc::clone(&reports),
+        ));
+        let served = tokio::spawn(serve_on(
+            listeners,
+            context,
+            setup.config,
+            commands,
+            stopped,
+        ));
+        Self {
+            caller,
+            operator,
+            snapshot,
+            asked,
+            reports,
+            stop,
+            served,
+        }
+    }
+
+    /// Replaces the snapshot as the control thread does.
+    pub fn publish(&self, change: impl FnOnce(&mut Snapshot)) {
+        let mut snapshot = Snapshot::clone(&self.snapshot.load());
+        change(&mut snapshot);
+        self.snapshot.store(Arc::new(snapshot));
+    }
+
+    pub async fn issue_id(&self) -> String {
+        let reply = send(self.caller, "POST", "/v1/request-ids", &[], "").await;
+        reply.json()["request_id"].as_str().unwrap().to_owned()
+    }
+
+    pub async fn operator_json(&self, path: &str) -> Value {
+        send(self.operator, "GET", path, &[], "").await.json()
+    }
+}
+
+pub fn vm_list(vms: &[(&str, SocketAddr)]) -> VmList {
+    let vms: Vec<Value> = vms
+        .iter()
+        .map(|(name, address)| {
+            json!({ "id": name, "data_centre": "dc-0", "caller_address": address,
+                "peer_state_address": address, "peer_call_address": address })
+        })
+        .collect();
+    serde_json::from_value(json!({ "version": 3, "vms": vms })).unwrap()
+}
+
+async fn control(
+    mut commands: mpsc::Receiver<ControlCommand>,
+    mut outcomes: VecDeque<AcquireOutcome>,
+    asked: Arc<Mutex<u32>>,
+    reports: Arc<Mutex<Vec<ControlCommand>>>,
+) {
+    while let Some(command) = commands.recv().await {
+        match command {
+            ControlCommand::Acquire { reply, .. } => {
+                *asked.lock().unwrap() += 1;
+                let granted = AcquireOutcome::Granted {
+                    usable_until: clock::now() + Duration::from_secs(5),
+                };
+                let _: Result<_, _> = reply.send(outcomes.pop_front().unwrap_or(granted));
+            }
+            report => reports.lock().unwrap().push(report),
+        }
+    }
+}
+
+/// A whole answer.
+pub struct Reply {
+    pub status: u16,
+    pub body: String,
+}
+
+impl Reply {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|error| panic!("{error}: {}", self.body))
+    }
+
+    /// Returns status, code and outcome of a refusal.
+    pub fn refusal(&self) -> (u16, String, String) {
+        let error = &self.json()["error"];
+        let text = |name: &str| error[name].as_str().unwrap_or_default().to_owned();
+        (self.status, text("code"), text("outcome"))
+    }
+}
+
+pub type Headers<'a> = &'a [(&'a str, &'a str)];
+
+/// Sends a request on a connection of its own and returns the head of the answer.
+pub async fn open(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: Headers<'_>,
+    body: &str,
+) -> Response<Incoming> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let io = TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.unwrap();
+    tokio::spawn(connection);
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "vm");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .unwrap();
+    let sent = tokio::time::timeout(PATIENCE, sender.send_request(request));
+    sent.await.expect("an answer in time").unwrap()
+}
+
+/// Sends a request and reads the whole answer.
+pub async fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: Headers<'_>,
+    body: &str,
+) -> Reply {
+    let response = open(address, method, path, headers, body).await;
+    let status = response.status().as_u16();
+    let body = rest(response).await;
+    Reply { status, body }
+}
+
+/// Runs a pipeline with the usual key.
+pub async fn run(vm: &Vm, pipeline: &str, headers: Headers<'_>, body: &str) -> Reply {
+    let headers = [&[("x-key", KEY)], headers].concat();
+    let path = format!("/v1/pipelines/{pipeline}");
+    send(vm.caller, "POST", &path, &headers, body).await
+}
+
+/// Starts to stream the answer of a pipeline.
+pub async fn stream(vm: &Vm, pipeline: &str) -> Response<Incoming> {
+    let headers = [("x-key", KEY), ("accept", "text/event-stream")];
+    let path = format!("/v1/pipelines/{pipeline}");
+    open(vm.caller, "POST", &path, &headers, "{}").await
+}
+
+/// Reads what is left of an answer.
+pub async fn rest(response: Response<Incoming>) -> String {
+    let collected = tokio::time::timeout(PATIENCE, response.into_body().collect());
+    let collected = collected.await.expect("the body in time").unwrap();
+    String::from_utf8(collected.to_bytes().to_vec()).unwrap()
+}
+
+/// Returns the streamed text and the name of the last event.
+pub fn read_events(body: &str) -> (String, String, Value) {
+    let mut text = String::new();
+    let mut last = (String::new(), Value::Null);
+    for block in body.split("\n\n").filter(|block| !block.trim().is_empty()) {
+        let (name, data) = block.trim().split_once('\n').unwrap();
+        let name = name.strip_prefix("event: ").unwrap();
+        let data: Value = serde_json::from_str(data.strip_prefix("data: ").unwrap()).unwrap();
+        text.push_str(data["text"].as_str().unwrap_or_default());
+        last = (name.to_owned(), data);
+    }
+    (text, last.0, last.1)
+}
+
+/// Runs `future` in a task that the returned sender ends, as a caller that goes away.
+pub fn abandonable(future: impl Future<Output = Reply> + Send + 'static) -> oneshot::Sender<()> {
+    let (leave, left) = oneshot::channel();
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = future => {}
+            _ = left => {}
+        }
+    });
+    leave
+}
