feat(traffic): refuse new work in a data centre that is out, and linger on a stop

A VM whose data centre is out goes on for 2.5 s, longer than callers keep an address (2 s), and then names another VM, so that P3 holds for VMs too. A planned stop lasts at least 1 s, so that callers with the old address learn another one.

--- a/src/traffic/address.rs
+++ b/src/traffic/address.rs
@@ -61,7 +61,7 @@
 
 /// Serves `POST /v1/request-ids`.
 pub fn serve_request_id(traffic: &Traffic) -> Answer {
-    if traffic.is_stopping() {
+    if traffic.refuses_new_work() {
         return http_body::refusal(&stopping(traffic, None));
     }
     let answer = RequestIdAnswer {
@@ -72,14 +72,15 @@
     http_body::json(StatusCode::OK, &answer)
 }
 
-/// Makes the refusal of new work during a planned stop.
+/// Makes the refusal of new work during a planned stop, or while this VM's data centre is
+/// out of service.
 pub fn stopping(traffic: &Traffic, organisation: Option<&OrganisationName>) -> Refusal {
     let snapshot = traffic.context.snapshot.load();
     let other = preferred_vm(traffic, &snapshot, organisation);
     let address = other.map(|vm| vm.caller_address);
     let message = match address {
-        Some(address) => format!("this VM is stopping; use {address}"),
-        None => "this VM is stopping".to_owned(),
+        Some(address) => format!("this VM takes no new work; use {address}"),
+        None => "this VM takes no new work".to_owned(),
     };
     Refusal {
         address,
--- a/src/traffic/background.rs
+++ b/src/traffic/background.rs
@@ -30,10 +30,10 @@
     let mut seen = 0;
     let mut last = Instant::now();
     loop {
-        ticks.tick().await;
         if !traffic.router.has_waiters() {
-            continue;
+            traffic.router.queue_began.notified().await;
         }
+        ticks.tick().await;
         let latest = Arc::as_ptr(&traffic.context.snapshot.load()) as usize;
         if latest != seen || last.elapsed() >= QUEUE_RECHECK {
             seen = latest;
--- a/src/traffic/caller.rs
+++ b/src/traffic/caller.rs
@@ -323,7 +323,7 @@
     print: Fingerprint,
     checked: Checked,
 ) -> Answer {
-    let early = if traffic.is_stopping() {
+    let early = if traffic.refuses_new_work() {
         Some(address::stopping(
             traffic,
             Some(&checked.caller.organisation),
--- a/src/traffic/config.rs
+++ b/src/traffic/config.rs
@@ -68,6 +68,12 @@
     pub address_life: Duration,
     /// Connections of callers at once.
     pub connection_limit: usize,
+    /// How long new work is still accepted after this VM's data centre was taken out of
+    /// service. Longer than `address_life`, so that callers who ask again in time are not
+    /// refused.
+    pub data_centre_out_grace: Duration,
+    /// Shortest planned stop, so that callers who still use this VM learn another address.
+    pub stop_linger: Duration,
     /// Longest planned stop; connections that are still open then are closed.
     pub drain_limit: Duration,
     /// Renders the metrics page, when a recorder is installed.
@@ -92,8 +98,11 @@
             body_read_timeout: Duration::from_secs(10),
             connect_timeout: Duration::from_millis(500),
             non_idempotent_extra: Duration::from_secs(30),
-            address_life: Duration::from_secs(30),
+            // A data centre that is out gets no new work after 5 s (P3).
+            address_life: Duration::from_secs(2),
             connection_limit: 10_000,
+            data_centre_out_grace: Duration::from_millis(2_500),
+            stop_linger: Duration::from_secs(1),
             // The longest pipeline deadline that a manifest may set is ten minutes.
             drain_limit: Duration::from_secs(660),
             metrics: None,
--- a/src/traffic/http_server.rs
+++ b/src/traffic/http_server.rs
@@ -6,6 +6,7 @@
 
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -99,7 +100,16 @@
     let keys = Arc::new(ConnectionKeys::default());
     let service = service_fn(|request| {
         let answer = handle(Arc::clone(&traffic), Arc::clone(&keys), request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let traffic = Arc::clone(&traffic);
+        async move {
+            let mut answer = answer.await;
+            if traffic.is_stopping() {
+                // A request sent on a connection that closes would be cut (P10).
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -38,7 +38,7 @@
 use crate::blackboard::ControlCommand;
 use crate::context::Context;
 use crate::traffic::http_server::Server;
-use crate::traffic::state::{Traffic, watch_changes};
+use crate::traffic::state::{Traffic, watch_snapshot};
 
 /// Sockets that are bound already, for callers who need to know the ports.
 pub struct Listeners {
@@ -76,11 +76,11 @@
     commands: mpsc::Sender<ControlCommand>,
     stop: watch::Receiver<bool>,
 ) {
-    let (changes_sender, changes) = watch::channel(0);
-    let traffic = Arc::new(Traffic::new(context, config, commands, stop, changes));
+    let (watcher, watched) = state::watcher();
+    let traffic = Arc::new(Traffic::new(context, config, commands, stop, watched));
     // Dropping the set ends these tasks.
     let mut background = JoinSet::new();
-    background.spawn(watch_changes(traffic.context.clone(), changes_sender));
+    background.spawn(watch_snapshot(traffic.context.clone(), watcher));
     background.spawn(background::serve_queues(Arc::clone(&traffic)));
     background.spawn(background::report_demand(Arc::clone(&traffic)));
     background.spawn(background::expire_ids(Arc::clone(&traffic)));
@@ -131,6 +131,9 @@
     info!(traffic.context.logger, "traffic: refusing new work";
         "running" => traffic.runs.len());
     traffic.runs.close();
-    traffic.runs.wait().await;
+    tokio::join!(
+        traffic.runs.wait(),
+        tokio::time::sleep(traffic.config.stop_linger)
+    );
     info!(traffic.context.logger, "traffic: all requests ended");
 }
--- a/src/traffic/router_state.rs
+++ b/src/traffic/router_state.rs
@@ -87,6 +87,8 @@
     attempts_per_stage: u32,
     /// Woken when a request begins to wait, so that demand is reported at once.
     pub wait_began: Notify,
+    /// Woken at the same time, so that no queue is checked while all are empty.
+    pub queue_began: Notify,
 }
 
 /// One slot at an endpoint.
@@ -173,6 +175,7 @@
             budget_enabled: config.retry_budget_enabled,
             attempts_per_stage: config.retry.attempts_per_stage,
             wait_began: Notify::new(),
+            queue_began: Notify::new(),
         }
     }
 
@@ -213,6 +216,7 @@
             (entry, receiver)
         };
         self.wait_began.notify_one();
+        self.queue_began.notify_one();
         self.serve_queue(&key);
         let slot = tokio::time::timeout(max_wait, &mut receiver).await;
         drop(entry);
--- a/src/traffic/stage.rs
+++ b/src/traffic/stage.rs
@@ -286,7 +286,7 @@
                     return end_output(&event.data, text);
                 }
                 "error" => {
-                    let message = format!("the engine reported {}", event.data);
+                    let message = format!("the engine reported {:.200}", event.data);
                     return Err(CallError::transient(Ran::Maybe, message));
                 }
                 _ => {}
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -8,7 +8,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::task::TaskTracker;
 
-use crate::blackboard::ControlCommand;
+use crate::blackboard::{Catalogue, ControlCommand, Snapshot};
+use crate::clock;
 use crate::context::Context;
 use crate::traffic::admission::StaticShare;
 use crate::traffic::config::TrafficConfig;
@@ -16,7 +17,7 @@
 use crate::traffic::key;
 use crate::traffic::request_ids::RequestIds;
 use crate::traffic::router_state::RouterState;
-use crate::units::OrganisationName;
+use crate::units::{OrganisationName, Time};
 
 /// How soon running requests notice a new snapshot; a withdrawn key has a few seconds.
 const CHANGE_CHECK: Duration = Duration::from_millis(50);
@@ -50,6 +51,8 @@
     pub changes: watch::Receiver<u64>,
     /// Turns true when a planned stop begins.
     pub stop: watch::Receiver<bool>,
+    /// When this VM's data centre was seen out of service; `None` while it is in service.
+    pub out_since: watch::Receiver<Option<Time>>,
     /// Requests that run, with or without a caller that waits.
     pub runs: TaskTracker,
     counts: Mutex<HashMap<OrganisationName, OrganisationCounts>>,
@@ -62,7 +65,7 @@
         config: TrafficConfig,
         commands: mpsc::Sender<ControlCommand>,
         stop: watch::Receiver<bool>,
-        changes: watch::Receiver<u64>,
+        watched: Watched,
     ) -> Self {
         let snapshot = Arc::clone(&context.snapshot);
         let router = RouterState::new(&config, context.data_centre.clone(), snapshot);
@@ -77,15 +80,24 @@
             config,
             commands,
             stop,
-            changes,
+            changes: watched.changes,
+            out_since: watched.out_since,
         }
     }
 
-    /// Returns whether new work is refused.
+    /// Returns whether a planned stop began.
     pub fn is_stopping(&self) -> bool {
         *self.stop.borrow() || self.context.snapshot.load().stopping
     }
 
+    /// Returns whether new work is refused: in a planned stop, or some time after this
+    /// VM's data centre was taken out of service (P3).
+    pub fn refuses_new_work(&self) -> bool {
+        let out_since = *self.out_since.borrow();
+        let grace = self.config.data_centre_out_grace;
+        self.is_stopping() || out_since.is_some_and(|since| clock::now() >= since + grace)
+    }
+
     /// Sends a report that may be dropped when the control thread is behind.
     pub fn report(&self, command: ControlCommand) {
         if self.commands.try_send(command).is_err() {
@@ -115,23 +127,61 @@
     }
 }
 
-/// Watches the snapshot and tells running requests and connections to check their keys.
-pub async fn watch_changes(context: Context, changes: watch::Sender<u64>) {
-    let seen = |context: &Context| {
-        let snapshot = context.snapshot.load();
-        let catalogue = snapshot.catalogue.as_ref().map(Arc::as_ptr);
-        (
-            catalogue.map_or(0, |pointer| pointer as usize),
-            key::is_stale(&snapshot),
-        )
+/// What [`watch_snapshot`] tells the requests.
+pub struct Watched {
+    changes: watch::Receiver<u64>,
+    out_since: watch::Receiver<Option<Time>>,
+}
+
+/// The other ends of [`Watched`].
+pub struct Watcher {
+    changes: watch::Sender<u64>,
+    out_since: watch::Sender<Option<Time>>,
+}
+
+/// Makes a watcher and what it tells.
+pub fn watcher() -> (Watcher, Watched) {
+    let (changes_sender, changes) = watch::channel(0);
+    let (out_sender, out_since) = watch::channel(None);
+    let watcher = Watcher {
+        changes: changes_sender,
+        out_since: out_sender,
     };
-    let mut last = seen(&context);
+    (watcher, Watched { changes, out_since })
+}
+
+/// Tells running requests and connections to check their keys after a change, and new
+/// ones whether this VM's data centre is out of service.
+pub async fn watch_snapshot(context: Context, watcher: Watcher) {
+    // Held, so that a later catalogue cannot have the same address.
+    let mut last: Option<(Option<Arc<Catalogue>>, bool)> = None;
     loop {
-        tokio::time::sleep(CHANGE_CHECK).await;
-        let latest = seen(&context);
-        if latest != last {
-            last = latest;
-            changes.send_modify(|count| *count += 1);
+        let snapshot = context.snapshot.load_full();
+        let is_stale = key::is_stale(&snapshot);
+        let same = last.as_ref().is_some_and(|(catalogue, was_stale)| {
+            let latest = snapshot.catalogue.as_ref().map(Arc::as_ptr);
+            catalogue.as_ref().map(Arc::as_ptr) == latest && *was_stale == is_stale
+        });
+        if !same {
+            last = Some((snapshot.catalogue.clone(), is_stale));
+            watcher.changes.send_modify(|count| *count += 1);
         }
+        let out = is_out(&snapshot, &context);
+        watcher.out_since.send_if_modified(|since| {
+            let changed = since.is_some() != out;
+            if changed {
+                *since = out.then(clock::now);
+            }
+            changed
+        });
+        drop(snapshot);
+        tokio::time::sleep(CHANGE_CHECK).await;
     }
 }
+
+/// Returns whether this VM's data centre is out of service while other VMs can serve.
+fn is_out(snapshot: &Snapshot, context: &Context) -> bool {
+    let catalogue = snapshot.catalogue.as_ref();
+    let out = catalogue.is_some_and(|catalogue| !catalogue.in_service(&context.data_centre));
+    out && snapshot.callable_vms().next().is_some()
+}
--- a/tests/traffic.rs
+++ b/tests/traffic.rs
@@ -3,14 +3,16 @@
 
 mod traffic_fixture;
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use googletest::prelude::*;
-use primrosewalk::blackboard::{AcquireOutcome, ControlCommand};
+use primrosewalk::blackboard::{AcquireOutcome, Catalogue, ControlCommand};
+use primrosewalk::manifest::DataCentreState;
 use primrosewalk::status::Status;
 use primrosewalk::traffic::{QuotaMode, RoutingMode, TrafficConfig};
 use primrosewalk::units::Time;
-use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use traffic_fixture::endpoint::{Fake, OK, Step};
@@ -192,6 +194,28 @@
     );
 }
 
+/// A kept connection must not outlive the key that it was opened with (P4).
+#[gtest]
+#[tokio::test]
+async fn withdrawn_key_closes_a_kept_connection() {
+    let endpoints = vec![("first", Fake::start(&[OK]).await)];
+    let vm = Vm::start(Setup::new(endpoints.clone())).await;
+    let mut stream = tokio::net::TcpStream::connect(vm.caller).await.unwrap();
+    let request = format!(
+        "POST /v1/pipelines/simple HTTP/1.1\r\nhost: vm\r\nx-key: {KEY}\r\n\
+         content-length: 2\r\n\r\n{{}}"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 4096];
+    let length = stream.read(&mut answer).await.unwrap();
+    expect_that!(answer[..length].starts_with(b"HTTP/1.1 200"), eq(true));
+    let catalogue = Arc::new(manifest(&endpoints, &[("depot", OTHER_KEY)]));
+    vm.publish(|snapshot| snapshot.catalogue = Some(catalogue));
+    // P4 gives five seconds.
+    let closed = tokio::time::timeout(Duration::from_secs(5), stream.read(&mut answer)).await;
+    expect_that!(closed.expect("the end in time").unwrap(), eq(0));
+}
+
 /// A configuration that nobody confirms must not let keys through (3.2).
 #[gtest]
 #[tokio::test]
@@ -201,6 +225,34 @@
     let reply = run(&vm, "simple", &[], "{}").await;
     let expected = triple((503, "stale_configuration", "not_run"));
     expect_that!(reply.refusal(), eq(&expected));
+    let open = send(vm.caller, "POST", "/v1/pipelines/open", &[], "{}").await;
+    expect_that!(open.status, eq(200));
+}
+
+/// A VM in a data centre that is out must refuse new work and name another VM (P3).
+#[gtest]
+#[tokio::test]
+async fn vm_of_a_data_centre_that_is_out_refuses_new_work() {
+    let first = Fake::start(&[OK]).await;
+    let endpoints = vec![("first", first.clone()), ("first", first.clone())];
+    let mut setup = Setup::new(endpoints.clone());
+    setup.config.data_centre_out_grace = Duration::ZERO;
+    let vm = Vm::start(setup).await;
+    let mut document = manifest(&endpoints, KEYS).manifest;
+    document.data_centres[0].state = DataCentreState::Out;
+    let other = "127.0.0.1:9".parse().unwrap();
+    let mut list = vm_list(&[("vm-1", vm.caller), ("vm-2", other)]);
+    list.vms[1].data_centre = "dc-1".parse().unwrap();
+    vm.publish(|snapshot| {
+        snapshot.catalogue = Some(Arc::new(Catalogue::new(document)));
+        snapshot.vms = Arc::new(list);
+    });
+    let refused = || async { run(&vm, "simple", &[], "{}").await.status == 503 };
+    wait_until(refused).await;
+    let reply = run(&vm, "simple", &[], "{}").await;
+    expect_that!(reply.refusal(), eq(&triple((503, "stopping", "not_run"))));
+    let address = reply.json()["error"]["address"].clone();
+    expect_that!(address.as_str(), some(eq("127.0.0.1:9")));
 }
 
 /// A planned stop must refuse new work with another address and cut no stream (P10).
@@ -370,6 +422,43 @@
     }
 }
 
+/// An endpoint that hangs must leave time for another one.
+#[gtest]
+#[tokio::test]
+async fn hanging_endpoint_leaves_time_for_a_retry() {
+    let hanging = Fake::start(&[Step::Wait("{}")]).await;
+    let endpoints = vec![
+        ("first", hanging.clone()),
+        ("first", Fake::start(&[OK]).await),
+    ];
+    let vm = Vm::start(Setup::new(endpoints)).await;
+    let reply = run(&vm, "simple", &[("x-deadline-ms", "2000")], "{}").await;
+    expect_that!(reply.status, eq(200));
+    expect_that!(reply.json()["stages"][0]["attempts"].as_u64(), some(eq(2)));
+    hanging.closed_early().await;
+}
+
+/// More requests than slots must wait, and none may be left behind (P1, P2).
+#[gtest]
+#[tokio::test]
+async fn waiting_requests_never_exceed_the_grant_and_all_end() {
+    let first = Fake::start(&[Step::Slow(5)]).await;
+    let mut setup = Setup::new(vec![("first", first.clone())]);
+    setup.granted_slots = 2;
+    let vm = Arc::new(Vm::start(setup).await);
+    let runs = (0..24).map(|_| {
+        let vm = Arc::clone(&vm);
+        tokio::spawn(async move { run(&vm, "simple", &[], "{}").await.status })
+    });
+    for status in futures::future::join_all(runs).await {
+        expect_that!(status.unwrap(), eq(200));
+    }
+    expect_that!(first.most_at_once.load(Ordering::SeqCst), le(2));
+    let status: Status = serde_json::from_value(vm.operator_json("/v1/status").await).unwrap();
+    expect_that!(status.endpoints[0].in_flight, eq(0));
+    expect_that!(status.organisations[0].admitted, eq(24));
+}
+
 struct BrokenStream {
     replay: &'static [&'static str],
     text: &'static str,
@@ -448,40 +537,32 @@
     leave.send(()).unwrap();
     first.closed_early().await;
 
-    let id = vm.issue_id().await;
-    let (caller, caller_id) = (Arc::clone(&vm), id.clone());
-    let leave = abandonable(async move {
-        run(
-            &caller,
-            "pay-then-first",
-            &[("x-request-id", &caller_id)],
-            "{}",
-        )
-        .await
-    });
-    pay.arrived().await;
-    leave.send(()).unwrap();
-    // Only once the VM has seen that the caller left may the payout end.
+    // A single stage ends well; of two stages, the second does not start.
+    for (pipeline, expected) in [("payout", 200), ("pay-then-first", 502)] {
+        let id = vm.issue_id().await;
+        let (caller, caller_id) = (Arc::clone(&vm), id.clone());
+        let leave = abandonable(async move {
+            run(&caller, pipeline, &[("x-request-id", &caller_id)], "{}").await
+        });
+        pay.arrived().await;
+        leave.send(()).unwrap();
+        // Only once the VM has seen that the caller left may the payout end.
+        wait_for_line(&vm, &id, "caller left").await;
+        pay.release();
+        wait_for_line(&vm, &id, "request ended").await;
+        let again = run(&vm, pipeline, &[("x-request-id", &id)], "{}").await;
+        expect_that!(again.status, eq(expected), "{pipeline}");
+        if expected != 200 {
+            let expected = triple((502, "stage_failed", "unknown"));
+            expect_that!(again.refusal(), eq(&expected));
+        }
+    }
+    expect_that!((pay.seen().len(), first.seen().len()), eq((2, 1)));
+}
+
+async fn wait_for_line(vm: &Vm, id: &str, text: &str) {
     let log = format!("/v1/explain/{id}");
-    wait_until(|| async {
-        vm.operator_json(&log)
-            .await
-            .to_string()
-            .contains("caller left")
-    })
-    .await;
-    pay.release();
-    let ended = || async {
-        vm.operator_json(&log)
-            .await
-            .to_string()
-            .contains("request ended")
-    };
-    wait_until(ended).await;
-    let again = run(&vm, "pay-then-first", &[("x-request-id", &id)], "{}").await;
-    let (_, _, outcome) = again.refusal();
-    expect_that!(outcome, eq("unknown"));
-    expect_that!((pay.seen().len(), first.seen().len()), eq((1, 1)));
+    wait_until(|| async { vm.operator_json(&log).await.to_string().contains(text) }).await;
 }
 
 async fn wait_until<F: Future<Output = bool>>(condition: impl Fn() -> F) {
@@ -506,14 +587,7 @@
     let expected = triple((502, "outcome_unknown", "unknown"));
     expect_that!(reply.refusal(), eq(&expected));
     pay.release();
-    let log = format!("/v1/explain/{id}");
-    let ended = || async {
-        vm.operator_json(&log)
-            .await
-            .to_string()
-            .contains("request ended")
-    };
-    wait_until(ended).await;
+    wait_for_line(&vm, &id, "request ended").await;
     let again = run(&vm, "payout", &[("x-request-id", &id)], "{}").await;
     expect_that!(again.status, eq(200));
     expect_that!(pay.seen().len(), eq(1));
--- a/tests/traffic_fixture/endpoint.rs
+++ b/tests/traffic_fixture/endpoint.rs
@@ -2,7 +2,9 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -15,6 +17,8 @@
     Answer(&'static str, &'static str, &'static str),
     /// Closes the connection after the request was read.
     Cut,
+    /// Answers after this many milliseconds.
+    Slow(u64),
     /// Waits for [`Fake::release`], then answers as with `Answer`.
     Wait(&'static str),
     /// Streams these texts, then the end event.
@@ -31,6 +35,8 @@
 #[derive(Clone)]
 pub struct Fake {
     pub address: SocketAddr,
+    pub most_at_once: Arc<AtomicU32>,
+    running: Arc<AtomicU32>,
     seen: Arc<Mutex<Vec<String>>>,
     closed_early: Arc<Notify>,
     release: Arc<Notify>,
@@ -43,6 +49,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let fake = Self {
             address: listener.local_addr().unwrap(),
+            most_at_once: Arc::default(),
+            running: Arc::default(),
             seen: Arc::default(),
             closed_early: Arc::default(),
             release: Arc::default(),
@@ -91,6 +99,13 @@
         let _ = match step {
             Step::Answer(status, headers, body) => answer(&mut stream, status, headers, body).await,
             Step::Cut => Ok(()),
+            Step::Slow(time_ms) => {
+                self.running.fetch_add(1, Ordering::SeqCst);
+                tokio::time::sleep(Duration::from_millis(time_ms)).await;
+                let running = self.running.fetch_sub(1, Ordering::SeqCst);
+                self.most_at_once.fetch_max(running, Ordering::SeqCst);
+                answer(&mut stream, "200 OK", "", r#"{"output":1}"#).await
+            }
             Step::Wait(body) => {
                 self.wait(&mut stream).await;
                 answer(&mut stream, "200 OK", "", body).await
--- a/tests/traffic_fixture/mod.rs
+++ b/tests/traffic_fixture/mod.rs
@@ -49,7 +49,10 @@
     pub fn new(endpoints: Vec<(&'static str, Fake)>) -> Self {
         Self {
             vm: "vm-1",
-            config: TrafficConfig::default(),
+            config: TrafficConfig {
+                stop_linger: Duration::ZERO,
+                ..TrafficConfig::default()
+            },
             endpoints,
             granted_slots: 4,
             outcomes: Vec::new(),
@@ -99,6 +102,7 @@
         ("pay-then-first", vec!["pay", "first"]),
         ("answer", vec!["first", "engine"]),
         ("chat", vec!["engine"]),
+        ("open", vec!["first"]),
     ];
     let offered = wanted
         .iter()
@@ -106,7 +110,8 @@
     let pipelines: Vec<Value> = offered
         .map(|(name, stages)| {
             let stages: Vec<Value> = stages.iter().map(|name| stage(name)).collect();
-            json!({ "name": name, "deadline_ms": 15000, "stages": stages })
+            let open_as = (*name == "open").then_some("depot");
+            json!({ "name": name, "deadline_ms": 15000, "open_as": open_as, "stages": stages })
         })
         .collect();
     let centres: Vec<Value> = (0..endpoints.len())
