--- a/src/traffic/admission.rs
+++ b/src/traffic/admission.rs
@@ -12,6 +12,7 @@
 use crate::decisions::quota::{Allowance, Quota, QuotaConfig, Reservation};
 use crate::manifest::VmState;
 use crate::traffic::config::QuotaMode;
+use crate::traffic::metric;
 use crate::traffic::refusal::{Refusal, RefusalCode};
 use crate::traffic::run::Run;
 use crate::units::{Burst, OrganisationName, RatePerSecond, Time};
@@ -50,7 +51,7 @@
         QuotaMode::StaticShare => take_share(run).await,
     };
     let waited = clock::now().since(started);
-    metrics::histogram!("primrosewalk_quota_wait_seconds").record(waited.as_secs_f64());
+    metrics::histogram!(metric::QUOTA_WAIT_SECONDS).record(waited.as_secs_f64());
     let organisation = &run.caller.organisation;
     let outcome = match &result {
         Ok(()) => "admitted",
--- a/src/traffic/caller.rs
+++ b/src/traffic/caller.rs
@@ -23,7 +23,7 @@
 use crate::traffic::request_ids::{Fingerprint, Kept, fingerprint};
 use crate::traffic::run::{self, CallerMessage, RunRequest};
 use crate::traffic::state::Traffic;
-use crate::traffic::{address, forward, sse};
+use crate::traffic::{address, forward, metric, sse};
 use crate::units::{RequestId, Time};
 
 /// Header that carries a request id.
@@ -236,7 +236,7 @@
 
 fn answer_refusal(traffic: &Traffic, refusal: Refusal) -> Answer {
     let code = refusal.code.as_str();
-    metrics::counter!("primrosewalk_refusals_total", "code" => code).increment(1);
+    metrics::counter!(metric::REFUSALS_TOTAL, "code" => code).increment(1);
     if let Some(id) = &refusal.request_id {
         info!(traffic.context.logger, "once: refused as {code}: {}", refusal.message;
             "request" => %id);
@@ -410,6 +410,6 @@
 /// Writes the event that ends a stream without an answer.
 pub fn error_event(refusal: &Refusal) -> Bytes {
     let code = refusal.code.as_str();
-    metrics::counter!("primrosewalk_refusals_total", "code" => code).increment(1);
+    metrics::counter!(metric::REFUSALS_TOTAL, "code" => code).increment(1);
     sse::encode("error", &String::from_utf8_lossy(&refusal.to_json()))
 }
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod http_body;
 mod http_server;
 mod key;
+mod metric;
 mod operator;
 mod refusal;
 mod request_ids;
@@ -76,6 +77,7 @@
     commands: mpsc::Sender<ControlCommand>,
     stop: watch::Receiver<bool>,
 ) {
+    metric::describe();
     let (watcher, watched) = state::watcher();
     let traffic = Arc::new(Traffic::new(context, config, commands, stop, watched));
     // Dropping the set ends these tasks.
--- a/src/traffic/operator.rs
+++ b/src/traffic/operator.rs
@@ -12,6 +12,7 @@
 use crate::status::{CircuitStatus, EndpointStatus, OrganisationStatus, PeerStatus, Status};
 use crate::traffic::http_body::{self, Answer};
 use crate::traffic::key::ConnectionKeys;
+use crate::traffic::metric;
 use crate::traffic::state::Traffic;
 use crate::units::Time;
 
@@ -55,7 +56,7 @@
 }
 
 fn serve_metrics(traffic: &Traffic) -> Answer {
-    metrics::gauge!("primrosewalk_running_requests").set(traffic.runs.len() as f64);
+    metrics::gauge!(metric::RUNNING_REQUESTS).set(traffic.runs.len() as f64);
     match &traffic.config.metrics {
         Some(handle) => http_body::whole(
             StatusCode::OK,
--- a/src/traffic/run.rs
+++ b/src/traffic/run.rs
@@ -21,7 +21,7 @@
 use crate::traffic::refusal::{Outcome, Refusal, RefusalCode};
 use crate::traffic::request_ids::{Fingerprint, Kept};
 use crate::traffic::state::Traffic;
-use crate::traffic::{admission, stage};
+use crate::traffic::{admission, metric, stage};
 use crate::units::{EndpointName, RequestId, StageName, Time};
 
 /// How long an interrupted request may take to say what it had sent. After that it is in
@@ -306,7 +306,7 @@
             Ok(_) => "answered",
             Err(refusal) => refusal.code.as_str(),
         };
-        metrics::histogram!("primrosewalk_request_seconds",
+        metrics::histogram!(metric::REQUEST_SECONDS,
             "pipeline" => self.pipeline.name.to_string(), "outcome" => outcome)
         .record(elapsed.as_secs_f64());
         info!(self.traffic.context.logger, "once: request ended as {outcome}";
--- a/src/traffic/stage.rs
+++ b/src/traffic/stage.rs
@@ -15,6 +15,7 @@
 use crate::decisions::retry::stage_time;
 use crate::manifest::{Stage, StageKind};
 use crate::traffic::endpoint_client::{Call, CallError, Ran, Reply};
+use crate::traffic::metric;
 use crate::traffic::refusal::{Refusal, RefusalCode};
 use crate::traffic::router_state::{NoSlot, Slot, SlotRequest};
 use crate::traffic::run::{Run, StageSummary};
@@ -72,7 +73,7 @@
     let done = state.attempts_until_done().await;
     let elapsed = clock::now().since(started);
     let outcome = if done.is_ok() { "answered" } else { "failed" };
-    metrics::histogram!("primrosewalk_stage_seconds", "pipeline" => run.pipeline.name.to_string(),
+    metrics::histogram!(metric::STAGE_SECONDS, "pipeline" => run.pipeline.name.to_string(),
         "stage" => stage.name.to_string(), "outcome" => outcome)
     .record(elapsed.as_secs_f64());
     let (endpoint, output) = done?;
@@ -120,7 +121,7 @@
                 "request" => %self.run.id, "stage" => %self.stage.name,
                 "endpoint" => %endpoint.name, "attempt" => self.attempts);
             self.check_retry(&error)?;
-            metrics::counter!("primrosewalk_retries_total",
+            metrics::counter!(metric::RETRIES_TOTAL,
                 "service" => self.stage.service.to_string())
             .increment(1);
             self.request.exclude.push(endpoint.name);
@@ -136,7 +137,7 @@
             refusal = run.interrupted() => return Err(refusal),
         };
         let waited = clock::now().since(started);
-        metrics::histogram!("primrosewalk_slot_wait_seconds",
+        metrics::histogram!(metric::SLOT_WAIT_SECONDS,
             "service" => self.stage.service.to_string())
         .record(waited.as_secs_f64());
         let logger = &run.traffic.context.logger;
@@ -210,7 +211,7 @@
             Ok(_) => "answered",
             Err(_) => "failed",
         };
-        metrics::histogram!("primrosewalk_attempt_seconds",
+        metrics::histogram!(metric::ATTEMPT_SECONDS,
             "service" => self.stage.service.to_string(), "outcome" => outcome)
         .record(clock::now().since(started).as_secs_f64());
         match result {
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -15,6 +15,7 @@
 use crate::traffic::config::TrafficConfig;
 use crate::traffic::endpoint_client::EndpointClient;
 use crate::traffic::key;
+use crate::traffic::metric;
 use crate::traffic::request_ids::RequestIds;
 use crate::traffic::router_state::RouterState;
 use crate::units::{OrganisationName, Time};
@@ -101,7 +102,7 @@
     /// Sends a report that may be dropped when the control thread is behind.
     pub fn report(&self, command: ControlCommand) {
         if self.commands.try_send(command).is_err() {
-            metrics::counter!("primrosewalk_reports_dropped_total").increment(1);
+            metrics::counter!(metric::REPORTS_DROPPED_TOTAL).increment(1);
         }
     }
 
