--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod http_body;
 mod http_server;
 mod key;
+mod metric;
 mod operator;
 mod refusal;
 mod request_ids;
@@ -38,7 +39,15 @@
 use crate::blackboard::ControlCommand;
 use crate::context::Context;
 use crate::traffic::http_server::Server;
-use crate::traffic::state::{Traffic, watch_changes};
+use crate::traffic::state::{Traffic, watch_snapshot};
+
+/// Sockets that are bound already, for callers who need to know the ports.
+pub struct Listeners {
+    /// Where callers connect.
+    pub caller: TcpListener,
+    /// Where operators connect.
+    pub operator: TcpListener,
+}
 
 /// Serves callers and operators until `stop` turns true, then refuses new work, lets
 /// running requests finish and returns.
@@ -52,13 +61,28 @@
     commands: mpsc::Sender<ControlCommand>,
     stop: watch::Receiver<bool>,
 ) -> anyhow::Result<()> {
-    let caller_listener = bind(config.caller_address, "callers").await?;
-    let operator_listener = bind(config.operator_address, "operators").await?;
-    let (changes_sender, changes) = watch::channel(0);
-    let traffic = Arc::new(Traffic::new(context, config, commands, stop, changes));
+    let listeners = Listeners {
+        caller: bind(config.caller_address, "callers").await?,
+        operator: bind(config.operator_address, "operators").await?,
+    };
+    serve_on(listeners, context, config, commands, stop).await;
+    Ok(())
+}
+
+/// Does what [`serve`] does on bound sockets.
+pub async fn serve_on(
+    listeners: Listeners,
+    context: Context,
+    config: TrafficConfig,
+    commands: mpsc::Sender<ControlCommand>,
+    stop: watch::Receiver<bool>,
+) {
+    metric::describe();
+    let (watcher, watched) = state::watcher();
+    let traffic = Arc::new(Traffic::new(context, config, commands, stop, watched));
     // Dropping the set ends these tasks.
     let mut background = JoinSet::new();
-    background.spawn(watch_changes(traffic.context.clone(), changes_sender));
+    background.spawn(watch_snapshot(traffic.context.clone(), watcher));
     background.spawn(background::serve_queues(Arc::clone(&traffic)));
     background.spawn(background::report_demand(Arc::clone(&traffic)));
     background.spawn(background::expire_ids(Arc::clone(&traffic)));
@@ -67,16 +91,15 @@
     let operators = Server::new(&traffic);
     let serve_callers = async {
         tokio::select! {
-            () = callers.accept(&caller_listener, caller::serve_caller) => {}
+            () = callers.accept(&listeners.caller, caller::serve_caller) => {}
             () = drained(&traffic) => {}
         }
         finish(&traffic, &callers).await;
     };
     tokio::select! {
-        () = operators.accept(&operator_listener, operator::serve_operator) => {}
+        () = operators.accept(&listeners.operator, operator::serve_operator) => {}
         () = serve_callers => {}
     }
-    Ok(())
 }
 
 /// Lets callers read their answers to the end.
@@ -110,6 +133,9 @@
     info!(traffic.context.logger, "traffic: refusing new work";
         "running" => traffic.runs.len());
     traffic.runs.close();
-    traffic.runs.wait().await;
+    tokio::join!(
+        traffic.runs.wait(),
+        tokio::time::sleep(traffic.config.stop_linger)
+    );
     info!(traffic.context.logger, "traffic: all requests ended");
 }
--- a/src/traffic/run.rs
+++ b/src/traffic/run.rs
@@ -21,7 +21,7 @@
 use crate::traffic::refusal::{Outcome, Refusal, RefusalCode};
 use crate::traffic::request_ids::{Fingerprint, Kept};
 use crate::traffic::state::Traffic;
-use crate::traffic::{admission, stage};
+use crate::traffic::{admission, metric, stage};
 use crate::units::{EndpointName, RequestId, StageName, Time};
 
 /// How long an interrupted request may take to say what it had sent. After that it is in
@@ -168,14 +168,9 @@
             () = run.messages.closed() => Interrupt::CallerGone,
             () = tokio::time::sleep(run.remaining()) => Interrupt::DeadlinePassed,
         };
-        let _ = run.interrupt.set(reason);
-        run.stop.cancel();
+        run.interrupt_for(reason);
         tokio::time::sleep(INTERRUPT_REPLY).await;
-        let refusal = Refusal {
-            outcome: Outcome::Unknown,
-            ..run.interrupt_refusal()
-        };
-        run.reply(Err(refusal)).await;
+        run.reply(Err(run.early_refusal())).await;
         std::future::pending::<()>().await;
     };
     let result = tokio::select! {
@@ -268,6 +263,33 @@
         }
     }
 
+    fn interrupt_for(&self, reason: Interrupt) {
+        let _ = self.interrupt.set(reason);
+        self.stop.cancel();
+        let reason = match reason {
+            Interrupt::CallerGone => "the caller left",
+            Interrupt::KeyLost(code) => code.as_str(),
+            Interrupt::DeadlinePassed => "the deadline passed",
+        };
+        info!(self.traffic.context.logger, "once: starting nothing more: {reason}";
+            "request" => %self.id);
+    }
+
+    /// Makes the refusal for a caller that does not learn how the attempt in flight ends.
+    fn early_refusal(&self) -> Refusal {
+        let refusal = self.interrupt_refusal();
+        let code = match refusal.code {
+            RefusalCode::DeadlinePassed => RefusalCode::OutcomeUnknown,
+            code => code,
+        };
+        Refusal {
+            code,
+            outcome: Outcome::Unknown,
+            message: format!("{}; a stage is still in flight", refusal.message),
+            ..refusal
+        }
+    }
+
     fn record_end(&self, result: Result<Bytes, Refusal>) {
         let owner = Some((self.caller.organisation.clone(), self.fingerprint));
         self.traffic.ids.end(&self.id, Kept { owner, result });
@@ -284,7 +306,7 @@
             Ok(_) => "answered",
             Err(refusal) => refusal.code.as_str(),
         };
-        metrics::histogram!("primrosewalk_request_seconds",
+        metrics::histogram!(metric::REQUEST_SECONDS,
             "pipeline" => self.pipeline.name.to_string(), "outcome" => outcome)
         .record(elapsed.as_secs_f64());
         info!(self.traffic.context.logger, "once: request ended as {outcome}";
