--- a/src/control/event_loop.rs
+++ b/src/control/event_loop.rs
@@ -5,13 +5,14 @@
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context as _;
 use slog::info;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
-use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{JoinSet, LocalSet, spawn_local};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::blackboard::{ControlCommand, HomesHeld};
 use crate::clock;
@@ -29,14 +30,17 @@
 use crate::decisions::quota::{Quota, QuotaConfig};
 use crate::decisions::slots::{SlotHolder, SlotKeeper, SlotsConfig};
 use crate::manifest::VmList;
-use crate::peer::calls::{CallClients, CallConfig, IncomingCall, serve_calls};
+use crate::peer::calls::{AcquireAnswer, CallClients, CallConfig, IncomingCall, serve_calls};
 use crate::peer::link::{LinkConfig, serve_links};
 use crate::settings::QuotaMode;
-use crate::units::{Time, Version};
+use crate::units::{OrganisationName, Time, Version};
 
 /// Calls of other VMs that may wait for the loop.
 const WAITING_CALLS: usize = 1_024;
 
+/// Time for the last state messages before the control thread ends.
+const LAST_MESSAGES: Duration = Duration::from_millis(50);
+
 /// Settings of the control thread.
 #[derive(Debug, Clone)]
 pub struct ControlConfig {
@@ -142,12 +146,16 @@
     let tasks = LocalSet::new();
     let served = tasks.block_on(&runtime, async move {
         let control = Rc::new(new_control(context, config, stop));
-        let calls = start_tasks(&control, listeners)?;
+        let (mut tasks, calls) = start_tasks(&control, listeners)?;
         tokio::select! {
             () = serve_commands(&control, commands, calls) => {}
+            Some(_) = tasks.join_next() => anyhow::bail!("a control task ended"),
             _ = ended.wait_for(|ended| *ended) => {}
         }
-        anyhow::Ok(())
+        // A stop of an idle VM ends at once; peers should hear of it all the same.
+        control.wake_peers();
+        sleep(LAST_MESSAGES).await;
+        Ok(())
     });
     runtime.shutdown_background();
     served
@@ -194,26 +202,25 @@
     }
 }
 
+/// Starts the tasks that must run as long as the control thread does.
 fn start_tasks(
     control: &Rc<Control>,
     listeners: Listeners,
-) -> anyhow::Result<mpsc::Receiver<IncomingCall>> {
+) -> anyhow::Result<(JoinSet<()>, mpsc::Receiver<IncomingCall>)> {
     let state_listener = to_tokio(listeners.peer_state)?;
     let call_listener = to_tokio(listeners.peer_call)?;
     let (calls_sender, calls) = mpsc::channel(WAITING_CALLS);
     let receiver = control.clone();
     let receive = Rc::new(move |message| receiver.take_message(&message));
-    spawn_local(serve_links(state_listener, control.config.link, receive));
-    spawn_local(serve_calls(
-        call_listener,
-        control.config.calls,
-        calls_sender,
-    ));
-    spawn_local(watch_manifest(control.clone()));
-    spawn_local(watch_vms(control.clone()));
-    spawn_local(read_loads(control.clone()));
-    spawn_local(measure_cost());
-    Ok(calls)
+    let config = &control.config;
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(serve_links(state_listener, config.link, receive));
+    tasks.spawn_local(serve_calls(call_listener, config.calls, calls_sender));
+    tasks.spawn_local(watch_manifest(control.clone()));
+    tasks.spawn_local(watch_vms(control.clone()));
+    tasks.spawn_local(read_loads(control.clone()));
+    tasks.spawn_local(measure_cost());
+    Ok((tasks, calls))
 }
 
 fn to_tokio(listener: StdListener) -> anyhow::Result<TcpListener> {
@@ -274,12 +281,7 @@
             max_wait,
             reply,
         } => {
-            let control = control.clone();
-            spawn_local(async move {
-                let answer = answer_here(&control, &organisation, max_wait).await;
-                // The asker may have gone; its token stays spent.
-                let _ = reply.send(answer);
-            });
+            spawn_local(answer_call(control.clone(), organisation, max_wait, reply));
         }
         IncomingCall::FetchManifest {
             after_version,
@@ -290,6 +292,21 @@
     }
 }
 
+/// Answers an ask of another VM. An asker that has gone is not waited for; its token stays
+/// spent.
+async fn answer_call(
+    control: Rc<Control>,
+    organisation: OrganisationName,
+    max_wait: Duration,
+    mut reply: oneshot::Sender<AcquireAnswer>,
+) {
+    let answer = tokio::select! {
+        answer = answer_here(&control, &organisation, max_wait) => answer,
+        () = reply.closed() => return,
+    };
+    let _ = reply.send(answer);
+}
+
 fn begin_stop(control: &Rc<Control>) {
     info!(control.logger(), "membership: planned stop begins");
     control.state.borrow_mut().stopping = true;
--- a/src/control/http.rs
+++ b/src/control/http.rs
@@ -64,16 +64,21 @@
     ///
     /// Returns why there is no whole reply.
     pub async fn get(&mut self, path: &str, limit: Duration) -> Result<Reply, ReadError> {
+        self.count("sent", path.len());
         let sender = self.sender.take();
         let read = timeout(limit, self.read(sender, path)).await;
         let (sender, reply) = read.map_err(|_| ReadError::Timeout(limit))??;
         self.sender = Some(sender);
-        let labels = [("kind", self.kind), ("direction", "received")];
-        counter!("primrosewalk_control_messages_total", &labels).increment(1);
-        counter!("primrosewalk_control_bytes_total", &labels).increment(reply.body.len() as u64);
+        self.count("received", reply.body.len());
         Ok(reply)
     }
 
+    fn count(&self, direction: &'static str, bytes: usize) {
+        let labels = [("kind", self.kind), ("direction", direction)];
+        counter!("primrosewalk_control_messages_total", &labels).increment(1);
+        counter!("primrosewalk_control_bytes_total", &labels).increment(bytes as u64);
+    }
+
     async fn read(
         &self,
         sender: Option<SendRequest<Empty<Bytes>>>,
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -40,6 +40,7 @@
             freshness_age_us: confirmed_at.map(age_us),
             leaving: state.stopping,
             grants_answer_sequence: peer.sequence,
+            grants_answer_incarnation: peer.incarnation.map_or(0, |run| run.0),
             ..StateMessage::default()
         };
         message.demands = state.demands_kept_by(now, vm);
@@ -195,6 +196,9 @@
         message: &StateMessage,
         control: &Control,
     ) -> Result<(), MessageError> {
+        if message.grants_answer_incarnation != control.context.incarnation.0 {
+            return Ok(());
+        }
         let peer = self.peers.get(vm);
         let Some(asked_at) = peer.and_then(|peer| peer.sent_at(message.grants_answer_sequence))
         else {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,7 +11,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use slog::{Discard, error, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Duration, interval, timeout};
 
 use crate::blackboard::{ControlCommand, SharedSnapshot, Snapshot};
@@ -67,11 +67,16 @@
     let (commands_sender, commands) = mpsc::channel(settings.commands_limit);
     let (stop, stop_receiver) = watch::channel(false);
     let (ended, ended_receiver) = watch::channel(false);
+    // Dropped when the control thread ends for any reason.
+    let (running, control_gone) = oneshot::channel::<()>();
     let control_thread = {
         let context = context.clone();
         let config = control_config(settings);
         let stop = stop.clone();
-        let run = move || run_control(context, config, listeners, commands, stop, ended_receiver);
+        let run = move || {
+            let _running = running;
+            run_control(context, config, listeners, commands, stop, ended_receiver)
+        };
         let builder = thread::Builder::new().name("control".to_owned());
         builder
             .spawn(run)
@@ -95,13 +100,16 @@
             commands_sender,
             stop_receiver.clone(),
         );
-        drain_in_time(settings.drain_limit, traffic, stop_receiver).await
+        tokio::select! {
+            served = drain_in_time(settings.drain_limit, traffic, stop_receiver) => served,
+            _ = control_gone => Ok(()),
+        }
     });
     ended.send_replace(true);
     runtime.shutdown_background();
     let controlled = control_thread.join();
-    served?;
     controlled.map_err(|_| anyhow::anyhow!("the control thread panicked"))??;
+    served?;
     info!(context.logger, "daemon: stopped");
     Ok(())
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -60,6 +60,9 @@
     /// Endpoints at which the sender saw a cold start a short time ago.
     #[prost(message, repeated, tag = "15")]
     pub cold_marks: Vec<WireColdMark>,
+    /// The recipient's run that sent the message which the grants answer.
+    #[prost(fixed64, tag = "16")]
+    pub grants_answer_incarnation: u64,
 }
 
 /// An [`Acknowledgement`] on the wire.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -195,6 +195,17 @@
         usable
     }
 
+    /// Reads an address that other processes are told, so it must be one to connect to.
+    fn reachable(&mut self, flag: &str, text: &str) -> Option<SocketAddr> {
+        let address = self.address(flag, text)?;
+        if address.ip().is_unspecified() {
+            let problem = format!("{address} is no address to connect to; give an IP number");
+            self.findings.add(flag, problem);
+            return None;
+        }
+        Some(address)
+    }
+
     fn count(&mut self, flag: &str, text: &str, highest: u64) -> Option<u64> {
         let parsed = text.parse().ok();
         let usable = parsed.filter(|count| (1..=highest).contains(count));
@@ -251,10 +262,10 @@
     fn read(&self, reader: &mut Reader) -> Option<Settings> {
         let vm = reader.parse("--vm", &self.vm);
         let data_centre = reader.parse("--data-centre", &self.data_centre);
-        let platform_address = reader.address("--platform-address", &self.platform_address);
+        let platform_address = reader.reachable("--platform-address", &self.platform_address);
         let caller_address = reader.address("--caller-address", &self.caller_address);
         let operator_address = reader.address("--operator-address", &self.operator_address);
-        let peer_state_address = reader.address("--peer-state-address", &self.peer_state_address);
+        let peer_state_address = reader.reachable("--peer-state-address", &self.peer_state_address);
         let peer_call_address = reader.address("--peer-call-address", &self.peer_call_address);
         reader.distinct(&[
             ("--caller-address", caller_address),
--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,277 @@
+//! Guards the control thread: configuration, links, quota asks, slots and planned stops.
+
+mod control_fakes;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use control_fakes::{FakePlatform, FakeVm, manifest_part, serve_http, wait_for};
+use googletest::prelude::*;
+use primrosewalk::blackboard::{AcquireOutcome, ControlCommand, SlotDemand};
+use primrosewalk::clock;
+use primrosewalk::control::keys::{endpoint_key, organisation_key};
+use primrosewalk::control::vms::parse_list;
+use primrosewalk::decisions::rendezvous::rendezvous_order;
+use primrosewalk::manifest::VmState;
+use primrosewalk::units::{EndpointName, OrganisationName, VmId};
+use tokio::sync::oneshot;
+
+const NOWHERE: &str = "127.0.0.1:9";
+
+fn nowhere() -> SocketAddr {
+    NOWHERE.parse().unwrap()
+}
+
+fn home(key: &str, vms: &[&str]) -> VmId {
+    let vms: Vec<VmId> = vms.iter().map(|vm| vm.parse().unwrap()).collect();
+    rendezvous_order(key, &vms)[0].clone()
+}
+
+/// Finds an organisation whose home is `vm`.
+fn organisation_at(vm: &str, vms: &[&str]) -> OrganisationName {
+    let names = (0..1_000).map(|index| format!("o-{index}").parse::<OrganisationName>().unwrap());
+    let mut at = names.filter(|name| home(&organisation_key(name), vms).as_str() == vm);
+    at.next().unwrap()
+}
+
+fn acquire(vm: &FakeVm, organisation: &OrganisationName, max_wait: Duration) -> AcquireOutcome {
+    let (reply, answer) = oneshot::channel();
+    let organisation = organisation.clone();
+    let command = ControlCommand::Acquire {
+        organisation,
+        max_wait,
+        reply,
+    };
+    vm.run().commands.blocking_send(command).unwrap();
+    answer.blocking_recv().unwrap()
+}
+
+#[gtest]
+fn a_bad_manifest_is_refused_once_and_the_one_in_force_stays() {
+    let platform = FakePlatform::start();
+    let mut vm = FakeVm::bind("vm-1");
+    platform.publish_vms(1, &[&vm]);
+    platform.publish_manifest(1, &manifest_part(nowhere(), &["o-1"], 10.0));
+    vm.start(&platform);
+    vm.wait_for_manifest(1);
+    let mut bad = manifest_part(nowhere(), &["o-1", "o-1"], 0.0);
+    bad["endpoints"][0]["cold_slots"] = 9.into();
+    platform.publish_manifest(2, &bad);
+    wait_for("refusal", || vm.lines.count("manifest 2 refused") > 0);
+    for place in ["organisations[1]", "rate_per_second", "cold_slots"] {
+        expect_that!(vm.lines.count(place), eq(1), "{place}");
+    }
+    let reads = platform.reads("manifest");
+    wait_for("two more reads", || platform.reads("manifest") > reads + 1);
+    expect_that!(vm.lines.count("manifest 2 refused"), eq(1));
+    expect_that!(vm.snapshot().manifest_version.0, eq(1));
+    platform.publish_manifest(3, &manifest_part(nowhere(), &["o-1"], 10.0));
+    vm.wait_for_manifest(3);
+    vm.end();
+}
+
+#[gtest]
+fn an_older_manifest_or_list_never_comes_back() {
+    let platform = FakePlatform::start();
+    let mut vms = [FakeVm::bind("vm-1"), FakeVm::bind("vm-2")];
+    platform.publish_vms(5, &[&vms[0], &vms[1]]);
+    platform.publish_manifest(5, &manifest_part(nowhere(), &["o-1"], 10.0));
+    vms[0].start(&platform);
+    vms[0].wait_for_manifest(5);
+    // A restarted VM reads from a platform that went back, but its peer has shown version 5.
+    let stale = FakePlatform::start();
+    stale.publish_vms(4, &[&vms[0], &vms[1]]);
+    vms[1].start(&stale);
+    wait_for("version 5 from the peer", || {
+        vms[1].snapshot().manifest_version.0 == 5
+    });
+    stale.publish_manifest(4, &manifest_part(nowhere(), &["o-2"], 10.0));
+    let reads = stale.reads("manifest");
+    wait_for("two more reads", || stale.reads("manifest") > reads + 1);
+    expect_that!(vms[1].snapshot().manifest_version.0, eq(5));
+    expect_that!(vms[0].snapshot().list_version.0, eq(5));
+    vms.iter_mut().for_each(FakeVm::end);
+}
+
+#[gtest]
+fn a_peer_passes_on_a_newer_manifest_and_freshness_while_the_platform_is_down() {
+    let (platform, cut_off) = (FakePlatform::start(), FakePlatform::start());
+    let mut vms = [FakeVm::bind("vm-1"), FakeVm::bind("vm-2")];
+    for platform in [&platform, &cut_off] {
+        platform.publish_vms(1, &[&vms[0], &vms[1]]);
+        platform.publish_manifest(1, &manifest_part(nowhere(), &["o-1"], 10.0));
+    }
+    vms[0].start(&platform);
+    vms[1].start(&cut_off);
+    vms[0].wait_for_manifest(1);
+    vms[1].wait_for_manifest(1);
+    cut_off.set_down(true);
+    platform.publish_manifest(2, &manifest_part(nowhere(), &["o-1", "o-2"], 10.0));
+    vms[1].wait_for_manifest(2);
+    let then = clock::now();
+    wait_for("freshness beyond the old confirmations", || {
+        vms[1].snapshot().keys_fresh_until > then + Duration::from_secs(4)
+    });
+    vms.iter_mut().for_each(FakeVm::end);
+}
+
+#[gtest]
+fn tokens_come_from_the_home_wherever_they_are_asked() {
+    let names = ["vm-1", "vm-2"];
+    let platform = FakePlatform::start();
+    let mut vms = names.map(FakeVm::bind);
+    let organisations = names.map(|vm| organisation_at(vm, &names));
+    let listed = organisations.each_ref().map(|name| name.as_str());
+    platform.publish_vms(1, &[&vms[0], &vms[1]]);
+    platform.publish_manifest(1, &manifest_part(nowhere(), &listed, 20.0));
+    for vm in &mut vms {
+        vm.start(&platform);
+    }
+    for vm in &vms {
+        vm.wait_for_manifest(1);
+        for organisation in &organisations {
+            let outcome = acquire(vm, organisation, Duration::from_secs(10));
+            let latest = clock::now() + Duration::from_millis(50);
+            let granted = matches!(outcome, AcquireOutcome::Granted { usable_until } if usable_until <= latest);
+            expect_that!(
+                granted,
+                eq(true),
+                "{organisation} at {}: {outcome:?}",
+                vm.name
+            );
+        }
+    }
+    vms.iter_mut().for_each(FakeVm::end);
+}
+
+#[gtest]
+fn refusals_tell_a_spent_rate_from_a_home_that_cannot_be_asked() {
+    let names = ["vm-1", "vm-2"];
+    let platform = FakePlatform::start();
+    let mut vm = FakeVm::bind("vm-1");
+    let alone = organisation_at("vm-1", &["vm-1"]);
+    platform.publish_vms(1, &[&vm]);
+    platform.publish_manifest(1, &manifest_part(nowhere(), &[alone.as_str()], 0.001));
+    vm.start(&platform);
+    vm.wait_for_manifest(1);
+    wait_for("the rate is spent", || {
+        acquire(&vm, &alone, Duration::from_millis(100)) == AcquireOutcome::RateExceeded
+    });
+    let silent = FakeVm::bind("vm-2");
+    platform.publish_vms(2, &[&vm, &silent]);
+    wait_for("list 2", || vm.snapshot().vms.version.0 == 2);
+    let organisation = organisation_at("vm-2", &names);
+    let outcome = acquire(&vm, &organisation, Duration::from_millis(300));
+    expect_that!(outcome, eq(AcquireOutcome::Unavailable));
+    vm.end();
+}
+
+#[gtest]
+fn demand_reaches_the_keeper_and_brings_grants_and_load_reports() {
+    let names = ["vm-1", "vm-2"];
+    let report = r#"{"state":"warm","running":3,"queued":1,"models":["m-1"],"extra":0}"#;
+    let endpoint = serve_http(move |_| async move { (200, 0, Bytes::from(report)) });
+    let platform = FakePlatform::start();
+    let mut vms = names.map(FakeVm::bind);
+    platform.publish_vms(1, &[&vms[0], &vms[1]]);
+    platform.publish_manifest(1, &manifest_part(endpoint, &["o-1"], 10.0));
+    for vm in &mut vms {
+        vm.start(&platform);
+        vm.wait_for_manifest(1);
+    }
+    let name: EndpointName = "e-1".parse().unwrap();
+    let demand = SlotDemand {
+        in_flight: 0,
+        waiting: 1,
+    };
+    for vm in &vms {
+        let by_endpoint = HashMap::from([(name.clone(), demand)]);
+        let command = ControlCommand::Demand { by_endpoint };
+        vm.run().commands.blocking_send(command).unwrap();
+    }
+    for vm in &vms {
+        wait_for("grant", || {
+            let snapshot = vm.snapshot();
+            let grant = snapshot.grants.get(&name);
+            grant.is_some_and(|grant| grant.slots > 0 && clock::now() < grant.valid_until)
+        });
+        wait_for("load report", || {
+            let snapshot = vm.snapshot();
+            let load = snapshot.loads.get(&name);
+            load.is_some_and(|load| (load.running, load.queued, load.models.len()) == (3, 1, 1))
+        });
+    }
+    let keeper = home(&endpoint_key(&name), &names);
+    let [other] = vms
+        .iter()
+        .filter(|vm| vm.name != keeper.as_str())
+        .collect::<Vec<_>>()[..]
+    else {
+        panic!("one VM is not the keeper");
+    };
+    let command = ControlCommand::EndpointCold { endpoint: name };
+    other.run().commands.blocking_send(command).unwrap();
+    for vm in &vms {
+        wait_for("cold mark", || vm.lines.count("slots: e-1 is cold") == 1);
+    }
+    vms.iter_mut().for_each(FakeVm::end);
+}
+
+#[gtest]
+fn a_planned_stop_is_told_to_peers_and_control_serves_until_traffic_ends() {
+    let platform = FakePlatform::start();
+    let mut vms = ["vm-1", "vm-2"].map(FakeVm::bind);
+    platform.publish_vms(1, &[&vms[0], &vms[1]]);
+    platform.publish_manifest(1, &manifest_part(nowhere(), &["o-1"], 10.0));
+    for vm in &mut vms {
+        vm.start(&platform);
+        vm.wait_for_manifest(1);
+    }
+    vms[0].run().stop.send_replace(true);
+    wait_for("stopping", || vms[0].snapshot().stopping);
+    wait_for("the peer shows it as leaving", || {
+        let snapshot = vms[1].snapshot();
+        let mut entries = snapshot.vms.vms.iter();
+        entries.any(|vm| vm.id.as_str() == "vm-1" && vm.state == VmState::Leaving)
+    });
+    expect_that!(vms[1].snapshot().stopping, eq(false));
+    platform.publish_manifest(2, &manifest_part(nowhere(), &["o-1"], 10.0));
+    vms[0].wait_for_manifest(2);
+    vms.iter_mut().for_each(FakeVm::end);
+}
+
+struct ListCase {
+    text: &'static str,
+    place: &'static str,
+}
+
+#[gtest]
+fn a_damaged_vm_list_is_refused_with_its_place() {
+    let vm = r#"{"id":"vm-1","data_centre":"dc-1","caller_address":"127.0.0.1:1",
+        "peer_state_address":"127.0.0.1:2","peer_call_address":"127.0.0.1:3"}"#;
+    let twice = format!(r#"{{"version":1,"vms":[{vm},{vm}]}}"#);
+    let cases = [
+        ListCase {
+            text: "{",
+            place: "EOF",
+        },
+        ListCase {
+            text: r#"{"version":0,"vms":[]}"#,
+            place: "version: must be",
+        },
+        ListCase {
+            text: r#"{"version":1,"vms":[{"id":"a b"}]}"#,
+            place: "vms[0].id",
+        },
+        ListCase {
+            text: twice.leak(),
+            place: "vms[1].id: vm-1 stands here twice",
+        },
+    ];
+    for case in cases {
+        let findings = parse_list(case.text.as_bytes()).unwrap_err();
+        expect_that!(findings.to_string(), contains_substring(case.place));
+    }
+}
