--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -131,7 +131,9 @@
         }
         let incarnation = Incarnation(message.incarnation);
         let peer = self.peers.entry(vm.clone()).or_default();
+        let mut dropped = Vec::new();
         if peer.incarnation != Some(incarnation) {
+            dropped.extend(peer.demands.keys().cloned());
             peer.restart(incarnation);
         }
         if message.sequence <= peer.sequence {
@@ -142,6 +144,9 @@
         let shown = Version(message.manifest_version);
         peer.manifest_version = shown;
         self.newest_shown = self.newest_shown.max(shown);
+        for endpoint in dropped {
+            self.note_demand(now, &endpoint, vm, SlotDemand::default());
+        }
         true
     }
 
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -131,7 +131,7 @@
     Retry,
 }
 
-/// Watches `key` for ever. `first` gives the version that is held when a read begins, and
+/// Watches `key` for ever. `held` gives the version that is held when a read begins, and
 /// `pass` takes what a read saw. `fail` takes the first of several failures in a row.
 pub async fn watch_key(
     mut reader: PlatformReader,
--- a/src/control/slots.rs
+++ b/src/control/slots.rs
@@ -67,15 +67,14 @@
     }
 
     /// Numbers a new mark for peers, unless the last one is too recent.
-    fn mark(&mut self, now: Time, endpoint: &EndpointName) -> bool {
+    fn mark(&mut self, now: Time, endpoint: &EndpointName) {
         let sign = self.signs.entry(endpoint.clone()).or_default();
         if sign.marked_at.is_some_and(|at| now.since(at) < MARK_GAP) {
-            return false;
+            return;
         }
         self.last_number += 1;
         sign.number = self.last_number;
         sign.marked_at = Some(now);
-        true
     }
 
     /// Returns the marks to send now.
@@ -238,13 +237,15 @@
             return;
         }
         let first = state.note_cold(now, endpoint);
-        let marked = state.cold.mark(now, endpoint);
+        let kept_here = state.keeper_of(now, endpoint).as_ref() == Some(&self.context.vm);
+        // Later signs concern the keeper only; the next periodic message takes them there.
+        if first || !kept_here {
+            state.cold.mark(now, endpoint);
+        }
         drop(state);
         if first {
             info!(self.logger(), "slots: {endpoint} is cold"; "source" => source);
             self.publish();
-        }
-        if marked {
             self.wake_peers();
         }
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,7 +10,7 @@
 use clap::Parser;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use slog::{Discard, error, info, warn};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Duration, interval, timeout};
 
@@ -88,10 +88,15 @@
         .enable_all()
         .build()
         .context("cannot start the traffic runtime")?;
+    // Registered before the daemon says that it started: an earlier signal would kill it.
+    let signals = {
+        let _entered = runtime.enter();
+        Signals::register().context("cannot receive signals")?
+    };
     info!(context.logger, "daemon: {} started", settings.vm;
         "incarnation" => context.incarnation.to_string());
     let served = runtime.block_on(async {
-        tokio::spawn(stop_on_signals(context.clone(), stop.clone()));
+        tokio::spawn(stop_on_signals(context.clone(), signals, stop.clone()));
         tokio::spawn(keep_metrics(metrics.clone()));
         let traffic = serve_traffic(
             context.clone(),
@@ -153,23 +158,33 @@
     drained.unwrap_or_else(|_| Err(anyhow::anyhow!("requests still ran at the drain limit")))
 }
 
-/// Begins the planned stop at the first SIGTERM or SIGINT and exits at the second.
-async fn stop_on_signals(context: Context, stop: watch::Sender<bool>) {
-    let streams = signal(SignalKind::terminate())
-        .and_then(|terminate| Ok((terminate, signal(SignalKind::interrupt())?)));
-    let (mut terminate, mut interrupt) = match streams {
-        Ok(streams) => streams,
-        Err(error) => {
-            error!(context.logger, "daemon: cannot receive signals: {error}");
-            return;
+/// The signals that end a daemon.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn register() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) -> SignalKind {
+        tokio::select! {
+            _ = self.terminate.recv() => SignalKind::terminate(),
+            _ = self.interrupt.recv() => SignalKind::interrupt(),
         }
-    };
+    }
+}
+
+/// Begins the planned stop at the first SIGTERM or SIGINT and exits at the second.
+async fn stop_on_signals(context: Context, mut signals: Signals, stop: watch::Sender<bool>) {
     let mut stopping = false;
     loop {
-        let kind = tokio::select! {
-            _ = terminate.recv() => SignalKind::terminate(),
-            _ = interrupt.recv() => SignalKind::interrupt(),
-        };
+        let kind = signals.next().await;
         if stopping {
             std::process::exit(EXIT_SIGNAL + kind.as_raw_value());
         }
--- a/src/peer/calls.rs
+++ b/src/peer/calls.rs
@@ -45,7 +45,7 @@
     fn default() -> Self {
         Self {
             connect_timeout: Duration::from_secs(1),
-            frame_limit_bytes: 32 * 1024 * 1024,
+            frame_limit_bytes: 16 * 1024 * 1024,
             connections_limit: 256,
             calls_limit: 10_000,
             fetch_timeout: Duration::from_secs(5),
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -91,6 +91,12 @@
     let reads = stale.reads("manifest");
     wait_for("two more reads", || stale.reads("manifest") > reads + 1);
     expect_that!(vms[1].snapshot().manifest_version.0, eq(5));
+    stale.set_forgetful();
+    wait_for("refusals", || {
+        let refused = |text| vms[1].lines.count(text) > 0;
+        refused("older manifest 4 refused") && stale.reads("vms") > 3
+    });
+    expect_that!(vms[1].snapshot().manifest_version.0, eq(5));
     expect_that!(vms[0].snapshot().list_version.0, eq(5));
     vms.iter_mut().for_each(FakeVm::end);
 }
--- a/tests/control_fakes/mod.rs
+++ b/tests/control_fakes/mod.rs
@@ -40,6 +40,7 @@
     values: HashMap<String, (u64, Bytes)>,
     reads: HashMap<String, u64>,
     down: bool,
+    forgetful: bool,
 }
 
 /// The platform's configuration service.
@@ -86,6 +87,11 @@
         self.state.lock().unwrap().down = down;
     }
 
+    /// Makes the platform ignore the version that a watch has.
+    pub fn set_forgetful(&self) {
+        self.state.lock().unwrap().forgetful = true;
+    }
+
     pub fn reads(&self, key: &str) -> u64 {
         let state = self.state.lock().unwrap();
         state.reads.get(key).copied().unwrap_or(0)
@@ -115,7 +121,7 @@
                 return (503, 0, Bytes::new());
             }
             match state.values.get(key) {
-                Some((version, value)) if *version > after => {
+                Some((version, value)) if *version > after || state.forgetful => {
                     return (200, *version, value.clone());
                 }
                 Some((version, _)) if Instant::now() >= end => {
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,154 @@
+//! Guards the daemon's settings, its exit codes and its answer to SIGTERM.
+
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
+
+use clap::Parser;
+use googletest::prelude::*;
+use primrosewalk::settings::{Arguments, QuotaMode};
+use rustix::process::{Pid, Signal, kill_process};
+
+const VALID: [&str; 7] = [
+    "--vm=vm-1",
+    "--data-centre=dc-1",
+    "--platform-address=127.0.0.1:7000",
+    "--caller-address=127.0.0.1:7001",
+    "--operator-address=127.0.0.1:7002",
+    "--peer-state-address=127.0.0.1:7003",
+    "--peer-call-address=127.0.0.1:7004",
+];
+
+fn with(changes: &[&str]) -> Vec<String> {
+    let flag = |text: &str| text.split('=').next().map(str::to_owned);
+    let kept = VALID
+        .iter()
+        .filter(|valid| changes.iter().all(|change| flag(change) != flag(valid)));
+    let given = kept.chain(changes).map(|text| (*text).to_owned());
+    std::iter::once("primrosewalkd".to_owned())
+        .chain(given)
+        .collect()
+}
+
+struct SettingsCase {
+    changes: &'static [&'static str],
+    places: &'static [&'static str],
+}
+
+#[gtest]
+fn every_finding_names_its_flag() {
+    let cases = [
+        SettingsCase {
+            changes: &[],
+            places: &[],
+        },
+        SettingsCase {
+            changes: &["--quota=static-share"],
+            places: &[],
+        },
+        SettingsCase {
+            changes: &["--vm="],
+            places: &["--vm"],
+        },
+        SettingsCase {
+            changes: &["--vm=a.b", "--log-level=loud", "--drain-limit-ms=0"],
+            places: &["--vm", "--log-level", "--drain-limit-ms"],
+        },
+        SettingsCase {
+            changes: &[
+                "--platform-address=localhost:1",
+                "--caller-address=127.0.0.1:0",
+            ],
+            places: &["--platform-address", "--caller-address"],
+        },
+        SettingsCase {
+            changes: &["--peer-state-address=0.0.0.0:7003"],
+            places: &["--peer-state-address"],
+        },
+        SettingsCase {
+            changes: &["--peer-call-address=127.0.0.1:7001"],
+            places: &["--peer-call-address"],
+        },
+        SettingsCase {
+            changes: &[
+                "--quota=x",
+                "--routing=x",
+                "--retry-budget=x",
+                "--log-format=x",
+            ],
+            places: &["--log-format", "--quota", "--routing", "--retry-budget"],
+        },
+        SettingsCase {
+            changes: &["--commands-limit=1000001", "--acquires-limit=many"],
+            places: &["--commands-limit", "--acquires-limit"],
+        },
+    ];
+    for case in cases {
+        let arguments = Arguments::try_parse_from(with(case.changes)).unwrap();
+        let findings = arguments.validate().err().unwrap_or_default();
+        let places: Vec<&str> = findings
+            .items()
+            .iter()
+            .map(|item| item.place.as_str())
+            .collect();
+        expect_that!(places, eq(case.places), "{:?}", case.changes);
+    }
+}
+
+#[gtest]
+fn defaults_are_the_documented_ones() {
+    let arguments = Arguments::try_parse_from(with(&[])).unwrap();
+    let settings = arguments.validate().unwrap();
+    expect_that!(settings.quota, eq(QuotaMode::Home));
+    expect_that!(settings.retry_budget, eq(true));
+    expect_that!(settings.drain_limit.as_millis(), eq(660_000));
+}
+
+fn daemon(arguments: &[String]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_primrosewalkd"));
+    command.args(&arguments[1..]).env_clear();
+    command
+}
+
+#[gtest]
+fn check_reports_all_findings_and_uses_the_exit_code() {
+    let good = daemon(&with(&["--check"])).output().unwrap();
+    expect_that!(good.status.code(), some(eq(0)));
+    let bad = daemon(&with(&["--check", "--vm=", "--log-level=loud"]))
+        .env("PRIMROSEWALK_QUOTA", "most")
+        .output()
+        .unwrap();
+    expect_that!(bad.status.code(), some(eq(2)));
+    let text = String::from_utf8_lossy(&bad.stderr);
+    for flag in ["--vm: ", "--log-level: ", "--quota: "] {
+        expect_that!(text, contains_substring(flag));
+    }
+}
+
+#[gtest]
+fn sigterm_ends_an_idle_daemon_with_success() {
+    // Every process has its own part of the loopback network, so ports cannot collide.
+    let pid = std::process::id();
+    let host = format!(
+        "127.{}.{}.{}",
+        1 + pid / 65_536 % 254,
+        pid / 256 % 256,
+        1 + pid % 254
+    );
+    let ports: Vec<String> = VALID[2..]
+        .iter()
+        .map(|flag| flag.replace("127.0.0.1", &host))
+        .collect();
+    let ports: Vec<&str> = ports.iter().map(String::as_str).collect();
+    let mut child = daemon(&with(&ports))
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let mut wait = |text: &str| lines.any(|line| line.unwrap().contains(text));
+    expect_that!(wait("daemon: vm-1 started"), eq(true));
+    // The platform cannot be reached, which the control thread says after it started.
+    expect_that!(wait("config: manifest not read"), eq(true));
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    expect_that!(wait("daemon: stopped"), eq(true));
+    expect_that!(child.wait().unwrap().code(), some(eq(0)));
+}
