--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -40,6 +40,7 @@
             freshness_age_us: confirmed_at.map(age_us),
             leaving: state.stopping,
             grants_answer_sequence: peer.sequence,
+            grants_answer_incarnation: peer.incarnation.map_or(0, |run| run.0),
             ..StateMessage::default()
         };
         message.demands = state.demands_kept_by(now, vm);
@@ -130,7 +131,9 @@
         }
         let incarnation = Incarnation(message.incarnation);
         let peer = self.peers.entry(vm.clone()).or_default();
+        let mut dropped = Vec::new();
         if peer.incarnation != Some(incarnation) {
+            dropped.extend(peer.demands.keys().cloned());
             peer.restart(incarnation);
         }
         if message.sequence <= peer.sequence {
@@ -141,6 +144,9 @@
         let shown = Version(message.manifest_version);
         peer.manifest_version = shown;
         self.newest_shown = self.newest_shown.max(shown);
+        for endpoint in dropped {
+            self.note_demand(now, &endpoint, vm, SlotDemand::default());
+        }
         true
     }
 
@@ -195,6 +201,9 @@
         message: &StateMessage,
         control: &Control,
     ) -> Result<(), MessageError> {
+        if message.grants_answer_incarnation != control.context.incarnation.0 {
+            return Ok(());
+        }
         let peer = self.peers.get(vm);
         let Some(asked_at) = peer.and_then(|peer| peer.sent_at(message.grants_answer_sequence))
         else {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,8 +10,8 @@
 use clap::Parser;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use slog::{error, info, warn};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Duration, interval, timeout};
 
 use crate::blackboard::{SharedSnapshot, Snapshot};
@@ -75,11 +75,16 @@
     let (commands_sender, commands) = mpsc::channel(settings.commands_limit);
     let (stop, stop_receiver) = watch::channel(false);
     let (ended, ended_receiver) = watch::channel(false);
+    // Dropped when the control thread ends for any reason.
+    let (running, control_gone) = oneshot::channel::<()>();
     let control_thread = {
         let context = context.clone();
         let config = control_config(settings);
         let stop = stop.clone();
-        let run = move || run_control(context, config, listeners, commands, stop, ended_receiver);
+        let run = move || {
+            let _running = running;
+            run_control(context, config, listeners, commands, stop, ended_receiver)
+        };
         let builder = thread::Builder::new().name("control".to_owned());
         builder
             .spawn(run)
@@ -91,10 +96,15 @@
         .enable_all()
         .build()
         .context("cannot start the traffic runtime")?;
+    // Registered before the daemon says that it started: an earlier signal would kill it.
+    let signals = {
+        let _entered = runtime.enter();
+        Signals::register().context("cannot receive signals")?
+    };
     info!(context.logger, "daemon: {} started", settings.vm;
         "incarnation" => context.incarnation.to_string());
     let served = runtime.block_on(async {
-        tokio::spawn(stop_on_signals(context.clone(), stop.clone()));
+        tokio::spawn(stop_on_signals(context.clone(), signals, stop.clone()));
         tokio::spawn(keep_metrics(metrics.clone()));
         let config = traffic_config(settings, metrics);
         let traffic = traffic::serve(
@@ -103,13 +113,16 @@
             commands_sender,
             stop_receiver.clone(),
         );
-        drain_in_time(settings.drain_limit, traffic, stop_receiver).await
+        tokio::select! {
+            served = drain_in_time(settings.drain_limit, traffic, stop_receiver) => served,
+            _ = control_gone => Ok(()),
+        }
     });
     ended.send_replace(true);
     runtime.shutdown_background();
     let controlled = control_thread.join();
-    served?;
     controlled.map_err(|_| anyhow::anyhow!("the control thread panicked"))??;
+    served?;
     info!(context.logger, "daemon: stopped");
     Ok(())
 }
@@ -158,23 +171,33 @@
     drained.unwrap_or_else(|_| Err(anyhow::anyhow!("requests still ran at the drain limit")))
 }
 
-/// Begins the planned stop at the first SIGTERM or SIGINT and exits at the second.
-async fn stop_on_signals(context: Context, stop: watch::Sender<bool>) {
-    let streams = signal(SignalKind::terminate())
-        .and_then(|terminate| Ok((terminate, signal(SignalKind::interrupt())?)));
-    let (mut terminate, mut interrupt) = match streams {
-        Ok(streams) => streams,
-        Err(error) => {
-            error!(context.logger, "daemon: cannot receive signals: {error}");
-            return;
+/// The signals that end a daemon.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn register() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) -> SignalKind {
+        tokio::select! {
+            _ = self.terminate.recv() => SignalKind::terminate(),
+            _ = self.interrupt.recv() => SignalKind::interrupt(),
         }
-    };
+    }
+}
+
+/// Begins the planned stop at the first SIGTERM or SIGINT and exits at the second.
+async fn stop_on_signals(context: Context, mut signals: Signals, stop: watch::Sender<bool>) {
     let mut stopping = false;
     loop {
-        let kind = tokio::select! {
-            _ = terminate.recv() => SignalKind::terminate(),
-            _ = interrupt.recv() => SignalKind::interrupt(),
-        };
+        let kind = signals.next().await;
         if stopping {
             std::process::exit(EXIT_SIGNAL + kind.as_raw_value());
         }
