--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,6 +11,8 @@
 
 use clap::{Parser, Subcommand};
 
+use crate::load::{self, LoadOptions};
+
 /// Sends requests to a primrosewalk fleet, shows its state and checks manifests.
 #[derive(Debug, Parser)]
 #[command(name = "primrosewalk", version, propagate_version = true)]
@@ -31,6 +33,8 @@
     Explain(decisions::ExplainOptions),
     /// Show the recent decisions of a VM, and follow them.
     Decisions(decisions::DecisionsOptions),
+    /// Send load from a scenario against running daemons and report what callers saw.
+    Load(LoadOptions),
     /// Write completions for a shell to standard output.
     Completions(generate::CompletionsOptions),
     /// Write the manual page to standard output.
@@ -62,6 +66,10 @@
         Command::Check(options) => check::check(&options),
         Command::Explain(options) => decisions::explain(options).await,
         Command::Decisions(options) => decisions::decisions(options).await,
+        Command::Load(options) => {
+            print!("{}", load::run(options).await?);
+            Ok(())
+        }
         Command::Completions(options) => generate::completions(&options),
         Command::Man => generate::man(),
     }
--- a/tests/control_fakes/mod.rs
+++ b/tests/control_fakes/mod.rs
@@ -242,6 +242,7 @@
             incarnation: Incarnation(rand::random()),
             logger: Logger::root(self.lines.clone(), o!()),
             snapshot: snapshot.clone(),
+            decisions: Arc::default(),
         };
         let (commands, receiver) = mpsc::channel(64);
         let (stop, _) = watch::channel(false);
