--- a/src/cli/decisions.rs
+++ b/src/cli/decisions.rs
@@ -1,12 +1,12 @@
 //! `primrosewalk explain` and `primrosewalk decisions`: what a VM decided and why.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 
 use anyhow::{Context as _, bail};
 use clap::Args;
-use serde_json::Value;
 
+use crate::explain::Decision;
 use crate::http::{self, Call};
 use crate::units::RequestId;
 
@@ -51,12 +51,12 @@
         if !status.is_success() {
             continue;
         }
-        found = true;
-        let answer: Value = serde_json::from_slice(&body)?;
-        if options.json {
-            println!("{answer}");
+        let decisions: Vec<Decision> = parse(&body)?;
+        found |= !decisions.is_empty();
+        if options.json && !decisions.is_empty() {
+            println!("{}", serde_json::to_string(&decisions)?);
         } else {
-            print_lines(&answer);
+            print_lines(&decisions);
         }
     }
     if !found {
@@ -78,8 +78,9 @@
         if !status.is_success() {
             bail!("{} answered {status}", options.operator_address);
         }
-        let answer: Value = serde_json::from_slice(&body).context("the answer is not JSON")?;
-        after = print_lines(&answer).unwrap_or(after);
+        let decisions = parse(&body)?;
+        print_lines(&decisions);
+        after = decisions.last().map_or(after, |line| line.sequence);
         if !options.follow {
             return Ok(());
         }
@@ -87,15 +88,18 @@
     }
 }
 
-/// Prints the lines and returns the sequence of the last one.
-fn print_lines(answer: &Value) -> Option<u64> {
-    let lines = answer["decisions"].as_array()?;
-    for line in lines {
-        println!(
-            "{:>12} {}",
-            line["at_micros"],
-            line["text"].as_str().unwrap_or_default()
-        );
+fn parse(body: &[u8]) -> anyhow::Result<Vec<Decision>> {
+    serde_json::from_slice(body).context("the answer is not a list of decisions")
+}
+
+fn print_lines(decisions: &[Decision]) {
+    for line in decisions {
+        let at = UNIX_EPOCH + Duration::from_millis(line.at_unix_ms);
+        let values = line.values.iter().filter(|(key, _)| key != "decision");
+        let values: Vec<String> = values
+            .map(|(key, value)| format!("{key}={value}"))
+            .collect();
+        let at = humantime::format_rfc3339_millis(at);
+        println!("{at} {} {}", line.message, values.join(" "));
     }
-    lines.last()?["sequence"].as_u64()
 }
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -1,13 +1,17 @@
 //! `primrosewalk status`: the state of one or more VMs as tables or JSON.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::bail;
+use anyhow::{Context as _, bail};
 use clap::Args;
-use serde_json::Value;
+use comfy_table::Table;
 
 use crate::http::{self, Call};
+use crate::manifest::EndpointState;
+use crate::status::{CircuitStatus, Status};
+use crate::units::OrganisationName;
 
 const TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -29,22 +33,130 @@
 
 /// Prints the state of each VM; fails when one could not be asked.
 pub async fn status(options: StatusOptions) -> anyhow::Result<()> {
-    let mut unreachable = 0;
+    let mut statuses = Vec::new();
     for address in &options.operator_address {
-        let call = Call::get(*address, "/v1/status", TIMEOUT);
-        match http::fetch(&call, TIMEOUT).await {
-            Ok((_, body)) => {
-                let answer: Value = serde_json::from_slice(&body)?;
-                println!("{answer}");
-            }
-            Err(error) => {
-                unreachable += 1;
-                eprintln!("{address}: {error:#}");
-            }
+        match ask(*address).await {
+            Ok(status) => statuses.push(status),
+            Err(error) => eprintln!("{address}: {error:#}"),
         }
     }
+    if options.json {
+        println!("{}", serde_json::to_string(&statuses)?);
+    } else {
+        println!("{}\n", vm_table(&statuses));
+        println!("{}\n", endpoint_table(&statuses));
+        println!("{}", organisation_table(&statuses));
+    }
+    let unreachable = options.operator_address.len() - statuses.len();
     if unreachable > 0 {
         bail!("{unreachable} VMs could not be asked");
     }
     Ok(())
 }
+
+async fn ask(address: SocketAddr) -> anyhow::Result<Status> {
+    let call = Call::get(address, "/v1/status", TIMEOUT);
+    let (_, body) = http::fetch(&call, TIMEOUT).await?;
+    serde_json::from_slice(&body).context("the answer is not a status document")
+}
+
+fn yes_no(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
+
+fn vm_table(statuses: &[Status]) -> Table {
+    let mut table = Table::new();
+    table.set_header([
+        "VM",
+        "data centre",
+        "in force",
+        "stopping",
+        "manifest",
+        "VM list",
+        "keys fresh",
+        "running",
+        "absent VMs",
+    ]);
+    for status in statuses {
+        let absent = status.peers.iter().filter(|peer| peer.absent);
+        let absent: Vec<&str> = absent.map(|peer| peer.vm.as_str()).collect();
+        let manifest = status.manifest_version.map(|version| version.to_string());
+        table.add_row([
+            status.vm.to_string(),
+            status.data_centre.to_string(),
+            yes_no(status.in_force),
+            yes_no(status.stopping),
+            manifest.unwrap_or_else(|| "none".to_owned()),
+            status.list_version.to_string(),
+            yes_no(status.keys_fresh),
+            status.running_requests.to_string(),
+            absent.join(" "),
+        ]);
+    }
+    table
+}
+
+/// Shows each endpoint once: state as the first VM sees it, use added up over the VMs asked.
+fn endpoint_table(statuses: &[Status]) -> Table {
+    let mut table = Table::new();
+    table.set_header([
+        "endpoint",
+        "service",
+        "data centre",
+        "in service",
+        "cold",
+        "in flight",
+        "granted",
+        "slots",
+        "circuit open at",
+    ]);
+    for endpoint in statuses.first().iter().flat_map(|status| &status.endpoints) {
+        let mut in_flight = 0;
+        let mut granted = 0;
+        let mut open_at = Vec::new();
+        for status in statuses {
+            let same = status
+                .endpoints
+                .iter()
+                .find(|item| item.endpoint == endpoint.endpoint);
+            let Some(seen) = same else { continue };
+            in_flight += seen.in_flight;
+            granted += seen.granted_slots;
+            if seen.circuit == CircuitStatus::Open {
+                open_at.push(status.vm.as_str());
+            }
+        }
+        let in_service = endpoint.in_service && endpoint.state == EndpointState::Live;
+        table.add_row([
+            endpoint.endpoint.to_string(),
+            endpoint.service.to_string(),
+            endpoint.data_centre.to_string(),
+            yes_no(in_service),
+            endpoint.cold.map_or_else(|| "unknown".to_owned(), yes_no),
+            in_flight.to_string(),
+            granted.to_string(),
+            endpoint.slots.to_string(),
+            open_at.join(" "),
+        ]);
+    }
+    table
+}
+
+fn organisation_table(statuses: &[Status]) -> Table {
+    let mut totals = BTreeMap::<&OrganisationName, (u64, u64)>::new();
+    for organisation in statuses.iter().flat_map(|status| &status.organisations) {
+        let total = totals.entry(&organisation.organisation).or_default();
+        total.0 += organisation.admitted;
+        total.1 += organisation.refused;
+    }
+    let mut table = Table::new();
+    table.set_header(["organisation", "admitted", "refused"]);
+    for (organisation, (admitted, refused)) in totals {
+        table.add_row([
+            organisation.to_string(),
+            admitted.to_string(),
+            refused.to_string(),
+        ]);
+    }
+    table
+}
