fix(traffic): read a refused body to its end before answering

Cause: hyper closes a connection whose request body was not read; a caller that still writes then gets a reset and loses the refusal. Conclusion: up to 4 MiB are read for up to 1 s, except from callers that wait for '100 Continue'. The tests now live in one file per subject.

--- a/src/traffic/caller.rs
+++ b/src/traffic/caller.rs
@@ -7,7 +7,7 @@
 use futures::stream;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::ACCEPT;
+use hyper::header::{ACCEPT, EXPECT};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use serde_json::value::RawValue;
@@ -32,6 +32,12 @@
 /// Header that carries the time left, in milliseconds.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
 
+/// Most of a refused body that is read to its end.
+const DISCARD_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Longest time to read a refused body.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Serves one request of a caller.
 pub async fn serve_caller(
     traffic: Arc<Traffic>,
@@ -81,30 +87,56 @@
     name: &str,
     request: Request<Incoming>,
 ) -> Answer {
-    let (parts, body) = request.into_parts();
-    let id = match read_id(&parts.headers) {
-        Ok(id) => id,
-        Err(refusal) => return refuse(traffic, None, refusal),
-    };
-    let head = Head {
-        parts,
-        id,
-        arrived: clock::now(),
+    let (parts, mut body) = request.into_parts();
+    let waits_to_send = parts.headers.contains_key(EXPECT);
+    let id = read_id(&parts.headers);
+    let checked = match &id {
+        Ok(id) => {
+            let head = Head {
+                parts,
+                id: id.clone(),
+                arrived: clock::now(),
+            };
+            check(traffic, connection, name, head, &mut body).await
+        }
+        Err(refusal) => Err(refusal.clone()),
     };
-    let id = head.id.clone();
-    match check(traffic, connection, name, head, body).await {
+    let id = id.unwrap_or(None);
+    match checked {
         Ok(checked) => run_checked(traffic, id, checked).await,
-        Err(refusal) => refuse(traffic, id.as_ref(), refusal),
+        Err(refusal) => {
+            if refusal.code != RefusalCode::BodyTimeout && !waits_to_send {
+                discard(body).await;
+            }
+            refuse(traffic, id.as_ref(), refusal)
+        }
     }
 }
 
+/// Reads the rest of a body that nobody needs. A connection that is closed while the
+/// caller still writes is reset, and the caller then loses the refusal.
+async fn discard(mut body: Incoming) {
+    let read = async {
+        let mut left_bytes = DISCARD_LIMIT_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            let Some(left) = left_bytes.checked_sub(length) else {
+                return;
+            };
+            left_bytes = left;
+        }
+    };
+    // Whether it ended or took too long, the refusal is next.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
+}
+
 /// Reads and checks all that does not depend on the request id.
 async fn check(
     traffic: &Traffic,
     connection: &ConnectionKeys,
     name: &str,
     head: Head,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<Checked, Refusal> {
     let snapshot = traffic.context.snapshot.load_full();
     let Some(catalogue) = &snapshot.catalogue else {
@@ -172,13 +204,17 @@
     Refusal::not_run(RefusalCode::DeadlinePassed, message)
 }
 
-async fn read_body(traffic: &Traffic, body: Incoming, deadline: Time) -> Result<Bytes, Refusal> {
+async fn read_body(
+    traffic: &Traffic,
+    body: &mut Incoming,
+    deadline: Time,
+) -> Result<Bytes, Refusal> {
     let limit_bytes = traffic.config.body_limit_bytes;
     let too_large = || {
         let message = format!("the body is larger than {limit_bytes} bytes");
         Refusal::not_run(RefusalCode::BodyTooLarge, message)
     };
-    let declared = hyper::body::Body::size_hint(&body).lower();
+    let declared = hyper::body::Body::size_hint(body).lower();
     if declared > limit_bytes as u64 {
         return Err(too_large());
     }
--- /dev/null
+++ b/tests/traffic_cases/operators.rs
@@ -0,0 +1,55 @@
+//! The operator interface.
+
+use googletest::prelude::*;
+use primrosewalk::status::Status;
+
+use crate::traffic_fixture::endpoint::{Fake, OK};
+use crate::traffic_fixture::*;
+
+/// Operators must be able to see the state and ask why a request went as it did.
+#[gtest]
+#[tokio::test]
+async fn operators_read_status_and_decisions() {
+    let vm = Vm::start(Setup::new(vec![("first", Fake::start(&[OK]).await)])).await;
+    let address = send(vm.caller, "GET", "/v1/address", WITH_KEY, "")
+        .await
+        .json();
+    let id = address["request_id"].as_str().unwrap();
+    let expected_address = vm.caller.to_string();
+    expect_that!(
+        address["address"].as_str(),
+        some(eq(expected_address.as_str()))
+    );
+    let reply = run(&vm, "simple", &[("x-request-id", id)], "{}").await;
+    expect_that!(reply.status, eq(200));
+    let status: Status = serde_json::from_value(vm.operator_json("/v1/status").await).unwrap();
+    expect_that!(
+        status.manifest_version.map(|version| version.0),
+        some(eq(7))
+    );
+    expect_that!(status.endpoints.len(), eq(1));
+    expect_that!(status.endpoints[0].granted_slots, eq(4));
+    expect_that!(status.organisations[0].admitted, eq(1));
+    let lines = vm
+        .operator_json(&format!("/v1/explain/{id}"))
+        .await
+        .to_string();
+    for part in [
+        "quota: admitted",
+        "routing: chose first-0",
+        "once: request ended",
+    ] {
+        expect_that!(lines, contains_substring(part));
+    }
+    expect_that!(lines.contains(KEY), eq(false));
+    let all = vm.operator_json("/v1/decisions").await;
+    let last = all.as_array().unwrap().last().unwrap()["sequence"]
+        .as_u64()
+        .unwrap();
+    let none = vm
+        .operator_json(&format!("/v1/decisions?after={last}"))
+        .await;
+    expect_that!(none.as_array().map(Vec::len), some(eq(0)));
+    let ready = send(vm.operator, "GET", "/readyz", &[], "").await;
+    expect_that!(ready.status, eq(200));
+}
--- /dev/null
+++ b/tests/traffic_cases/stages.rs
@@ -0,0 +1,184 @@
+//! Stages: retries, slots, streams and their order.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use googletest::prelude::*;
+use primrosewalk::blackboard::ControlCommand;
+use primrosewalk::status::Status;
+use primrosewalk::traffic::{QuotaMode, RoutingMode, TrafficConfig};
+
+use crate::traffic_fixture::endpoint::{Fake, OK, Step};
+use crate::traffic_fixture::*;
+
+/// One failing endpoint must not fail an idempotent stage.
+#[gtest]
+#[tokio::test]
+async fn idempotent_stage_is_retried_at_another_endpoint() {
+    let failures = [
+        Step::Cut,
+        Step::Answer("500 Failed", "", "{}"),
+        Step::Answer("200 OK", "x-attempt-id: another\r\n", r#"{"output":1}"#),
+        Step::Answer("200 OK", "", "no JSON"),
+    ];
+    for failure in failures {
+        let first = [
+            Fake::start(std::slice::from_ref(&failure)).await,
+            Fake::start(&[OK]).await,
+        ];
+        let endpoints = vec![("first", first[0].clone()), ("first", first[1].clone())];
+        let vm = Vm::start(Setup::new(endpoints)).await;
+        let summary = run(&vm, "simple", &[], "{}").await.json();
+        let stage = &summary["stages"][0];
+        expect_that!(
+            stage["endpoint"].as_str(),
+            some(eq("first-1")),
+            "{failure:?}"
+        );
+        expect_that!(stage["attempts"].as_u64(), some(eq(2)), "{failure:?}");
+        expect_that!((first[0].seen().len(), first[1].seen().len()), eq((1, 1)));
+    }
+}
+
+/// An endpoint that hangs must leave time for another one.
+#[gtest]
+#[tokio::test]
+async fn hanging_endpoint_leaves_time_for_a_retry() {
+    let hanging = Fake::start(&[Step::Wait("{}")]).await;
+    let endpoints = vec![
+        ("first", hanging.clone()),
+        ("first", Fake::start(&[OK]).await),
+    ];
+    let vm = Vm::start(Setup::new(endpoints)).await;
+    let reply = run(&vm, "simple", &[("x-deadline-ms", "2000")], "{}").await;
+    expect_that!(reply.status, eq(200));
+    expect_that!(reply.json()["stages"][0]["attempts"].as_u64(), some(eq(2)));
+    hanging.closed_early().await;
+}
+
+/// More requests than slots must wait, and none may be left behind (P1, P2).
+#[gtest]
+#[tokio::test]
+async fn waiting_requests_never_exceed_the_grant_and_all_end() {
+    let first = Fake::start(&[Step::Slow(5)]).await;
+    let mut setup = Setup::new(vec![("first", first.clone())]);
+    setup.granted_slots = 2;
+    let vm = Arc::new(Vm::start(setup).await);
+    let runs = (0..24).map(|_| {
+        let vm = Arc::clone(&vm);
+        tokio::spawn(async move { run(&vm, "simple", &[], "{}").await.status })
+    });
+    for status in futures::future::join_all(runs).await {
+        expect_that!(status.unwrap(), eq(200));
+    }
+    expect_that!(first.most_at_once.load(Ordering::SeqCst), le(2));
+    let status: Status = serde_json::from_value(vm.operator_json("/v1/status").await).unwrap();
+    expect_that!(status.endpoints[0].in_flight, eq(0));
+    expect_that!(status.organisations[0].admitted, eq(24));
+}
+
+struct BrokenStream {
+    replay: &'static [&'static str],
+    text: &'static str,
+    last: &'static str,
+}
+
+/// A replay after a broken stream must neither double nor mix tokens (P1, P6).
+#[gtest]
+#[tokio::test]
+async fn broken_stream_is_resumed_only_by_an_identical_replay() {
+    let cases = [
+        BrokenStream {
+            replay: &["one", " two", " three"],
+            text: "one two three",
+            last: "end",
+        },
+        BrokenStream {
+            replay: &["one tw", "o thr", "ee"],
+            text: "one two three",
+            last: "end",
+        },
+        BrokenStream {
+            replay: &["one", " too", " three"],
+            text: "one two",
+            last: "error",
+        },
+        BrokenStream {
+            replay: &["one"],
+            text: "one two",
+            last: "error",
+        },
+    ];
+    for case in cases {
+        let broken = Fake::start(&[Step::CutStream(&["one", " two"])]).await;
+        let whole = Fake::start(&[Step::Stream(case.replay)]).await;
+        let endpoints = vec![("engine", broken), ("engine", whole)];
+        let vm = Vm::start(Setup::new(endpoints)).await;
+        let (text, last, data) = read_events(&rest(stream(&vm, "chat").await).await);
+        expect_that!((text.as_str(), last.as_str()), eq((case.text, case.last)));
+        if last == "end" {
+            expect_that!(data["output"].as_str(), some(eq(case.text)));
+        }
+    }
+}
+
+/// Stages must run in order, each on the output of the one before.
+#[gtest]
+#[tokio::test]
+async fn stages_pass_their_output_on() {
+    let first = Fake::start(&[Step::Answer("200 OK", "", r#"{"output": 1e400}"#)]).await;
+    let engine = Fake::start(&[Step::Stream(&["hel", "lo"])]).await;
+    let endpoints = vec![("first", first.clone()), ("engine", engine.clone())];
+    let vm = Vm::start(Setup::new(endpoints)).await;
+    let summary = run(&vm, "answer", &[], r#"{"q": "why"}"#).await.json();
+    expect_that!(summary["output"].as_str(), some(eq("hello")));
+    expect_that!(summary["stages"].as_array().map(Vec::len), some(eq(2)));
+    expect_that!(
+        first.seen()[0],
+        contains_substring(r#""input":{"q": "why"}"#)
+    );
+    // A number that no float holds must arrive as it was sent.
+    expect_that!(engine.seen()[0], contains_substring(r#""input":1e400"#));
+}
+
+/// The first sign of a cold start must be reported; repeated signs would restart the ramp.
+#[gtest]
+#[tokio::test]
+async fn cold_start_is_reported_once() {
+    let cold = Step::Answer("200 OK", "x-state: cold\r\n", r#"{"output":1}"#);
+    let vm = Vm::start(Setup::new(vec![("first", Fake::start(&[cold]).await)])).await;
+    for _ in 0..3 {
+        expect_that!(run(&vm, "simple", &[], "{}").await.status, eq(200));
+    }
+    let completed =
+        |report: &ControlCommand| matches!(report, ControlCommand::AttemptCompleted { .. });
+    let cold = |report: &ControlCommand| matches!(report, ControlCommand::EndpointCold { .. });
+    wait_until(|| async {
+        vm.reports
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|report| completed(report))
+            .count()
+            == 3
+    })
+    .await;
+    let reports = vm.reports.lock().unwrap();
+    expect_that!(reports.iter().filter(|report| cold(report)).count(), eq(1));
+}
+
+/// Baselines must serve requests too, or a comparison means nothing.
+#[gtest]
+#[tokio::test]
+async fn baselines_serve_requests() {
+    let mut setup = Setup::new(vec![("first", Fake::start(&[OK]).await)]);
+    setup.config = TrafficConfig {
+        quota_mode: QuotaMode::StaticShare,
+        routing_mode: RoutingMode::Random,
+        retry_budget_enabled: false,
+        ..TrafficConfig::default()
+    };
+    let vm = Vm::start(setup).await;
+    expect_that!(run(&vm, "simple", &[], "{}").await.status, eq(200));
+    expect_that!(*vm.asked.lock().unwrap(), eq(0));
+}
--- a/tests/traffic_fixture/mod.rs
+++ b/tests/traffic_fixture/mod.rs
@@ -27,6 +27,7 @@
 use endpoint::Fake;
 
 pub const KEY: &str = "key-of-clinic";
+pub const WITH_KEY: &[(&str, &str)] = &[("x-key", KEY)];
 pub const OTHER_KEY: &str = "key-of-depot";
 
 /// Far longer than anything here takes; a hang fails the test.
@@ -256,11 +257,11 @@
         serde_json::from_str(&self.body).unwrap_or_else(|error| panic!("{error}: {}", self.body))
     }
 
-    /// Returns status, code and outcome of a refusal.
-    pub fn refusal(&self) -> (u16, String, String) {
+    /// Returns status, code and outcome of a refusal, separated by spaces.
+    pub fn refusal(&self) -> String {
         let error = &self.json()["error"];
         let text = |name: &str| error[name].as_str().unwrap_or_default().to_owned();
-        (self.status, text("code"), text("outcome"))
+        format!("{} {} {}", self.status, text("code"), text("outcome"))
     }
 }
 
@@ -352,3 +353,20 @@
     });
     leave
 }
+
+/// Waits until the decisions about a request contain a text.
+pub async fn wait_for_line(vm: &Vm, id: &str, text: &str) {
+    let log = format!("/v1/explain/{id}");
+    wait_until(|| async { vm.operator_json(&log).await.to_string().contains(text) }).await;
+}
+
+/// Waits until a condition holds.
+pub async fn wait_until<F: Future<Output = bool>>(condition: impl Fn() -> F) {
+    let polled = async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let result = tokio::time::timeout(PATIENCE, polled).await;
+    result.expect("the condition in time");
+}
