fix(traffic): give a refused body the usual time to arrive

Cause: a refused body was read for 1 s only, and a caller with a 16 KiB send buffer took longer for 3 MB on loopback and got a reset. Conclusion: body_read_timeout (10 s) holds for refused bodies as well.

--- a/src/traffic/caller.rs
+++ b/src/traffic/caller.rs
@@ -35,9 +35,6 @@
 /// Most of a refused body that is read to its end.
 const DISCARD_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
-/// Longest time to read a refused body.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Serves one request of a caller.
 pub async fn serve_caller(
     traffic: Arc<Traffic>,
@@ -106,7 +103,7 @@
         Ok(checked) => run_checked(traffic, id, checked).await,
         Err(refusal) => {
             if refusal.code != RefusalCode::BodyTimeout && !waits_to_send {
-                discard(body).await;
+                discard(body, traffic.config.body_read_timeout).await;
             }
             refuse(traffic, id.as_ref(), refusal)
         }
@@ -115,7 +112,7 @@
 
 /// Reads the rest of a body that nobody needs. A connection that is closed while the
 /// caller still writes is reset, and the caller then loses the refusal.
-async fn discard(mut body: Incoming) {
+async fn discard(mut body: Incoming, time: Duration) {
     let read = async {
         let mut left_bytes = DISCARD_LIMIT_BYTES;
         while let Some(Ok(frame)) = body.frame().await {
@@ -127,7 +124,7 @@
         }
     };
     // Whether it ended or took too long, the refusal is next.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
+    let _ = tokio::time::timeout(time, read).await;
 }
 
 /// Reads and checks all that does not depend on the request id.
--- a/tests/traffic_cases/refusals.rs
+++ b/tests/traffic_cases/refusals.rs
@@ -94,7 +94,10 @@
 #[tokio::test]
 async fn refusal_of_a_large_body_gets_through() {
     let vm = Vm::start(Setup::new(vec![("first", Fake::start(&[OK]).await)])).await;
-    let mut stream = tokio::net::TcpStream::connect(vm.caller).await.unwrap();
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    // A large buffer would take the whole body although nobody reads it.
+    socket.set_send_buffer_size(128 * 1024).unwrap();
+    let mut stream = socket.connect(vm.caller).await.unwrap();
     let mut request = b"POST /v1/pipelines/simple HTTP/1.1\r\nhost: vm\r\nx-key: nobody's\r\n\
         content-length: 3000000\r\n\r\n"
         .to_vec();
