feat(traffic): block an endpoint at its first sign of a cold start

Until the control thread publishes new grants, at most 1 s, nothing more goes to an endpoint that showed a cold start. Streams check the key also while tokens wait for a slow caller, and streamed text has the same size limit as other answers.

--- a/src/traffic/caller.rs
+++ b/src/traffic/caller.rs
@@ -379,6 +379,8 @@
         return answer_refusal(traffic, refusal);
     }
     let stream = wants_stream(&checked);
+    let caller = checked.caller.clone();
+    let run_id = id.clone();
     let request = RunRequest {
         id,
         caller: checked.caller,
@@ -392,7 +394,13 @@
     match messages.recv().await {
         Some(CallerMessage::Token(text)) => {
             let first = CallerMessage::Token(text);
-            http_body::events(event_stream(first, messages))
+            let stream = EventStream {
+                traffic: Arc::clone(traffic),
+                id: run_id,
+                caller,
+                messages,
+            };
+            http_body::events(stream.events(first))
         }
         Some(CallerMessage::End(Ok(summary))) if stream => {
             let end = sse::encode("end", &String::from_utf8_lossy(&summary));
@@ -410,34 +418,52 @@
     }
 }
 
-/// Turns a request's messages into events, up to and including the last one.
-fn event_stream(
-    first: CallerMessage,
+/// The messages of a request whose caller streams.
+struct EventStream {
+    traffic: Arc<Traffic>,
+    id: RequestId,
+    caller: Caller,
     messages: mpsc::Receiver<CallerMessage>,
-) -> impl futures::Stream<Item = Bytes> + Send + 'static {
-    let state = Some((Some(first), messages));
-    stream::unfold(state, |state| async {
-        let (first, mut messages) = state?;
-        let message = match first {
-            Some(message) => Some(message),
-            None => messages.recv().await,
-        };
-        match message {
-            Some(CallerMessage::Token(text)) => {
-                let json = serde_json::json!({ "text": text }).to_string();
-                Some((sse::encode("token", &json), Some((None, messages))))
-            }
-            Some(CallerMessage::End(Ok(summary))) => {
-                Some((sse::encode("end", &String::from_utf8_lossy(&summary)), None))
+}
+
+impl EventStream {
+    /// Turns the messages into events, up to and including the last one.
+    fn events(self, first: CallerMessage) -> impl futures::Stream<Item = Bytes> + Send + 'static {
+        let state = Some((Some(first), self));
+        stream::unfold(state, |state| async {
+            let (first, mut stream) = state?;
+            let message = match first {
+                Some(message) => message,
+                None => stream.next_message().await,
+            };
+            match message {
+                CallerMessage::Token(text) => {
+                    let json = serde_json::json!({ "text": text }).to_string();
+                    Some((sse::encode("token", &json), Some((None, stream))))
+                }
+                CallerMessage::End(Ok(summary)) => {
+                    Some((sse::encode("end", &String::from_utf8_lossy(&summary)), None))
+                }
+                CallerMessage::End(Err(refusal)) => Some((error_event(&refusal), None)),
             }
-            Some(CallerMessage::End(Err(refusal))) => Some((error_event(&refusal), None)),
-            None => {
-                let message = "the request ended early";
-                let refusal = Refusal::unknown(RefusalCode::OutcomeUnknown, message);
-                Some((error_event(&refusal), None))
+        })
+    }
+
+    /// Returns the next message. A caller that reads slowly must not get waiting tokens
+    /// after its key was withdrawn, so the key is checked here as well.
+    async fn next_message(&mut self) -> CallerMessage {
+        let refusal = tokio::select! {
+            biased;
+            code = key::lost(&self.traffic, &self.caller) => {
+                Refusal::unknown(code, "the key no longer holds")
             }
-        }
-    })
+            message = self.messages.recv() => match message {
+                Some(message) => return message,
+                None => Refusal::unknown(RefusalCode::OutcomeUnknown, "the request ended early"),
+            },
+        };
+        CallerMessage::End(Err(refusal.with_id(&self.id)))
+    }
 }
 
 /// Writes the event that ends a stream without an answer.
--- a/src/traffic/router_state.rs
+++ b/src/traffic/router_state.rs
@@ -20,6 +20,7 @@
 use crate::decisions::retry::RetryBudget;
 use crate::decisions::routing::{Choice, RouteRequest, Router};
 use crate::manifest::{Endpoint, Stage, StageKind};
+use crate::traffic::cold_marks::ColdMarks;
 use crate::traffic::config::{RoutingMode, TrafficConfig};
 use crate::units::{DataCentreName, EndpointName, ModelName, OrganisationName, ServiceName, Time};
 
@@ -72,8 +73,7 @@
     queues: HashMap<ServiceKey, FairQueue<Waiter>>,
     /// Requests that wait, by service and model, for the demand report.
     waiting: HashMap<(ServiceKey, Option<ModelName>), u32>,
-    /// Endpoints whose cold start was reported, and when.
-    cold_since: HashMap<EndpointName, Time>,
+    cold: ColdMarks,
     budget: RetryBudget,
     random: ChaCha8Rng,
 }
@@ -164,7 +164,7 @@
             router: Router::new(config.routing, data_centre),
             queues: HashMap::new(),
             waiting: HashMap::new(),
-            cold_since: HashMap::new(),
+            cold: ColdMarks::default(),
             budget: RetryBudget::new(config.retry),
             random: ChaCha8Rng::from_rng(&mut rand::rng()),
         };
@@ -228,8 +228,28 @@
     }
 
     fn choose(&self, inner: &mut Inner, snapshot: &Snapshot, request: &SlotRequest) -> Choice {
-        let Inner { router, random, .. } = inner;
         let now = clock::now();
+        let blocked = inner.cold.blocked(now, snapshot);
+        if blocked.is_empty() {
+            return self.choose_unblocked(inner, now, snapshot, request);
+        }
+        let mut request = request.clone();
+        request.exclude.extend(blocked);
+        match self.choose_unblocked(inner, now, snapshot, &request) {
+            // The blocked endpoints will take work again.
+            Choice::None => Choice::Busy,
+            choice => choice,
+        }
+    }
+
+    fn choose_unblocked(
+        &self,
+        inner: &mut Inner,
+        now: Time,
+        snapshot: &Snapshot,
+        request: &SlotRequest,
+    ) -> Choice {
+        let Inner { router, random, .. } = inner;
         match self.mode {
             RoutingMode::Scored => router.choose(now, snapshot, &request.route(), random),
             RoutingMode::Random => choose_at_random(router, now, snapshot, request, random),
@@ -329,26 +349,16 @@
         self.inner.lock().budget.take(attempts)
     }
 
-    /// Returns whether a sign of a cold start begins one, rather than repeats a known one.
-    /// Only the first is reported, because each report sends the ramp back to its start.
-    pub fn is_first_cold_sign(&self, endpoint: &EndpointName) -> bool {
+    /// Takes a sign of a cold start and returns whether it begins one.
+    pub fn on_cold_sign(&self, endpoint: &EndpointName) -> bool {
         let snapshot = self.snapshot.load();
         let mut inner = self.inner.lock();
-        let since = inner.cold_since.get(endpoint);
-        let warm_since = since.is_some_and(|since| {
-            let load = snapshot.loads.get(endpoint);
-            load.is_some_and(|load| !load.cold && load.read_at > *since)
-        });
-        let is_first = since.is_none() || warm_since;
-        if is_first {
-            inner.cold_since.insert(endpoint.clone(), clock::now());
-        }
-        is_first
+        inner.cold.on_sign(clock::now(), &snapshot, endpoint)
     }
 
     /// Notes an answer without a sign of a cold start.
     pub fn on_warm_answer(&self, endpoint: &EndpointName) {
-        self.inner.lock().cold_since.remove(endpoint);
+        self.inner.lock().cold.on_warm_answer(endpoint);
     }
 
     /// Returns the requests in flight at an endpoint and whether its circuit lets one start.
--- a/src/traffic/stage.rs
+++ b/src/traffic/stage.rs
@@ -230,7 +230,7 @@
 
     fn report_cold(&self, slot: &Slot) {
         let endpoint = slot.endpoint.name.clone();
-        if !self.run.traffic.router.is_first_cold_sign(&endpoint) {
+        if !self.run.traffic.router.on_cold_sign(&endpoint) {
             return;
         }
         info!(self.run.traffic.context.logger, "routing: {endpoint} is in a cold start";
@@ -281,6 +281,7 @@
                 "token" => {
                     let text = token_text(&event.data)?;
                     self.relay.push(&text).await.map_err(diverged)?;
+                    self.check_length()?;
                 }
                 "end" => {
                     let text = self.relay.finish_attempt().map_err(diverged)?;
@@ -295,6 +296,17 @@
         }
     }
 
+    fn check_length(&self) -> Result<(), CallError> {
+        if self.relay.text_bytes() <= self.run.traffic.config.answer_limit_bytes {
+            return Ok(());
+        }
+        Err(CallError {
+            class: None,
+            can_retry: false,
+            ..CallError::transient(Ran::Maybe, "the streamed text is too large")
+        })
+    }
+
     /// Limits one step of an idempotent attempt to half of the stage's remaining time, so
     /// that a retry fits after an endpoint that hangs. A non-idempotent attempt has no
     /// retry and is limited as a whole.
--- a/src/traffic/token_relay.rs
+++ b/src/traffic/token_relay.rs
@@ -60,6 +60,11 @@
         Ok(())
     }
 
+    /// Returns the length of the current attempt's text.
+    pub fn text_bytes(&self) -> usize {
+        self.text.len()
+    }
+
     /// Ends the attempt and returns its text.
     ///
     /// # Errors
--- a/tests/traffic_fixture/mod.rs
+++ b/tests/traffic_fixture/mod.rs
@@ -17,6 +17,7 @@
 use primrosewalk::context::Context;
 use primrosewalk::explain::DecisionLog;
 use primrosewalk::manifest::{KeyDigest, VmList, parse_manifest};
+use primrosewalk::status::Status;
 use primrosewalk::traffic::{Listeners, TrafficConfig, serve_on};
 use primrosewalk::units::{Incarnation, Time, Version};
 use serde_json::{Value, json};
@@ -210,6 +211,10 @@
         reply.json()["request_id"].as_str().unwrap().to_owned()
     }
 
+    pub async fn status(&self) -> Status {
+        serde_json::from_value(self.operator_json("/v1/status").await).unwrap()
+    }
+
     pub async fn operator_json(&self, path: &str) -> Value {
         send(self.operator, "GET", path, &[], "").await.json()
     }
