--- a/src/traffic/caller.rs
+++ b/src/traffic/caller.rs
@@ -7,7 +7,7 @@
 use futures::stream;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::ACCEPT;
+use hyper::header::{ACCEPT, EXPECT};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use serde_json::value::RawValue;
@@ -32,6 +32,9 @@
 /// Header that carries the time left, in milliseconds.
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
 
+/// Most of a refused body that is read to its end.
+const DISCARD_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
 /// Serves one request of a caller.
 pub async fn serve_caller(
     traffic: Arc<Traffic>,
@@ -81,30 +84,56 @@
     name: &str,
     request: Request<Incoming>,
 ) -> Answer {
-    let (parts, body) = request.into_parts();
-    let id = match read_id(&parts.headers) {
-        Ok(id) => id,
-        Err(refusal) => return refuse(traffic, None, refusal),
-    };
-    let head = Head {
-        parts,
-        id,
-        arrived: clock::now(),
+    let (parts, mut body) = request.into_parts();
+    let waits_to_send = parts.headers.contains_key(EXPECT);
+    let id = read_id(&parts.headers);
+    let checked = match &id {
+        Ok(id) => {
+            let head = Head {
+                parts,
+                id: id.clone(),
+                arrived: clock::now(),
+            };
+            check(traffic, connection, name, head, &mut body).await
+        }
+        Err(refusal) => Err(refusal.clone()),
     };
-    let id = head.id.clone();
-    match check(traffic, connection, name, head, body).await {
+    let id = id.unwrap_or(None);
+    match checked {
         Ok(checked) => run_checked(traffic, id, checked).await,
-        Err(refusal) => refuse(traffic, id.as_ref(), refusal),
+        Err(refusal) => {
+            if refusal.code != RefusalCode::BodyTimeout && !waits_to_send {
+                discard(body, traffic.config.body_read_timeout).await;
+            }
+            refuse(traffic, id.as_ref(), refusal)
+        }
     }
 }
 
+/// Reads the rest of a body that nobody needs. A connection that is closed while the
+/// caller still writes is reset, and the caller then loses the refusal.
+async fn discard(mut body: Incoming, time: Duration) {
+    let read = async {
+        let mut left_bytes = DISCARD_LIMIT_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            let Some(left) = left_bytes.checked_sub(length) else {
+                return;
+            };
+            left_bytes = left;
+        }
+    };
+    // Whether it ended or took too long, the refusal is next.
+    let _ = tokio::time::timeout(time, read).await;
+}
+
 /// Reads and checks all that does not depend on the request id.
 async fn check(
     traffic: &Traffic,
     connection: &ConnectionKeys,
     name: &str,
     head: Head,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<Checked, Refusal> {
     let snapshot = traffic.context.snapshot.load_full();
     let Some(catalogue) = &snapshot.catalogue else {
@@ -172,13 +201,17 @@
     Refusal::not_run(RefusalCode::DeadlinePassed, message)
 }
 
-async fn read_body(traffic: &Traffic, body: Incoming, deadline: Time) -> Result<Bytes, Refusal> {
+async fn read_body(
+    traffic: &Traffic,
+    body: &mut Incoming,
+    deadline: Time,
+) -> Result<Bytes, Refusal> {
     let limit_bytes = traffic.config.body_limit_bytes;
     let too_large = || {
         let message = format!("the body is larger than {limit_bytes} bytes");
         Refusal::not_run(RefusalCode::BodyTooLarge, message)
     };
-    let declared = hyper::body::Body::size_hint(&body).lower();
+    let declared = hyper::body::Body::size_hint(body).lower();
     if declared > limit_bytes as u64 {
         return Err(too_large());
     }
@@ -346,6 +379,8 @@
         return answer_refusal(traffic, refusal);
     }
     let stream = wants_stream(&checked);
+    let caller = checked.caller.clone();
+    let run_id = id.clone();
     let request = RunRequest {
         id,
         caller: checked.caller,
@@ -359,7 +394,13 @@
     match messages.recv().await {
         Some(CallerMessage::Token(text)) => {
             let first = CallerMessage::Token(text);
-            http_body::events(event_stream(first, messages))
+            let stream = EventStream {
+                traffic: Arc::clone(traffic),
+                id: run_id,
+                caller,
+                messages,
+            };
+            http_body::events(stream.events(first))
         }
         Some(CallerMessage::End(Ok(summary))) if stream => {
             let end = sse::encode("end", &String::from_utf8_lossy(&summary));
@@ -377,34 +418,52 @@
     }
 }
 
-/// Turns a request's messages into events, up to and including the last one.
-fn event_stream(
-    first: CallerMessage,
+/// The messages of a request whose caller streams.
+struct EventStream {
+    traffic: Arc<Traffic>,
+    id: RequestId,
+    caller: Caller,
     messages: mpsc::Receiver<CallerMessage>,
-) -> impl futures::Stream<Item = Bytes> + Send + 'static {
-    let state = Some((Some(first), messages));
-    stream::unfold(state, |state| async {
-        let (first, mut messages) = state?;
-        let message = match first {
-            Some(message) => Some(message),
-            None => messages.recv().await,
-        };
-        match message {
-            Some(CallerMessage::Token(text)) => {
-                let json = serde_json::json!({ "text": text }).to_string();
-                Some((sse::encode("token", &json), Some((None, messages))))
-            }
-            Some(CallerMessage::End(Ok(summary))) => {
-                Some((sse::encode("end", &String::from_utf8_lossy(&summary)), None))
+}
+
+impl EventStream {
+    /// Turns the messages into events, up to and including the last one.
+    fn events(self, first: CallerMessage) -> impl futures::Stream<Item = Bytes> + Send + 'static {
+        let state = Some((Some(first), self));
+        stream::unfold(state, |state| async {
+            let (first, mut stream) = state?;
+            let message = match first {
+                Some(message) => message,
+                None => stream.next_message().await,
+            };
+            match message {
+                CallerMessage::Token(text) => {
+                    let json = serde_json::json!({ "text": text }).to_string();
+                    Some((sse::encode("token", &json), Some((None, stream))))
+                }
+                CallerMessage::End(Ok(summary)) => {
+                    Some((sse::encode("end", &String::from_utf8_lossy(&summary)), None))
+                }
+                CallerMessage::End(Err(refusal)) => Some((error_event(&refusal), None)),
             }
-            Some(CallerMessage::End(Err(refusal))) => Some((error_event(&refusal), None)),
-            None => {
-                let message = "the request ended early";
-                let refusal = Refusal::unknown(RefusalCode::OutcomeUnknown, message);
-                Some((error_event(&refusal), None))
+        })
+    }
+
+    /// Returns the next message. A caller that reads slowly must not get waiting tokens
+    /// after its key was withdrawn, so the key is checked here as well.
+    async fn next_message(&mut self) -> CallerMessage {
+        let refusal = tokio::select! {
+            biased;
+            code = key::lost(&self.traffic, &self.caller) => {
+                Refusal::unknown(code, "the key no longer holds")
             }
-        }
-    })
+            message = self.messages.recv() => match message {
+                Some(message) => return message,
+                None => Refusal::unknown(RefusalCode::OutcomeUnknown, "the request ended early"),
+            },
+        };
+        CallerMessage::End(Err(refusal.with_id(&self.id)))
+    }
 }
 
 /// Writes the event that ends a stream without an answer.
