fix(traffic): hand out addresses by the key that homes go by

Cause: the address order hashed the bare organisation name, the home order hashed organisation/NAME, so callers landed at their home only by chance. Both now use one function.

--- a/src/control/acquire.rs
+++ b/src/control/acquire.rs
@@ -10,8 +10,8 @@
 
 use crate::blackboard::AcquireOutcome;
 use crate::clock;
-use crate::control::keys::organisation_key;
 use crate::control::state::Control;
+use crate::decisions::home_keys::organisation_key;
 use crate::decisions::membership::Tenure;
 use crate::decisions::quota::{Allowance, Reservation};
 use crate::peer::calls::AcquireAnswer;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,7 +8,6 @@
 pub mod cost;
 pub mod event_loop;
 pub mod http;
-pub mod keys;
 pub mod links;
 pub mod loads;
 pub mod messages;
--- a/src/control/slots.rs
+++ b/src/control/slots.rs
@@ -7,8 +7,8 @@
 
 use crate::blackboard::{Catalogue, SlotDemand};
 use crate::clock;
-use crate::control::keys::endpoint_key;
 use crate::control::state::{Control, ControlState};
+use crate::decisions::home_keys::endpoint_key;
 use crate::decisions::slots::SlotLimits;
 use crate::units::{EndpointName, Time, VmId};
 
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -7,8 +7,8 @@
 
 use crate::blackboard::{HomesHeld, Snapshot};
 use crate::clock;
-use crate::control::keys::organisation_key;
 use crate::control::state::{Control, ControlState, HomesBasis};
+use crate::decisions::home_keys::organisation_key;
 use crate::manifest::{VmList, VmState};
 use crate::units::{Time, VmId};
 
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -7,6 +7,7 @@
 pub mod circuit;
 pub mod config_version;
 pub mod fair_queue;
+pub mod home_keys;
 pub mod membership;
 pub mod once;
 pub mod quota;
--- a/src/traffic/address.rs
+++ b/src/traffic/address.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::blackboard::Snapshot;
+use crate::decisions::home_keys::organisation_key;
 use crate::decisions::rendezvous::rendezvous_order;
 use crate::manifest::VmEntry;
 use crate::traffic::http_body::{self, Answer};
@@ -113,7 +114,7 @@
         let index = rand::rng().random_range(0..vms.len().max(1));
         return vms.get(index).copied();
     };
-    let order = rendezvous_order(organisation.as_str(), vms.iter().map(|vm| &vm.id));
+    let order = rendezvous_order(&organisation_key(organisation), vms.iter().map(|vm| &vm.id));
     let first = order.first()?;
     vms.iter().copied().find(|vm| vm.id == **first)
 }
