--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -14,6 +14,10 @@
 };
 use crate::units::{EndpointName, Incarnation, Time, Version, VmId};
 
+/// Silence of a peer after which messages carry the own address, which a peer with an older
+/// VM list needs to answer.
+const ADDRESS_SILENCE: Duration = Duration::from_secs(1);
+
 impl Control {
     /// Builds the next message for a peer. Its heartbeat counts as sent now.
     pub fn message_for(&self, vm: &VmId) -> StateMessage {
@@ -26,25 +30,38 @@
         let addresses = &state.addresses;
         let address_of = |vm: &VmId| addresses.get(vm).map(|item| item.state);
         let acknowledgement = peer.acknowledgement.take();
+        // A peer that answers knows the address already.
+        let answers = peer
+            .heard_at
+            .is_some_and(|at| now.since(at) < ADDRESS_SILENCE);
+        let answered = (peer.sequence, peer.incarnation);
         let confirmed_at = state.versions.confirmed_at();
         let age_us = |at| u64::try_from(now.since(at).as_micros()).unwrap_or(u64::MAX);
         let mut message = StateMessage {
             sender: self.context.vm.to_string(),
             recipient: vm.to_string(),
             incarnation: heartbeat.incarnation.0,
-            sender_address: self.config.own_state_address.to_string(),
+            sender_address: if answers {
+                String::new()
+            } else {
+                self.config.own_state_address.to_string()
+            },
             sequence: heartbeat.sequence,
             list_version: heartbeat.list_version.0,
             acknowledgement: acknowledgement.map(|it| WireAcknowledgement::new(&it, address_of)),
             manifest_version: state.versions.newest().0,
             freshness_age_us: confirmed_at.map(age_us),
             leaving: state.stopping,
-            grants_answer_sequence: peer.sequence,
-            grants_answer_incarnation: peer.incarnation.map_or(0, |run| run.0),
             ..StateMessage::default()
         };
         message.demands = state.demands_kept_by(now, vm);
         message.grants = state.grants_for(now, vm, self.config.slots.grant_life);
+        if let (sequence, Some(incarnation)) = answered
+            && !message.grants.is_empty()
+        {
+            message.grants_answer_sequence = sequence;
+            message.grants_answer_incarnation = incarnation.0;
+        }
         message.loads = state.loads_for(now, vm);
         let marks = state.cold.marks(now);
         message.cold_marks = marks
@@ -89,7 +106,9 @@
         let first_cold = state.take_marks(now, &vm, message)?;
         for wire in &message.loads {
             let (endpoint, load) = wire.load(now)?;
-            state.loads.insert(endpoint, load);
+            if state.knows(&endpoint) {
+                state.loads.insert(endpoint, load);
+            }
         }
         let fetch = state.wants_from_peer(Version(message.manifest_version));
         if urgent {
@@ -211,6 +230,9 @@
         };
         for grant in &message.grants {
             let endpoint: EndpointName = grant.endpoint.parse()?;
+            if !self.knows(&endpoint) {
+                continue;
+            }
             let config = control.config.slots;
             self.holder
                 .on_grant(asked_at, endpoint, grant.slots, &config);
@@ -233,7 +255,7 @@
         let mut urgent = false;
         for wire in &message.demands {
             let (endpoint, demand) = wire.demand()?;
-            if self.keeper_of(now, &endpoint).as_ref() != Some(me) {
+            if !self.knows(&endpoint) || self.keeper_of(now, &endpoint).as_ref() != Some(me) {
                 continue;
             }
             let earlier = before.remove(&endpoint).unwrap_or_default();
@@ -277,7 +299,7 @@
         for mark in message.cold_marks.iter().filter(|mark| mark.number > known) {
             highest = highest.max(mark.number);
             let endpoint: EndpointName = mark.endpoint.parse()?;
-            if self.note_cold(now, &endpoint) {
+            if self.knows(&endpoint) && self.note_cold(now, &endpoint) {
                 first.push(endpoint);
             }
         }
--- a/src/control/slots.rs
+++ b/src/control/slots.rs
@@ -93,6 +93,13 @@
 }
 
 impl ControlState {
+    /// Returns whether the manifest in force names an endpoint. What peers say of others is
+    /// ignored, which bounds all tables by the manifest.
+    pub fn knows(&self, endpoint: &EndpointName) -> bool {
+        let catalogue = self.catalogue.as_ref();
+        catalogue.is_some_and(|catalogue| catalogue.endpoint(endpoint).is_some())
+    }
+
     /// Returns the VM that keeps an endpoint.
     pub fn keeper_of(&mut self, now: Time, endpoint: &EndpointName) -> Option<VmId> {
         if let Some(vm) = self.keepers.get(endpoint) {
@@ -216,8 +223,7 @@
     pub fn take_completed(&self, endpoint: &EndpointName) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let known = |catalogue: &std::sync::Arc<Catalogue>| catalogue.endpoint(endpoint).is_some();
-        if !state.catalogue.as_ref().is_some_and(known) {
+        if !state.knows(endpoint) {
             return;
         }
         let own = state.demands.entry(endpoint.clone()).or_default();
@@ -232,8 +238,7 @@
     pub fn take_cold(&self, endpoint: &EndpointName, source: &str) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let known = |catalogue: &std::sync::Arc<Catalogue>| catalogue.endpoint(endpoint).is_some();
-        if !state.catalogue.as_ref().is_some_and(known) {
+        if !state.knows(endpoint) {
             return;
         }
         let first = state.note_cold(now, endpoint);
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -25,6 +25,7 @@
     #[prost(fixed64, tag = "3")]
     pub incarnation: u64,
     /// Where the sender takes state messages, so that VMs with an older list can answer.
+    /// Empty while the recipient answers.
     #[prost(string, tag = "4")]
     pub sender_address: String,
     /// Sequence of the heartbeat and of the message; rises with each one to the recipient.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -15,6 +15,7 @@
 use primrosewalk::control::vms::parse_list;
 use primrosewalk::decisions::rendezvous::rendezvous_order;
 use primrosewalk::manifest::VmState;
+use primrosewalk::settings::QuotaMode;
 use primrosewalk::units::{EndpointName, OrganisationName, VmId};
 use tokio::sync::oneshot;
 
@@ -152,6 +153,23 @@
     vms.iter_mut().for_each(FakeVm::end);
 }
 
+#[gtest]
+fn a_static_share_asks_no_other_vm() {
+    let names = ["vm-1", "vm-2"];
+    let platform = FakePlatform::start();
+    let (mut vm, silent) = (FakeVm::bind("vm-1"), FakeVm::bind("vm-2"));
+    vm.quota_mode = QuotaMode::StaticShare;
+    let organisation = organisation_at("vm-2", &names);
+    platform.publish_vms(1, &[&vm, &silent]);
+    let part = manifest_part(nowhere(), &[organisation.as_str()], 20.0);
+    platform.publish_manifest(1, &part);
+    vm.start(&platform);
+    vm.wait_for_manifest(1);
+    let outcome = acquire(&vm, &organisation, Duration::from_secs(10));
+    expect_that!(outcome, matches_pattern!(AcquireOutcome::Granted { .. }));
+    vm.end();
+}
+
 #[gtest]
 fn refusals_tell_a_spent_rate_from_a_home_that_cannot_be_asked() {
     let names = ["vm-1", "vm-2"];
--- a/tests/control_fakes/mod.rs
+++ b/tests/control_fakes/mod.rs
@@ -18,6 +18,7 @@
 use primrosewalk::context::Context;
 use primrosewalk::control::{ControlConfig, Listeners, run_control};
 use primrosewalk::manifest::{ManifestIndex, PartReference, part_digest};
+use primrosewalk::settings::QuotaMode;
 use primrosewalk::units::{Incarnation, Version};
 use serde_json::json;
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
@@ -196,6 +197,7 @@
     pub name: String,
     pub entry: serde_json::Value,
     pub lines: Lines,
+    pub quota_mode: QuotaMode,
     listeners: Option<Listeners>,
     pub running: Option<RunningVm>,
 }
@@ -227,6 +229,7 @@
             name: name.to_owned(),
             entry,
             lines: Lines::default(),
+            quota_mode: QuotaMode::Home,
             listeners: Some(listeners),
             running: None,
         }
@@ -246,7 +249,8 @@
         let (commands, receiver) = mpsc::channel(64);
         let (stop, _) = watch::channel(false);
         let (ended, ended_receiver) = watch::channel(false);
-        let config = ControlConfig::new(platform.address, own_address);
+        let mut config = ControlConfig::new(platform.address, own_address);
+        config.quota_mode = self.quota_mode;
         let stopper = stop.clone();
         let run = move || {
             run_control(
