fix(control): count a credit's life from when the token was due

Cause: the home said how long it held an ask up to the time of its answer. A home that was paused, or whose timer was late, so gave credits that lasted beyond the time that the bucket accounts for, and several of them could be used at once on waking. Ruled out: the check of the tenure when the token is due; a pause shorter than the lease passes it. Before: found by reading, not by a run. After: the existing tests pass. Conclusion: a late answer gives a shorter credit, or one that is dropped.

--- a/src/control/acquire.rs
+++ b/src/control/acquire.rs
@@ -190,7 +190,9 @@
     let current = control.state.borrow_mut().membership.tenure(now, &key);
     let same = |current: &Tenure| current.number == tenure.number && now < current.until;
     if current.as_ref().is_some_and(same) {
-        let held = now.since(asked_at).as_micros();
+        // Counted to when the token was due: the bucket allows use from then on, and an
+        // answer that comes later must not extend it.
+        let held = due_at.since(asked_at).as_micros();
         AcquireAnswer::Granted {
             held_us: u64::try_from(held).unwrap_or(u64::MAX),
         }
@@ -247,7 +249,7 @@
         Reservation::DueAt(due_at) => {
             sleep_until(due_at).await;
             AcquireOutcome::Granted {
-                usable_until: clock::now() + control.config.quota.credit_life,
+                usable_until: due_at + control.config.quota.credit_life,
             }
         }
     }
--- a/src/peer/calls.rs
+++ b/src/peer/calls.rs
@@ -67,7 +67,8 @@
 pub enum AcquireAnswer {
     /// The token is spent for the asker.
     Granted {
-        /// How long the home held the ask until the token was due, in microseconds.
+        /// Time from the ask's arrival to when the token was due, in microseconds. A late
+        /// answer does not lengthen it.
         held_us: u64,
     },
     /// The token would be due after the longest wait.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -16,7 +16,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::peer::backoff::{Backoff, BackoffConfig};
@@ -101,10 +101,11 @@
         if !matches!(sent, Ok(Ok(()))) {
             return;
         }
+        let next_at = Instant::now() + config.least_gap;
         let pause = async {
             let woken = timeout(config.period, wake.notified()).await;
             if woken.is_ok() {
-                sleep(config.least_gap).await;
+                sleep_until(next_at).await;
             }
         };
         tokio::select! {
