--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! Flags and environment variables of the daemon, validated as a whole.
 //!
-//! Values are parsed as text first, so that one run reports every bad flag.
+//! Values are parsed as text first, and a missing flag is an empty text, so that one run reports every bad flag.
 
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -21,28 +21,63 @@
 
 /// Serves pipelines on one VM.
 #[derive(Debug, Clone, Parser)]
-#[command(name = "primrosewalkd", version, about)]
+#[command(name = "primrosewalkd", version)]
 pub struct Arguments {
     /// Name of this VM on the platform's VM list (1 to 63 characters A-Z a-z 0-9 _ -).
-    #[arg(long, env = "PRIMROSEWALK_VM", default_value = "")]
+    #[arg(
+        long,
+        env = "PRIMROSEWALK_VM",
+        default_value = "",
+        hide_default_value = true
+    )]
     pub vm: String,
     /// Name of the data centre that this VM stands in.
-    #[arg(long, env = "PRIMROSEWALK_DATA_CENTRE", default_value = "")]
+    #[arg(
+        long,
+        env = "PRIMROSEWALK_DATA_CENTRE",
+        default_value = "",
+        hide_default_value = true
+    )]
     pub data_centre: String,
     /// Address of the platform's configuration service (IP number:port).
-    #[arg(long, env = "PRIMROSEWALK_PLATFORM_ADDRESS", default_value = "")]
+    #[arg(
+        long,
+        env = "PRIMROSEWALK_PLATFORM_ADDRESS",
+        default_value = "",
+        hide_default_value = true
+    )]
     pub platform_address: String,
     /// Address that callers connect to (IP number:port).
-    #[arg(long, env = "PRIMROSEWALK_CALLER_ADDRESS", default_value = "")]
+    #[arg(
+        long,
+        env = "PRIMROSEWALK_CALLER_ADDRESS",
+        default_value = "",
+        hide_default_value = true
+    )]
     pub caller_address: String,
     /// Address that operators and metric readers connect to (IP number:port).
-    #[arg(long, env = "PRIMROSEWALK_OPERATOR_ADDRESS", default_value = "")]
+    #[arg(
+        long,
+        env = "PRIMROSEWALK_OPERATOR_ADDRESS",
+        default_value = "",
+        hide_default_value = true
+    )]
     pub operator_address: String,
     /// Address that other VMs send state messages to (IP number:port).
-    #[arg(long, env = "PRIMROSEWALK_PEER_STATE_ADDRESS", default_value = "")]
+    #[arg(
+        long,
+        env = "PRIMROSEWALK_PEER_STATE_ADDRESS",
+        default_value = "",
+        hide_default_value = true
+    )]
     pub peer_state_address: String,
     /// Address that other VMs send calls to (IP number:port).
-    #[arg(long, env = "PRIMROSEWALK_PEER_CALL_ADDRESS", default_value = "")]
+    #[arg(
+        long,
+        env = "PRIMROSEWALK_PEER_CALL_ADDRESS",
+        default_value = "",
+        hide_default_value = true
+    )]
     pub peer_call_address: String,
     /// Shape of log lines on standard error: text or json.
     #[arg(long, env = "PRIMROSEWALK_LOG_FORMAT", default_value = "text")]
