--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -19,7 +19,7 @@
 use crate::control::{ControlConfig, Listeners, run_control};
 use crate::explain::{DecisionLog, DecisionLogConfig};
 use crate::logger::build_logger;
-use crate::settings::{Arguments, QuotaMode, RoutingMode, Settings};
+use crate::settings::{Arguments, Settings};
 use crate::traffic::{self, TrafficConfig};
 use crate::units::Incarnation;
 
@@ -141,14 +141,7 @@
     TrafficConfig {
         caller_address: settings.caller_address,
         operator_address: settings.operator_address,
-        quota_mode: match settings.quota {
-            QuotaMode::Home => traffic::QuotaMode::Home,
-            QuotaMode::StaticShare => traffic::QuotaMode::StaticShare,
-        },
-        routing_mode: match settings.routing {
-            RoutingMode::Scored => traffic::RoutingMode::Scored,
-            RoutingMode::Random => traffic::RoutingMode::Random,
-        },
+        routing_mode: settings.routing,
         retry_budget_enabled: settings.retry_budget,
         drain_limit: settings.drain_limit,
         metrics: Some(metrics),
--- a/src/traffic/config.rs
+++ b/src/traffic/config.rs
@@ -8,26 +8,7 @@
 use crate::decisions::once::OnceConfig;
 use crate::decisions::retry::RetryConfig;
 use crate::decisions::routing::RoutingConfig;
-
-/// Where a request's token comes from.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub enum QuotaMode {
-    /// The organisation's home VM holds the whole bucket.
-    #[default]
-    Home,
-    /// Each VM holds a fixed share of the rate and the burst: the baseline.
-    StaticShare,
-}
-
-/// How an endpoint is chosen among those with a free slot.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub enum RoutingMode {
-    /// By data centre, load and circuit.
-    #[default]
-    Scored,
-    /// Uniformly at random, without circuits: the baseline.
-    Random,
-}
+use crate::settings::RoutingMode;
 
 /// Settings of [`crate::traffic::serve`].
 #[derive(Clone)]
@@ -36,8 +17,6 @@
     pub caller_address: SocketAddr,
     /// Where operators connect.
     pub operator_address: SocketAddr,
-    /// Source of tokens.
-    pub quota_mode: QuotaMode,
     /// Choice of endpoints.
     pub routing_mode: RoutingMode,
     /// Whether retries draw on the shared budget. Without it, only the attempts of each
@@ -85,8 +64,7 @@
         Self {
             caller_address: SocketAddr::from(([127, 0, 0, 1], 0)),
             operator_address: SocketAddr::from(([127, 0, 0, 1], 0)),
-            quota_mode: QuotaMode::default(),
-            routing_mode: RoutingMode::default(),
+            routing_mode: RoutingMode::Scored,
             retry_budget_enabled: true,
             routing: RoutingConfig::default(),
             retry: RetryConfig::default(),
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -34,7 +34,7 @@
 use tokio::task::JoinSet;
 
 pub use address::{AddressAnswer, RequestIdAnswer};
-pub use config::{QuotaMode, RoutingMode, TrafficConfig};
+pub use config::TrafficConfig;
 pub use refusal::{Outcome, Refusal, RefusalCode};
 
 use crate::blackboard::ControlCommand;
--- a/src/traffic/router_state.rs
+++ b/src/traffic/router_state.rs
@@ -20,8 +20,9 @@
 use crate::decisions::retry::RetryBudget;
 use crate::decisions::routing::{Choice, RouteRequest, Router};
 use crate::manifest::{Endpoint, Stage, StageKind};
+use crate::settings::RoutingMode;
 use crate::traffic::cold_marks::ColdMarks;
-use crate::traffic::config::{RoutingMode, TrafficConfig};
+use crate::traffic::config::TrafficConfig;
 use crate::units::{DataCentreName, EndpointName, ModelName, OrganisationName, ServiceName, Time};
 
 type ServiceKey = (StageKind, ServiceName);
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -12,7 +12,6 @@
 use crate::clock;
 use crate::context::Context;
 use crate::decisions::run_time::{RunTimeConfig, RunTimes};
-use crate::traffic::admission::StaticShare;
 use crate::traffic::config::TrafficConfig;
 use crate::traffic::endpoint_client::EndpointClient;
 use crate::traffic::key;
@@ -47,8 +46,6 @@
     pub ids: RequestIds,
     /// Calls endpoints.
     pub client: EndpointClient,
-    /// Buckets of the static-share baseline.
-    pub static_share: StaticShare,
     /// Rises when the catalogue changed or went stale.
     pub changes: watch::Receiver<u64>,
     /// Turns true when a planned stop begins.
@@ -86,7 +83,6 @@
             router: Arc::new(router),
             ids: RequestIds::new(&context, &config),
             client: EndpointClient::new(&config),
-            static_share: StaticShare::default(),
             runs: TaskTracker::new(),
             run_times: Mutex::new(RunTimes::new(RunTimeConfig::default())),
             counts: Mutex::default(),
--- a/tests/traffic_cases/stages.rs
+++ b/tests/traffic_cases/stages.rs
@@ -6,7 +6,8 @@
 
 use googletest::prelude::*;
 use primrosewalk::blackboard::ControlCommand;
-use primrosewalk::traffic::{QuotaMode, RoutingMode, TrafficConfig};
+use primrosewalk::settings::RoutingMode;
+use primrosewalk::traffic::TrafficConfig;
 
 use crate::traffic_fixture::endpoint::{Fake, OK, Step};
 use crate::traffic_fixture::*;
@@ -192,12 +193,10 @@
 async fn baselines_serve_requests() {
     let mut setup = Setup::new(vec![("first", Fake::start(&[OK]).await)]);
     setup.config = TrafficConfig {
-        quota_mode: QuotaMode::StaticShare,
         routing_mode: RoutingMode::Random,
         retry_budget_enabled: false,
         ..TrafficConfig::default()
     };
     let vm = Vm::start(setup).await;
     expect_that!(run(&vm, "simple", &[], "{}").await.status, eq(200));
-    expect_that!(*vm.asked.lock().unwrap(), eq(0));
 }
