--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -182,13 +182,19 @@
     },
     /// Reports requests in flight and waiting, for the keepers of the endpoints.
     Demand {
+        /// When traffic counted. All that started before is in the count or has ended.
+        at: Time,
         /// In flight and waiting, by endpoint.
         by_endpoint: HashMap<EndpointName, SlotDemand>,
     },
-    /// Reports an attempt that an endpoint answered whole, which lets a cold one ramp up.
+    /// Reports an attempt that an endpoint answered whole and without a sign of a cold start,
+    /// which lets a cold one ramp up.
     AttemptCompleted {
         /// The endpoint.
         endpoint: EndpointName,
+        /// When the attempt started. Only one that started after the sign of a cold start
+        /// shows that it is over.
+        started_at: Time,
     },
     /// Begins a planned stop.
     Stop,
--- /dev/null
+++ b/src/control/cold.rs
@@ -0,0 +1,140 @@
+//! Signs of cold starts: noted, told to the keeper, and marked for all peers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+
+use crate::blackboard::Catalogue;
+use crate::clock;
+use crate::control::state::{Control, ControlState};
+use crate::units::{EndpointName, Time};
+
+/// Signs of one cold start closer together than this are one episode: holders drop their
+/// grants at its first sign only, since later grants count the cold capacity already.
+const EPISODE_GAP: Duration = Duration::from_secs(1);
+/// Least time between marks for one endpoint to peers.
+const MARK_GAP: Duration = Duration::from_millis(200);
+/// How long a mark is repeated, so that a lost message loses none.
+const MARK_LIFE: Duration = Duration::from_secs(1);
+
+/// Signs of cold starts, own and of peers.
+#[derive(Debug, Default)]
+pub struct ColdSigns {
+    signs: HashMap<EndpointName, ColdSign>,
+    last_number: u64,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct ColdSign {
+    seen_at: Time,
+    marked_at: Option<Time>,
+    number: u64,
+}
+
+impl ColdSigns {
+    /// Notes a sign and returns whether it begins an episode.
+    fn see(&mut self, now: Time, endpoint: &EndpointName) -> bool {
+        let first = match self.signs.get(endpoint) {
+            None => true,
+            Some(sign) => now.since(sign.seen_at) >= EPISODE_GAP,
+        };
+        self.signs.entry(endpoint.clone()).or_default().seen_at = now;
+        first
+    }
+
+    /// Numbers a new mark for peers, unless the last one is too recent.
+    fn mark(&mut self, now: Time, endpoint: &EndpointName) {
+        let sign = self.signs.entry(endpoint.clone()).or_default();
+        if sign.marked_at.is_some_and(|at| now.since(at) < MARK_GAP) {
+            return;
+        }
+        self.last_number += 1;
+        sign.number = self.last_number;
+        sign.marked_at = Some(now);
+    }
+
+    /// Returns the marks to send now.
+    pub fn marks(&self, now: Time) -> impl Iterator<Item = (&EndpointName, u64)> {
+        let recent =
+            move |sign: &ColdSign| sign.marked_at.is_some_and(|at| now.since(at) < MARK_LIFE);
+        let signs = self.signs.iter();
+        signs
+            .filter(move |(_, sign)| recent(sign))
+            .map(|(endpoint, sign)| (endpoint, sign.number))
+    }
+
+    /// Returns when the last sign was seen.
+    pub fn seen_at(&self, endpoint: &EndpointName) -> Option<Time> {
+        self.signs.get(endpoint).map(|sign| sign.seen_at)
+    }
+
+    /// Forgets endpoints.
+    pub fn retain(&mut self, keep: impl Fn(&EndpointName) -> bool) {
+        self.signs.retain(|endpoint, _| keep(endpoint));
+    }
+}
+
+impl ControlState {
+    /// Notes a sign of a cold start and returns whether it begins an episode. The own grant
+    /// is dropped then, until the keeper gives a new one.
+    pub fn note_cold(&mut self, now: Time, endpoint: &EndpointName) -> bool {
+        let first = self.cold.see(now, endpoint);
+        if first {
+            let config = self.slots_config;
+            self.holder.on_cold_sign(now, endpoint, &config);
+            self.note_smaller_grant(now, endpoint);
+        }
+        if self.keeps(now, endpoint) {
+            self.keeper.on_cold(now, endpoint);
+            // Answers completed before the sign must not speed up the ramp.
+            for peer in self.peers.values_mut() {
+                peer.completed.remove(endpoint);
+            }
+        }
+        first
+    }
+
+    /// Treats endpoints that may get work again as after a cold start, so that load returns
+    /// to them step by step.
+    pub fn ramp_returned(&mut self, now: Time, next: &Catalogue) {
+        let Some(current) = self.catalogue.clone() else {
+            return;
+        };
+        for endpoint in &next.manifest.endpoints {
+            let before = current.endpoint(&endpoint.name);
+            let was_out = before.is_some_and(|before| !current.accepts_work(before));
+            if was_out && next.accepts_work(endpoint) {
+                self.note_cold(now, &endpoint.name);
+            }
+        }
+    }
+}
+
+impl Control {
+    /// Takes a sign of a cold start that this VM saw and marks it for all peers.
+    pub fn take_cold(&self, endpoint: &EndpointName, source: &str) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let known = |catalogue: &Arc<Catalogue>| catalogue.endpoint(endpoint).is_some();
+        if !state.catalogue.as_ref().is_some_and(known) {
+            return;
+        }
+        let first = state.note_cold(now, endpoint);
+        let kept_here = state.keeper_of(now, endpoint).as_ref() == Some(&self.context.vm);
+        // Later signs concern the keeper only; the next periodic message takes them there.
+        if first || !kept_here {
+            state.cold.mark(now, endpoint);
+        }
+        if kept_here {
+            state.review(now, endpoint);
+        }
+        drop(state);
+        if first {
+            info!(self.logger(), "slots: {endpoint} is cold"; "source" => source);
+            self.report_to_self();
+            self.wake_peers();
+        }
+    }
+}
--- a/src/control/event_loop.rs
+++ b/src/control/event_loop.rs
@@ -18,11 +18,12 @@
 use crate::clock;
 use crate::context::Context;
 use crate::control::acquire::{acquire, answer_here};
+use crate::control::cold::ColdSigns;
 use crate::control::config::watch_manifest;
 use crate::control::cost::measure_cost;
 use crate::control::loads::{LoadsConfig, read_loads};
 use crate::control::platform::PlatformConfig;
-use crate::control::slots::ColdSigns;
+use crate::control::slots::PublicationTimes;
 use crate::control::state::{Control, ControlState, HomesBasis, ManifestBytes};
 use crate::control::vms::watch_vms;
 use crate::decisions::config_version::{ConfigVersion, FreshnessConfig};
@@ -86,7 +87,12 @@
             unlisted_peers_limit: 32,
             membership: MembershipConfig::default(),
             quota: QuotaConfig::default(),
-            slots: SlotsConfig::default(),
+            // Counts of traffic from before a publication are told apart by its time, so no
+            // further lag has to be assumed.
+            slots: SlotsConfig {
+                publication_lag: Duration::from_millis(1),
+                ..SlotsConfig::default()
+            },
             freshness: FreshnessConfig::default(),
             platform: PlatformConfig::default(),
             link: LinkConfig::default(),
@@ -170,6 +176,7 @@
         now,
     );
     let state = ControlState {
+        me: context.vm.clone(),
         membership,
         versions: ConfigVersion::new(config.freshness),
         quota: Quota::new(config.quota),
@@ -183,6 +190,12 @@
         addresses: HashMap::new(),
         peers: HashMap::new(),
         demands: HashMap::new(),
+        measured_at: Time::ZERO,
+        publication: PublicationTimes::default(),
+        slots_config: config.slots,
+        own_sequence: 0,
+        own_news: HashMap::new(),
+        kept_by: HashMap::new(),
         loads: HashMap::new(),
         cold: ColdSigns::default(),
         keepers: HashMap::new(),
@@ -251,9 +264,9 @@
 fn on_tick(control: &Rc<Control>) {
     control.note_homes();
     control.sync_links();
-    control.grant_to_self();
+    control.settle_slots();
+    control.report_to_self();
     control.log_grants();
-    control.publish();
 }
 
 fn take_command(control: &Rc<Control>, command: ControlCommand) {
@@ -266,8 +279,11 @@
             spawn_local(acquire(control.clone(), organisation, max_wait, reply));
         }
         ControlCommand::EndpointCold { endpoint } => control.take_cold(&endpoint, "answer"),
-        ControlCommand::Demand { by_endpoint } => control.take_demand(&by_endpoint),
-        ControlCommand::AttemptCompleted { endpoint } => control.take_completed(&endpoint),
+        ControlCommand::Demand { at, by_endpoint } => control.take_demand(at, &by_endpoint),
+        ControlCommand::AttemptCompleted {
+            endpoint,
+            started_at,
+        } => control.take_completed(&endpoint, started_at),
         ControlCommand::Stop => {
             control.stop.send_replace(true);
         }
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -66,7 +66,6 @@
     fn drop_links(&mut self, wanted: &HashSet<VmId>) {
         let gone = |vm: &&VmId| !wanted.contains(*vm);
         let gone: Vec<VmId> = self.peers.keys().filter(gone).cloned().collect();
-        let now = clock::now();
         for vm in gone {
             let Some(peer) = self.peers.remove(&vm) else {
                 continue;
@@ -74,9 +73,6 @@
             if let Some((_, task)) = peer.link {
                 task.abort();
             }
-            for endpoint in peer.demands.into_keys() {
-                self.note_demand(now, &endpoint, &vm, Default::default());
-            }
         }
         let vms = &self.vms.vms;
         let listed = |vm: &VmId| vms.iter().any(|entry| entry.id == *vm);
--- a/src/control/loads.rs
+++ b/src/control/loads.rs
@@ -142,11 +142,12 @@
         queued: report.queued,
         models: report.models,
     };
-    control
-        .state
-        .borrow_mut()
-        .loads
-        .insert(endpoint.clone(), load);
+    let mut state = control.state.borrow_mut();
+    if state.keeps(read_at, endpoint) {
+        state.keeper.on_load(clock::now(), endpoint, &load);
+    }
+    state.loads.insert(endpoint.clone(), load);
+    drop(state);
     if cold {
         control.take_cold(endpoint, "load report");
     }
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -6,12 +6,9 @@
 
 use slog::info;
 
-use crate::blackboard::SlotDemand;
 use crate::clock;
-use crate::control::state::{Control, ControlState, Peer, PeerAddresses};
-use crate::peer::message::{
-    MessageError, StateMessage, WireAcknowledgement, WireColdMark, WireDemand, WireGrant, WireLoad,
-};
+use crate::control::state::{Control, ControlState, PeerAddresses};
+use crate::peer::message::{MessageError, StateMessage, WireAcknowledgement, WireColdMark};
 use crate::units::{EndpointName, Incarnation, Time, Version, VmId};
 
 impl Control {
@@ -43,8 +40,8 @@
             grants_answer_incarnation: peer.incarnation.map_or(0, |run| run.0),
             ..StateMessage::default()
         };
-        message.demands = state.demands_kept_by(now, vm);
-        message.grants = state.grants_for(now, vm, self.config.slots.grant_life);
+        state.add_reports(now, vm, &mut message);
+        state.add_answers(now, vm, &mut message);
         message.loads = state.loads_for(now, vm);
         let marks = state.cold.marks(now);
         message.cold_marks = marks
@@ -84,17 +81,15 @@
         if let Some(peer) = state.peers.get_mut(&vm) {
             peer.acknowledgement = Some(acknowledgement);
         }
-        state.take_grants(&vm, message, self)?;
-        let urgent = state.take_demands(now, &vm, message, me)?;
+        state.take_answers(now, &vm, message, self.context.incarnation)?;
+        state.take_reports(now, &vm, message)?;
         let first_cold = state.take_marks(now, &vm, message)?;
         for wire in &message.loads {
             let (endpoint, load) = wire.load(now)?;
             state.loads.insert(endpoint, load);
         }
         let fetch = state.wants_from_peer(Version(message.manifest_version));
-        if urgent {
-            state.wake(&vm);
-        }
+        let for_self = !state.own_news.is_empty();
         drop(state);
         for endpoint in first_cold {
             info!(self.logger(), "slots: {endpoint} is cold"; "source" => vm.as_str());
@@ -103,6 +98,9 @@
             self.fetch_from_peer(&vm);
         }
         self.note_homes();
+        if for_self {
+            self.report_to_self();
+        }
         self.publish();
         Ok(())
     }
@@ -131,9 +129,7 @@
         }
         let incarnation = Incarnation(message.incarnation);
         let peer = self.peers.entry(vm.clone()).or_default();
-        let mut dropped = Vec::new();
         if peer.incarnation != Some(incarnation) {
-            dropped.extend(peer.demands.keys().cloned());
             peer.restart(incarnation);
         }
         if message.sequence <= peer.sequence {
@@ -144,9 +140,6 @@
         let shown = Version(message.manifest_version);
         peer.manifest_version = shown;
         self.newest_shown = self.newest_shown.max(shown);
-        for endpoint in dropped {
-            self.note_demand(now, &endpoint, vm, SlotDemand::default());
-        }
         true
     }
 
@@ -195,76 +188,6 @@
         }
     }
 
-    fn take_grants(
-        &mut self,
-        vm: &VmId,
-        message: &StateMessage,
-        control: &Control,
-    ) -> Result<(), MessageError> {
-        if message.grants_answer_incarnation != control.context.incarnation.0 {
-            return Ok(());
-        }
-        let peer = self.peers.get(vm);
-        let Some(asked_at) = peer.and_then(|peer| peer.sent_at(message.grants_answer_sequence))
-        else {
-            return Ok(());
-        };
-        for grant in &message.grants {
-            let endpoint: EndpointName = grant.endpoint.parse()?;
-            let config = control.config.slots;
-            self.holder
-                .on_grant(asked_at, endpoint, grant.slots, &config);
-        }
-        Ok(())
-    }
-
-    /// Takes demand and completed counts. Returns whether the peer should get an answer at
-    /// once, since demand appeared.
-    fn take_demands(
-        &mut self,
-        now: Time,
-        vm: &VmId,
-        message: &StateMessage,
-        me: &VmId,
-    ) -> Result<bool, MessageError> {
-        let peer = self.peers.entry(vm.clone()).or_default();
-        let mut before = std::mem::take(&mut peer.demands);
-        let mut after = std::collections::HashMap::new();
-        let mut urgent = false;
-        for wire in &message.demands {
-            let (endpoint, demand) = wire.demand()?;
-            if self.keeper_of(now, &endpoint).as_ref() != Some(me) {
-                continue;
-            }
-            let earlier = before.remove(&endpoint).unwrap_or_default();
-            urgent |= demand.waiting > 0 && earlier.waiting == 0;
-            urgent |= earlier == SlotDemand::default() && demand != earlier;
-            self.note_demand(now, &endpoint, vm, demand);
-            self.take_completed_total(now, vm, &endpoint, wire.completed_total);
-            after.insert(endpoint, demand);
-        }
-        for endpoint in before.into_keys() {
-            self.note_demand(now, &endpoint, vm, SlotDemand::default());
-        }
-        if let Some(peer) = self.peers.get_mut(vm) {
-            peer.demands = after;
-        }
-        Ok(urgent)
-    }
-
-    fn take_completed_total(&mut self, now: Time, vm: &VmId, endpoint: &EndpointName, total: u64) {
-        let Some(peer) = self.peers.get_mut(vm) else {
-            return;
-        };
-        // The first total may count answers that an earlier keeper has already counted.
-        let before = peer.completed.insert(endpoint.clone(), total);
-        let count = total.saturating_sub(before.unwrap_or(total));
-        if count > 0 {
-            let count = u32::try_from(count).unwrap_or(u32::MAX);
-            self.keeper.on_completed(now, endpoint, count);
-        }
-    }
-
     fn take_marks(
         &mut self,
         now: Time,
@@ -286,67 +209,4 @@
         }
         Ok(first)
     }
-
-    fn demands_kept_by(&mut self, now: Time, vm: &VmId) -> Vec<WireDemand> {
-        let due = self.demands.iter().filter(|(_, own)| own.is_due(now));
-        let due: Vec<_> = due.map(|(name, own)| (name.clone(), *own)).collect();
-        let mut wires = Vec::new();
-        for (endpoint, own) in due {
-            if self.keeper_of(now, &endpoint).as_ref() == Some(vm) {
-                wires.push(WireDemand {
-                    endpoint: endpoint.to_string(),
-                    in_flight: own.demand.in_flight,
-                    waiting: own.demand.waiting,
-                    completed_total: own.completed_total,
-                });
-            }
-        }
-        wires
-    }
-
-    /// Returns grants for the endpoints that a peer wants. A peer whose last message is as
-    /// old as a grant's life could not use one.
-    fn grants_for(&mut self, now: Time, vm: &VmId, grant_life: Duration) -> Vec<WireGrant> {
-        let Some(peer) = self.peers.get(vm) else {
-            return Vec::new();
-        };
-        if peer.heard_at.is_none_or(|at| now.since(at) >= grant_life) {
-            return Vec::new();
-        }
-        let wanting =
-            |(_, demand): &(&EndpointName, &SlotDemand)| **demand != SlotDemand::default();
-        let wanted = peer.demands.iter().filter(wanting);
-        let wanted: Vec<EndpointName> = wanted.map(|(endpoint, _)| endpoint.clone()).collect();
-        let grants = wanted.into_iter().filter_map(|endpoint| {
-            let slots = self.grant_to(now, &endpoint, vm)?;
-            Some(WireGrant {
-                endpoint: endpoint.to_string(),
-                slots,
-            })
-        });
-        grants.collect()
-    }
-
-    /// Returns the load reports that a peer asked for by its demand and has not got yet.
-    fn loads_for(&mut self, now: Time, vm: &VmId) -> Vec<WireLoad> {
-        let Some(Peer {
-            demands,
-            loads_sent,
-            ..
-        }) = self.peers.get_mut(vm)
-        else {
-            return Vec::new();
-        };
-        let mut wires = Vec::new();
-        for endpoint in demands.keys() {
-            let Some(load) = self.loads.get(endpoint) else {
-                continue;
-            };
-            let sent = loads_sent.insert(endpoint.clone(), load.read_at);
-            if sent != Some(load.read_at) {
-                wires.push(WireLoad::new(endpoint, load, now));
-            }
-        }
-        wires
-    }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! so state is shared by [`std::rc::Rc`] and borrowed only between awaits.
 
 pub mod acquire;
+pub mod cold;
 pub mod config;
 pub mod cost;
 pub mod event_loop;
@@ -13,6 +14,7 @@
 pub mod loads;
 pub mod messages;
 pub mod platform;
+pub mod slot_messages;
 pub mod slots;
 pub mod snapshot;
 pub mod state;
--- /dev/null
+++ b/src/control/slot_messages.rs
@@ -0,0 +1,150 @@
+//! Reports on slots, answers to them and load reports in state messages.
+
+use std::time::Duration;
+
+use crate::blackboard::SlotDemand;
+use crate::control::state::ControlState;
+use crate::decisions::slots::SlotNews;
+use crate::peer::message::{MessageError, StateMessage, WireDemand, WireGrant, WireLoad};
+use crate::units::{EndpointName, Incarnation, Time, VmId};
+
+/// How long a peer that used an endpoint gets its load reports.
+const LOADS_LIFE: Duration = Duration::from_secs(2);
+
+impl ControlState {
+    /// Adds the reports on endpoints that the recipient keeps.
+    pub fn add_reports(&mut self, now: Time, vm: &VmId, message: &mut StateMessage) {
+        let numbers = (Incarnation(message.incarnation), message.sequence);
+        for (endpoint, report) in self.reports_for(now, vm, numbers) {
+            let own = self.demands.get(&endpoint);
+            let completed_total = own.map_or(0, |own| own.completed_total);
+            let wire = WireDemand::new(&endpoint, &report, completed_total);
+            message.demands.push(wire);
+        }
+    }
+
+    /// Adds answers to the recipient's reports and recalls of its grants. A peer whose last
+    /// message is as old as a grant's life could not use one.
+    pub fn add_answers(&mut self, now: Time, vm: &VmId, message: &mut StateMessage) {
+        let grant_life = self.slots_config.grant_life;
+        let Some(peer) = self.peers.get_mut(vm) else {
+            return;
+        };
+        if peer.heard_at.is_none_or(|at| now.since(at) >= grant_life) {
+            return;
+        }
+        let news = std::mem::take(&mut peer.news);
+        let reported: Vec<EndpointName> = peer.reported.keys().cloned().collect();
+        for endpoint in reported {
+            match news.get(&endpoint) {
+                Some(SlotNews::Recall) => {
+                    message.recalls.push(endpoint.to_string());
+                    continue;
+                }
+                Some(SlotNews::Answer) => {}
+                None if self.keeper.is_unanswered(&endpoint, vm) => {}
+                None => continue,
+            }
+            if let Some(answer) = self.answer_to(now, &endpoint, vm) {
+                let sequence = message.grants_answer_sequence;
+                let wire = WireGrant::new(&endpoint, &answer, sequence);
+                message.grants.push(wire);
+            }
+        }
+    }
+
+    /// Takes answers and recalls of a keeper, unless they are for an earlier run of this VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first name that is not valid.
+    pub fn take_answers(
+        &mut self,
+        now: Time,
+        vm: &VmId,
+        message: &StateMessage,
+        me: Incarnation,
+    ) -> Result<(), MessageError> {
+        if message.grants_answer_incarnation != me.0 {
+            return Ok(());
+        }
+        for wire in &message.grants {
+            let (endpoint, answer) = wire.answer(message.grants_answer_sequence)?;
+            self.take_answer(now, vm, &endpoint, &answer);
+        }
+        for recall in &message.recalls {
+            self.take_recall(now, vm, &recall.parse()?);
+        }
+        Ok(())
+    }
+
+    /// Takes reports and completed counts as keeper.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first name that is not valid.
+    pub fn take_reports(
+        &mut self,
+        now: Time,
+        vm: &VmId,
+        message: &StateMessage,
+    ) -> Result<(), MessageError> {
+        for wire in &message.demands {
+            let (endpoint, report) = wire.report(message)?;
+            if !self.keeps(now, &endpoint) {
+                continue;
+            }
+            self.keeper.on_report(now, &endpoint, vm, &report);
+            let completed = self.take_completed_total(now, vm, &endpoint, wire.completed_total);
+            if let Some(peer) = self.peers.get_mut(vm) {
+                let used_at = peer.reported.entry(endpoint.clone()).or_default();
+                if completed || report.demand != SlotDemand::default() {
+                    *used_at = Some(now);
+                }
+            }
+            self.review(now, &endpoint);
+        }
+        Ok(())
+    }
+
+    /// Returns whether attempts were completed since the last total.
+    fn take_completed_total(
+        &mut self,
+        now: Time,
+        vm: &VmId,
+        endpoint: &EndpointName,
+        total: u64,
+    ) -> bool {
+        let Some(peer) = self.peers.get_mut(vm) else {
+            return false;
+        };
+        // The first total may count answers that an earlier keeper has already counted.
+        let before = peer.completed.insert(endpoint.clone(), total);
+        let count = total.saturating_sub(before.unwrap_or(total));
+        if count > 0 {
+            let count = u32::try_from(count).unwrap_or(u32::MAX);
+            self.keeper.on_completed(now, endpoint, count);
+        }
+        count > 0
+    }
+
+    /// Returns the load reports of endpoints that a peer uses and that it has not got yet.
+    pub fn loads_for(&mut self, now: Time, vm: &VmId) -> Vec<WireLoad> {
+        let Some(peer) = self.peers.get_mut(vm) else {
+            return Vec::new();
+        };
+        let recent = |used_at: &Option<Time>| used_at.is_some_and(|at| now.since(at) < LOADS_LIFE);
+        let used = peer.reported.iter().filter(|(_, used_at)| recent(used_at));
+        let mut wires = Vec::new();
+        for (endpoint, _) in used {
+            let Some(load) = self.loads.get(endpoint) else {
+                continue;
+            };
+            let sent = peer.loads_sent.insert(endpoint.clone(), load.read_at);
+            if sent != Some(load.read_at) {
+                wires.push(WireLoad::new(endpoint, load, now));
+            }
+        }
+        wires
+    }
+}
--- a/src/control/slots.rs
+++ b/src/control/slots.rs
@@ -1,6 +1,10 @@
-//! Demand, grants and cold marks: carries out what the slot decisions say.
+//! Demand and grants: carries out what the slot decisions say.
+//!
+//! A VM reports to the keeper of each endpoint that it may use, and the keeper answers. Both
+//! parts go with the state messages; a keeper that is its own holder skips the wire.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use slog::info;
@@ -9,18 +13,17 @@
 use crate::clock;
 use crate::control::keys::endpoint_key;
 use crate::control::state::{Control, ControlState};
-use crate::decisions::slots::SlotLimits;
-use crate::units::{EndpointName, Time, VmId};
+use crate::decisions::membership::Tenure;
+use crate::decisions::slots::{Measured, SlotAnswer, SlotLimits, SlotNews, SlotReport};
+use crate::units::{EndpointName, Incarnation, Time, VmId};
 
-/// Signs of one cold start closer together than this are one episode: holders drop their
-/// grants at its first sign only, since later grants count the cold capacity already.
-const EPISODE_GAP: Duration = Duration::from_secs(1);
-/// Least time between marks for one endpoint to peers.
-const MARK_GAP: Duration = Duration::from_millis(200);
-/// How long a mark is repeated, so that a lost message loses none.
-const MARK_LIFE: Duration = Duration::from_secs(1);
 /// How long a running total is sent after its last change.
 const COMPLETED_LIFE: Duration = Duration::from_secs(1);
+/// Least time between reports on an endpoint that this VM does not use. Its standing share
+/// lapses after the life of a grant, and one lost message must not make it lapse.
+const IDLE_REPORT_GAP: Duration = Duration::from_millis(350);
+/// Publications whose times are remembered singly.
+const PUBLICATIONS: usize = 64;
 
 /// What traffic on this VM wants of one endpoint.
 #[derive(Debug, Default, Clone, Copy)]
@@ -31,64 +34,61 @@
     pub completed_total: u64,
     /// When the total last changed.
     pub completed_at: Time,
+    /// When the endpoint's keeper was last told.
+    pub reported_at: Option<Time>,
+    /// When the grant shrank, until the keeper is told that traffic obeys.
+    pub shrank_at: Option<Time>,
 }
 
 impl OwnDemand {
-    /// Returns whether the endpoint's keeper must hear of it.
-    pub fn is_due(&self, now: Time) -> bool {
+    fn is_in_use(&self, now: Time) -> bool {
         self.demand != SlotDemand::default()
             || (self.completed_total > 0 && now.since(self.completed_at) < COMPLETED_LIFE)
     }
-}
 
-/// Signs of cold starts, own and of peers.
-#[derive(Debug, Default)]
-pub struct ColdSigns {
-    signs: HashMap<EndpointName, ColdSign>,
-    last_number: u64,
+    fn is_idle_due(&self, now: Time) -> bool {
+        let recent = |at| now.since(at) < IDLE_REPORT_GAP;
+        !self.reported_at.is_some_and(recent)
+    }
 }
 
-#[derive(Debug, Default, Clone, Copy)]
-struct ColdSign {
-    seen_at: Time,
-    marked_at: Option<Time>,
-    number: u64,
+/// When changes of grants became visible to traffic.
+///
+/// A count of traffic from between a change and its publication says nothing about the
+/// change, however long the publication took.
+#[derive(Debug, Default)]
+pub struct PublicationTimes {
+    changed_at: Option<Time>,
+    /// Time of the first change and of the publication.
+    published: VecDeque<(Time, Time)>,
 }
 
-impl ColdSigns {
-    /// Notes a sign and returns whether it begins an episode.
-    fn see(&mut self, now: Time, endpoint: &EndpointName) -> bool {
-        let first = match self.signs.get(endpoint) {
-            None => true,
-            Some(sign) => now.since(sign.seen_at) >= EPISODE_GAP,
-        };
-        self.signs.entry(endpoint.clone()).or_default().seen_at = now;
-        first
+impl PublicationTimes {
+    /// Notes a change of grants.
+    pub fn on_change(&mut self, now: Time) {
+        self.changed_at.get_or_insert(now);
     }
 
-    /// Numbers a new mark for peers, unless the last one is too recent.
-    fn mark(&mut self, now: Time, endpoint: &EndpointName) {
-        let sign = self.signs.entry(endpoint.clone()).or_default();
-        if sign.marked_at.is_some_and(|at| now.since(at) < MARK_GAP) {
+    /// Notes that all changes so far are published.
+    pub fn on_published(&mut self, now: Time) {
+        let Some(changed_at) = self.changed_at.take() else {
+            return;
+        };
+        if self.published.len() >= PUBLICATIONS
+            && let Some(last) = self.published.back_mut()
+        {
+            last.1 = now;
             return;
         }
-        self.last_number += 1;
-        sign.number = self.last_number;
-        sign.marked_at = Some(now);
+        self.published.push_back((changed_at, now));
     }
 
-    /// Returns the marks to send now.
-    pub fn marks(&self, now: Time) -> impl Iterator<Item = (&EndpointName, u64)> {
-        let recent =
-            move |sign: &ColdSign| sign.marked_at.is_some_and(|at| now.since(at) < MARK_LIFE);
-        let signs = self.signs.iter();
-        signs
-            .filter(move |(_, sign)| recent(sign))
-            .map(|(endpoint, sign)| (endpoint, sign.number))
-    }
-
-    fn retain(&mut self, keep: impl Fn(&EndpointName) -> bool) {
-        self.signs.retain(|endpoint, _| keep(endpoint));
+    /// Returns the time as of which a count from `at` is complete.
+    fn counted_at(&mut self, at: Time) -> Time {
+        while self.published.front().is_some_and(|times| times.1 < at) {
+            self.published.pop_front();
+        }
+        self.published.front().map_or(at, |times| at.min(times.0))
     }
 }
 
@@ -103,23 +103,112 @@
         Some(vm)
     }
 
-    /// Notes what a VM wants of an endpoint. It counts only while this VM is the keeper.
-    pub fn note_demand(
+    /// Returns whether this VM keeps an endpoint.
+    pub fn keeps(&mut self, now: Time, endpoint: &EndpointName) -> bool {
+        self.keeper_of(now, endpoint).as_ref() == Some(&self.me)
+    }
+
+    /// Groups the endpoints by keeper and forgets what a former keeper of others knew.
+    pub fn install_keepers(&mut self, now: Time) {
+        self.kept_by.clear();
+        let Some(catalogue) = self.catalogue.clone() else {
+            return;
+        };
+        for endpoint in &catalogue.manifest.endpoints {
+            if let Some(vm) = self.keeper_of(now, &endpoint.name) {
+                let kept = self.kept_by.entry(vm).or_default();
+                kept.push(endpoint.name.clone());
+            }
+        }
+        let kept = self.kept_by.get(&self.me);
+        self.keeper
+            .retain(|endpoint| kept.is_some_and(|kept| kept.contains(endpoint)));
+        for own in self.demands.values_mut() {
+            own.reported_at = None;
+        }
+    }
+
+    /// Returns the reports that go to a keeper in the message that is sent now. They cover
+    /// each endpoint that this VM may use, so that it has a share before its first request.
+    pub fn reports_for(
+        &mut self,
+        now: Time,
+        keeper: &VmId,
+        message: (Incarnation, u64),
+    ) -> Vec<(EndpointName, SlotReport)> {
+        let Some(catalogue) = self.catalogue.clone() else {
+            return Vec::new();
+        };
+        let endpoints = self.kept_by.get(keeper).cloned().unwrap_or_default();
+        let mut reports = Vec::new();
+        for endpoint in endpoints {
+            let own = self.demands.entry(endpoint.clone()).or_default();
+            let accepts = |entry| catalogue.accepts_work(entry);
+            let may_use = catalogue.endpoint(&endpoint).is_some_and(accepts);
+            let has_slots = self.holder.grants().get(&endpoint);
+            let is_idle = has_slots.is_some_and(|grant| grant.slots > 0) && !own.is_in_use(now);
+            if (!may_use && !own.is_in_use(now)) || (is_idle && !own.is_idle_due(now)) {
+                continue;
+            }
+            own.reported_at = Some(now);
+            let measured = Measured {
+                at: self.measured_at,
+                demand: own.demand,
+            };
+            let config = self.slots_config;
+            let report = self
+                .holder
+                .report(now, keeper, &endpoint, message, measured, &config);
+            reports.push((endpoint, report));
+        }
+        reports
+    }
+
+    /// Takes a keeper's answer.
+    pub fn take_answer(
         &mut self,
         now: Time,
+        keeper: &VmId,
         endpoint: &EndpointName,
-        vm: &VmId,
-        demand: SlotDemand,
+        answer: &SlotAnswer,
     ) {
-        self.keeper.on_demand(now, endpoint, vm, demand);
+        let slots = |state: &Self| state.holder.grants().get(endpoint).map(|it| it.slots);
+        let before = slots(self);
+        let config = self.slots_config;
+        if !self
+            .holder
+            .on_answer(now, keeper, endpoint, answer, &config)
+        {
+            return;
+        }
+        self.publication.on_change(now);
+        if slots(self) < before {
+            self.note_smaller_grant(now, endpoint);
+        }
+    }
+
+    /// Gives a grant back that the keeper recalls.
+    pub fn take_recall(&mut self, now: Time, keeper: &VmId, endpoint: &EndpointName) {
+        let config = self.slots_config;
+        let is_keeper = self.keeper_of(now, endpoint).as_ref() == Some(keeper);
+        if is_keeper && self.holder.on_recall(now, endpoint, &config) {
+            self.note_smaller_grant(now, endpoint);
+        }
+    }
+
+    /// Notes that traffic must use fewer slots; the keeper is told as soon as it does.
+    pub fn note_smaller_grant(&mut self, now: Time, endpoint: &EndpointName) {
+        self.publication.on_change(now);
+        let own = self.demands.entry(endpoint.clone()).or_default();
+        own.shrank_at = Some(now);
     }
 
-    /// Returns the slots that this VM as keeper grants to `vm`. Without a tenure, or when the
-    /// endpoint may get no new work, it grants nothing.
-    pub fn grant_to(&mut self, now: Time, endpoint: &EndpointName, vm: &VmId) -> Option<u32> {
+    /// Returns what this VM as keeper may grant. Without a tenure, or when the endpoint may
+    /// get no new work, it grants nothing.
+    fn may_grant(&mut self, now: Time, endpoint: &EndpointName) -> Option<(SlotLimits, Tenure)> {
         let catalogue = self.catalogue.clone()?;
         let entry = catalogue.endpoint(endpoint)?;
-        if !catalogue.accepts_work(entry) {
+        if !catalogue.accepts_work(entry) || !self.keeps(now, endpoint) {
             return None;
         }
         let limits = SlotLimits {
@@ -127,31 +216,52 @@
             cold: entry.cold_slots,
         };
         let tenure = self.membership.tenure(now, &endpoint_key(endpoint))?;
-        Some(self.keeper.grant(now, endpoint, vm, limits, tenure))
+        Some((limits, tenure))
     }
 
-    /// Notes a sign of a cold start and returns whether it begins an episode. The own grant
-    /// is dropped then, until the keeper gives a new one.
-    pub fn note_cold(&mut self, now: Time, endpoint: &EndpointName) -> bool {
-        let first = self.cold.see(now, endpoint);
-        if first {
-            self.holder.on_cold(endpoint);
-        }
-        self.keeper.on_cold(now, endpoint);
-        first
+    /// Answers the newest report of `vm` as keeper.
+    pub fn answer_to(
+        &mut self,
+        now: Time,
+        endpoint: &EndpointName,
+        vm: &VmId,
+    ) -> Option<SlotAnswer> {
+        let (limits, tenure) = self.may_grant(now, endpoint)?;
+        self.keeper.answer(now, endpoint, vm, limits, tenure)
     }
 
-    /// Treats endpoints that may get work again as after a cold start, so that load returns
-    /// to them step by step.
-    pub fn ramp_returned(&mut self, now: Time, next: &Catalogue) {
-        let Some(current) = self.catalogue.clone() else {
+    /// Tells VMs at once when another one needs their slots, or when slots came free.
+    pub fn review(&mut self, now: Time, endpoint: &EndpointName) {
+        let Some((limits, tenure)) = self.may_grant(now, endpoint) else {
             return;
         };
-        for endpoint in &next.manifest.endpoints {
-            let before = current.endpoint(&endpoint.name);
-            let was_out = before.is_some_and(|before| !current.accepts_work(before));
-            if was_out && next.accepts_work(endpoint) {
-                self.note_cold(now, &endpoint.name);
+        for (vm, news) in self.keeper.due(now, endpoint, limits, tenure) {
+            if vm == self.me {
+                self.own_news.insert(endpoint.clone(), news);
+            } else if let Some(peer) = self.peers.get_mut(&vm) {
+                peer.news.insert(endpoint.clone(), news);
+                peer.wake.notify_one();
+            }
+        }
+    }
+
+    /// Reports to this VM as keeper, and takes its answers.
+    fn report_to_self(&mut self, now: Time, incarnation: Incarnation) {
+        let me = self.me.clone();
+        self.own_sequence += 1;
+        let reports = self.reports_for(now, &me, (incarnation, self.own_sequence));
+        for (endpoint, report) in reports {
+            self.keeper.on_report(now, &endpoint, &me, &report);
+            self.review(now, &endpoint);
+            if let Some(answer) = self.answer_to(now, &endpoint, &me) {
+                self.take_answer(now, &me, &endpoint, &answer);
+            }
+        }
+        for (endpoint, news) in std::mem::take(&mut self.own_news) {
+            if news == SlotNews::Recall {
+                self.take_recall(now, &me, &endpoint);
+            } else if let Some(answer) = self.answer_to(now, &endpoint, &me) {
+                self.take_answer(now, &me, &endpoint, &answer);
             }
         }
     }
@@ -165,113 +275,112 @@
         self.logged_slots.retain(|endpoint, _| keep(endpoint));
         self.cold.retain(keep);
         for peer in self.peers.values_mut() {
+            peer.reported.retain(|endpoint, _| keep(endpoint));
             peer.completed.retain(|endpoint, _| keep(endpoint));
             peer.loads_sent.retain(|endpoint, _| keep(endpoint));
         }
     }
+
+    /// Takes a count of traffic and returns the endpoints whose keeper must hear of it now.
+    fn take_count(
+        &mut self,
+        at: Time,
+        by_endpoint: &HashMap<EndpointName, SlotDemand>,
+    ) -> Vec<EndpointName> {
+        self.measured_at = self.publication.counted_at(at);
+        for endpoint in by_endpoint.keys() {
+            self.demands.entry(endpoint.clone()).or_default();
+        }
+        let obeyed_from = self.measured_at - self.slots_config.publication_lag;
+        let mut urgent = Vec::new();
+        for (endpoint, own) in &mut self.demands {
+            let demand = by_endpoint.get(endpoint).copied().unwrap_or_default();
+            let before = std::mem::replace(&mut own.demand, demand);
+            let granted = self.holder.grants().get(endpoint).map(|grant| grant.slots);
+            let waits_more = demand.waiting > before.waiting.saturating_mul(2);
+            // A slot above the grant came free, which another VM can use.
+            let frees =
+                demand.in_flight < before.in_flight && before.in_flight > granted.unwrap_or(0);
+            let obeys = own.shrank_at.is_some_and(|since| since <= obeyed_from);
+            if obeys {
+                own.shrank_at = None;
+            }
+            if waits_more || frees || obeys {
+                urgent.push(endpoint.clone());
+            }
+        }
+        urgent
+    }
 }
 
 impl Control {
-    /// Takes the whole demand of traffic on this VM. Endpoints that it does not name have
-    /// none.
-    pub fn take_demand(&self, by_endpoint: &HashMap<EndpointName, SlotDemand>) {
+    /// Takes the whole demand of traffic on this VM, counted at `at`. Endpoints that it does
+    /// not name have none.
+    pub fn take_demand(&self, at: Time, by_endpoint: &HashMap<EndpointName, SlotDemand>) {
         let now = clock::now();
-        let mut urgent = Vec::new();
         let mut state = self.state.borrow_mut();
-        let Some(catalogue) = state.catalogue.clone() else {
+        if state.catalogue.is_none() {
             return;
-        };
-        for (endpoint, own) in &mut state.demands {
-            if !by_endpoint.contains_key(endpoint) {
-                own.demand = SlotDemand::default();
-            }
         }
-        for (endpoint, demand) in by_endpoint {
-            if catalogue.endpoint(endpoint).is_none() {
-                continue;
-            }
-            let own = state.demands.entry(endpoint.clone()).or_default();
-            let before = std::mem::replace(&mut own.demand, *demand);
-            let idle = before == SlotDemand::default();
-            if (idle && *demand != before) || (before.waiting == 0 && demand.waiting > 0) {
-                urgent.push(endpoint.clone());
-            }
-        }
-        let mut granted = false;
-        for endpoint in urgent {
+        let mut for_self = false;
+        for endpoint in state.take_count(at, by_endpoint) {
             match state.keeper_of(now, &endpoint) {
-                Some(vm) if vm == self.context.vm => granted = true,
+                Some(vm) if vm == self.context.vm => for_self = true,
                 Some(vm) => state.wake(&vm),
                 None => {}
             }
         }
         drop(state);
-        if granted {
-            self.grant_to_self();
-            self.publish();
+        if for_self {
+            self.report_to_self();
         }
     }
 
-    /// Takes an attempt that an endpoint answered whole.
-    pub fn take_completed(&self, endpoint: &EndpointName) {
+    /// Takes an attempt that an endpoint answered whole and without a sign of a cold start.
+    pub fn take_completed(&self, endpoint: &EndpointName, started_at: Time) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let known = |catalogue: &std::sync::Arc<Catalogue>| catalogue.endpoint(endpoint).is_some();
+        let known = |catalogue: &Arc<Catalogue>| catalogue.endpoint(endpoint).is_some();
         if !state.catalogue.as_ref().is_some_and(known) {
             return;
         }
+        // An endpoint that answered before it turned cold may still be cold.
+        if state
+            .cold
+            .seen_at(endpoint)
+            .is_some_and(|at| started_at <= at)
+        {
+            return;
+        }
         let own = state.demands.entry(endpoint.clone()).or_default();
         own.completed_total += 1;
         own.completed_at = now;
-        if state.keeper_of(now, endpoint).as_ref() == Some(&self.context.vm) {
+        if state.keeps(now, endpoint) {
             state.keeper.on_completed(now, endpoint, 1);
         }
     }
 
-    /// Takes a sign of a cold start that this VM saw and marks it for all peers.
-    pub fn take_cold(&self, endpoint: &EndpointName, source: &str) {
+    /// Reports to this VM as keeper, and publishes what it answers.
+    pub fn report_to_self(&self) {
         let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        let known = |catalogue: &std::sync::Arc<Catalogue>| catalogue.endpoint(endpoint).is_some();
-        if !state.catalogue.as_ref().is_some_and(known) {
-            return;
-        }
-        let first = state.note_cold(now, endpoint);
-        let kept_here = state.keeper_of(now, endpoint).as_ref() == Some(&self.context.vm);
-        // Later signs concern the keeper only; the next periodic message takes them there.
-        if first || !kept_here {
-            state.cold.mark(now, endpoint);
-        }
-        drop(state);
-        if first {
-            info!(self.logger(), "slots: {endpoint} is cold"; "source" => source);
-            self.publish();
-            self.wake_peers();
-        }
+        let incarnation = self.context.incarnation;
+        self.state.borrow_mut().report_to_self(now, incarnation);
+        self.publish();
     }
 
-    /// Grants slots at the endpoints that this VM keeps to its own traffic.
-    pub fn grant_to_self(&self) {
+    /// Drops grants that lapsed, and settles the shares of kept endpoints.
+    pub fn settle_slots(&self) {
         let now = clock::now();
-        let me = &self.context.vm;
         let mut state = self.state.borrow_mut();
-        let wanted: Vec<(EndpointName, SlotDemand)> = state
-            .demands
-            .iter()
-            .map(|(endpoint, own)| (endpoint.clone(), own.demand))
-            .collect();
-        for (endpoint, demand) in wanted {
-            if state.keeper_of(now, &endpoint).as_ref() != Some(me) {
-                continue;
-            }
-            state.note_demand(now, &endpoint, me, demand);
-            if demand == SlotDemand::default() {
-                continue;
-            }
-            if let Some(slots) = state.grant_to(now, &endpoint, me) {
-                let config = self.config.slots;
-                state.holder.on_grant(now, endpoint, slots, &config);
-            }
+        let state = &mut *state;
+        if let Some(catalogue) = state.catalogue.clone() {
+            let accepts = |entry| catalogue.accepts_work(entry);
+            let wanted = |endpoint: &_| catalogue.endpoint(endpoint).is_some_and(accepts);
+            state.holder.expire(now, wanted);
+        }
+        let kept = state.kept_by.get(&state.me).cloned().unwrap_or_default();
+        for endpoint in kept {
+            state.review(now, &endpoint);
         }
     }
 
@@ -280,12 +389,10 @@
         let now = clock::now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        for (endpoint, grant) in state.holder.grants() {
-            let slots = if now < grant.valid_until {
-                grant.slots
-            } else {
-                0
-            };
+        for endpoint in state.demands.keys() {
+            let grant = state.holder.grants().get(endpoint);
+            let grant = grant.filter(|grant| now < grant.valid_until);
+            let slots = grant.map_or(0, |grant| grant.slots);
             let logged = state.logged_slots.get(endpoint).copied().unwrap_or(0);
             if slots != logged {
                 info!(self.logger(), "slots: {endpoint} grants {slots} to this VM";
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -16,7 +16,7 @@
     /// Publishes a new snapshot if anything in it changed.
     pub fn publish(&self) {
         let now = clock::now();
-        let state = self.state.borrow();
+        let mut state = self.state.borrow_mut();
         let current = self.context.snapshot.load();
         let in_force_until = state.membership.in_force_until(now);
         let absent = state.absent_vms(now);
@@ -36,6 +36,7 @@
         if differs(&current, &next) {
             self.context.snapshot.store(Arc::new(next));
         }
+        state.publication.on_published(clock::now());
     }
 
     /// Notes changes of the lease and of homes, and logs them.
@@ -62,6 +63,7 @@
         }
         state.homes_basis = basis;
         state.keepers.clear();
+        state.install_keepers(now);
         state.homes_held = state.count_homes(now, &self.context.vm);
         let homes = state.homes_held;
         info!(self.logger(), "membership: homes held changed";
@@ -87,11 +89,7 @@
                 .home_of(now, &organisation_key(&organisation.name));
             organisations += usize::from(home.as_ref() == Some(me));
         }
-        let mut endpoints = 0;
-        for endpoint in &catalogue.manifest.endpoints {
-            let keeper = self.keeper_of(now, &endpoint.name);
-            endpoints += usize::from(keeper.as_ref() == Some(me));
-        }
+        let endpoints = self.kept_by.get(me).map_or(0, Vec::len);
         HomesHeld {
             organisations,
             endpoints,
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -11,14 +11,15 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::AbortHandle;
 
-use crate::blackboard::{Catalogue, EndpointLoad, HomesHeld, SlotDemand};
+use crate::blackboard::{Catalogue, EndpointLoad, HomesHeld};
 use crate::context::Context;
+use crate::control::cold::ColdSigns;
 use crate::control::event_loop::ControlConfig;
-use crate::control::slots::{ColdSigns, OwnDemand};
+use crate::control::slots::{OwnDemand, PublicationTimes};
 use crate::decisions::config_version::ConfigVersion;
 use crate::decisions::membership::{Acknowledgement, Membership};
 use crate::decisions::quota::Quota;
-use crate::decisions::slots::{SlotHolder, SlotKeeper};
+use crate::decisions::slots::{SlotHolder, SlotKeeper, SlotNews, SlotsConfig};
 use crate::manifest::VmList;
 use crate::peer::calls::CallClients;
 use crate::units::{EndpointName, Incarnation, Time, Version, VmId};
@@ -50,6 +51,8 @@
 
 /// Control state; the control thread is its one owner.
 pub struct ControlState {
+    /// This VM.
+    pub me: VmId,
     /// Leases and homes.
     pub membership: Membership,
     /// Manifest version and freshness.
@@ -76,6 +79,18 @@
     pub peers: HashMap<VmId, Peer>,
     /// What traffic on this VM wants of endpoints.
     pub demands: HashMap<EndpointName, OwnDemand>,
+    /// When traffic counted the demands.
+    pub measured_at: Time,
+    /// When grants became visible to traffic.
+    pub publication: PublicationTimes,
+    /// Settings of slots.
+    pub slots_config: SlotsConfig,
+    /// Sequence of the reports to this VM as keeper.
+    pub own_sequence: u64,
+    /// What this VM as keeper must tell itself.
+    pub own_news: HashMap<EndpointName, SlotNews>,
+    /// Endpoints by keeper.
+    pub kept_by: HashMap<VmId, Vec<EndpointName>>,
     /// Load reports, read here or passed on by keepers.
     pub loads: HashMap<EndpointName, EndpointLoad>,
     /// Signs of cold starts.
@@ -144,8 +159,10 @@
     pub acknowledgement: Option<Acknowledgement>,
     /// Sequences and times of the last messages to it.
     pub sent: VecDeque<(u64, Time)>,
-    /// What it wants of endpoints that this VM keeps.
-    pub demands: HashMap<EndpointName, SlotDemand>,
+    /// Endpoints that this VM keeps and it reported on, and when it last used them.
+    pub reported: HashMap<EndpointName, Option<Time>>,
+    /// What it must be told of them.
+    pub news: HashMap<EndpointName, SlotNews>,
     /// Its running totals of completed attempts.
     pub completed: HashMap<EndpointName, u64>,
     /// Read time of the load report last sent to it.
--- a/src/control/vms.rs
+++ b/src/control/vms.rs
@@ -133,5 +133,7 @@
             .iter()
             .flat_map(|item| item.manifest.fenced_vms.clone());
         self.membership.install_list(now, list, fenced);
+        let members = self.membership.list().members.clone();
+        self.keeper.set_members(members);
     }
 }
--- a/src/decisions/routing/choice.rs
+++ b/src/decisions/routing/choice.rs
@@ -65,7 +65,8 @@
         model_allowed && self.has_slot(now, snapshot, name) && self.circuit(name).allows(now)
     }
 
-    fn has_slot(&self, now: Time, snapshot: &Snapshot, endpoint: &EndpointName) -> bool {
+    /// Returns whether the grants let one more attempt start at an endpoint.
+    pub fn has_slot(&self, now: Time, snapshot: &Snapshot, endpoint: &EndpointName) -> bool {
         let Some(grant) = snapshot.grants.get(endpoint) else {
             return false;
         };
--- a/src/decisions/slots.rs
+++ b/src/decisions/slots.rs
@@ -28,8 +28,6 @@
     pub request_life: Duration,
     /// A load report describes the endpoint at most this long before it was read.
     pub load_lag: Duration,
-    /// Longest age of a demand that arrives without a sequence number.
-    pub demand_lag: Duration,
     /// Longest time from a change of grants to its use by traffic.
     pub publication_lag: Duration,
 }
@@ -40,7 +38,6 @@
             grant_life: Duration::from_secs(1),
             request_life: Duration::from_secs(600),
             load_lag: Duration::from_secs(1),
-            demand_lag: Duration::from_millis(500),
             publication_lag: Duration::from_millis(20),
         }
     }
@@ -85,3 +82,12 @@
     /// Capacity of an endpoint that ramps up; `None` for a warm one.
     pub ramp: Option<u32>,
 }
+
+/// What a VM must be told at once, because another one needs slots or slots came free.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotNews {
+    /// An answer to its newest report changes what it has.
+    Answer,
+    /// It holds more than its part and gives the grant back.
+    Recall,
+}
--- a/src/decisions/slots/division.rs
+++ b/src/decisions/slots/division.rs
@@ -13,14 +13,19 @@
 
 /// Divides `capacity` so that no VM gets more while another with unmet demand has less
 /// (max-min fairness). What nobody wants is spread evenly, so that a VM can start a request
-/// without asking first.
+/// without asking first. Its remainder does not rotate: slots that move between idle VMs are
+/// free at neither until the move is reported.
 pub(super) fn divide(capacity: u32, wishes: &[Wish]) -> SmallVec<[u32; 8]> {
     let demands: SmallVec<[u32; 8]> = wishes.iter().map(|wish| wish.demand).collect();
     let mut slots = fill(capacity, &demands, wishes);
     let unwanted = capacity - slots.iter().sum::<u32>();
     if unwanted > 0 {
         let unlimited: SmallVec<[u32; 8]> = wishes.iter().map(|_| u32::MAX).collect();
-        let spread = fill(unwanted, &unlimited, wishes);
+        let settled: SmallVec<[Wish; 8]> = wishes
+            .iter()
+            .map(|wish| Wish { served: 0, ..*wish })
+            .collect();
+        let spread = fill(unwanted, &unlimited, &settled);
         for (slot, extra) in slots.iter_mut().zip(spread) {
             *slot += extra;
         }
--- a/src/decisions/slots/holder.rs
+++ b/src/decisions/slots/holder.rs
@@ -36,9 +36,6 @@
     cold_told: Option<u64>,
     cold_untold: bool,
     ramp: Option<u32>,
-    /// Send time of the message that the newest unsequenced grant answers.
-    asked_at: Time,
-    refused_until: Option<Time>,
 }
 
 /// A change of grants, and when traffic has surely seen it.
@@ -113,7 +110,14 @@
             return false;
         };
         let valid_until = *asked_at + config.grant_life;
-        if answer.sequence <= held.taken || now >= valid_until {
+        let current = self.grants.get(endpoint).map_or(0, |grant| grant.slots);
+        // A second answer to one report may only raise the grant. The keeper counts the
+        // highest, so the order in which the two arrive does not matter.
+        let raises = answer.sequence == held.taken && answer.slots > current;
+        if answer.sequence < held.taken || (answer.sequence == held.taken && !raises) {
+            return false;
+        }
+        if now >= valid_until {
             return false;
         }
         held.taken = answer.sequence;
@@ -140,7 +144,7 @@
         endpoint: &EndpointName,
         config: &SlotsConfig,
     ) -> bool {
-        self.on_cold(endpoint);
+        self.grants.remove(endpoint);
         let held = self.held.entry(endpoint.clone()).or_default();
         let is_news = !held.cold_untold && held.cold_told.is_none();
         held.cold_untold = true;
@@ -148,31 +152,19 @@
         is_news
     }
 
-    /// Takes a grant that answers a state message sent at `asked_at`, over a link that keeps
-    /// the order. [`SlotHolder::on_answer`] does not need one.
-    pub fn on_grant(
-        &mut self,
-        asked_at: Time,
-        endpoint: EndpointName,
-        slots: u32,
-        config: &SlotsConfig,
-    ) {
-        let held = self.held.entry(endpoint.clone()).or_default();
-        let refused = held.refused_until.is_some_and(|until| asked_at <= until);
-        if refused || asked_at < held.asked_at {
-            return;
+    /// Gives a grant back because the keeper needs slots for other VMs. What runs goes on and
+    /// counts; the answer to the next report grants the part that is left. Returns whether
+    /// there was a grant.
+    ///
+    /// The keeper cannot lower a grant by itself: until a report says that a grant is out of
+    /// use, the keeper must count it.
+    pub fn on_recall(&mut self, now: Time, endpoint: &EndpointName, config: &SlotsConfig) -> bool {
+        if self.grants.remove(endpoint).is_none() {
+            return false;
         }
-        held.asked_at = asked_at;
-        let valid_until = asked_at + config.grant_life;
-        self.grants
-            .insert(endpoint, SlotGrant { slots, valid_until });
-    }
-
-    /// Drops the grant for an endpoint that turned cold.
-    pub fn on_cold(&mut self, endpoint: &EndpointName) {
-        self.grants.remove(endpoint);
         let held = self.held.entry(endpoint.clone()).or_default();
-        held.refused_until = Some(held.asked_at);
+        held.accept_only_from(now, held.last_sequence + 1, config);
+        true
     }
 
     /// Returns all grants, for the snapshot.
--- a/src/decisions/slots/keeper.rs
+++ b/src/decisions/slots/keeper.rs
@@ -1,17 +1,22 @@
 //! The keeper's side of slots.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use smallvec::SmallVec;
 
-use crate::blackboard::{EndpointLoad, SlotDemand};
+use crate::blackboard::EndpointLoad;
 use crate::decisions::membership::Tenure;
 use crate::decisions::slots::division::{Wish, divide};
 use crate::decisions::slots::ramp::Ramp;
 use crate::decisions::slots::share::Share;
-use crate::decisions::slots::{SlotAnswer, SlotLimits, SlotReport, SlotsConfig};
+use crate::decisions::slots::{SlotAnswer, SlotLimits, SlotNews, SlotReport, SlotsConfig};
 use crate::units::{EndpointName, Incarnation, Time, VmId};
 
+/// Least time between recalls of one VM's grants. Each one stops its new work for a round
+/// trip, so shares that change all the time must not cause them all the time.
+const RECALL_GAP: Duration = Duration::from_millis(50);
+
 #[derive(Debug, Default)]
 struct Kept {
     tenure: Option<Tenure>,
@@ -80,18 +85,6 @@
         }
     }
 
-    /// Notes what a VM wants of an endpoint, from a source that keeps the order and is at
-    /// most `demand_lag` old. [`SlotKeeper::on_report`] needs neither.
-    pub fn on_demand(&mut self, now: Time, endpoint: &EndpointName, vm: &VmId, demand: SlotDemand) {
-        let kept = self.endpoints.entry(endpoint.clone()).or_default();
-        let incarnation = kept.shares.get(vm).map(|share| share.incarnation);
-        let incarnation = incarnation.unwrap_or(Incarnation(0));
-        let measured_from = now - self.config.demand_lag;
-        if let Some(share) = kept.share(now, vm, incarnation) {
-            share.on_demand(now, measured_from, demand);
-        }
-    }
-
     /// Notes a load report of the endpoint. It bounds the work of VMs that are silent, and
     /// may be a sign of a cold start. Returns whether it is the first sign, which is passed
     /// to the peers.
@@ -132,22 +125,10 @@
         Some(kept.capacity(now, limits))
     }
 
-    /// Returns the slots that `vm` may use from now on, and notes the grant. A grant counts
-    /// against the capacity until `grant_life` after `now`, and its work to the work's end.
-    pub fn grant(
-        &mut self,
-        now: Time,
-        endpoint: &EndpointName,
-        vm: &VmId,
-        limits: SlotLimits,
-        tenure: Tenure,
-    ) -> u32 {
-        self.answer(now, endpoint, vm, limits, tenure)
-            .map_or(0, |answer| answer.slots)
-    }
-
-    /// Answers the newest report of `vm`, as [`SlotKeeper::grant`] does. A grant of no slots
-    /// must be sent as well: its receipt shows what the next report comes after.
+    /// Answers the newest report of `vm` with the slots that it may use from now on, and notes
+    /// the grant. A grant counts against the capacity until `grant_life` after `now`, and its
+    /// work to the work's end. A grant of no slots must be sent as well: its receipt shows
+    /// what the next report comes after.
     pub fn answer(
         &mut self,
         now: Time,
@@ -166,8 +147,7 @@
         }
         kept.begin_tenure(now, tenure, &self.members, &config);
         kept.limits = Some(limits);
-        let open_from = tenure.since + config.grant_life;
-        let slots = kept.slots_for(now, vm, limits, open_from, &config);
+        let slots = kept.slots_for(now, vm, limits, &config);
         let capacity = kept.capacity(now, limits);
         let share = kept.shares.get_mut(vm)?;
         share.give(now, slots, &config);
@@ -176,12 +156,68 @@
             share.served = kept.served;
         }
         let sequence = share.sequence;
+        share.answered = sequence;
+        share.told = slots;
         Some(SlotAnswer {
             sequence,
             slots,
             ramp: (capacity < limits.warm).then_some(capacity),
         })
     }
+
+    /// Returns whether the newest report of `vm` has not been answered.
+    pub fn is_unanswered(&self, endpoint: &EndpointName, vm: &VmId) -> bool {
+        let kept = self.endpoints.get(endpoint);
+        let share = kept.and_then(|kept| kept.shares.get(vm));
+        share.is_some_and(|share| share.answered < share.sequence)
+    }
+
+    /// Returns the VMs to tell at once that their slots changed. It is empty while no VM needs
+    /// more than it has: a share that only drifts is settled by the periodic answers.
+    pub fn due(
+        &mut self,
+        now: Time,
+        endpoint: &EndpointName,
+        limits: SlotLimits,
+        tenure: Tenure,
+    ) -> SmallVec<[(VmId, SlotNews); 4]> {
+        let config = self.config;
+        let mut due = SmallVec::new();
+        let Some(kept) = self.endpoints.get_mut(endpoint) else {
+            return due;
+        };
+        if now >= tenure.until {
+            return due;
+        }
+        let capacity = kept.capacity(now, limits);
+        let fair = kept.fair_shares(now, capacity, &config);
+        let mut is_short = false;
+        for (vm, slots) in &fair {
+            let share = &kept.shares[vm];
+            if share.told >= *slots || !share.wants_more() || share.is_doubted() {
+                continue;
+            }
+            let taken = kept.taken(now, &config, |other, _| other != vm);
+            if capacity.saturating_sub(taken).min(*slots) > share.told {
+                due.push((vm.clone(), SlotNews::Answer));
+            }
+            is_short |= u64::from(taken) + u64::from(*slots) > u64::from(capacity);
+        }
+        if is_short {
+            for (vm, slots) in &fair {
+                let Some(share) = kept.shares.get_mut(vm).filter(|it| it.told > *slots) else {
+                    continue;
+                };
+                if share.answered < share.sequence {
+                    due.push((vm.clone(), SlotNews::Answer));
+                } else if now >= share.recalled_at + RECALL_GAP {
+                    share.recalled_at = now;
+                    due.push((vm.clone(), SlotNews::Recall));
+                }
+            }
+        }
+        due
+    }
 }
 
 impl Kept {
@@ -227,7 +263,7 @@
         }
         let open_from = tenure.since + config.grant_life;
         for share in self.shares.values_mut() {
-            share.doubt_before(open_from);
+            share.doubt_before(open_from, tenure.since);
         }
     }
 
@@ -246,22 +282,16 @@
         capacity
     }
 
-    fn slots_for(
-        &mut self,
-        now: Time,
-        vm: &VmId,
-        limits: SlotLimits,
-        open_from: Time,
-        config: &SlotsConfig,
-    ) -> u32 {
+    fn slots_for(&mut self, now: Time, vm: &VmId, limits: SlotLimits, config: &SlotsConfig) -> u32 {
         let capacity = self.capacity(now, limits);
-        let heard = |share: &Share| share.heard_after(open_from);
-        if now < open_from || !self.shares.get(vm).is_some_and(heard) {
+        if self.shares.get(vm).is_none_or(Share::is_doubted) {
             return 0;
         }
         let taken = self.taken(now, config, |other, _| other != vm);
         let free = capacity.saturating_sub(taken);
-        let slots = self.fair_slots(now, vm, capacity, config).min(free);
+        let fair = self.fair_shares(now, capacity, config);
+        let own = fair.iter().find(|(other, _)| other == vm);
+        let slots = own.map_or(0, |(_, slots)| *slots).min(free);
         assert!(slots == 0 || u64::from(slots) + u64::from(taken) <= u64::from(capacity));
         slots
     }
@@ -278,7 +308,13 @@
         slots.fold(0, u32::saturating_add)
     }
 
-    fn fair_slots(&self, now: Time, vm: &VmId, capacity: u32, config: &SlotsConfig) -> u32 {
+    /// Divides the capacity among the VMs that are present.
+    fn fair_shares(
+        &self,
+        now: Time,
+        capacity: u32,
+        config: &SlotsConfig,
+    ) -> SmallVec<[(VmId, u32); 8]> {
         let silent = self.taken(now, config, |_, share| !share.is_present(now, config));
         let present: SmallVec<[_; 8]> = self
             .shares
@@ -293,9 +329,7 @@
             })
             .collect();
         let slots = divide(capacity.saturating_sub(silent), &wishes);
-        let mut pairs = present.iter().zip(slots);
-        pairs
-            .find(|((other, _), _)| *other == vm)
-            .map_or(0, |(_, slots)| slots)
+        let present = present.into_iter().map(|(vm, _)| vm.clone());
+        present.zip(slots).collect()
     }
 }
--- a/src/decisions/slots/share.rs
+++ b/src/decisions/slots/share.rs
@@ -28,6 +28,10 @@
     pub(super) known_from: Time,
     /// Position in the rotation for scarce slots; the lowest is next.
     pub(super) served: u64,
+    /// Sequence of the newest report that was answered, and the slots that the answer gave.
+    pub(super) answered: u64,
+    pub(super) told: u32,
+    pub(super) recalled_at: Time,
     given: SmallVec<[Given; 8]>,
     /// No grant is usable from this time on.
     lapsed_at: Time,
@@ -36,6 +40,12 @@
     ceiling: Option<u32>,
     /// Reports from before this time say too little: an earlier keeper's grants were in use.
     unknown_before: Time,
+    /// From this time on no earlier keeper grants. A report from after it that excludes all
+    /// grants but those in this record ends the doubt early.
+    alone_from: Time,
+    /// Sequence of the first report in this record. Grants that answer earlier messages were
+    /// given before the record began.
+    first_sequence: Option<u64>,
 }
 
 impl Share {
@@ -46,11 +56,16 @@
             demand: SlotDemand::default(),
             known_from: Time::ZERO,
             served: 0,
+            answered: 0,
+            told: 0,
+            recalled_at: Time::ZERO,
             given: SmallVec::new(),
             lapsed_at: now,
             heard_at: now,
             ceiling: None,
             unknown_before: Time::ZERO,
+            alone_from: Time::ZERO,
+            first_sequence: None,
         }
     }
 
@@ -62,14 +77,16 @@
             served: self.served,
             lapsed_at: self.lapsed_at,
             unknown_before: self.unknown_before,
+            alone_from: self.alone_from,
             ..Self::new(now, incarnation)
         };
     }
 
     /// Assumes the worst of the VM until it is heard after `open_from`, when the grants of
-    /// earlier keepers have lapsed.
-    pub(super) fn doubt_before(&mut self, open_from: Time) {
+    /// earlier keepers have lapsed, or until it says that it uses none of them.
+    pub(super) fn doubt_before(&mut self, open_from: Time, since: Time) {
         self.unknown_before = open_from;
+        self.alone_from = since;
         self.lapsed_at = self.lapsed_at.max(open_from);
         self.ceiling = None;
     }
@@ -88,6 +105,13 @@
         }
         self.given
             .retain(|given| given.sequence >= report.released_before);
+        if report.released_before > self.answered {
+            self.told = 0;
+        }
+        let first_sequence = *self.first_sequence.get_or_insert(report.sequence);
+        if report.released_before >= first_sequence && self.heard_after(self.alone_from) {
+            self.unknown_before = Time::ZERO;
+        }
         self.sequence = report.sequence;
         self.demand = report.demand;
         self.heard_at = now;
@@ -95,17 +119,6 @@
         true
     }
 
-    /// Takes a demand that was measured at or after `measured_from`.
-    pub(super) fn on_demand(&mut self, now: Time, measured_from: Time, demand: SlotDemand) {
-        self.known_from = self.known_from.max(measured_from);
-        let known_from = self.known_from;
-        self.given.retain(|given| given.until > known_from);
-        self.sequence += 1;
-        self.demand = demand;
-        self.heard_at = now;
-        self.ceiling = None;
-    }
-
     pub(super) fn give(&mut self, now: Time, slots: u32, config: &SlotsConfig) {
         let until = now + config.grant_life;
         self.lapsed_at = self.lapsed_at.max(until);
@@ -144,8 +157,7 @@
         }
         let granted = self.given.iter().map(|given| given.slots).max();
         let known = self.demand.in_flight.max(granted.unwrap_or(0));
-        let doubted = !self.heard_after(self.unknown_before);
-        let most = if doubted { u32::MAX } else { known };
+        let most = if self.is_doubted() { u32::MAX } else { known };
         self.ceiling.map_or(most, |ceiling| most.min(ceiling))
     }
 
@@ -155,6 +167,18 @@
         now < self.heard_at + config.grant_life
     }
 
+    /// Returns whether the VM can use more slots than it was told of. One without any asks for
+    /// its standing share.
+    pub(super) fn wants_more(&self) -> bool {
+        let demand = self.demand.in_flight.saturating_add(self.demand.waiting);
+        self.told == 0 || demand > self.told
+    }
+
+    /// Returns whether the VM may use grants of an earlier keeper.
+    pub(super) fn is_doubted(&self) -> bool {
+        !self.heard_after(self.unknown_before)
+    }
+
     /// Returns whether a report from after `time` is known.
     pub(super) fn heard_after(&self, time: Time) -> bool {
         self.known_from >= time
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -16,7 +16,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::peer::backoff::{Backoff, BackoffConfig};
@@ -97,6 +97,7 @@
     let (mut reader, writer) = stream.into_split();
     let mut frames = FramedWrite::new(writer, codec(config));
     loop {
+        let sent_at = Instant::now();
         let sent = timeout(config.write_timeout, send(&mut frames, next())).await;
         if !matches!(sent, Ok(Ok(()))) {
             return;
@@ -104,7 +105,7 @@
         let pause = async {
             let woken = timeout(config.period, wake.notified()).await;
             if woken.is_ok() {
-                sleep(config.least_gap).await;
+                sleep_until(sent_at + config.least_gap).await;
             }
         };
         tokio::select! {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -10,6 +10,7 @@
 
 use crate::blackboard::{EndpointLoad, SlotDemand};
 use crate::decisions::membership::{Acknowledgement, Heartbeat, MemberList};
+use crate::decisions::slots::{SlotAnswer, SlotReport};
 use crate::units::{EndpointName, Incarnation, ParseError, Time, Version, VmId};
 
 /// What one VM tells another every heartbeat, and at once on change.
@@ -63,6 +64,9 @@
     /// The recipient's run that sent the message which the grants answer.
     #[prost(fixed64, tag = "16")]
     pub grants_answer_incarnation: u64,
+    /// Endpoints whose grants the recipient gives back, because other VMs need slots there.
+    #[prost(string, repeated, tag = "17")]
+    pub recalls: Vec<String>,
 }
 
 /// An [`Acknowledgement`] on the wire.
@@ -132,6 +136,19 @@
     /// messages.
     #[prost(uint64, tag = "4")]
     pub completed_total: u64,
+    /// How far the newest grant taken is behind this message; see
+    /// [`SlotReport::taken`]. Distances are shorter on the wire than sequences.
+    #[prost(uint64, tag = "5")]
+    pub taken_behind: u64,
+    /// How far [`SlotReport::released_before`] is behind this message.
+    #[prost(uint64, tag = "6")]
+    pub released_behind: u64,
+    /// Whether the keeper may not have heard of a cold sign.
+    #[prost(bool, tag = "7")]
+    pub cold: bool,
+    /// Ramp capacity that the newest grant named.
+    #[prost(uint32, optional, tag = "8")]
+    pub ramp: Option<u32>,
 }
 
 /// Grant for one endpoint.
@@ -143,6 +160,12 @@
     /// Requests that may be in flight from the recipient.
     #[prost(uint32, tag = "2")]
     pub slots: u32,
+    /// How far the report that this answers is behind `grants_answer_sequence`.
+    #[prost(uint64, tag = "3")]
+    pub behind: u64,
+    /// Capacity of an endpoint that ramps up.
+    #[prost(uint32, optional, tag = "4")]
+    pub ramp: Option<u32>,
 }
 
 /// Load report of one endpoint.
@@ -260,17 +283,68 @@
 }
 
 impl WireDemand {
-    /// Returns the endpoint and the demand.
+    /// Converts a report that goes out in the message of its sequence.
+    pub fn new(endpoint: &EndpointName, report: &SlotReport, completed_total: u64) -> Self {
+        Self {
+            endpoint: endpoint.to_string(),
+            in_flight: report.demand.in_flight,
+            waiting: report.demand.waiting,
+            completed_total,
+            taken_behind: report.sequence.saturating_sub(report.taken),
+            released_behind: report.sequence.saturating_sub(report.released_before),
+            cold: report.cold,
+            ramp: report.ramp,
+        }
+    }
+
+    /// Returns the endpoint and the report, which came in the given message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an endpoint name that is not valid.
+    pub fn report(
+        &self,
+        message: &StateMessage,
+    ) -> Result<(EndpointName, SlotReport), MessageError> {
+        let report = SlotReport {
+            incarnation: Incarnation(message.incarnation),
+            sequence: message.sequence,
+            demand: SlotDemand {
+                in_flight: self.in_flight,
+                waiting: self.waiting,
+            },
+            taken: message.sequence.saturating_sub(self.taken_behind),
+            released_before: message.sequence.saturating_sub(self.released_behind),
+            cold: self.cold,
+            ramp: self.ramp,
+        };
+        Ok((self.endpoint.parse()?, report))
+    }
+}
+
+impl WireGrant {
+    /// Converts an answer that goes out with the given `grants_answer_sequence`.
+    pub fn new(endpoint: &EndpointName, answer: &SlotAnswer, answer_sequence: u64) -> Self {
+        Self {
+            endpoint: endpoint.to_string(),
+            slots: answer.slots,
+            behind: answer_sequence.saturating_sub(answer.sequence),
+            ramp: answer.ramp,
+        }
+    }
+
+    /// Returns the endpoint and the answer, which came with `answer_sequence`.
     ///
     /// # Errors
     ///
     /// Returns an endpoint name that is not valid.
-    pub fn demand(&self) -> Result<(EndpointName, SlotDemand), MessageError> {
-        let demand = SlotDemand {
-            in_flight: self.in_flight,
-            waiting: self.waiting,
+    pub fn answer(&self, answer_sequence: u64) -> Result<(EndpointName, SlotAnswer), MessageError> {
+        let answer = SlotAnswer {
+            sequence: answer_sequence.saturating_sub(self.behind),
+            slots: self.slots,
+            ramp: self.ramp,
         };
-        Ok((self.endpoint.parse()?, demand))
+        Ok((self.endpoint.parse()?, answer))
     }
 }
 
--- a/src/traffic/router_state.rs
+++ b/src/traffic/router_state.rs
@@ -257,7 +257,14 @@
         let now = clock::now();
         let mut inner = self.inner.lock();
         inner.router.on_end(now, &endpoint.name, result);
+        let in_flight = inner.router.in_flight(&endpoint.name);
         drop(inner);
+        let snapshot = self.snapshot.load();
+        let grant = snapshot.grants.get(&endpoint.name);
+        if grant.is_some_and(|grant| in_flight >= grant.slots) {
+            // Other VMs wait for the slot: the grant shrank while the request ran.
+            self.wait_began.notify_one();
+        }
         self.serve_queue(&(endpoint.kind, endpoint.service.clone()));
     }
 
@@ -341,7 +348,10 @@
         });
         let is_first = since.is_none() || warm_since;
         if is_first {
-            inner.cold_since.insert(endpoint.clone(), clock::now());
+            let now = clock::now();
+            inner.cold_since.insert(endpoint.clone(), now);
+            // Control drops the grant as well, but a start may come before its snapshot.
+            inner.router.on_cold(now, endpoint);
         }
         is_first
     }
@@ -358,17 +368,21 @@
         (inner.router.in_flight(endpoint), allowed)
     }
 
-    /// Returns what this VM wants of each endpoint.
+    /// Returns what this VM wants of each endpoint, and when it was counted.
+    ///
+    /// The time is read under the lock under which requests start with the newest grants, so
+    /// whatever was published before it holds for every start that is not in the count.
     ///
     /// Requests that wait for a service count at each endpoint in service that offers it,
     /// in proportion to the endpoint's slots and rounded up, because any of them can end
     /// the wait.
-    pub fn demand(&self) -> HashMap<EndpointName, SlotDemand> {
+    pub fn demand(&self) -> (Time, HashMap<EndpointName, SlotDemand>) {
+        let inner = self.inner.lock();
+        let at = clock::now();
         let snapshot = self.snapshot.load();
         let Some(catalogue) = &snapshot.catalogue else {
-            return HashMap::new();
+            return (at, HashMap::new());
         };
-        let inner = self.inner.lock();
         let mut demand: HashMap<EndpointName, SlotDemand> = HashMap::new();
         for endpoint in &catalogue.manifest.endpoints {
             let in_flight = inner.router.in_flight(&endpoint.name);
@@ -380,7 +394,7 @@
         for ((key, model), waiting) in &inner.waiting {
             add_waiting(&mut demand, catalogue, key, model.as_ref(), *waiting);
         }
-        demand
+        (at, demand)
     }
 }
 
@@ -430,11 +444,7 @@
     if offered.is_empty() {
         return Choice::None;
     }
-    let has_slot = |endpoint: &&&Endpoint| {
-        snapshot.grants.get(&endpoint.name).is_some_and(|grant| {
-            now < grant.valid_until && router.in_flight(&endpoint.name) < grant.slots
-        })
-    };
+    let has_slot = |endpoint: &&&Endpoint| router.has_slot(now, snapshot, &endpoint.name);
     let free: Vec<&&Endpoint> = offered.iter().filter(has_slot).collect();
     if free.is_empty() {
         return Choice::Busy;
--- a/src/traffic/stage.rs
+++ b/src/traffic/stage.rs
@@ -45,6 +45,8 @@
     relay: TokenRelay,
     request: SlotRequest,
     attempts: u32,
+    /// Whether the last answer showed a cold start.
+    answered_cold: bool,
 }
 
 /// Runs one stage of a request to its end.
@@ -68,6 +70,7 @@
         relay: TokenRelay::new(streams.then(|| run.messages.clone())),
         request: slot_request(run, stage, input),
         attempts: 0,
+        answered_cold: false,
     };
     run.traffic.router.on_first_attempt();
     let done = state.attempts_until_done().await;
@@ -217,7 +220,12 @@
         match result {
             Ok(_) => {
                 slot.finish(Ok(()));
-                traffic.report(ControlCommand::AttemptCompleted { endpoint: name });
+                if !self.answered_cold {
+                    traffic.report(ControlCommand::AttemptCompleted {
+                        endpoint: name,
+                        started_at: started,
+                    });
+                }
             }
             Err(error) => {
                 if error.is_cold {
@@ -257,6 +265,7 @@
         let may_send = || !run.is_interrupted() && !run.remaining().is_zero();
         let head = run.traffic.client.call(&call, may_send);
         let reply = self.in_time(head).await?;
+        self.answered_cold = reply.is_cold;
         if reply.is_cold {
             self.report_cold(slot);
         } else {
