--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -97,15 +97,15 @@
     let (mut reader, writer) = stream.into_split();
     let mut frames = FramedWrite::new(writer, codec(config));
     loop {
+        let sent_at = Instant::now();
         let sent = timeout(config.write_timeout, send(&mut frames, next())).await;
         if !matches!(sent, Ok(Ok(()))) {
             return;
         }
-        let next_at = Instant::now() + config.least_gap;
         let pause = async {
             let woken = timeout(config.period, wake.notified()).await;
             if woken.is_ok() {
-                sleep_until(next_at).await;
+                sleep_until(sent_at + config.least_gap).await;
             }
         };
         tokio::select! {
--- a/src/traffic/router_state.rs
+++ b/src/traffic/router_state.rs
@@ -278,7 +278,14 @@
         let now = clock::now();
         let mut inner = self.inner.lock();
         inner.router.on_end(now, &endpoint.name, result);
+        let in_flight = inner.router.in_flight(&endpoint.name);
         drop(inner);
+        let snapshot = self.snapshot.load();
+        let grant = snapshot.grants.get(&endpoint.name);
+        if grant.is_some_and(|grant| in_flight >= grant.slots) {
+            // Other VMs wait for the slot: the grant shrank while the request ran.
+            self.wait_began.notify_one();
+        }
         self.serve_queue(&(endpoint.kind, endpoint.service.clone()));
     }
 
@@ -354,7 +361,13 @@
     pub fn on_cold_sign(&self, endpoint: &EndpointName) -> bool {
         let snapshot = self.snapshot.load();
         let mut inner = self.inner.lock();
-        inner.cold.on_sign(clock::now(), &snapshot, endpoint)
+        let now = clock::now();
+        let is_first = inner.cold.on_sign(now, &snapshot, endpoint);
+        if is_first {
+            // Control drops the grant as well, but a start may come before its snapshot.
+            inner.router.on_cold(now, endpoint);
+        }
+        is_first
     }
 
     /// Notes an answer without a sign of a cold start.
@@ -369,17 +382,21 @@
         (inner.router.in_flight(endpoint), allowed)
     }
 
-    /// Returns what this VM wants of each endpoint.
+    /// Returns what this VM wants of each endpoint, and when it was counted.
+    ///
+    /// The time is read under the lock under which requests start with the newest grants, so
+    /// whatever was published before it holds for every start that is not in the count.
     ///
     /// Requests that wait for a service count at each endpoint in service that offers it,
     /// in proportion to the endpoint's slots and rounded up, because any of them can end
     /// the wait.
-    pub fn demand(&self) -> HashMap<EndpointName, SlotDemand> {
+    pub fn demand(&self) -> (Time, HashMap<EndpointName, SlotDemand>) {
+        let inner = self.inner.lock();
+        let at = clock::now();
         let snapshot = self.snapshot.load();
         let Some(catalogue) = &snapshot.catalogue else {
-            return HashMap::new();
+            return (at, HashMap::new());
         };
-        let inner = self.inner.lock();
         let mut demand: HashMap<EndpointName, SlotDemand> = HashMap::new();
         for endpoint in &catalogue.manifest.endpoints {
             let in_flight = inner.router.in_flight(&endpoint.name);
@@ -391,7 +408,7 @@
         for ((key, model), waiting) in &inner.waiting {
             add_waiting(&mut demand, catalogue, key, model.as_ref(), *waiting);
         }
-        demand
+        (at, demand)
     }
 }
 
@@ -441,11 +458,7 @@
     if offered.is_empty() {
         return Choice::None;
     }
-    let has_slot = |endpoint: &&&Endpoint| {
-        snapshot.grants.get(&endpoint.name).is_some_and(|grant| {
-            now < grant.valid_until && router.in_flight(&endpoint.name) < grant.slots
-        })
-    };
+    let has_slot = |endpoint: &&&Endpoint| router.has_slot(now, snapshot, &endpoint.name);
     let free: Vec<&&Endpoint> = offered.iter().filter(has_slot).collect();
     if free.is_empty() {
         return Choice::Busy;
--- a/tests/traffic_cases/refusals.rs
+++ b/tests/traffic_cases/refusals.rs
@@ -216,7 +216,7 @@
     expect_that!(first.seen().len(), eq(0));
     let reports = vm.reports.lock().unwrap();
     let waits = |report: &ControlCommand| match report {
-        ControlCommand::Demand { by_endpoint } => {
+        ControlCommand::Demand { by_endpoint, .. } => {
             by_endpoint.values().any(|demand| demand.waiting == 1)
         }
         _ => false,
--- a/tests/traffic_cases/stages.rs
+++ b/tests/traffic_cases/stages.rs
@@ -183,8 +183,13 @@
     };
     let completed = |report: &_| matches!(report, ControlCommand::AttemptCompleted { .. });
     let cold = |report: &_| matches!(report, ControlCommand::EndpointCold { .. });
-    wait_until(|| async { count(completed) == 2 }).await;
+    wait_until(|| async { count(cold) > 0 }).await;
+    // Reports keep their order, so two more show that no other sign is on its way.
+    let seen = vm.reports.lock().unwrap().len();
+    wait_until(|| async { vm.reports.lock().unwrap().len() > seen + 2 }).await;
     expect_that!(count(cold), eq(1));
+    // While answers say that the endpoint is cold, its capacity must not grow.
+    expect_that!(count(completed), eq(0));
 }
 
 /// Baselines must serve requests too, or a comparison means nothing.
