--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -9,6 +9,7 @@
 pub mod fair_queue;
 pub mod membership;
 pub mod once;
+pub mod placement;
 pub mod quota;
 pub mod rendezvous;
 pub mod retry;
--- /dev/null
+++ b/src/decisions/placement/loads.rs
@@ -0,0 +1,84 @@
+//! Loads in progress, and pauses after loads that failed.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use crate::blackboard::Catalogue;
+use crate::decisions::placement::{EngineReport, Given, OrderKind, PlacementConfig};
+use crate::manifest::StageKind;
+use crate::units::{EndpointName, ModelName, Time};
+
+/// Loads that may use the weight store now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct InProgress {
+    pub loads: u32,
+}
+
+/// Counts the loads that reports show, that were ordered, and that may be hidden: an engine
+/// that has not been heard in this tenure may carry out an order of an earlier owner.
+pub(super) fn in_progress(
+    catalogue: &Catalogue,
+    reports: &BTreeMap<EndpointName, EngineReport>,
+    given: &BTreeMap<EndpointName, Given>,
+    seen_from: Time,
+    hidden_count: bool,
+) -> InProgress {
+    let endpoints = catalogue.manifest.endpoints.iter();
+    let engines = endpoints.filter(|endpoint| endpoint.kind == StageKind::Generate);
+    let mut names: BTreeSet<&EndpointName> = engines.map(|engine| &engine.name).collect();
+    names.extend(reports.keys());
+    names.extend(given.keys());
+    let mut loads = 0;
+    for name in names {
+        let ordered = given.get(name).and_then(|given| match &given.kind {
+            OrderKind::Load(model) => Some(model),
+            OrderKind::Unload(_) => None,
+        });
+        let report = reports.get(name);
+        let seen = report.filter(|report| report.read_at >= seen_from);
+        let reported = report.map_or(0, |report| {
+            let others = report.loading.iter();
+            others.filter(|model| Some(*model) != ordered).count()
+        });
+        let hidden = usize::from(seen.is_none() && hidden_count && ordered.is_none());
+        loads += usize::from(ordered.is_some()) + reported.max(hidden);
+    }
+    InProgress {
+        loads: u32::try_from(loads).unwrap_or(u32::MAX),
+    }
+}
+
+/// Failed loads by engine and model.
+#[derive(Debug, Default)]
+pub(super) struct Backoff {
+    failures: HashMap<(EndpointName, ModelName), (u32, Time)>,
+}
+
+impl Backoff {
+    pub(super) fn on_failure(
+        &mut self,
+        engine: &EndpointName,
+        model: &ModelName,
+        now: Time,
+        config: &PlacementConfig,
+    ) {
+        let key = (engine.clone(), model.clone());
+        let (count, until) = self.failures.entry(key).or_default();
+        let pause = config.first_backoff * 2_u32.pow((*count).min(16));
+        *count = count.saturating_add(1);
+        *until = now + pause.min(config.longest_backoff);
+    }
+
+    pub(super) fn on_success(&mut self, engine: &EndpointName, model: &ModelName) {
+        self.failures.remove(&(engine.clone(), model.clone()));
+    }
+
+    pub(super) fn allows(&self, now: Time, engine: &EndpointName, model: &ModelName) -> bool {
+        let failure = self.failures.get(&(engine.clone(), model.clone()));
+        failure.is_none_or(|(_, until)| now >= *until)
+    }
+
+    pub(super) fn forget_old(&mut self, now: Time, config: &PlacementConfig) {
+        let kept = config.longest_backoff;
+        self.failures.retain(|_, (_, until)| now < *until + kept);
+    }
+}
--- a/src/decisions/slots.rs
+++ b/src/decisions/slots.rs
@@ -64,6 +64,9 @@
     pub sequence: u64,
     /// Requests in flight and waiting.
     pub demand: SlotDemand,
+    /// Attempts of this run that the endpoint answered whole. It is a running total, so that a
+    /// lost or repeated report does not change the ramp.
+    pub completed: u64,
     /// Sequence that the newest grant taken answers; zero before the first.
     pub taken: u64,
     /// No grant that answers a message before this one is used any more, and `demand`
@@ -78,6 +81,8 @@
 /// What the keeper answers to a [`SlotReport`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SlotAnswer {
+    /// Run of the holder that sent the report; a later run counts its sequences anew.
+    pub incarnation: Incarnation,
     /// Sequence of the report that this answers.
     pub sequence: u64,
     /// Requests that the holder may have in flight.
--- a/src/decisions/slots/holder.rs
+++ b/src/decisions/slots/holder.rs
@@ -22,6 +22,7 @@
 #[derive(Debug, Default)]
 struct Held {
     keeper: Option<VmId>,
+    incarnation: Option<Incarnation>,
     /// Sequence and send time of messages whose answers may still come.
     sent: VecDeque<(u64, Time)>,
     last_sequence: u64,
@@ -36,6 +37,7 @@
     cold_told: Option<u64>,
     cold_untold: bool,
     ramp: Option<u32>,
+    completed: u64,
     /// Send time of the message that the newest unsequenced grant answers.
     asked_at: Time,
     refused_until: Option<Time>,
@@ -71,6 +73,7 @@
         let (incarnation, sequence) = message;
         let held = self.held.entry(endpoint.clone()).or_default();
         let usable_until = self.grants.get(endpoint).map(|grant| grant.valid_until);
+        held.incarnation = Some(incarnation);
         held.follow(keeper, sequence, usable_until.unwrap_or(Time::ZERO));
         held.forget_lapsed(now.min(measured.at), config);
         if held.sent.len() < REMEMBERED {
@@ -85,6 +88,7 @@
             incarnation,
             sequence,
             demand: measured.demand,
+            completed: held.completed,
             taken,
             released_before,
             cold: held.cold_told.is_some(),
@@ -92,6 +96,11 @@
         }
     }
 
+    /// Notes an attempt that the endpoint answered whole, for the next report.
+    pub fn on_completed(&mut self, endpoint: &EndpointName) {
+        self.held.entry(endpoint.clone()).or_default().completed += 1;
+    }
+
     /// Takes the answer to a report, unless it came too late, was overtaken, or comes from a
     /// VM that this one no longer reports to. Returns whether it was taken.
     pub fn on_answer(
@@ -105,7 +114,9 @@
         let Some(held) = self.held.get_mut(endpoint) else {
             return false;
         };
-        if held.keeper.as_ref() != Some(keeper) || answer.sequence < held.accept_from {
+        let is_addressed =
+            held.keeper.as_ref() == Some(keeper) && held.incarnation == Some(answer.incarnation);
+        if !is_addressed || answer.sequence < held.accept_from {
             return false;
         }
         let mut sent = held.sent.iter();
--- a/src/decisions/slots/keeper.rs
+++ b/src/decisions/slots/keeper.rs
@@ -19,6 +19,7 @@
     /// Ordered, so that a division does not depend on hashing.
     shares: BTreeMap<VmId, Share>,
     ramp: Option<Ramp>,
+    ramp_since: Time,
     served: u64,
 }
 
@@ -55,29 +56,32 @@
         self.endpoints.retain(|endpoint, _| is_kept(endpoint));
     }
 
-    /// Notes a VM's report. Late and repeated ones change nothing.
+    /// Notes a VM's report. Late and repeated ones change nothing: what they say
+    /// was in a newer one. Returns whether the report was news.
     pub fn on_report(
         &mut self,
         now: Time,
         endpoint: &EndpointName,
         vm: &VmId,
         report: &SlotReport,
-    ) {
+    ) -> bool {
         let kept = self.endpoints.entry(endpoint.clone()).or_default();
         let open_from = kept.open_from(&self.config);
         let Some(share) = kept.share(now, vm, report.incarnation) else {
-            return;
+            return false;
         };
         if !share.on_report(now, report) {
-            return;
+            return false;
         }
         let tells_of_earlier_keeper = !open_from.is_some_and(|time| share.heard_after(time));
         if let Some(ramp) = report.ramp.filter(|_| tells_of_earlier_keeper) {
             kept.join_ramp(now, ramp);
         }
+        kept.on_total(now, vm, report.completed);
         if report.cold {
             kept.turn_cold(now);
         }
+        true
     }
 
     /// Notes what a VM wants of an endpoint, from a source that keeps the order and is at
@@ -119,10 +123,7 @@
         let Some(kept) = self.endpoints.get_mut(endpoint) else {
             return;
         };
-        if let (Some(ramp), Some(limits)) = (&mut kept.ramp, kept.limits) {
-            ramp.on_completed(count);
-            ramp.capacity(now, limits);
-        }
+        kept.on_completed(now, count);
     }
 
     /// Returns what an endpoint bears now, as far as its keeper knows.
@@ -148,6 +149,9 @@
 
     /// Answers the newest report of `vm`, as [`SlotKeeper::grant`] does. A grant of no slots
     /// must be sent as well: its receipt shows what the next report comes after.
+    ///
+    /// There is no answer during the takeover wait, since it would replace the grant of an
+    /// earlier keeper that may still be used.
     pub fn answer(
         &mut self,
         now: Time,
@@ -167,6 +171,9 @@
         kept.begin_tenure(now, tenure, &self.members, &config);
         kept.limits = Some(limits);
         let open_from = tenure.since + config.grant_life;
+        if now < open_from {
+            return None;
+        }
         let slots = kept.slots_for(now, vm, limits, open_from, &config);
         let capacity = kept.capacity(now, limits);
         let share = kept.shares.get_mut(vm)?;
@@ -175,9 +182,9 @@
             kept.served += 1;
             share.served = kept.served;
         }
-        let sequence = share.sequence;
         Some(SlotAnswer {
-            sequence,
+            incarnation: share.incarnation,
+            sequence: share.sequence,
             slots,
             ramp: (capacity < limits.warm).then_some(capacity),
         })
@@ -205,6 +212,25 @@
     fn turn_cold(&mut self, now: Time) {
         let cold = self.limits.map_or(0, |limits| limits.cold);
         self.ramp = Some(Ramp::new(now, cold));
+        self.ramp_since = now;
+        for share in self.shares.values_mut() {
+            share.on_cold();
+        }
+    }
+
+    fn on_total(&mut self, now: Time, vm: &VmId, total: u64) {
+        let Some(share) = self.shares.get_mut(vm).filter(|_| self.ramp.is_some()) else {
+            return;
+        };
+        let count = share.credit(total, self.ramp_since);
+        self.on_completed(now, count);
+    }
+
+    fn on_completed(&mut self, now: Time, count: u32) {
+        if let (Some(ramp), Some(limits)) = (&mut self.ramp, self.limits) {
+            ramp.on_completed(count);
+            ramp.capacity(now, limits);
+        }
     }
 
     /// Goes on with the ramp that an earlier keeper was in.
@@ -212,6 +238,7 @@
         let current = self.ramp.as_ref().map(Ramp::current);
         if current.is_none_or(|current| capacity < current) {
             self.ramp = Some(Ramp::new(now, capacity));
+            self.ramp_since = now;
         }
     }
 
@@ -256,7 +283,7 @@
     ) -> u32 {
         let capacity = self.capacity(now, limits);
         let heard = |share: &Share| share.heard_after(open_from);
-        if now < open_from || !self.shares.get(vm).is_some_and(heard) {
+        if !self.shares.get(vm).is_some_and(heard) {
             return 0;
         }
         let taken = self.taken(now, config, |other, _| other != vm);
--- a/src/decisions/slots/share.rs
+++ b/src/decisions/slots/share.rs
@@ -28,6 +28,8 @@
     pub(super) known_from: Time,
     /// Position in the rotation for scarce slots; the lowest is next.
     pub(super) served: u64,
+    /// Running total of completed answers, from when the ramp counts them.
+    completed: Option<u64>,
     given: SmallVec<[Given; 8]>,
     /// No grant is usable from this time on.
     lapsed_at: Time,
@@ -46,6 +48,7 @@
             demand: SlotDemand::default(),
             known_from: Time::ZERO,
             served: 0,
+            completed: None,
             given: SmallVec::new(),
             lapsed_at: now,
             heard_at: now,
@@ -131,6 +134,20 @@
         });
     }
 
+    /// Returns the answers completed since the previous report. Only reports from after the
+    /// cold sign count, so that earlier answers do not speed up the ramp.
+    pub(super) fn credit(&mut self, total: u64, cold_at: Time) -> u32 {
+        if !self.heard_after(cold_at) {
+            return 0;
+        }
+        let before = self.completed.replace(total).unwrap_or(total);
+        u32::try_from(total.saturating_sub(before)).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn on_cold(&mut self) {
+        self.completed = None;
+    }
+
     pub(super) fn on_load(&mut self, read_at: Time, busy: u32, config: &SlotsConfig) {
         if read_at >= self.lapsed_at + config.load_lag {
             self.ceiling = Some(self.ceiling.map_or(busy, |ceiling| ceiling.min(busy)));
--- /dev/null
+++ b/tests/endpoint_runs/router.rs
@@ -0,0 +1,149 @@
+//! Circuits and the choice of endpoints under random failures.
+//!
+//! Guards against several probes of one failing endpoint at once, against work for an
+//! endpoint that refused it for good, and against work beyond a grant.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use primrosewalk::blackboard::{Catalogue, SlotGrant, Snapshot};
+use primrosewalk::decisions::circuit::FailureClass;
+use primrosewalk::decisions::routing::{Attempt, Choice, RouteRequest, Router, RoutingConfig};
+use primrosewalk::manifest::{DataCentre, Manifest, Stage, StageKind};
+use primrosewalk::units::{EndpointName, ModelName, Time};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::{Trace, Verdict, check, endpoint, name, run};
+
+const GRANTED: u32 = 4;
+
+struct Open {
+    attempt: Attempt,
+    /// The opening of the circuit that this attempt probes.
+    probes: Option<u32>,
+}
+
+fn manifest() -> Manifest {
+    let mut manifest = Manifest::default();
+    for number in 0..3 {
+        manifest.data_centres.push(DataCentre {
+            name: name("dc", number),
+            region: name("r", 0),
+            state: Default::default(),
+        });
+        for half in 0..2 {
+            let mut item = endpoint(number * 2 + half, StageKind::Generate, GRANTED, 1);
+            item.service = name("s", 0);
+            item.data_centre = name("dc", number);
+            item.models = vec![name("m", 0), name("m", half)];
+            manifest.endpoints.push(item);
+        }
+    }
+    manifest
+}
+
+fn schedule(random: &mut ChaCha8Rng, trace: &mut Trace) -> Verdict {
+    let mut router = Router::new(RoutingConfig::default(), name("dc", 0));
+    let mut snapshot = Snapshot {
+        catalogue: Some(Arc::new(Catalogue::new(manifest()))),
+        ..Snapshot::default()
+    };
+    let mut flights: Vec<Open> = Vec::new();
+    let mut openings: HashMap<EndpointName, (bool, u32)> = HashMap::new();
+    let mut condemned: Vec<EndpointName> = Vec::new();
+    let mut manifest_changed = false;
+    let mut now_ms = 0;
+    let mut failing = [0_u32; 6];
+    for _ in 0..500 {
+        now_ms += random.random_range(0..60);
+        let now = Time::from_millis(now_ms);
+        if random.random_range(0..40) == 0 {
+            failing[random.random_range(0..6)] = random.random_range(0..100);
+        }
+        if random.random_range(0..100) == 0 {
+            snapshot.catalogue = Some(Arc::new(Catalogue::new(manifest())));
+            manifest_changed = true;
+        }
+        let valid_until = Time::from_millis(now_ms + 1_200);
+        let slots = random.random_range(0..=GRANTED);
+        let grants = (0..6).map(|number| (name("e", number), SlotGrant { slots, valid_until }));
+        snapshot.grants = Arc::new(grants.collect());
+        if random.random_range(0..2) == 0 {
+            // The router meets the new manifest at its next choice.
+            if std::mem::take(&mut manifest_changed) {
+                condemned.clear();
+            }
+            let model: ModelName = name("m", random.random_range(0..2));
+            let stage = Stage {
+                name: name("stage", ""),
+                kind: StageKind::Generate,
+                service: name("s", 0),
+                model: Some(model.clone()),
+                idempotent: true,
+                weight: 1,
+            };
+            let request = RouteRequest {
+                stage: &stage,
+                exclude: &[name("e", 5)],
+                avoid: None,
+                prefix: Some(random.random_range(0..5)),
+            };
+            let Choice::Endpoint { name, reason } = router.choose(now, &snapshot, &request, random)
+            else {
+                continue;
+            };
+            let was_open = router.circuit(&name).is_open();
+            let attempt = router.start(now, &name, &request);
+            let opening = openings.entry(name.clone()).or_default().1;
+            let probes = was_open.then_some(opening);
+            trace.note(|| format!("{now_ms} {name} for {model}, probes {probes:?}: {reason}"));
+            let others = flights.iter().filter(|flight| {
+                was_open && flight.probes == probes && *flight.attempt.endpoint() == name
+            });
+            check(others.count() == 0, || {
+                format!("two probes of {name} at once")
+            })?;
+            let offers = name != "e5".parse().expect("a name")
+                && (model.as_str() == "m0" || name.as_str().ends_with(['1', '3', '5']));
+            check(offers, || {
+                format!("{name} does not offer {model} or is excluded")
+            })?;
+            check(!condemned.contains(&name), || {
+                format!("{name} has refused for good")
+            })?;
+            let (in_flight, granted) = (router.in_flight(&name), slots);
+            check(in_flight <= granted, || {
+                format!("{in_flight} of {granted} at {name}")
+            })?;
+            flights.push(Open { attempt, probes });
+        } else if !flights.is_empty() {
+            let flight = flights.swap_remove(random.random_range(0..flights.len()));
+            let name = flight.attempt.endpoint().clone();
+            let number: usize = name.as_str()[1..].parse().expect("a number");
+            let result = match random.random_range(0..100) {
+                0 => Some(Err(FailureClass::Permanent)),
+                1..4 => Some(Err(FailureClass::Model)),
+                4..8 => None,
+                draw if draw < failing[number] => Some(Err(FailureClass::Transient)),
+                _ => Some(Ok(())),
+            };
+            trace.note(|| format!("{now_ms} {name} ends with {result:?}"));
+            router.finish(now, flight.attempt, result);
+            if result == Some(Err(FailureClass::Permanent)) {
+                condemned.push(name.clone());
+            }
+            for (endpoint, (was_open, opening)) in &mut openings {
+                let is_open = router.circuit(endpoint).is_open();
+                *opening += u32::from(is_open && !*was_open);
+                *was_open = is_open;
+            }
+        }
+    }
+    Ok(())
+}
+
+#[googletest::gtest]
+fn an_open_circuit_has_one_probe_and_refusals_last() {
+    run("router", 600, schedule);
+}
