--- a/tests/endpoint_rules.rs
+++ b/tests/endpoint_rules.rs
@@ -333,6 +333,17 @@
     );
 }
 
+#[gtest]
+fn demand_without_sequence_is_trusted_once_its_lag_has_passed() {
+    let mut keeper = SlotKeeper::new(SlotsConfig::default());
+    let slots = [900, 1_400, 1_500].map(|millis| {
+        let demand = SlotDemand::default();
+        keeper.on_demand(at(millis), &name("e"), &name("v1"), demand);
+        keeper.grant(at(millis), &name("e"), &name("v1"), LIMITS, tenure(0))
+    });
+    expect_that!(slots, eq([0, 0, 10]));
+}
+
 /// Time in ms, running total of completed answers, and the capacity then.
 struct RampCase(u64, u64, u32);
 
