--- a/src/control/cold.rs
+++ b/src/control/cold.rs
@@ -88,10 +88,6 @@
         }
         if self.keeps(now, endpoint) {
             self.keeper.on_cold(now, endpoint);
-            // Answers completed before the sign must not speed up the ramp.
-            for peer in self.peers.values_mut() {
-                peer.completed.remove(endpoint);
-            }
         }
         first
     }
--- a/src/control/slot_messages.rs
+++ b/src/control/slot_messages.rs
@@ -16,10 +16,7 @@
     pub fn add_reports(&mut self, now: Time, vm: &VmId, message: &mut StateMessage) {
         let numbers = (Incarnation(message.incarnation), message.sequence);
         for (endpoint, report) in self.reports_for(now, vm, numbers) {
-            let own = self.demands.get(&endpoint);
-            let completed_total = own.map_or(0, |own| own.completed_total);
-            let wire = WireDemand::new(&endpoint, &report, completed_total);
-            message.demands.push(wire);
+            message.demands.push(WireDemand::new(&endpoint, &report));
         }
     }
 
@@ -69,7 +66,7 @@
             return Ok(());
         }
         for wire in &message.grants {
-            let (endpoint, answer) = wire.answer(message.grants_answer_sequence)?;
+            let (endpoint, answer) = wire.answer(message)?;
             self.take_answer(now, vm, &endpoint, &answer);
         }
         for recall in &message.recalls {
@@ -95,8 +92,9 @@
                 continue;
             }
             self.keeper.on_report(now, &endpoint, vm, &report);
-            let completed = self.take_completed_total(now, vm, &endpoint, wire.completed_total);
             if let Some(peer) = self.peers.get_mut(vm) {
+                let before = peer.completed.insert(endpoint.clone(), report.completed);
+                let completed = before.is_some_and(|before| before != report.completed);
                 let used_at = peer.reported.entry(endpoint.clone()).or_default();
                 if completed || report.demand != SlotDemand::default() {
                     *used_at = Some(now);
@@ -107,27 +105,6 @@
         Ok(())
     }
 
-    /// Returns whether attempts were completed since the last total.
-    fn take_completed_total(
-        &mut self,
-        now: Time,
-        vm: &VmId,
-        endpoint: &EndpointName,
-        total: u64,
-    ) -> bool {
-        let Some(peer) = self.peers.get_mut(vm) else {
-            return false;
-        };
-        // The first total may count answers that an earlier keeper has already counted.
-        let before = peer.completed.insert(endpoint.clone(), total);
-        let count = total.saturating_sub(before.unwrap_or(total));
-        if count > 0 {
-            let count = u32::try_from(count).unwrap_or(u32::MAX);
-            self.keeper.on_completed(now, endpoint, count);
-        }
-        count > 0
-    }
-
     /// Returns the load reports of endpoints that a peer uses and that it has not got yet.
     pub fn loads_for(&mut self, now: Time, vm: &VmId) -> Vec<WireLoad> {
         let Some(peer) = self.peers.get_mut(vm) else {
--- a/src/control/slots.rs
+++ b/src/control/slots.rs
@@ -360,9 +360,7 @@
         let own = state.demands.entry(endpoint.clone()).or_default();
         own.completed_total += 1;
         own.completed_at = now;
-        if state.keeps(now, endpoint) {
-            state.keeper.on_completed(now, endpoint, 1);
-        }
+        state.holder.on_completed(endpoint);
     }
 
     /// Reports to this VM as keeper, and publishes what it answers.
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -10,6 +10,7 @@
 pub mod home_keys;
 pub mod membership;
 pub mod once;
+pub mod placement;
 pub mod quota;
 pub mod rendezvous;
 pub mod retry;
--- a/src/decisions/slots/share.rs
+++ b/src/decisions/slots/share.rs
@@ -32,6 +32,8 @@
     pub(super) answered: u64,
     pub(super) told: u32,
     pub(super) recalled_at: Time,
+    /// Running total of completed answers, from when the ramp counts them.
+    completed: Option<u64>,
     given: SmallVec<[Given; 8]>,
     /// No grant is usable from this time on.
     lapsed_at: Time,
@@ -59,6 +61,7 @@
             answered: 0,
             told: 0,
             recalled_at: Time::ZERO,
+            completed: None,
             given: SmallVec::new(),
             lapsed_at: now,
             heard_at: now,
@@ -144,6 +147,20 @@
         });
     }
 
+    /// Returns the answers completed since the previous report. Only reports from after the
+    /// cold sign count, so that earlier answers do not speed up the ramp.
+    pub(super) fn credit(&mut self, total: u64, cold_at: Time) -> u32 {
+        if !self.heard_after(cold_at) {
+            return 0;
+        }
+        let before = self.completed.replace(total).unwrap_or(total);
+        u32::try_from(total.saturating_sub(before)).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn on_cold(&mut self) {
+        self.completed = None;
+    }
+
     pub(super) fn on_load(&mut self, read_at: Time, busy: u32, config: &SlotsConfig) {
         if read_at >= self.lapsed_at + config.load_lag {
             self.ceiling = Some(self.ceiling.map_or(busy, |ceiling| ceiling.min(busy)));
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -285,12 +285,12 @@
 
 impl WireDemand {
     /// Converts a report that goes out in the message of its sequence.
-    pub fn new(endpoint: &EndpointName, report: &SlotReport, completed_total: u64) -> Self {
+    pub fn new(endpoint: &EndpointName, report: &SlotReport) -> Self {
         Self {
             endpoint: endpoint.to_string(),
             in_flight: report.demand.in_flight,
             waiting: report.demand.waiting,
-            completed_total,
+            completed_total: report.completed,
             taken_behind: report.sequence.saturating_sub(report.taken),
             released_behind: report.sequence.saturating_sub(report.released_before),
             cold: report.cold,
@@ -314,6 +314,7 @@
                 in_flight: self.in_flight,
                 waiting: self.waiting,
             },
+            completed: self.completed_total,
             taken: message.sequence.saturating_sub(self.taken_behind),
             released_before: message.sequence.saturating_sub(self.released_behind),
             cold: self.cold,
@@ -334,14 +335,18 @@
         }
     }
 
-    /// Returns the endpoint and the answer, which came with `answer_sequence`.
+    /// Returns the endpoint and the answer, which came in the given message.
     ///
     /// # Errors
     ///
     /// Returns an endpoint name that is not valid.
-    pub fn answer(&self, answer_sequence: u64) -> Result<(EndpointName, SlotAnswer), MessageError> {
+    pub fn answer(
+        &self,
+        message: &StateMessage,
+    ) -> Result<(EndpointName, SlotAnswer), MessageError> {
         let answer = SlotAnswer {
-            sequence: answer_sequence.saturating_sub(self.behind),
+            incarnation: Incarnation(message.grants_answer_incarnation),
+            sequence: message.grants_answer_sequence.saturating_sub(self.behind),
             slots: self.slots,
             ramp: self.ramp,
         };
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -59,6 +59,7 @@
             in_flight: 3,
             waiting: 4,
         },
+        completed: 100,
         taken: 7,
         released_before: 5,
         cold: true,
@@ -68,6 +69,7 @@
 
 fn slot_answer() -> SlotAnswer {
     SlotAnswer {
+        incarnation: Incarnation(11),
         sequence: 6,
         slots: 6,
         ramp: Some(3),
@@ -87,11 +89,7 @@
         manifest_version: 5,
         freshness_age_us: Some(0),
         leaving: true,
-        demands: vec![WireDemand::new(
-            &"e-1".parse().unwrap(),
-            &slot_report(),
-            100,
-        )],
+        demands: vec![WireDemand::new(&"e-1".parse().unwrap(), &slot_report())],
         grants_answer_sequence: 8,
         grants: vec![WireGrant::new(&"e-2".parse().unwrap(), &slot_answer(), 8)],
         loads: vec![WireLoad::new(&"e-3".parse().unwrap(), &load(now), now)],
@@ -117,8 +115,7 @@
     expect_that!(received.heartbeat().sequence, eq(9));
     let (endpoint, report) = received.demands[0].report(&received).unwrap();
     expect_that!((endpoint.as_str(), report), eq(("e-1", slot_report())));
-    let answer_sequence = received.grants_answer_sequence;
-    let (endpoint, answer) = received.grants[0].answer(answer_sequence).unwrap();
+    let (endpoint, answer) = received.grants[0].answer(&received).unwrap();
     expect_that!((endpoint.as_str(), answer), eq(("e-2", slot_answer())));
     let (_, report) = received.loads[0].load(received_at).unwrap();
     expect_that!(report, eq(&load(received_at)));
