--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -24,6 +24,7 @@
         let heartbeat = state.membership.heartbeat_for(now, vm);
         let peer = state.peers.entry(vm.clone()).or_default();
         peer.note_sent(heartbeat.sequence, now);
+        let answered = (peer.sequence, peer.incarnation);
         let addresses = &state.addresses;
         let address_of = |vm: &VmId| addresses.get(vm).map(|item| item.state);
         let acknowledgement = peer.acknowledgement.take();
@@ -48,6 +49,8 @@
             manifest_version: state.versions.newest().0,
             freshness_age_us: confirmed_at.map(age_us),
             leaving: state.stopping,
+            grants_answer_sequence: answered.0,
+            grants_answer_incarnation: answered.1.map_or(0, |run| run.0),
             ..StateMessage::default()
         };
         state.add_reports(now, vm, &mut message);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::thread;
+use std::time::SystemTime;
 
 use anyhow::Context as _;
 use clap::Parser;
@@ -53,7 +54,7 @@
     let context = Context {
         vm: settings.vm.clone(),
         data_centre: settings.data_centre.clone(),
-        incarnation: Incarnation(rand::random()),
+        incarnation: Incarnation::of_start(SystemTime::now()),
         logger: logger.clone(),
         snapshot: Arc::new(SharedSnapshot::from_pointee(Snapshot::default())),
         decisions,
--- a/src/decisions/run_time.rs
+++ b/src/decisions/run_time.rs
@@ -1,8 +1,8 @@
-//! How long pipelines take once admitted, so that a wait for a token leaves time to run.
+//! How long the rest of a pipeline takes, so that a wait leaves time to run.
 //!
-//! A request that gets its token at the end of its deadline takes slots at endpoints and
-//! still misses the deadline. The wait therefore ends early enough for a usual run
-//! (`docs/design.md`, 3.3).
+//! A request that gets its token or slot at the end of its deadline takes slots at endpoints
+//! and still misses the deadline. A wait therefore ends early enough for a usual run of the
+//! stages that are left, and may last until then (`docs/design.md`, 3.3 and 3.5).
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -42,11 +42,11 @@
     deviation_s: f64,
 }
 
-/// Smoothed run times by pipeline.
+/// Smoothed run times by pipeline and the stage they count from.
 #[derive(Debug, Default)]
 pub struct RunTimes {
     config: RunTimeConfig,
-    estimates: HashMap<PipelineName, Estimate>,
+    estimates: HashMap<PipelineName, Vec<Option<Estimate>>>,
 }
 
 impl RunTimes {
@@ -58,15 +58,19 @@
         }
     }
 
-    /// Notes the time from admission to the whole answer.
-    pub fn record(&mut self, pipeline: &PipelineName, run_time: Duration) {
+    /// Notes the time from the start of a stage to the whole answer. Stage 0 starts at the
+    /// admission.
+    pub fn record(&mut self, pipeline: &PipelineName, stage: usize, run_time: Duration) {
+        let stages = self.estimates.entry(pipeline.clone()).or_default();
+        if stages.len() <= stage {
+            stages.resize(stage + 1, None);
+        }
         let time_s = run_time.as_secs_f64();
-        let Some(estimate) = self.estimates.get_mut(pipeline) else {
-            let first = Estimate {
+        let Some(estimate) = &mut stages[stage] else {
+            stages[stage] = Some(Estimate {
                 mean_s: time_s,
                 deviation_s: time_s / 2.0,
-            };
-            self.estimates.insert(pipeline.clone(), first);
+            });
             return;
         };
         let error_s = time_s - estimate.mean_s;
@@ -74,10 +78,17 @@
         estimate.deviation_s += self.config.deviation_gain * (error_s.abs() - estimate.deviation_s);
     }
 
-    /// Returns how long a request with `remaining` time may wait for its token.
-    pub fn longest_wait(&self, pipeline: &PipelineName, remaining: Duration) -> Duration {
+    /// Returns how long a request with `remaining` time may wait before a stage.
+    pub fn longest_wait(
+        &self,
+        pipeline: &PipelineName,
+        stage: usize,
+        remaining: Duration,
+    ) -> Duration {
         let remaining_s = remaining.as_secs_f64();
-        let needed_s = match self.estimates.get(pipeline) {
+        let stages = self.estimates.get(pipeline);
+        let estimate = stages.and_then(|stages| stages.get(stage).copied().flatten());
+        let needed_s = match estimate {
             Some(estimate) => estimate.mean_s + self.config.deviations * estimate.deviation_s,
             None => remaining_s * self.config.initial_share,
         };
--- a/src/traffic/operator.rs
+++ b/src/traffic/operator.rs
@@ -78,6 +78,11 @@
     let conditions = [
         (snapshot.catalogue.is_none(), "no manifest is in force"),
         (snapshot.vms.vms.is_empty(), "no VM list is in force"),
+        (
+            clock::now() >= snapshot.in_force_until,
+            "no majority acknowledges this VM",
+        ),
+        (snapshot.grants.is_empty(), "no slots are granted yet"),
         (traffic.is_stopping(), "a planned stop began"),
     ];
     let failed = conditions.into_iter().filter(|(failed, _)| *failed);
--- a/src/traffic/run.rs
+++ b/src/traffic/run.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 use slog::info;
+use smallvec::SmallVec;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -192,13 +193,14 @@
         run.traffic.count_refused(organisation);
     }
     admitted?;
-    let admitted_at = clock::now();
+    let mut stages_started_at = SmallVec::<[Time; 6]>::new();
     let mut stages = Vec::with_capacity(run.pipeline.stages.len());
     let mut input = run.input.clone();
     for index in 0..run.pipeline.stages.len() {
         if run.stop.is_cancelled() || run.remaining().is_zero() {
             return Err(run.interrupt_refusal());
         }
+        stages_started_at.push(clock::now());
         let done = stage::run_stage(run, index, &input).await?;
         stages.push(done.summary);
         input = done.output;
@@ -208,8 +210,8 @@
         output: &input,
         stages: &stages,
     };
-    let run_time = clock::now().since(admitted_at);
-    run.traffic.record_run_time(&run.pipeline.name, run_time);
+    let traffic = &run.traffic;
+    traffic.record_run_times(&run.pipeline.name, &stages_started_at);
     let json = serde_json::to_vec(&summary);
     let failed = |error| run.refusal(RefusalCode::StageFailed, format!("no summary: {error}"));
     json.map(Bytes::from).map_err(failed)
--- a/src/traffic/stage.rs
+++ b/src/traffic/stage.rs
@@ -41,6 +41,7 @@
     run: &'a Run,
     stage: &'a Stage,
     input: &'a RawValue,
+    index: usize,
     until: Time,
     relay: TokenRelay,
     request: SlotRequest,
@@ -49,6 +50,13 @@
     answered_cold: bool,
 }
 
+/// Returns the time that a stage which starts now may take.
+fn share_of_time(run: &Run, index: usize) -> Duration {
+    let stages = &run.pipeline.stages;
+    let later = stages[index + 1..].iter().map(|stage| stage.weight);
+    stage_time(run.remaining(), stages[index].weight, later)
+}
+
 /// Runs one stage of a request to its end.
 ///
 /// # Errors
@@ -58,15 +66,14 @@
     let started = clock::now();
     let stages = &run.pipeline.stages;
     let stage = &stages[index];
-    let later = stages[index + 1..].iter().map(|stage| stage.weight);
-    let until = started + stage_time(run.remaining(), stage.weight, later);
     let is_last = index + 1 == stages.len();
     let streams = run.stream && is_last && stage.kind == StageKind::Generate;
     let mut state = StageRun {
         run,
         stage,
         input,
-        until,
+        index,
+        until: started + share_of_time(run, index),
         relay: TokenRelay::new(streams.then(|| run.messages.clone())),
         request: slot_request(run, stage, input),
         attempts: 0,
@@ -146,6 +153,10 @@
         let logger = &run.traffic.context.logger;
         match slot {
             Ok(slot) => {
+                // The wait for the slot may have used up the stage's own time.
+                self.until = self
+                    .until
+                    .max(clock::now() + share_of_time(run, self.index));
                 info!(logger, "routing: chose {}: {}", slot.endpoint.name, slot.reason;
                     "request" => %run.id, "stage" => %self.stage.name,
                     "attempt" => self.attempts + 1, "waited_ms" => waited.as_millis());
@@ -165,15 +176,28 @@
 
     async fn acquire(&mut self) -> Result<Slot, NoSlot> {
         let router = &self.run.traffic.router;
-        let wait = self.until.since(clock::now());
-        let slot = router.acquire(self.request.clone(), wait).await;
+        let slot = router
+            .acquire(self.request.clone(), self.longest_wait())
+            .await;
         if !matches!(slot, Err(NoSlot::NoEndpoint)) || self.request.exclude.is_empty() {
             return slot;
         }
         // All others are gone: an endpoint that failed once is better than none.
         self.request.exclude.clear();
-        let wait = self.until.since(clock::now());
-        router.acquire(self.request.clone(), wait).await
+        router
+            .acquire(self.request.clone(), self.longest_wait())
+            .await
+    }
+
+    /// Returns how long to wait for a slot: to the end of the stage's time, or longer if the
+    /// rest of the pipeline usually needs less than what is left.
+    fn longest_wait(&self) -> Duration {
+        let run = self.run;
+        let own = self.until.since(clock::now());
+        let spare = run
+            .traffic
+            .longest_wait(&run.pipeline.name, self.index, run.remaining());
+        own.max(spare)
     }
 
     /// Makes one attempt. The outer error ends the request, the inner one the attempt.
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -59,14 +59,25 @@
 }
 
 impl Traffic {
-    /// Notes how long an answered request took from its admission.
-    pub fn record_run_time(&self, pipeline: &PipelineName, run_time: Duration) {
-        self.run_times.lock().record(pipeline, run_time);
+    /// Notes when the stages of an answered request started.
+    pub fn record_run_times(&self, pipeline: &PipelineName, stages_started_at: &[Time]) {
+        let now = clock::now();
+        let mut run_times = self.run_times.lock();
+        for (stage, started_at) in stages_started_at.iter().enumerate() {
+            run_times.record(pipeline, stage, now.since(*started_at));
+        }
     }
 
-    /// Returns how long a request may wait for its token and still run in time.
-    pub fn longest_token_wait(&self, pipeline: &PipelineName, remaining: Duration) -> Duration {
-        self.run_times.lock().longest_wait(pipeline, remaining)
+    /// Returns how long a request may wait before a stage and still be answered in time.
+    pub fn longest_wait(
+        &self,
+        pipeline: &PipelineName,
+        stage: usize,
+        remaining: Duration,
+    ) -> Duration {
+        self.run_times
+            .lock()
+            .longest_wait(pipeline, stage, remaining)
     }
 
     /// Builds the shared state.
--- a/src/units.rs
+++ b/src/units.rs
@@ -7,7 +7,7 @@
 use std::ops::{Add, Sub};
 use std::str::FromStr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -151,11 +151,21 @@
     })
 }
 
-/// One run of a daemon. A restarted VM has a new incarnation, since it keeps nothing.
+/// One run of a daemon. A restarted VM has a new, higher incarnation, since it keeps nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
+impl Incarnation {
+    /// Makes the incarnation of a daemon that starts at a time of the wall clock.
+    ///
+    /// A later run of a VM must have a higher one: peers drop what an earlier run sent.
+    pub fn of_start(started_at: SystemTime) -> Self {
+        let since_epoch = started_at.duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
 impl fmt::Display for Incarnation {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -335,10 +335,14 @@
         get_json(self.vms[vm].operator, "/v1/status").await
     }
 
-    /// Waits until a VM is ready and holds a majority lease.
+    /// Waits until a VM holds a majority lease and has slots at every endpoint, as it does a
+    /// few seconds after the start of a fleet.
     pub async fn wait_in_force(&self, vm: usize) {
-        self.wait_status(vm, "in force", |status| {
-            status["in_force"] == true && !status["manifest_version"].is_null()
+        self.wait_status(vm, "in force with slots at every endpoint", |status| {
+            let endpoints = status["endpoints"].as_array();
+            let granted = |endpoint: &Value| endpoint["granted_slots"] != json!(0);
+            status["in_force"] == true
+                && endpoints.is_some_and(|all| !all.is_empty() && all.iter().all(granted))
         })
         .await;
     }
--- a/tests/traffic_fixture/mod.rs
+++ b/tests/traffic_fixture/mod.rs
@@ -158,6 +158,7 @@
             catalogue: Some(Arc::new(catalogue)),
             vms: Arc::new(vm_list(&[(setup.vm, caller)])),
             keys_fresh_until: Time { micros: u64::MAX },
+            in_force_until: Time { micros: u64::MAX },
             grants: Arc::new(grants),
             ..Snapshot::default()
         }));
