--- a/src/decisions/membership.rs
+++ b/src/decisions/membership.rs
@@ -128,6 +128,8 @@
     tenures: HashMap<String, KeyTenure>,
     tenure_count: u64,
     active_at: Time,
+    /// Time of the last refresh, if nothing was heard since.
+    refreshed_at: Option<Time>,
 }
 
 impl Membership {
@@ -152,6 +154,7 @@
             tenures: HashMap::new(),
             tenure_count: 0,
             active_at: now,
+            refreshed_at: None,
         }
     }
 
@@ -165,6 +168,7 @@
         fenced: impl IntoIterator<Item = VmId>,
     ) {
         self.refresh(now);
+        self.refreshed_at = None;
         for vm in fenced {
             if !self.fenced.contains(&vm) {
                 self.fenced.push(vm);
@@ -242,6 +246,7 @@
         let peer = self.peers.entry(from.clone());
         let peer = peer.or_insert_with(|| Peer::new(now));
         peer.note_heard(now, heartbeat);
+        self.refreshed_at = None;
         let granted = agrees && now >= peer.denied_until;
         if granted {
             peer.leased_until = now + self.config.lease;
@@ -277,11 +282,19 @@
             return;
         };
         peer.note_answer(sent_at, answer, &self.config);
+        self.refreshed_at = None;
         self.adopt(&answer.predecessors);
         self.resolve(answer.resolved);
         self.refresh(now);
     }
 
+    /// Returns when the heartbeat that `answer` belongs to was sent. What a peer states with
+    /// an age is no newer than that time less the age, however late the answer comes.
+    pub fn heartbeat_sent_at(&self, from: &VmId, answer: &Acknowledgement) -> Option<Time> {
+        let peer = self.peers.get(from)?;
+        (answer.to_incarnation == self.incarnation).then(|| peer.sent_at(answer.sequence))?
+    }
+
     /// Returns until when this VM is in force; not after `now` when it is not.
     pub fn in_force_until(&self, now: Time) -> Time {
         self.lease_until(now)
@@ -331,6 +344,10 @@
 
     /// Updates everything that depends on the time or on what was heard.
     fn refresh(&mut self, now: Time) {
+        if self.refreshed_at == Some(now) {
+            return;
+        }
+        self.refreshed_at = Some(now);
         self.restart_suspicion_after_pause(now);
         self.finish_recovery(now);
         self.note_own_denials(now);
--- a/src/decisions/quota.rs
+++ b/src/decisions/quota.rs
@@ -148,7 +148,8 @@
     /// order in which they were made.
     ///
     /// The home gives the token out at the returned time, and only if the same tenure (by
-    /// number) still holds then.
+    /// number) still holds then. The credit's life counts from the returned time, also when
+    /// the home gives it out later: a home that was paused would else give out many at once.
     pub fn reserve(
         &mut self,
         now: Time,
