--- a/src/decisions/membership.rs
+++ b/src/decisions/membership.rs
@@ -336,6 +336,12 @@
         &self.predecessors
     }
 
+    /// Returns whether the list that this VM goes by is known to have been in force. VMs that
+    /// left the list may then be stopped for good.
+    pub fn is_settled(&self) -> bool {
+        self.resolved == self.list.version
+    }
+
     /// Returns whether this VM acknowledges others, which it does not after a restart until
     /// it has relearned what an earlier incarnation may have promised.
     pub fn is_recovered(&self) -> bool {
