--- a/src/decisions/membership.rs
+++ b/src/decisions/membership.rs
@@ -336,10 +336,10 @@
         &self.predecessors
     }
 
-    /// Returns whether the list that this VM goes by is known to have been in force. VMs that
-    /// left the list may then be stopped for good.
-    pub fn is_settled(&self) -> bool {
-        self.resolved == self.list.version
+    /// Returns the newest list that is known to have been in force. VMs that are only on
+    /// older lists may be stopped for good.
+    pub fn settled_version(&self) -> Version {
+        self.resolved
     }
 
     /// Returns whether this VM acknowledges others, which it does not after a restart until
--- a/tests/randomised_membership.rs
+++ b/tests/randomised_membership.rs
@@ -17,6 +17,8 @@
 mod checks;
 #[path = "randomised_membership/faults.rs"]
 mod faults;
+#[path = "randomised_membership/messages.rs"]
+mod messages;
 #[path = "randomised_membership/world.rs"]
 mod world;
 
--- a/tests/randomised_membership/checks.rs
+++ b/tests/randomised_membership/checks.rs
@@ -14,9 +14,8 @@
 
 use crate::world::{CALM_MICROS, CHAOS_MICROS, ORGANISATIONS, POOL, Platform, World};
 
+/// Counts from the change, or from when a VM that missed it has contact again.
 const WITHDRAWAL_MICROS: u64 = 5_000_000;
-/// A VM that came back this long ago could read what it missed.
-const CONTACT_MICROS: u64 = 4_000_000;
 /// Tokens must flow in this last part of a schedule.
 const FLOW_MICROS: u64 = 2_000_000;
 
@@ -211,7 +210,7 @@
             return Ok(());
         }
         let seen = &self.checks.seen[vm];
-        let contact = self.now.saturating_sub(CONTACT_MICROS);
+        let contact = self.now.saturating_sub(WITHDRAWAL_MICROS);
         let reads = self.vms[vm].platform == Platform::Fresh && seen.platform_since <= contact;
         let informs = |other: &usize| {
             let peer = &self.checks.seen[*other];
--- a/tests/randomised_membership/faults.rs
+++ b/tests/randomised_membership/faults.rs
@@ -22,8 +22,8 @@
             6 | 7 => self.restart(vm),
             8 => self.kill(vm),
             9..=11 => self.change_list(),
-            12 => self.publish_manifest(),
-            13 | 14 => self.change_platform(vm),
+            12 | 13 => self.publish_manifest(),
+            14 => self.change_platform(vm),
             15 => self.lose_parts(vm),
             16 | 17 => self.replace_cut_off_vms(),
             18 => self.restart_cut_off_vms(),
@@ -132,6 +132,7 @@
         self.manifests.push(self.now);
         let version = self.manifests.len();
         self.note(|| format!("manifest {version} withdraws a key"));
+        (0..POOL).for_each(|vm| self.read_platform(vm));
     }
 
     fn change_platform(&mut self, vm: usize) {
@@ -153,6 +154,7 @@
             self.checks.on_platform_back(vm, self.now);
         }
         self.vms[vm].platform = view;
+        self.read_platform(vm);
     }
 
     fn lose_parts(&mut self, vm: usize) {
@@ -231,7 +233,6 @@
         self.reconnect();
         (self.loss, self.slow) = (0.0, 0.0);
         for vm in 0..POOL {
-            self.vms[vm].parts_lost = false;
             self.set_platform(vm, Platform::Fresh);
             let listed = |list: &MemberList| list.members.contains(&self.vms[vm].id);
             if self.lists.iter().any(listed) && self.vms[vm].running.is_none() {
@@ -250,14 +251,18 @@
         }
     }
 
-    /// Stops the VMs that left the list once it is in force, as operators do.
+    /// Stops the VMs that left the list once it is in force, as operators do, and ends the
+    /// last faults.
     pub fn stop_removed_vms(&mut self) {
+        self.vms.iter_mut().for_each(|vm| vm.parts_lost = false);
         let version = self.lists.last().map(|list| list.version);
         let in_force = (0..POOL).any(|vm| {
             let now = self.vms[vm].local(self.now);
             let running = self.vms[vm].running.as_ref().map(|it| &it.membership);
             let held = running.filter(|held| Some(held.list_version()) == version);
-            held.is_some_and(|held| held.is_settled() && now < held.in_force_until(now))
+            held.is_some_and(|held| {
+                Some(held.settled_version()) == version && now < held.in_force_until(now)
+            })
         });
         for vm in (0..POOL)
             .filter(|vm| in_force && !self.is_listed(*vm))
--- /dev/null
+++ b/tests/randomised_membership/messages.rs
@@ -0,0 +1,124 @@
+//! What VMs do with messages and timers, in place of the shells around the decisions.
+
+use std::time::Duration;
+
+use primrosewalk::decisions::quota::{QuotaConfig, Reservation};
+use primrosewalk::units::{OrganisationName, Time, Version};
+use rand::RngExt;
+
+use crate::world::{Action, Ask, Body, World, allowance};
+
+impl World {
+    pub fn on_platform(&mut self, vm: usize, now: Time, list: usize, manifest: u64, sent_at: Time) {
+        let list = self.lists[list].clone();
+        let parts_lost = self.vms[vm].parts_lost;
+        let running = self.running(vm);
+        running.membership.install_list(now, list, []);
+        if !parts_lost {
+            running.config.accept(Version(manifest));
+        }
+        running.config.confirm(sent_at, Version(manifest));
+    }
+
+    pub fn on_message(&mut self, vm: usize, now: Time, from: usize, body: Body) {
+        let sender = self.vms[from].id.clone();
+        let running = self.running(vm);
+        match body {
+            Body::Heartbeat(heartbeat, manifest) => {
+                let answer = running.membership.on_heartbeat(now, &sender, &heartbeat);
+                let age = running.config.confirmed_at().map(|at| now.since(at));
+                let newest = running.config.newest().0;
+                self.send(vm, from, Body::Answer(answer, newest, age));
+                self.on_versions(vm, now, from, heartbeat.list_version, manifest);
+            }
+            Body::Answer(answer, manifest, age) => {
+                let sent_at = running.membership.heartbeat_sent_at(&sender, &answer);
+                running.membership.on_acknowledgement(now, &sender, &answer);
+                if let (Some(sent_at), Some(age)) = (sent_at, age) {
+                    running.config.confirm(sent_at - age, Version(manifest));
+                }
+                self.on_versions(vm, now, from, answer.list_version, manifest);
+            }
+            Body::FetchList => {
+                let list = running.membership.list().clone();
+                self.send(vm, from, Body::List(list));
+            }
+            Body::List(list) => running.membership.install_list(now, list, []),
+            Body::FetchManifest => {
+                let newest = running.config.newest().0;
+                self.send(vm, from, Body::Manifest(newest));
+            }
+            Body::Manifest(version) => {
+                if !self.vms[vm].parts_lost {
+                    self.running(vm).config.accept(Version(version));
+                }
+            }
+            Body::Acquire(ask) => self.on_acquire(vm, now, ask),
+            Body::Granted(ask, held) => self.on_granted(vm, now, ask, held),
+        }
+    }
+
+    fn on_versions(&mut self, vm: usize, now: Time, from: usize, list: Version, manifest: u64) {
+        let running = self.running(vm);
+        running.config.on_peer_version(now, Version(manifest));
+        let wants_list = list > running.membership.list_version();
+        if running.config.wants(Version(manifest)) {
+            self.send(vm, from, Body::FetchManifest);
+        }
+        if wants_list {
+            self.send(vm, from, Body::FetchList);
+        }
+    }
+
+    fn on_acquire(&mut self, vm: usize, now: Time, ask: Ask) {
+        let key = self.keys[ask.organisation].clone();
+        let name: OrganisationName = key.parse().expect("keys are names");
+        let running = self.running(vm);
+        let Some(tenure) = running.membership.tenure(now, &key) else {
+            return;
+        };
+        let (allowance, wait) = (allowance(ask.organisation), Duration::from_secs(2));
+        let reserved = running.quota.reserve(now, &name, allowance, tenure, wait);
+        if let Reservation::DueAt(due) = reserved {
+            let at = self.vms[vm].global(due);
+            let (tenure, held) = (tenure.number, due.since(now));
+            self.timer(vm, at, Action::Due { ask, tenure, held });
+        }
+    }
+
+    pub fn on_due(&mut self, vm: usize, now: Time, ask: Ask, tenure: u64, held: Duration) {
+        let key = self.keys[ask.organisation].clone();
+        let current = self.running(vm).membership.tenure(now, &key);
+        if current.is_some_and(|current| current.number == tenure) {
+            self.note(|| format!("vm-{vm} grants {} in tenure {tenure}", ask.organisation));
+            self.send(vm, ask.from, Body::Granted(ask, held));
+        }
+    }
+
+    fn on_granted(&mut self, vm: usize, now: Time, ask: Ask, held: Duration) {
+        let until = ask.sent_at + held + QuotaConfig::default().credit_life;
+        // A second copy of an answer brings no second credit.
+        let first =
+            self.checks
+                .answered
+                .insert((vm, ask.incarnation, ask.sent_at, ask.organisation));
+        if self.incarnation(vm) != Some(ask.incarnation) || now >= until || !first {
+            return;
+        }
+        let end = self.vms[vm].global(until) - 1;
+        let at = match self.random.random_range(0..3) {
+            0 => self.now,
+            1 => end.max(self.now),
+            _ => self.random.random_range(self.now..=end.max(self.now)),
+        };
+        let organisation = ask.organisation;
+        self.timer(
+            vm,
+            at,
+            Action::Use {
+                organisation,
+                until,
+            },
+        );
+    }
+}
--- a/tests/randomised_membership/world.rs
+++ b/tests/randomised_membership/world.rs
@@ -7,10 +7,8 @@
 use primrosewalk::decisions::membership::{
     Acknowledgement, Heartbeat, MemberList, Membership, MembershipConfig,
 };
-use primrosewalk::decisions::quota::{Allowance, Quota, QuotaConfig, Reservation};
-use primrosewalk::units::{
-    Burst, Incarnation, OrganisationName, RatePerSecond, Time, Version, VmId,
-};
+use primrosewalk::decisions::quota::{Allowance, Quota, QuotaConfig};
+use primrosewalk::units::{Burst, Incarnation, RatePerSecond, Time, Version, VmId};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -34,14 +32,14 @@
 
 #[derive(Clone, Copy)]
 pub struct Ask {
-    from: usize,
-    incarnation: u64,
-    organisation: usize,
-    sent_at: Time,
+    pub from: usize,
+    pub incarnation: u64,
+    pub organisation: usize,
+    pub sent_at: Time,
 }
 
 #[derive(Clone)]
-enum Body {
+pub enum Body {
     Heartbeat(Heartbeat, u64),
     Answer(Acknowledgement, u64, Option<Duration>),
     FetchList,
@@ -53,7 +51,7 @@
 }
 
 #[derive(Clone)]
-enum Action {
+pub enum Action {
     Tick,
     Platform {
         list: usize,
@@ -92,7 +90,7 @@
 pub struct Running {
     pub membership: Membership,
     pub config: ConfigVersion,
-    quota: Quota,
+    pub quota: Quota,
     pub incarnation: u64,
 }
 
@@ -249,7 +247,7 @@
         self.events.insert((self.now + delay, self.sequence), event);
     }
 
-    fn timer(&mut self, vm: usize, at: u64, action: Action) {
+    pub fn timer(&mut self, vm: usize, at: u64, action: Action) {
         let incarnation = self.vms[vm]
             .running
             .as_ref()
@@ -275,6 +273,7 @@
         self.checks.on_start(vm, self.now);
         let at = self.now + self.random.random_range(0..HEARTBEAT_MICROS);
         self.timer(vm, at, Action::Tick);
+        self.read_platform(vm);
     }
 
     pub fn pause(&mut self, vm: usize, micros: u64) {
@@ -297,7 +296,7 @@
         Ok(())
     }
 
-    fn incarnation(&self, vm: usize) -> Option<u64> {
+    pub fn incarnation(&self, vm: usize) -> Option<u64> {
         Some(self.vms[vm].running.as_ref()?.incarnation)
     }
 
@@ -305,7 +304,7 @@
         self.vms.iter().position(|vm| vm.id == *id)
     }
 
-    fn send(&mut self, from: usize, to: usize, body: Body) {
+    pub fn send(&mut self, from: usize, to: usize, body: Body) {
         if from == to {
             return self.schedule(0, Event::Act(to, None, Action::Message(from, body)));
         }
@@ -382,7 +381,7 @@
         self.check_vm(vm)
     }
 
-    fn running(&mut self, vm: usize) -> &mut Running {
+    pub fn running(&mut self, vm: usize) -> &mut Running {
         self.vms[vm]
             .running
             .as_mut()
@@ -398,136 +397,29 @@
             let to = self.index(&peer).expect("all VMs are in the pool");
             self.send(vm, to, body);
         }
-        let (list, manifest) = match self.vms[vm].platform {
-            Platform::Fresh => (self.lists.len() - 1, self.manifests.len() as u64),
-            Platform::Stale { list, manifest } => (list, manifest),
-            Platform::Away => return,
-        };
-        // Reads succeed now and then, so that VMs see versions at different times.
+        // Reads succeed now and then, so that VMs see lists at different times.
         if self.random.random_bool(0.4) {
-            let at = self.now + self.random.random_range(1_000..200_000);
-            self.timer(
-                vm,
-                at,
-                Action::Platform {
-                    list,
-                    manifest,
-                    sent_at: now,
-                },
-            );
+            self.read_platform(vm);
         }
     }
 
-    fn on_platform(&mut self, vm: usize, now: Time, list: usize, manifest: u64, sent_at: Time) {
-        let list = self.lists[list].clone();
-        let parts_lost = self.vms[vm].parts_lost;
-        let running = self.running(vm);
-        running.membership.install_list(now, list, []);
-        if !parts_lost {
-            running.config.accept(Version(manifest));
-        }
-        running.config.confirm(sent_at, Version(manifest));
-    }
-
-    fn on_message(&mut self, vm: usize, now: Time, from: usize, body: Body) {
-        let sender = self.vms[from].id.clone();
-        let running = self.running(vm);
-        match body {
-            Body::Heartbeat(heartbeat, manifest) => {
-                let answer = running.membership.on_heartbeat(now, &sender, &heartbeat);
-                let age = running.config.confirmed_at().map(|at| now.since(at));
-                let newest = running.config.newest().0;
-                self.send(vm, from, Body::Answer(answer, newest, age));
-                self.on_versions(vm, now, from, heartbeat.list_version, manifest);
-            }
-            Body::Answer(answer, manifest, age) => {
-                let sent_at = running.membership.heartbeat_sent_at(&sender, &answer);
-                running.membership.on_acknowledgement(now, &sender, &answer);
-                if let (Some(sent_at), Some(age)) = (sent_at, age) {
-                    running.config.confirm(sent_at - age, Version(manifest));
-                }
-                self.on_versions(vm, now, from, answer.list_version, manifest);
-            }
-            Body::FetchList => {
-                let list = running.membership.list().clone();
-                self.send(vm, from, Body::List(list));
-            }
-            Body::List(list) => running.membership.install_list(now, list, []),
-            Body::FetchManifest => {
-                let newest = running.config.newest().0;
-                self.send(vm, from, Body::Manifest(newest));
-            }
-            Body::Manifest(version) => {
-                if !self.vms[vm].parts_lost {
-                    self.running(vm).config.accept(Version(version));
-                }
-            }
-            Body::Acquire(ask) => self.on_acquire(vm, now, ask),
-            Body::Granted(ask, held) => self.on_granted(vm, now, ask, held),
-        }
-    }
-
-    fn on_versions(&mut self, vm: usize, now: Time, from: usize, list: Version, manifest: u64) {
-        let running = self.running(vm);
-        running.config.on_peer_version(now, Version(manifest));
-        let wants_list = list > running.membership.list_version();
-        if running.config.wants(Version(manifest)) {
-            self.send(vm, from, Body::FetchManifest);
-        }
-        if wants_list {
-            self.send(vm, from, Body::FetchList);
-        }
-    }
-
-    fn on_acquire(&mut self, vm: usize, now: Time, ask: Ask) {
-        let key = self.keys[ask.organisation].clone();
-        let name: OrganisationName = key.parse().expect("keys are names");
-        let running = self.running(vm);
-        let Some(tenure) = running.membership.tenure(now, &key) else {
-            return;
-        };
-        let (allowance, wait) = (allowance(ask.organisation), Duration::from_secs(2));
-        let reserved = running.quota.reserve(now, &name, allowance, tenure, wait);
-        if let Reservation::DueAt(due) = reserved {
-            let at = self.vms[vm].global(due);
-            let (tenure, held) = (tenure.number, due.since(now));
-            self.timer(vm, at, Action::Due { ask, tenure, held });
-        }
-    }
-
-    fn on_due(&mut self, vm: usize, now: Time, ask: Ask, tenure: u64, held: Duration) {
-        let key = self.keys[ask.organisation].clone();
-        let current = self.running(vm).membership.tenure(now, &key);
-        if current.is_some_and(|current| current.number == tenure) {
-            self.note(|| format!("vm-{vm} grants {} in tenure {tenure}", ask.organisation));
-            self.send(vm, ask.from, Body::Granted(ask, held));
-        }
-    }
-
-    fn on_granted(&mut self, vm: usize, now: Time, ask: Ask, held: Duration) {
-        let until = ask.sent_at + held + QuotaConfig::default().credit_life;
-        // A second copy of an answer brings no second credit.
-        let first =
-            self.checks
-                .answered
-                .insert((vm, ask.incarnation, ask.sent_at, ask.organisation));
-        if self.incarnation(vm) != Some(ask.incarnation) || now >= until || !first {
+    /// Reads the platform, or lets a waiting watch return.
+    pub fn read_platform(&mut self, vm: usize) {
+        if self.vms[vm].running.is_none() {
             return;
         }
-        let end = self.vms[vm].global(until) - 1;
-        let at = match self.random.random_range(0..3) {
-            0 => self.now,
-            1 => end.max(self.now),
-            _ => self.random.random_range(self.now..=end.max(self.now)),
+        let (list, manifest) = match self.vms[vm].platform {
+            Platform::Fresh => (self.lists.len() - 1, self.manifests.len() as u64),
+            Platform::Stale { list, manifest } => (list, manifest),
+            Platform::Away => return,
         };
-        let organisation = ask.organisation;
-        self.timer(
-            vm,
-            at,
-            Action::Use {
-                organisation,
-                until,
-            },
-        );
+        let at = self.now + self.random.random_range(1_000..200_000);
+        let sent_at = self.vms[vm].local(self.now);
+        let action = Action::Platform {
+            list,
+            manifest,
+            sent_at,
+        };
+        self.timer(vm, at, action);
     }
 }
