--- a/tests/randomised_membership/checks.rs
+++ b/tests/randomised_membership/checks.rs
@@ -5,7 +5,8 @@
 //! * Versions never go back within a run of a VM.
 //! * A VM that could read the platform, or reach a majority that has the newer manifest,
 //!   does not accept a withdrawn key more than 5 s after the change.
-//! * Once everything is healthy, each key has one home and its tokens flow.
+//! * Once everything is healthy, each VM of the list has the newest list and manifest, each
+//!   key has one home, and its tokens flow.
 
 use std::collections::HashSet;
 
@@ -232,6 +233,14 @@
 
     pub fn check_liveness(&mut self) -> Result<(), String> {
         self.now = CHAOS_MICROS + CALM_MICROS;
+        let list = Version(self.lists.len() as u64);
+        let manifest = Version(self.manifests.len() as u64);
+        for vm in (0..POOL).filter(|vm| self.is_listed(*vm)) {
+            let seen = &self.checks.seen[vm];
+            if (seen.list, seen.manifest) != (list, manifest) {
+                return Err(format!("vm-{vm} lacks list {list} or manifest {manifest}"));
+            }
+        }
         for key in 0..ORGANISATIONS.len() {
             let last_use = self.checks.excess[key].1;
             if self.homes(key).len() != 1 {
