--- /dev/null
+++ b/tests/randomised_membership/faults.rs
@@ -0,0 +1,275 @@
+//! Faults of a schedule, and the return to health at its end.
+
+use primrosewalk::decisions::membership::MemberList;
+use primrosewalk::units::{Version, VmId};
+use rand::RngExt;
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use crate::world::{POOL, Platform, World};
+
+impl World {
+    pub fn inject_fault(&mut self) {
+        let vm = self.random.random_range(0..POOL);
+        match self.random.random_range(0..20) {
+            0 | 1 => self.partition(),
+            2 => self.cut_one_way(),
+            3 => self.reconnect(),
+            4 | 5 => {
+                let micros = self.random.random_range(100_000..3_000_000);
+                self.note(|| format!("vm-{vm} pauses for {micros} us"));
+                self.pause(vm, micros);
+            }
+            6 | 7 => self.restart(vm),
+            8 => self.kill(vm),
+            9..=11 => self.change_list(),
+            12 | 13 => self.publish_manifest(),
+            14 => self.change_platform(vm),
+            15 => self.lose_parts(vm),
+            16 | 17 => self.replace_cut_off_vms(),
+            18 => self.restart_cut_off_vms(),
+            _ => self.restart_several(),
+        }
+    }
+
+    fn partition(&mut self) {
+        let groups: Vec<u8> = (0..POOL).map(|_| self.random.random_range(0..2)).collect();
+        self.note(|| format!("partition into {groups:?}"));
+        for from in 0..POOL {
+            for to in 0..POOL {
+                self.set_cut(from, to, groups[from] != groups[to]);
+            }
+        }
+    }
+
+    fn cut_one_way(&mut self) {
+        let from = self.random.random_range(0..POOL);
+        let to = self.random.random_range(0..POOL);
+        self.note(|| format!("messages from vm-{from} to vm-{to} are lost"));
+        self.set_cut(from, to, from != to);
+    }
+
+    fn reconnect(&mut self) {
+        self.note(|| "partitions end".to_owned());
+        for from in 0..POOL {
+            (0..POOL).for_each(|to| self.set_cut(from, to, false));
+        }
+    }
+
+    fn set_cut(&mut self, from: usize, to: usize, cut: bool) {
+        if self.cut[from][to] && !cut {
+            self.checks.on_connect(from, to, self.now);
+        }
+        self.cut[from][to] = cut;
+    }
+
+    fn kill(&mut self, vm: usize) {
+        self.note(|| format!("vm-{vm} is killed"));
+        self.vms[vm].running = None;
+        self.checks.on_kill(vm);
+    }
+
+    fn restart(&mut self, vm: usize) {
+        let ran = self.vms[vm].running.is_some();
+        let listed = self
+            .lists
+            .iter()
+            .any(|list| list.members.contains(&self.vms[vm].id));
+        if ran || listed {
+            self.kill(vm);
+            self.note(|| format!("vm-{vm} starts"));
+            self.start(vm);
+        }
+    }
+
+    fn restart_several(&mut self) {
+        let share = self.random.random_range(0.2..1.0);
+        for vm in 0..POOL {
+            if self.vms[vm].running.is_some() && self.random.random_bool(share) {
+                self.restart(vm);
+            }
+        }
+    }
+
+    /// Publishes a list with one VM or several added, removed or replaced.
+    fn change_list(&mut self) {
+        let latest = self.lists.last().expect("a schedule starts with a list");
+        let mut members = latest.members.to_vec();
+        let several = self.random.random_bool(0.3);
+        let (mut adds, mut removes) = match self.random.random_range(0..3) {
+            0 => (1, 0),
+            1 => (0, 1),
+            _ => (1, 1),
+        };
+        if several {
+            adds *= self.random.random_range(1..4);
+            removes *= self.random.random_range(1..4);
+        }
+        let outside = self.vms.iter().map(|vm| vm.id.clone());
+        let mut outside: Vec<_> = outside.filter(|id| !members.contains(id)).collect();
+        outside.shuffle(&mut self.random);
+        members.shuffle(&mut self.random);
+        members.truncate(members.len().saturating_sub(removes));
+        members.extend(outside.into_iter().take(adds));
+        self.publish_list(members);
+    }
+
+    fn publish_list(&mut self, members: Vec<VmId>) {
+        if members.is_empty() || members.len() > 6 {
+            return;
+        }
+        let version = Version(self.lists.len() as u64 + 1);
+        self.note(|| format!("list {version}: {members:?}"));
+        for vm in 0..POOL {
+            if members.contains(&self.vms[vm].id) && self.vms[vm].running.is_none() {
+                self.start(vm);
+            }
+        }
+        let members = members.into_iter().collect();
+        self.lists.push(MemberList { version, members });
+    }
+
+    fn publish_manifest(&mut self) {
+        self.manifests.push(self.now);
+        let version = self.manifests.len();
+        self.note(|| format!("manifest {version} withdraws a key"));
+        (0..POOL).for_each(|vm| self.read_platform(vm));
+    }
+
+    fn change_platform(&mut self, vm: usize) {
+        let stale = Platform::Stale {
+            list: self.random.random_range(0..self.lists.len()),
+            manifest: self.random.random_range(1..=self.manifests.len() as u64),
+        };
+        let views = [Platform::Fresh, Platform::Fresh, stale, Platform::Away];
+        let view = *views.choose(&mut self.random).expect("there are views");
+        let everywhere = self.random.random_bool(0.2);
+        let vms = if everywhere { 0..POOL } else { vm..vm + 1 };
+        for vm in vms {
+            self.set_platform(vm, view);
+        }
+    }
+
+    fn set_platform(&mut self, vm: usize, view: Platform) {
+        if self.vms[vm].platform != Platform::Fresh && view == Platform::Fresh {
+            self.checks.on_platform_back(vm, self.now);
+        }
+        self.vms[vm].platform = view;
+        self.read_platform(vm);
+    }
+
+    fn lose_parts(&mut self, vm: usize) {
+        self.note(|| format!("vm-{vm} cannot fetch manifests"));
+        self.vms[vm].parts_lost = true;
+    }
+
+    /// Picks some VMs and cuts them off from the rest.
+    fn cut_off(&mut self, share: f64) -> Vec<usize> {
+        let apart: Vec<bool> = (0..POOL).map(|_| self.random.random_bool(share)).collect();
+        for from in 0..POOL {
+            for to in 0..POOL {
+                self.set_cut(from, to, apart[from] != apart[to]);
+            }
+        }
+        let vms: Vec<usize> = (0..POOL).filter(|vm| apart[*vm]).collect();
+        self.note(|| format!("cut off from the rest: {vms:?}"));
+        vms
+    }
+
+    /// Publishes a list without VMs that do not hear of it, as when a data centre is lost
+    /// from sight and its VMs are replaced.
+    fn replace_cut_off_vms(&mut self) {
+        let apart = self.cut_off(0.5);
+        for vm in &apart {
+            self.set_platform(*vm, Platform::Away);
+        }
+        let rest = (0..POOL).filter(|vm| !apart.contains(vm));
+        let (mut common, new): (Vec<usize>, Vec<usize>) =
+            rest.partition(|vm| self.is_listed(*vm) && self.remembers(*vm));
+        // Without a VM that remembers the old list, this is the case not covered.
+        if common.is_empty() {
+            return;
+        }
+        common.extend(new);
+        let ids = common.iter().map(|vm| self.vms[*vm].id.clone());
+        let mut members: Vec<VmId> = ids.collect();
+        members.truncate(self.random.random_range(1..=6));
+        self.publish_list(members);
+    }
+
+    /// Restarts VMs that are cut off and read an old list.
+    fn restart_cut_off_vms(&mut self) {
+        let list = self
+            .lists
+            .len()
+            .saturating_sub(self.random.random_range(1..4));
+        let manifest = self.random.random_range(1..=self.manifests.len() as u64);
+        let apart = self.cut_off(0.4);
+        let members = self.lists[list].members.clone();
+        // With all VMs of the old list restarted, this is the case not covered.
+        let left = |vm: &VmId| !apart.iter().any(|apart| self.vms[*apart].id == *vm);
+        if !members.iter().any(left) {
+            return;
+        }
+        for vm in apart {
+            self.set_platform(vm, Platform::Stale { list, manifest });
+            self.restart(vm);
+        }
+    }
+
+    pub fn is_listed(&self, vm: usize) -> bool {
+        let latest = self.lists.last();
+        latest.is_some_and(|list| list.members.contains(&self.vms[vm].id))
+    }
+
+    fn remembers(&self, vm: usize) -> bool {
+        let running = self.vms[vm].running.as_ref();
+        running.is_some_and(|running| running.membership.is_recovered())
+    }
+
+    /// Ends all faults, except that one VM stays cut off if the others can do without. VMs
+    /// of old lists run too, since a list alone does not say that they are stopped for good.
+    pub fn heal(&mut self) {
+        self.note(|| "all faults end".to_owned());
+        self.reconnect();
+        (self.loss, self.slow) = (0.0, 0.0);
+        for vm in 0..POOL {
+            self.set_platform(vm, Platform::Fresh);
+            let listed = |list: &MemberList| list.members.contains(&self.vms[vm].id);
+            if self.lists.iter().any(listed) && self.vms[vm].running.is_none() {
+                self.start(vm);
+            }
+        }
+        let recovered = |vm: &usize| self.is_listed(*vm) && self.remembers(*vm);
+        let members = (0..POOL).filter(|vm| self.is_listed(*vm)).count();
+        let recovered: Vec<usize> = (0..POOL).filter(recovered).collect();
+        if recovered.len() > members / 2 + 1 {
+            let apart = recovered[0];
+            self.note(|| format!("vm-{apart} stays cut off"));
+            (0..POOL).filter(|vm| *vm != apart).for_each(|vm| {
+                (self.cut[apart][vm], self.cut[vm][apart]) = (true, true);
+            });
+        }
+    }
+
+    /// Stops the VMs that left the list once it is in force, as operators do, and ends the
+    /// last faults.
+    pub fn stop_removed_vms(&mut self) {
+        self.vms.iter_mut().for_each(|vm| vm.parts_lost = false);
+        let version = self.lists.last().map(|list| list.version);
+        let in_force = (0..POOL).any(|vm| {
+            let now = self.vms[vm].local(self.now);
+            let running = self.vms[vm].running.as_ref().map(|it| &it.membership);
+            let held = running.filter(|held| Some(held.list_version()) == version);
+            held.is_some_and(|held| {
+                Some(held.settled_version()) == version && now < held.in_force_until(now)
+            })
+        });
+        for vm in (0..POOL)
+            .filter(|vm| in_force && !self.is_listed(*vm))
+            .collect::<Vec<_>>()
+        {
+            self.kill(vm);
+        }
+        self.reconnect();
+    }
+}
