fix(slots): a dropped grant stays counted across a change of keepers

Cause: when a holder changed keepers within the publication lag after it dropped a grant (cold sign or recall), its next report said that no earlier grant was in use, although traffic had not yet seen the drop. The bridge to the new keeper was derived from the grants that were left, and there was none. Ruled out: answers to an earlier run of the holder; state messages name the run.

--- a/src/decisions/slots/holder.rs
+++ b/src/decisions/slots/holder.rs
@@ -191,10 +191,12 @@
         // grant stays usable: the new keeper waits until it has lapsed.
         self.keeper = Some(keeper.clone());
         self.sent.clear();
+        // A grant that was dropped may be in use until traffic has seen the change.
+        let dropped_until = self.obeyed.back().map_or(Time::ZERO, |entry| entry.at);
         self.obeyed.clear();
         self.taken = 0;
         self.accept_from = sequence;
-        self.bridged_until = usable_until;
+        self.bridged_until = self.bridged_until.max(usable_until).max(dropped_until);
         self.cold_untold |= self.cold_told.take().is_some();
     }
 
--- a/src/decisions/slots/keeper.rs
+++ b/src/decisions/slots/keeper.rs
@@ -60,21 +60,22 @@
         self.endpoints.retain(|endpoint, _| is_kept(endpoint));
     }
 
-    /// Notes a VM's report. Late and repeated ones change nothing.
+    /// Notes a VM's report. Late and repeated ones change nothing: what they say
+    /// was in a newer one. Returns whether the report was news.
     pub fn on_report(
         &mut self,
         now: Time,
         endpoint: &EndpointName,
         vm: &VmId,
         report: &SlotReport,
-    ) {
+    ) -> bool {
         let kept = self.endpoints.entry(endpoint.clone()).or_default();
         let open_from = kept.open_from(&self.config);
         let Some(share) = kept.share(now, vm, report.incarnation) else {
-            return;
+            return false;
         };
         if !share.on_report(now, report) {
-            return;
+            return false;
         }
         let tells_of_earlier_keeper = !open_from.is_some_and(|time| share.heard_after(time));
         if let Some(ramp) = report.ramp.filter(|_| tells_of_earlier_keeper) {
@@ -83,6 +84,7 @@
         if report.cold {
             kept.turn_cold(now);
         }
+        true
     }
 
     /// Notes a load report of the endpoint. It bounds the work of VMs that are silent, and
@@ -129,6 +131,9 @@
     /// the grant. A grant counts against the capacity until `grant_life` after `now`, and its
     /// work to the work's end. A grant of no slots must be sent as well: its receipt shows
     /// what the next report comes after.
+    ///
+    /// There is no answer while `vm` may use the grant of an earlier keeper, which the answer
+    /// would replace.
     pub fn answer(
         &mut self,
         now: Time,
@@ -147,6 +152,13 @@
         }
         kept.begin_tenure(now, tenure, &self.members, &config);
         kept.limits = Some(limits);
+        if kept
+            .shares
+            .get(vm)
+            .is_none_or(|share| share.is_bridged(now))
+        {
+            return None;
+        }
         let slots = kept.slots_for(now, vm, limits, &config);
         let capacity = kept.capacity(now, limits);
         let share = kept.shares.get_mut(vm)?;
--- a/src/decisions/slots/share.rs
+++ b/src/decisions/slots/share.rs
@@ -46,6 +46,8 @@
     /// Sequence of the first report in this record. Grants that answer earlier messages were
     /// given before the record began.
     first_sequence: Option<u64>,
+    /// Whether the newest report excludes those.
+    excludes_earlier: bool,
 }
 
 impl Share {
@@ -66,6 +68,7 @@
             unknown_before: Time::ZERO,
             alone_from: Time::ZERO,
             first_sequence: None,
+            excludes_earlier: false,
         }
     }
 
@@ -109,7 +112,8 @@
             self.told = 0;
         }
         let first_sequence = *self.first_sequence.get_or_insert(report.sequence);
-        if report.released_before >= first_sequence && self.heard_after(self.alone_from) {
+        self.excludes_earlier = report.released_before >= first_sequence;
+        if self.excludes_earlier && self.heard_after(self.alone_from) {
             self.unknown_before = Time::ZERO;
         }
         self.sequence = report.sequence;
@@ -179,6 +183,12 @@
         !self.heard_after(self.unknown_before)
     }
 
+    /// Returns whether the VM may still use a grant that an answer would replace without
+    /// need: one of an earlier keeper.
+    pub(super) fn is_bridged(&self, now: Time) -> bool {
+        now < self.unknown_before && !self.excludes_earlier
+    }
+
     /// Returns whether a report from after `time` is known.
     pub(super) fn heard_after(&self, time: Time) -> bool {
         self.known_from >= time
