--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -53,8 +53,9 @@
         }
     };
     let version = index.version;
+    // A newer version that cannot be fetched or checked ends the freshness of the one held.
+    control.state.borrow_mut().versions.confirm(at, version);
     if !wanted(control, version) {
-        control.state.borrow_mut().versions.confirm(at, version);
         return Next::Retry;
     }
     let mut parts = HashMap::new();
@@ -150,8 +151,7 @@
         }
         Err(Refused::Findings(findings)) => {
             counter!("primrosewalk_control_manifests_refused_total").increment(1);
-            let refused = &mut control.state.borrow_mut().refused_version;
-            *refused = version.max(*refused);
+            control.state.borrow_mut().versions.refuse(version);
             let count = findings.items().len();
             warn!(control.logger(), "config: manifest {version} refused: {findings}";
                 "findings" => count, "source" => source);
@@ -216,7 +216,7 @@
 impl ControlState {
     /// Returns whether a version that a peer showed should be fetched from it.
     pub fn wants_from_peer(&self, version: Version) -> bool {
-        self.versions.wants(version) && version > self.refused_version
+        self.versions.wants(version)
     }
 }
 
--- a/src/control/event_loop.rs
+++ b/src/control/event_loop.rs
@@ -185,7 +185,6 @@
         catalogue: None,
         manifest: ManifestBytes::default(),
         newest_shown: Version::default(),
-        refused_version: Version::default(),
         vms: Arc::new(VmList::default()),
         addresses: HashMap::new(),
         peers: HashMap::new(),
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -171,6 +171,8 @@
     /// heartbeat that it acknowledges; counting the age from that heartbeat is safe even
     /// when the message lay unread for a while.
     fn take_confirmation(&mut self, vm: &VmId, message: &StateMessage, me: Incarnation) {
+        let version = Version(message.manifest_version);
+        self.versions.on_peer_version(clock::now(), version);
         let Some(answer) = &message.acknowledgement else {
             return;
         };
@@ -181,7 +183,6 @@
         let sent_at = peer.and_then(|peer| peer.sent_at(answer.sequence));
         if let Some(sent_at) = sent_at.filter(|_| answer.to_incarnation == me.0) {
             let confirmed_at = sent_at - Duration::from_micros(age_us);
-            let version = Version(message.manifest_version);
             self.versions.confirm(confirmed_at, version);
         }
     }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -69,8 +69,6 @@
     pub manifest: ManifestBytes,
     /// Newest manifest version that a peer showed.
     pub newest_shown: Version,
-    /// Newest manifest version that was refused for its findings.
-    pub refused_version: Version,
     /// The platform's VM list, as it gave it.
     pub vms: Arc<VmList>,
     /// Addresses of every VM listed or heard of.
--- a/src/decisions/slots/keeper.rs
+++ b/src/decisions/slots/keeper.rs
@@ -131,8 +131,8 @@
     /// work to the work's end. A grant of no slots must be sent as well: its receipt shows
     /// what the next report comes after.
     ///
-    /// During the takeover wait there is no answer to a VM that may use the grant of an
-    /// earlier keeper, since the answer would replace that grant.
+    /// There is no answer while `vm` may use the grant of an earlier keeper, which the answer
+    /// would replace.
     pub fn answer(
         &mut self,
         now: Time,
@@ -151,8 +151,11 @@
         }
         kept.begin_tenure(now, tenure, &self.members, &config);
         kept.limits = Some(limits);
-        let open_from = tenure.since + config.grant_life;
-        if now < open_from && kept.shares.get(vm).is_none_or(Share::is_doubted) {
+        if kept
+            .shares
+            .get(vm)
+            .is_none_or(|share| share.is_bridged(now))
+        {
             return None;
         }
         let slots = kept.slots_for(now, vm, limits, &config);
--- a/src/decisions/slots/share.rs
+++ b/src/decisions/slots/share.rs
@@ -48,6 +48,8 @@
     /// Sequence of the first report in this record. Grants that answer earlier messages were
     /// given before the record began.
     first_sequence: Option<u64>,
+    /// Whether the newest report excludes those.
+    excludes_earlier: bool,
 }
 
 impl Share {
@@ -69,6 +71,7 @@
             unknown_before: Time::ZERO,
             alone_from: Time::ZERO,
             first_sequence: None,
+            excludes_earlier: false,
         }
     }
 
@@ -112,7 +115,8 @@
             self.told = 0;
         }
         let first_sequence = *self.first_sequence.get_or_insert(report.sequence);
-        if report.released_before >= first_sequence && self.heard_after(self.alone_from) {
+        self.excludes_earlier = report.released_before >= first_sequence;
+        if self.excludes_earlier && self.heard_after(self.alone_from) {
             self.unknown_before = Time::ZERO;
         }
         self.sequence = report.sequence;
@@ -196,6 +200,12 @@
         !self.heard_after(self.unknown_before)
     }
 
+    /// Returns whether the VM may still use a grant that an answer would replace without
+    /// need: one of an earlier keeper.
+    pub(super) fn is_bridged(&self, now: Time) -> bool {
+        now < self.unknown_before && !self.excludes_earlier
+    }
+
     /// Returns whether a report from after `time` is known.
     pub(super) fn heard_after(&self, time: Time) -> bool {
         self.known_from >= time
