fix(load): take request ids from the VM that will own them

Cause: the address answer has an id only when its address is that of the VM asked; the load generator demanded one and counted every other answer as unreadable.

--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -48,10 +48,16 @@
 #[derive(Deserialize)]
 struct AddressAnswer {
     address: SocketAddr,
-    request_id: String,
+    /// Given only by the VM that the address belongs to.
+    request_id: Option<String>,
     valid_for_ms: u64,
 }
 
+#[derive(Deserialize)]
+struct RequestIdAnswer {
+    request_id: String,
+}
+
 #[derive(Deserialize)]
 struct Summary {
     request_id: String,
@@ -232,10 +238,17 @@
                     };
                     let until = asked + Duration::from_millis(found.valid_for_ms);
                     *self.kept().lock() = Some((found.address, until));
-                    if needs_id {
-                        record.request_id = Some(found.request_id);
+                    if !needs_id {
+                        return Ok(found.address);
+                    }
+                    let issued = match found.request_id {
+                        Some(id) => Some(id),
+                        None => self.issue_id(found.address).await?,
+                    };
+                    if issued.is_some() {
+                        record.request_id = issued;
+                        return Ok(found.address);
                     }
-                    return Ok(found.address);
                 }
                 // Another VM may know better than one that stops or is not ready.
                 Ok(answer) if answer.status >= 500 => {}
@@ -246,6 +259,24 @@
         }
     }
 
+    /// Asks the VM that will own the request for an id; `None` when it cannot be asked.
+    async fn issue_id(&self, vm: SocketAddr) -> Result<Option<String>, Refusal> {
+        let headers: Vec<_> = self.key.iter().map(|key| ("x-key", key.as_str())).collect();
+        let client = &self.callers.client;
+        let asked = client.send(vm, Method::POST, "/v1/request-ids", &headers, "");
+        let Ok(answer) = asked.await else {
+            self.forget();
+            return Ok(None);
+        };
+        if answer.status >= 500 {
+            return Ok(None);
+        }
+        match parse::<RequestIdAnswer>(&answer) {
+            Some(issued) => Ok(Some(issued.request_id)),
+            None => Err(refusal_of(&answer)),
+        }
+    }
+
     async fn send(
         &self,
         address: SocketAddr,
