--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,28 +5,9 @@
 # BIN names a directory with built binaries; without it they are built first.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin=${BIN:-target/release}
-if [ -z "${BIN:-}" ]; then
-    cargo build --release --bins --locked
-fi
-dir=$(mktemp -d)
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
-finish() {
-    local code=$?
-    trap - EXIT
-    stop_fleet || code=1
-    check_gone || code=1
-    if [ "$code" -eq 0 ]; then
-        rm -rf "$dir"
-        echo "all processes have ended"
-    else
-        echo "failed; logs are in $dir/logs" >&2
-    fi
-    exit "$code"
-}
-trap finish EXIT
-trap 'exit 130' INT TERM
+prepare_fleet
 
 "$bin/primrosewalk-standins" fleet --dir "$dir" --vms 6 --data-centres 3 --organisations 2
 key=$(sed -n 's/^org-1 //p' "$dir/keys.txt")
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,11 +1,37 @@
 # Starts and stops a fleet of stand-ins and daemons; other scripts source this file.
 #
-# Set `bin` (directory of the binaries) and `dir` (directory written by
-# `primrosewalk-standins fleet`) first. Logs go to $dir/logs, process ids to $dir/pids.
+# Call `prepare_fleet` first, then `primrosewalk-standins fleet --dir "$dir"`. Logs go to $dir/logs, process ids to $dir/pids.
 
 daemon_names=()
 standin_names=()
 
+# Builds the programs unless BIN names a directory that has them, makes a directory for the
+# fleet, and stops everything when the script ends. Sets `bin` and `dir`.
+prepare_fleet() {
+    bin=${BIN:-target/release}
+    if [ -z "${BIN:-}" ]; then
+        cargo build --release --bins --locked
+    fi
+    dir=$(mktemp -d)
+    trap finish_fleet EXIT
+    trap 'exit 130' INT TERM
+}
+
+# Stops the fleet; keeps its logs if anything failed.
+finish_fleet() {
+    local code=$?
+    trap - EXIT
+    stop_fleet || code=1
+    check_gone || code=1
+    if [ "$code" -eq 0 ]; then
+        rm -rf "$dir"
+        echo "all processes have ended" >&2
+    else
+        echo "failed; logs are in $dir/logs" >&2
+    fi
+    exit "$code"
+}
+
 # start_process NAME COMMAND...
 start_process() {
     local name=$1
--- a/scripts/measure-control.sh
+++ b/scripts/measure-control.sh
@@ -10,20 +10,9 @@
 cd "$(dirname "$0")/.."
 vms=${1:?VMS} organisations=${2:?ORGANISATIONS} endpoints=${3:?ENDPOINTS_PER_SERVICE}
 seconds=${4:-10} changes=${5:-0}
-bin=${BIN:-target/release}
-if [ -z "${BIN:-}" ]; then
-    cargo build --release --bins --locked
-fi
-dir=$(mktemp -d)
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
-finish() {
-    trap - EXIT
-    stop_fleet
-    rm -rf "$dir"
-}
-trap finish EXIT
-trap 'exit 130' INT TERM
+prepare_fleet
 
 "$bin/primrosewalk-standins" fleet --dir "$dir" --vms "$vms" --data-centres 3 \
     --organisations "$organisations" --engines "$endpoints" --endpoints-per-service "$endpoints"
--- a/scripts/scenario.sh
+++ b/scripts/scenario.sh
@@ -40,28 +40,9 @@
     exit 2
     ;;
 esac
-bin=${BIN:-target/release}
-if [ -z "${BIN:-}" ]; then
-    cargo build --release --bins --locked
-fi
-dir=$(mktemp -d)
 # shellcheck source=scripts/fleet.sh
 . scripts/fleet.sh
-finish() {
-    local code=$?
-    trap - EXIT
-    # A VM that the scenario kills is gone already and is no failure.
-    stop_fleet || code=1
-    check_gone || code=1
-    if [ "$code" -eq 0 ]; then
-        rm -rf "$dir"
-    else
-        echo "failed; logs are in $dir/logs" >&2
-    fi
-    exit "$code"
-}
-trap finish EXIT
-trap 'exit 130' INT TERM
+prepare_fleet
 
 "$bin/primrosewalk-standins" fleet --dir "$dir" --data-centres 3 --organisations 5 \
     --endpoints-per-service 4 --burst 40 "${fleet_flags[@]}"
