--- a/scripts/measure-control.sh
+++ b/scripts/measure-control.sh
@@ -1,10 +1,17 @@
 #!/usr/bin/env bash
-# Measures what control costs one VM of a fleet without traffic, for docs/CAPACITY.md.
+# Measures what control costs one VM of a fleet, for docs/CAPACITY.md; without traffic
+# unless RATE is set.
 #
 #     scripts/measure-control.sh VMS ORGANISATIONS ENDPOINTS_PER_SERVICE [SECONDS] [CHANGES]
 #
 # CHANGES new manifests are published during the measurement. One line is printed: the mean
-# over the VMs of processor time of the control thread, bytes sent and received, and memory.
+# over the VMs of processor time of the control thread and of the whole process, of bytes and
+# messages (sent plus received, bytes without TCP/IP headers and without the HTTP headers of
+# platform and load reads), and of memory.
+# With RATE set, org-0 also sends RATE streamed requests a second to the pipeline `answer`,
+# whose engine gives TOKENS tokens (20 when not set), or with OPEN=1 requests without a key to
+# `catalogue`, which any VM serves and asks the home about. The process figure then includes
+# traffic, and a second line gives the requests. Keep SECONDS at 8 or more for this.
 # BIN names a directory with built binaries; without it they are built first.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -26,8 +33,9 @@
 trap 'exit 130' INT TERM
 
 "$bin/primrosewalk-standins" fleet --dir "$dir" --vms "$vms" --data-centres 3 \
-    --organisations "$organisations" --engines "$endpoints" --endpoints-per-service "$endpoints"
-start_standins
+    --organisations "$organisations" --engines "$endpoints" \
+    --endpoints-per-service "$endpoints" --rate 2000 --burst 1000 --slots 64
+start_standins --tokens "${TOKENS:-20}" --token-ms 5
 start_daemons --traffic-threads 1
 
 # Prints the metrics page of an operator address.
@@ -38,14 +46,23 @@
     exec 9>&-
 }
 
-# Adds up the samples of a metric over all VMs.
-total() {
-    local flags
+# Writes the metrics pages of all VMs into a file, with the processor time of the processes.
+snapshot() {
+    local flags name ticks
     while IFS= read -r flags; do
+        name=$(flag_of vm "$flags")
         metrics_of "$(flag_of operator-address "$flags")"
-    done <"$dir/daemons.txt" |
-        awk -v name="$1" -v label="${2:-}" \
-            '$1 ~ "^" name "([{]|$)" && index($1, label) { sum += $2 } END { printf "%.0f", sum }'
+        ticks=$(awk '{ print $14 + $15 }' "/proc/$(cat "$dir/pids/$name.pid")/stat")
+        printf '\nprocess_ticks %s\n' "$ticks"
+    done <"$dir/daemons.txt" >"$1"
+}
+
+# Prints by how much the samples of a metric, added up over all VMs, rose.
+rise() {
+    awk -v name="$1" -v label="${2:-}" '
+        FNR == 1 { file++ }
+        $1 ~ "^" name "([{]|$)" && index($1, label) { sum[file] += $2 }
+        END { printf "%.0f", sum[2] - sum[1] }' "$dir/before" "$dir/after"
 }
 
 publish_change() {
@@ -55,30 +72,79 @@
     mv "$dir/next" "$dir/manifest.json"
 }
 
+# Sends streamed requests from 6 s before the measurement, so that as many end as begin in
+# it, until 1 s after it.
+start_load() {
+    local pipeline=answer key='key = "key-org-0-1"'
+    if [ -n "${OPEN:-}" ]; then
+        pipeline=catalogue key=''
+    fi
+    cat >"$dir/load.toml" <<TOML
+name = "capacity"
+duration_s = $((seconds + 7))
+max_requests = 200000
+[[organisation]]
+name = "org-0"
+$key
+rate_per_second = $RATE.0
+deadline_ms = 3000
+callers = 32
+pipelines = { $pipeline = 1 }
+TOML
+    start_process load "$bin/primrosewalk" load --scenario "$dir/load.toml" --fleet-dir "$dir" \
+        --json "$dir/load.json"
+    standin_names+=(load)
+}
+
 sleep 4
-cpu=$(total primrosewalk_control_cpu_microseconds_total)
-bytes=$(total primrosewalk_control_bytes_total)
-state=$(total primrosewalk_control_bytes_total 'kind="state"')
-reads=$(total primrosewalk_control_platform_reads_total)
+if [ -n "${RATE:-}" ]; then
+    start_load
+    sleep 6
+fi
+snapshot "$dir/before"
 for change in $(seq 1 "$changes"); do
     publish_change $((change + 1))
     sleep "$(awk "BEGIN { print $seconds / $changes }")"
 done
 [ "$changes" -gt 0 ] || sleep "$seconds"
-cpu=$(($(total primrosewalk_control_cpu_microseconds_total) - cpu))
-bytes=$(($(total primrosewalk_control_bytes_total) - bytes))
-state=$(($(total primrosewalk_control_bytes_total 'kind="state"') - state))
-reads=$(($(total primrosewalk_control_platform_reads_total) - reads))
+snapshot "$dir/after"
 memory=0
+peak=0
 for name in "${daemon_names[@]}"; do
-    kilobytes=$(awk '/^VmRSS/ { print $2 }' "/proc/$(cat "$dir/pids/$name.pid")/status")
-    memory=$((memory + kilobytes))
+    status=/proc/$(cat "$dir/pids/$name.pid")/status
+    memory=$((memory + $(awk '/^VmRSS/ { print $2 }' "$status")))
+    peak=$((peak + $(awk '/^VmHWM/ { print $2 }' "$status")))
 done
+control=primrosewalk_control
 awk -v vms="$vms" -v organisations="$organisations" -v endpoints="$endpoints" \
-    -v seconds="$seconds" -v changes="$changes" -v cpu="$cpu" -v bytes="$bytes" \
-    -v state="$state" -v reads="$reads" -v memory="$memory" 'BEGIN {
+    -v seconds="$seconds" -v changes="$changes" \
+    -v cpu="$(rise ${control}_cpu_microseconds_total)" \
+    -v ticks="$(rise process_ticks)" -v hertz="$(getconf CLK_TCK)" \
+    -v state="$(rise ${control}_bytes_total 'kind="state"')" \
+    -v call="$(rise ${control}_bytes_total 'kind="call"')" \
+    -v platform="$(rise ${control}_bytes_total 'kind="platform"')" \
+    -v load="$(rise ${control}_bytes_total 'kind="load"')" \
+    -v messages="$(rise ${control}_messages_total 'kind="state"')" \
+    -v load_messages="$(rise ${control}_messages_total 'kind="load"')" \
+    -v reads="$(rise ${control}_platform_reads_total)" \
+    -v memory="$memory" -v peak="$peak" 'BEGIN {
+    share = vms * seconds
     printf "vms=%d organisations=%d endpoints=%d changes=%d seconds=%d:", \
         vms, organisations, endpoints * 5, changes, seconds
-    printf " core %.3f %%, %.2f KB/s (state %.2f), %.2f reads/s, memory %.1f MB a VM\n", \
-        cpu / vms / seconds / 10000, bytes / vms / seconds / 1000, \
-        state / vms / seconds / 1000, reads / vms / seconds, memory / vms / 1000 }'
+    printf " control %.3f %% of a core (process %.2f), %.2f KB/s", \
+        cpu / share / 10000, ticks / hertz / share * 100, \
+        (state + call + platform + load) / share / 1000
+    printf " (state %.2f, call %.2f, platform %.2f, load %.2f),", \
+        state / share / 1000, call / share / 1000, platform / share / 1000, load / share / 1000
+    printf " %.1f state and %.1f load messages/s, %.2f reads/s,", \
+        messages / share, load_messages / share, reads / share
+    printf " memory %.1f MB (peak %.1f) a VM\n", memory / vms / 1000, peak / vms / 1000 }'
+if [ -n "${RATE:-}" ]; then
+    awk -v answered="$(
+        rise primrosewalk_request_seconds_count 'outcome="answered"'
+    )" -v all="$(rise primrosewalk_request_seconds_count)" -v rate="$RATE" \
+        -v tokens="${TOKENS:-20}" -v seconds="$seconds" \
+        -v ticks="$(rise process_ticks)" -v hertz="$(getconf CLK_TCK)" 'BEGIN {
+        printf "rate=%d tokens=%d: %.1f requests/s, %.1f answered/s, %.3f ms of processor time a request\n", \
+            rate, tokens, all / seconds, answered / seconds, all ? ticks / hertz / all * 1000 : 0 }'
+fi
