--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -36,6 +36,8 @@
     pub loads: Arc<HashMap<EndpointName, EndpointLoad>>,
     /// VMs that a majority denies; callers are not sent there.
     pub absent_vms: Arc<Vec<VmId>>,
+    /// VMs that this VM did not hear lately; callers are sent there only if no other is left.
+    pub silent_vms: Arc<Vec<VmId>>,
     /// Set once a planned stop began.
     pub stopping: bool,
     /// Until when a majority acknowledged this VM's lease; past when it is not in force.
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use slog::info;
 
@@ -12,6 +13,10 @@
 use crate::manifest::{VmList, VmState};
 use crate::units::{Time, VmId};
 
+/// Silence of a VM after which callers are sent elsewhere: two heartbeats and some slack. A
+/// majority needs about a second to agree that it is absent.
+const CALLER_SILENCE: Duration = Duration::from_millis(450);
+
 impl Control {
     /// Publishes a new snapshot if anything in it changed.
     pub fn publish(&self) {
@@ -27,6 +32,7 @@
             grants: keep_same_map(&current.grants, state.holder.grants()),
             loads: keep_same_map(&current.loads, &state.loads),
             absent_vms: keep_same(&current.absent_vms, absent),
+            silent_vms: keep_same(&current.silent_vms, state.silent_vms(now)),
             stopping: state.stopping,
             in_force_until,
             list_version: state.membership.list_version(),
@@ -79,6 +85,10 @@
         absent
     }
 
+    fn silent_vms(&self, now: Time) -> Vec<VmId> {
+        self.membership.silent(now, CALLER_SILENCE).into_vec()
+    }
+
     fn count_homes(&mut self, now: Time, me: &VmId) -> HomesHeld {
         let Some(catalogue) = self.catalogue.clone() else {
             return HomesHeld::default();
@@ -142,6 +152,7 @@
         || !Arc::ptr_eq(&current.grants, &next.grants)
         || !Arc::ptr_eq(&current.loads, &next.loads)
         || !Arc::ptr_eq(&current.absent_vms, &next.absent_vms)
+        || !Arc::ptr_eq(&current.silent_vms, &next.silent_vms)
         || current.keys_fresh_until != next.keys_fresh_until
         || current.in_force_until != next.in_force_until
         || current.stopping != next.stopping
--- a/src/decisions/membership.rs
+++ b/src/decisions/membership.rs
@@ -344,6 +344,18 @@
             .collect()
     }
 
+    /// Returns the VMs that were not heard for `silence`. It proves nothing, but is a reason not
+    /// to send callers there before a majority denies them.
+    pub fn silent(&self, now: Time, silence: Duration) -> SmallVec<[VmId; 2]> {
+        let heard = |vm: &VmId| {
+            let peer = self.peers.get(vm);
+            peer.is_some_and(|peer| now.since(peer.heard_at) <= silence)
+        };
+        let members = self.list.members.iter();
+        let silent = members.filter(|vm| **vm != self.me && !heard(vm));
+        silent.cloned().collect()
+    }
+
     /// Returns the version of the list that this VM goes by.
     pub fn list_version(&self) -> Version {
         self.list.version
--- a/src/status.rs
+++ b/src/status.rs
@@ -51,6 +51,8 @@
     pub leaving: bool,
     /// Whether a majority denies it.
     pub absent: bool,
+    /// Whether the VM that answers did not hear it lately.
+    pub silent: bool,
 }
 
 /// One endpoint as this VM sees it.
--- a/src/traffic/address.rs
+++ b/src/traffic/address.rs
@@ -107,9 +107,13 @@
 ) -> Option<&'a VmEntry> {
     let is_stopping = traffic.is_stopping();
     let callable = snapshot.callable_vms();
-    let vms: SmallVec<[&VmEntry; 8]> = callable
+    let mut vms: SmallVec<[&VmEntry; 8]> = callable
         .filter(|vm| !is_stopping || vm.id != traffic.context.vm)
         .collect();
+    let is_silent = |vm: &VmEntry| snapshot.silent_vms.contains(&vm.id);
+    if vms.iter().any(|vm| !is_silent(vm)) {
+        vms.retain(|vm| !is_silent(vm));
+    }
     let Some(organisation) = organisation else {
         let index = rand::rng().random_range(0..vms.len().max(1));
         return vms.get(index).copied();
--- a/src/traffic/operator.rs
+++ b/src/traffic/operator.rs
@@ -125,6 +125,7 @@
         caller_address: vm.caller_address,
         leaving: vm.state == VmState::Leaving,
         absent: snapshot.absent_vms.contains(&vm.id),
+        silent: snapshot.silent_vms.contains(&vm.id),
     })
     .collect()
 }
--- a/tests/planned_changes.rs
+++ b/tests/planned_changes.rs
@@ -162,3 +162,21 @@
     send_for(&fleet, Duration::from_secs(1)).await;
     expect_that!(runs(fleet.runs("encoder").await), eq(after_limit));
 }
+
+/// Guards callers against the address of a dead VM in the second before a majority denies it.
+#[gtest]
+#[tokio::test]
+async fn callers_are_sent_elsewhere_soon_after_a_vm_died() {
+    let mut fleet = Fleet::start(&Plan::default()).await;
+    fleet.kill(0);
+    let away = |status: &Value| status["peers"][0]["silent"] == true;
+    fleet
+        .wait_status(1, "aware that vm-0 is silent", away)
+        .await;
+    for _ in 0..20 {
+        let answer = support::get_json(fleet.vms[1].caller, "/v1/address")
+            .await
+            .unwrap();
+        expect_that!(answer["vm"], not(eq(&json!("vm-0"))));
+    }
+}
