fix(config): keep parts that were read while another cannot be

Cause: a failed read of one part dropped the parts read before it. Found by reading while working out a restart of all nodes. Ruled out: the cache of parts in force, which holds only accepted manifests.

--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -58,15 +58,15 @@
     if !wanted(control, version) {
         return Next::Retry;
     }
+    let named = |sha256: &String| index.parts.iter().any(|part| part.sha256 == *sha256);
     let mut parts = HashMap::new();
+    control
+        .state
+        .borrow_mut()
+        .unfinished_parts
+        .retain(|sha256, _| named(sha256));
     for part in &index.parts {
-        let kept = control
-            .state
-            .borrow()
-            .manifest
-            .parts
-            .get(&part.sha256)
-            .cloned();
+        let kept = control.state.borrow().kept_part(&part.sha256);
         let part_bytes = match kept {
             Some(bytes) => bytes,
             None => match reader
@@ -81,9 +81,14 @@
                 }
             },
         };
+        // A read that fails later must not make this VM read the others again.
+        let unfinished = &mut control.state.borrow_mut().unfinished_parts;
+        unfinished.insert(part.sha256.clone(), part_bytes.clone());
         parts.insert(part.sha256.clone(), part_bytes);
     }
-    match apply(control, index, bytes, parts, "platform").await {
+    let applied = apply(control, index, bytes, parts, "platform").await;
+    control.state.borrow_mut().unfinished_parts.clear();
+    match applied {
         Applied::InForce | Applied::Older => {
             control.state.borrow_mut().versions.confirm(at, version);
             control.publish();
@@ -214,6 +219,13 @@
 }
 
 impl ControlState {
+    fn kept_part(&self, sha256: &str) -> Option<Bytes> {
+        let in_force = self.manifest.parts.get(sha256);
+        in_force
+            .or_else(|| self.unfinished_parts.get(sha256))
+            .cloned()
+    }
+
     /// Returns whether a version that a peer showed should be fetched from it.
     pub fn wants_from_peer(&self, version: Version) -> bool {
         self.versions.wants(version)
--- a/src/control/event_loop.rs
+++ b/src/control/event_loop.rs
@@ -185,6 +185,7 @@
         catalogue: None,
         manifest: ManifestBytes::default(),
         newest_shown: Version::default(),
+        unfinished_parts: HashMap::new(),
         vms: Arc::new(VmList::default()),
         addresses: HashMap::new(),
         peers: HashMap::new(),
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -69,6 +69,8 @@
     pub manifest: ManifestBytes,
     /// Newest manifest version that a peer showed.
     pub newest_shown: Version,
+    /// Parts read for an index of which another part could not be read.
+    pub unfinished_parts: HashMap<String, Bytes>,
     /// The platform's VM list, as it gave it.
     pub vms: Arc<VmList>,
     /// Addresses of every VM listed or heard of.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -14,9 +14,9 @@
 use primrosewalk::control::vms::parse_list;
 use primrosewalk::decisions::home_keys::{endpoint_key, organisation_key};
 use primrosewalk::decisions::rendezvous::rendezvous_order;
-use primrosewalk::manifest::VmState;
+use primrosewalk::manifest::{ManifestIndex, PartReference, VmState, part_digest};
 use primrosewalk::settings::QuotaMode;
-use primrosewalk::units::{EndpointName, OrganisationName, VmId};
+use primrosewalk::units::{EndpointName, OrganisationName, Version, VmId};
 use tokio::sync::oneshot;
 
 const NOWHERE: &str = "127.0.0.1:9";
@@ -102,6 +102,33 @@
     vms.iter_mut().for_each(FakeVm::end);
 }
 
+/// Guards the platform's budget: a part that cannot be read yet must not make a VM read the
+/// other parts again and again.
+#[gtest]
+fn parts_that_were_read_are_kept_while_another_is_missing() {
+    let platform = FakePlatform::start();
+    let mut vm = FakeVm::bind("vm-1");
+    platform.publish_vms(1, &[&vm]);
+    let first = manifest_part(nowhere(), &["o-1"], 10.0).to_string();
+    let second = r#"{"models":[{"name":"m-9"}]}"#;
+    let reference = |name: &str, bytes: &str| PartReference {
+        name: name.to_owned(),
+        sha256: part_digest(bytes.as_bytes()),
+    };
+    let parts = vec![reference("first", &first), reference("second", second)];
+    let keys = [0, 1].map(|part: usize| format!("manifest/part/{}", parts[part].sha256));
+    let version = Version(1);
+    let index = serde_json::to_string(&ManifestIndex { version, parts }).unwrap();
+    platform.publish(&keys[0], 1, first);
+    platform.publish("manifest", 1, index);
+    vm.start(&platform);
+    wait_for("three tries", || platform.reads(&keys[1]) >= 3);
+    expect_that!(platform.reads(&keys[0]), eq(1));
+    platform.publish(&keys[1], 1, second);
+    vm.wait_for_manifest(1);
+    vm.end();
+}
+
 #[gtest]
 fn a_peer_passes_on_a_newer_manifest_and_freshness_while_the_platform_is_down() {
     let (platform, cut_off) = (FakePlatform::start(), FakePlatform::start());
