--- a/src/control/event_loop.rs
+++ b/src/control/event_loop.rs
@@ -22,12 +22,14 @@
 use crate::control::config::watch_manifest;
 use crate::control::cost::measure_cost;
 use crate::control::loads::{LoadsConfig, read_loads};
+use crate::control::orders::give_orders;
 use crate::control::platform::PlatformConfig;
 use crate::control::slots::PublicationTimes;
 use crate::control::state::{Control, ControlState, HomesBasis, ManifestBytes};
 use crate::control::vms::watch_vms;
 use crate::decisions::config_version::{ConfigVersion, FreshnessConfig};
 use crate::decisions::membership::{Membership, MembershipConfig};
+use crate::decisions::placement::{Placement, PlacementConfig};
 use crate::decisions::quota::{Quota, QuotaConfig};
 use crate::decisions::slots::{SlotHolder, SlotKeeper, SlotsConfig};
 use crate::manifest::VmList;
@@ -203,6 +205,7 @@
         homes_held: HomesHeld::default(),
         was_in_force: false,
         logged_slots: HashMap::new(),
+        placement: Placement::new(PlacementConfig::default()),
         stopping: false,
         acquires: 0,
     };
@@ -232,6 +235,7 @@
     tasks.spawn_local(watch_manifest(control.clone()));
     tasks.spawn_local(watch_vms(control.clone()));
     tasks.spawn_local(read_loads(control.clone()));
+    tasks.spawn_local(give_orders(control.clone()));
     tasks.spawn_local(measure_cost());
     Ok((tasks, calls))
 }
--- a/src/control/loads.rs
+++ b/src/control/loads.rs
@@ -16,6 +16,9 @@
 use crate::clock;
 use crate::control::http::HttpReader;
 use crate::control::state::Control;
+use crate::decisions::home_keys::PLACEMENT_KEY;
+use crate::decisions::placement::EngineReport;
+use crate::manifest::StageKind;
 use crate::units::{EndpointName, ModelName};
 
 /// Settings of load reports.
@@ -58,7 +61,7 @@
 
 type Readers = HashMap<EndpointName, (SocketAddr, AbortHandle)>;
 
-/// Keeps one reader for each endpoint that this VM keeps, for ever.
+/// Keeps one reader for each endpoint that this VM keeps or places models on, for ever.
 pub async fn read_loads(control: Rc<Control>) {
     let mut readers = Readers::new();
     let mut ticks = interval(control.config.loads.period);
@@ -93,8 +96,12 @@
         return HashMap::new();
     };
     let endpoints = catalogue.manifest.endpoints.iter();
+    // The home of placement needs the models of every engine.
+    let me = Some(&control.context.vm);
+    let places = state.membership.home_of(now, PLACEMENT_KEY).as_ref() == me;
     let kept = endpoints.filter(|endpoint| {
-        state.keeper_of(now, &endpoint.name).as_ref() == Some(&control.context.vm)
+        let is_placed = places && endpoint.kind == StageKind::Generate;
+        is_placed || state.keeper_of(now, &endpoint.name).as_ref() == me
     });
     kept.map(|endpoint| (endpoint.name.clone(), endpoint.address))
         .collect()
@@ -146,6 +153,13 @@
     if state.keeps(read_at, endpoint) {
         state.keeper.on_load(clock::now(), endpoint, &load);
     }
+    let report = EngineReport {
+        read_at,
+        loaded: load.models.clone(),
+        loading: Vec::new(),
+        fencing: None,
+    };
+    state.placement.on_report(endpoint, report);
     state.loads.insert(endpoint.clone(), load);
     drop(state);
     if cold {
--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -8,6 +8,7 @@
 
 use crate::clock;
 use crate::control::state::{Control, ControlState, PeerAddresses};
+use crate::decisions::placement::FencingNumber;
 use crate::peer::message::{MessageError, StateMessage, WireAcknowledgement, WireColdMark};
 use crate::units::{EndpointName, Incarnation, Time, Version, VmId};
 
@@ -15,6 +16,14 @@
 /// VM list needs to answer.
 const ADDRESS_SILENCE: Duration = Duration::from_secs(1);
 
+/// Encodes the highest number; none is sent before the first order.
+fn placement_number(number: FencingNumber) -> Vec<u64> {
+    if number == FencingNumber::default() {
+        return Vec::new();
+    }
+    vec![number.list_version.0, number.term, number.sequence]
+}
+
 impl Control {
     /// Builds the next message for a peer. Its heartbeat counts as sent now.
     pub fn message_for(&self, vm: &VmId) -> StateMessage {
@@ -49,6 +58,7 @@
             manifest_version: state.versions.newest().0,
             freshness_age_us: confirmed_at.map(age_us),
             leaving: state.stopping,
+            placement_number: placement_number(state.placement.highest()),
             grants_answer_sequence: answered.0,
             grants_answer_incarnation: answered.1.map_or(0, |run| run.0),
             ..StateMessage::default()
@@ -92,6 +102,7 @@
                 .on_resigned(now, &vm, heartbeat.incarnation);
         }
         state.take_confirmation(&vm, message, self.context.incarnation);
+        state.take_placement_number(&vm, message, self.context.incarnation);
         if let Some(answer) = answer {
             state.learn_addresses(message, me);
             state.membership.on_acknowledgement(now, &vm, &answer);
@@ -172,6 +183,26 @@
         }
     }
 
+    fn take_placement_number(&mut self, vm: &VmId, message: &StateMessage, me: Incarnation) {
+        let Some(answer) = &message.acknowledgement else {
+            return;
+        };
+        let peer = self.peers.get(vm);
+        let asked_at = peer.and_then(|peer| peer.sent_at(answer.sequence));
+        let Some(asked_at) = asked_at.filter(|_| answer.to_incarnation == me.0) else {
+            return;
+        };
+        let number = match message.placement_number.as_slice() {
+            [list_version, term, sequence] => FencingNumber {
+                list_version: Version(*list_version),
+                term: *term,
+                sequence: *sequence,
+            },
+            _ => FencingNumber::default(),
+        };
+        self.placement.on_peer_number(asked_at, vm, number);
+    }
+
     /// Takes the peer's word on freshness. The message was built after the peer got the
     /// heartbeat that it acknowledges; counting the age from that heartbeat is safe even
     /// when the message lay unread for a while.
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -18,6 +18,7 @@
 use crate::control::slots::{OwnDemand, PublicationTimes};
 use crate::decisions::config_version::ConfigVersion;
 use crate::decisions::membership::{Acknowledgement, Membership};
+use crate::decisions::placement::Placement;
 use crate::decisions::quota::Quota;
 use crate::decisions::slots::{SlotHolder, SlotKeeper, SlotNews, SlotsConfig};
 use crate::manifest::VmList;
@@ -105,6 +106,8 @@
     pub was_in_force: bool,
     /// Last logged slots of each grant, for the log.
     pub logged_slots: HashMap<EndpointName, u32>,
+    /// Orders of models, given while this VM is the home of placement.
+    pub placement: Placement,
     /// Whether a planned stop began.
     pub stopping: bool,
     /// Asks for tokens in progress.
--- a/src/decisions/home_keys.rs
+++ b/src/decisions/home_keys.rs
@@ -2,6 +2,9 @@
 
 use crate::units::{EndpointName, OrganisationName};
 
+/// Key of the home that orders models.
+pub const PLACEMENT_KEY: &str = "placement";
+
 /// Key of the home that holds an organisation's bucket.
 pub fn organisation_key(organisation: &OrganisationName) -> String {
     format!("organisation/{organisation}")
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -68,6 +68,10 @@
     /// Endpoints whose grants the recipient gives back, because other VMs need slots there.
     #[prost(string, repeated, tag = "17")]
     pub recalls: Vec<String>,
+    /// Highest number of a placement order that the sender knows: list version, term,
+    /// sequence.
+    #[prost(uint64, repeated, tag = "18")]
+    pub placement_number: Vec<u64>,
 }
 
 /// An [`Acknowledgement`] on the wire.
--- a/standins/endpoint.rs
+++ b/standins/endpoint.rs
@@ -218,11 +218,12 @@
         fencing: order.fencing,
         accepted,
     });
+    let newest = state.newest_fencing;
     drop(state);
     if !accepted {
         return http::json(
             StatusCode::CONFLICT,
-            &serde_json::json!({"accepted": false}),
+            &serde_json::json!({"accepted": false, "fencing": newest}),
         );
     }
     endpoint
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -99,6 +99,7 @@
         }],
         grants_answer_incarnation: 11,
         recalls: vec!["e-4".to_owned()],
+        placement_number: vec![3, 1, 7],
     }
 }
 
--- /dev/null
+++ b/tests/placement_fleet.rs
@@ -0,0 +1,85 @@
+//! Models are loaded where they are wanted, by one owner at a time (`docs/design.md`, 3.8).
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use support::{Fleet, Plan, START_LIMIT, get_json};
+
+fn add_model(manifest: &mut Value, model: &str, wanted_engines: u32) {
+    let models = manifest["models"].as_array_mut().unwrap();
+    models.push(json!({ "name": model, "wanted_engines": wanted_engines }));
+    for endpoint in manifest["endpoints"].as_array_mut().unwrap() {
+        if endpoint["kind"] == "generate" {
+            endpoint["models"]
+                .as_array_mut()
+                .unwrap()
+                .push(json!(model));
+        }
+    }
+}
+
+/// Waits until as many engines as wanted have a model, and returns all their orders.
+async fn wait_loaded(fleet: &Fleet, model: &str, wanted: usize) -> Vec<Value> {
+    let end = Instant::now() + START_LIMIT;
+    loop {
+        let mut holding = 0;
+        let mut orders = Vec::new();
+        for engine in fleet.service("engine") {
+            let load = get_json(engine.address, "/load").await.unwrap();
+            holding += usize::from(load["models"].as_array().unwrap().contains(&json!(model)));
+            let ledger = get_json(engine.address, "/ledger").await.unwrap();
+            orders.push(ledger["orders"].clone());
+        }
+        if holding == wanted {
+            return orders;
+        }
+        assert!(
+            Instant::now() < end,
+            "{holding} engines hold {model}: {orders:?}"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn is_owner(fleet: &Fleet, vm: usize) -> bool {
+    fleet.log(vm).contains("placement: load")
+}
+
+/// Guards against orders that are lost or given twice when their owner dies, and against
+/// fencing numbers that fall with a new owner.
+#[gtest]
+#[tokio::test]
+async fn a_model_is_loaded_where_wanted_also_after_the_owner_died() {
+    let plan = Plan {
+        fleet_flags: vec!["--checks-fencing"],
+        endpoint_flags: vec!["--load-model-ms", "300"],
+        ..Plan::default()
+    };
+    let mut fleet = Fleet::start(&plan).await;
+    fleet.publish(|manifest| add_model(manifest, "model-1", 2));
+    wait_loaded(&fleet, "model-1", 2).await;
+    let owners: Vec<usize> = (0..3).filter(|vm| is_owner(&fleet, *vm)).collect();
+    assert_that!(owners.len(), eq(1));
+    fleet.kill(owners[0]);
+    fleet.publish(|manifest| add_model(manifest, "model-2", 3));
+    let orders = wait_loaded(&fleet, "model-2", 3).await;
+    for engine in &orders {
+        let given = engine.as_array().unwrap();
+        let numbers: Vec<_> = given
+            .iter()
+            .map(|order| order["fencing"].to_string())
+            .collect();
+        expect_that!(
+            given.iter().all(|order| order["accepted"] == true),
+            eq(true),
+            "{numbers:?}"
+        );
+        for model in ["model-1", "model-2"] {
+            let loads = given.iter().filter(|order| order["model"] == model);
+            expect_that!(loads.count(), le(1), "{model}");
+        }
+    }
+}
