fix(placement): an engine that does not report loads in progress is not ordered twice

Cause: the load report had no loads in progress, so an ordered load that took longer than the order timeout and the report lag (2 s) counted as failed and was ordered again. Ruled out: a second owner (one VM had given orders). Before, placement_fleet with loads of 4 s: 2 orders for one model on one engine. Reports may carry loading; without it an order counts as in progress.

--- a/src/control/loads.rs
+++ b/src/control/loads.rs
@@ -50,6 +50,8 @@
     queued: u32,
     #[serde(default)]
     models: Vec<ModelName>,
+    /// Models that are being loaded; absent at an endpoint that does not say.
+    loading: Option<Vec<ModelName>>,
 }
 
 #[derive(Debug, PartialEq, Eq, Deserialize)]
@@ -153,10 +155,13 @@
     if state.keeps(read_at, endpoint) {
         state.keeper.on_load(clock::now(), endpoint, &load);
     }
+    // An engine that does not say what it loads is taken to go on with what it was ordered.
+    let loading = report.loading;
+    let loading = loading.unwrap_or_else(|| state.placement.ordered_loads(endpoint));
     let report = EngineReport {
         read_at,
         loaded: load.models.clone(),
-        loading: Vec::new(),
+        loading,
         fencing: None,
     };
     state.placement.on_report(endpoint, report);
--- a/src/decisions/placement.rs
+++ b/src/decisions/placement.rs
@@ -213,6 +213,15 @@
         self.reports.insert(engine.clone(), report);
     }
 
+    /// Returns the models that an engine was ordered to load and that it has not shown yet.
+    pub fn ordered_loads(&self, engine: &EndpointName) -> Vec<ModelName> {
+        let given = self.given.get(engine).map(|given| &given.kind);
+        match given {
+            Some(OrderKind::Load(model)) => vec![model.clone()],
+            _ => Vec::new(),
+        }
+    }
+
     /// Takes an engine's answer to an order.
     pub fn on_answer(&mut self, engine: &EndpointName, number: FencingNumber, answer: OrderAnswer) {
         if let OrderAnswer::Fenced(higher) = answer {
--- a/standins/run.rs
+++ b/standins/run.rs
@@ -36,6 +36,7 @@
     cold_since: Option<Instant>,
     completed_while_cold: u32,
     models: Vec<String>,
+    loading: Vec<String>,
     failures: VecDeque<u16>,
     slow: Duration,
     /// Reports with the time from which each holds, for the lag of `GET /load`.
@@ -50,6 +51,7 @@
     running: u32,
     queued: u32,
     models: Vec<String>,
+    loading: Vec<String>,
 }
 
 /// Body of `POST /v1/run`.
@@ -109,6 +111,9 @@
 
     /// Loads or unloads a model after the time that a load takes.
     pub fn change_model(self: Arc<Self>, model: String, load: bool) {
+        if load {
+            self.state.lock().loading.push(model.clone());
+        }
         tokio::spawn(async move {
             if load {
                 let load_ms = self.options.behaviour.load_model_ms;
@@ -116,6 +121,7 @@
             }
             let mut state = self.state.lock();
             state.models.retain(|loaded| *loaded != model);
+            state.loading.retain(|loading| *loading != model);
             if load {
                 state.models.push(model);
             }
@@ -145,6 +151,7 @@
             running,
             queued: state.in_flight - running,
             models: state.models.clone(),
+            loading: state.loading.clone(),
         }
     }
 
--- a/tests/placement_fleet.rs
+++ b/tests/placement_fleet.rs
@@ -55,7 +55,7 @@
 async fn a_model_is_loaded_where_wanted_also_after_the_owner_died() {
     let plan = Plan {
         fleet_flags: vec!["--checks-fencing"],
-        endpoint_flags: vec!["--load-model-ms", "300"],
+        endpoint_flags: vec!["--load-model-ms", "4000"],
         ..Plan::default()
     };
     let mut fleet = Fleet::start(&plan).await;
