refactor(traffic, cli): one rule stops work at a cold endpoint; shared operator options

ColdMarks blocked an endpoint until the next set of grants, whichever it was; the router already refuses grants that answer messages from before the sign, which is the exact rule.

--- a/src/cli/decisions.rs
+++ b/src/cli/decisions.rs
@@ -6,6 +6,7 @@
 use anyhow::{Context as _, bail};
 use clap::Args;
 
+use crate::cli::operators::OperatorOptions;
 use crate::explain::Decision;
 use crate::http::{self, Call};
 use crate::units::RequestId;
@@ -18,17 +19,8 @@
 pub struct ExplainOptions {
     /// The request's id, as given in its answer.
     request_id: RequestId,
-    /// Operator addresses of the VMs to ask; the record is kept by each VM that took part.
-    #[arg(
-        long,
-        required = true,
-        env = "PRIMROSEWALK_OPERATOR_ADDRESS",
-        value_delimiter = ','
-    )]
-    operator_address: Vec<SocketAddr>,
-    /// Print JSON.
-    #[arg(long)]
-    json: bool,
+    #[command(flatten)]
+    operators: OperatorOptions,
 }
 
 /// Options of `primrosewalk decisions`.
@@ -46,14 +38,14 @@
 pub async fn explain(options: ExplainOptions) -> anyhow::Result<()> {
     let path = format!("/v1/explain/{}", options.request_id);
     let mut found = false;
-    for address in &options.operator_address {
+    for address in &options.operators.operator_address {
         let (status, body) = http::fetch(&Call::get(*address, &path, TIMEOUT), TIMEOUT).await?;
         if !status.is_success() {
             continue;
         }
         let decisions: Vec<Decision> = parse(&body)?;
         found |= !decisions.is_empty();
-        if options.json && !decisions.is_empty() {
+        if options.operators.json && !decisions.is_empty() {
             println!("{}", serde_json::to_string(&decisions)?);
         } else {
             print_lines(&decisions);
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod decisions;
 mod generate;
+mod operators;
 mod send;
 mod sse;
 mod status;
--- /dev/null
+++ b/src/cli/operators.rs
@@ -0,0 +1,21 @@
+//! Options that commands which ask several VMs share.
+
+use std::net::SocketAddr;
+
+use clap::Args;
+
+/// Which VMs to ask and how to print what they answer.
+#[derive(Debug, Args)]
+pub struct OperatorOptions {
+    /// Operator addresses of the VMs to ask, separated by commas.
+    #[arg(
+        long,
+        required = true,
+        env = "PRIMROSEWALK_OPERATOR_ADDRESS",
+        value_delimiter = ','
+    )]
+    pub operator_address: Vec<SocketAddr>,
+    /// Print JSON.
+    #[arg(long)]
+    pub json: bool,
+}
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -8,6 +8,7 @@
 use clap::Args;
 use comfy_table::Table;
 
+use crate::cli::operators::OperatorOptions;
 use crate::http::{self, Call};
 use crate::manifest::EndpointState;
 use crate::status::{CircuitStatus, Status};
@@ -18,36 +19,27 @@
 /// Options of `primrosewalk status`.
 #[derive(Debug, Args)]
 pub struct StatusOptions {
-    /// Operator addresses of the VMs to ask.
-    #[arg(
-        long,
-        required = true,
-        env = "PRIMROSEWALK_OPERATOR_ADDRESS",
-        value_delimiter = ','
-    )]
-    operator_address: Vec<SocketAddr>,
-    /// Print JSON.
-    #[arg(long)]
-    json: bool,
+    #[command(flatten)]
+    operators: OperatorOptions,
 }
 
 /// Prints the state of each VM; fails when one could not be asked.
 pub async fn status(options: StatusOptions) -> anyhow::Result<()> {
     let mut statuses = Vec::new();
-    for address in &options.operator_address {
+    for address in &options.operators.operator_address {
         match ask(*address).await {
             Ok(status) => statuses.push(status),
             Err(error) => eprintln!("{address}: {error:#}"),
         }
     }
-    if options.json {
+    if options.operators.json {
         println!("{}", serde_json::to_string(&statuses)?);
     } else {
         println!("{}\n", vm_table(&statuses));
         println!("{}\n", endpoint_table(&statuses));
         println!("{}", organisation_table(&statuses));
     }
-    let unreachable = options.operator_address.len() - statuses.len();
+    let unreachable = options.operators.operator_address.len() - statuses.len();
     if unreachable > 0 {
         bail!("{unreachable} VMs could not be asked");
     }
--- a/src/traffic/cold_marks.rs
+++ b/src/traffic/cold_marks.rs
@@ -1,72 +1,36 @@
 //! Endpoints that showed a cold start to this VM.
 //!
-//! The control thread takes their grants away, which needs a moment. Until a new set of
-//! grants is published nothing more goes there (P2).
+//! Only the first sign of a cold start is reported, because each report restarts the ramp.
 
 use std::collections::HashMap;
-use std::sync::Arc;
-use std::time::Duration;
 
-use smallvec::SmallVec;
-
-use crate::blackboard::{SlotGrant, Snapshot};
+use crate::blackboard::Snapshot;
 use crate::units::{EndpointName, Time};
 
-/// Validity of a grant: after that, even a grant that was not taken away has lapsed.
-const BLOCK_LIMIT: Duration = Duration::from_secs(1);
-
-type Grants = Arc<HashMap<EndpointName, SlotGrant>>;
-
-#[derive(Debug)]
-struct Mark {
-    since: Time,
-    /// The grants at the time of the sign, while they still block the endpoint.
-    blocked_by: Option<Grants>,
-}
-
-/// Known cold starts.
+/// Known cold starts, with the time of the first sign.
 #[derive(Debug, Default)]
 pub struct ColdMarks {
-    marks: HashMap<EndpointName, Mark>,
+    signs: HashMap<EndpointName, Time>,
 }
 
 impl ColdMarks {
     /// Takes a sign of a cold start. Returns whether it begins one, rather than repeats a
-    /// known one: only the first is reported, because each report restarts the ramp.
+    /// known one that no later load report has ended.
     pub fn on_sign(&mut self, now: Time, snapshot: &Snapshot, endpoint: &EndpointName) -> bool {
-        let is_known = self.marks.get(endpoint).is_some_and(|mark| {
+        let is_known = self.signs.get(endpoint).is_some_and(|since| {
             let load = snapshot.loads.get(endpoint);
-            let was_warm = load.is_some_and(|load| !load.cold && load.read_at > mark.since);
+            let was_warm = load.is_some_and(|load| !load.cold && load.read_at > *since);
             !was_warm
         });
         if is_known {
             return false;
         }
-        let mark = Mark {
-            since: now,
-            blocked_by: Some(Arc::clone(&snapshot.grants)),
-        };
-        self.marks.insert(endpoint.clone(), mark);
+        self.signs.insert(endpoint.clone(), now);
         true
     }
 
     /// Notes an answer without a sign of a cold start.
     pub fn on_warm_answer(&mut self, endpoint: &EndpointName) {
-        self.marks.remove(endpoint);
-    }
-
-    /// Returns the endpoints whose grants are older than the sign.
-    pub fn blocked(&mut self, now: Time, snapshot: &Snapshot) -> SmallVec<[EndpointName; 2]> {
-        for mark in self.marks.values_mut() {
-            let holds = |grants: &Grants| Arc::ptr_eq(grants, &snapshot.grants);
-            if !mark.blocked_by.as_ref().is_some_and(holds) || now >= mark.since + BLOCK_LIMIT {
-                mark.blocked_by = None;
-            }
-        }
-        let blocked = self.marks.iter();
-        blocked
-            .filter(|(_, mark)| mark.blocked_by.is_some())
-            .map(|(endpoint, _)| endpoint.clone())
-            .collect()
+        self.signs.remove(endpoint);
     }
 }
--- a/src/traffic/router_state.rs
+++ b/src/traffic/router_state.rs
@@ -230,26 +230,6 @@
 
     fn choose(&self, inner: &mut Inner, snapshot: &Snapshot, request: &SlotRequest) -> Choice {
         let now = clock::now();
-        let blocked = inner.cold.blocked(now, snapshot);
-        if blocked.is_empty() {
-            return self.choose_unblocked(inner, now, snapshot, request);
-        }
-        let mut request = request.clone();
-        request.exclude.extend(blocked);
-        match self.choose_unblocked(inner, now, snapshot, &request) {
-            // The blocked endpoints will take work again.
-            Choice::None => Choice::Busy,
-            choice => choice,
-        }
-    }
-
-    fn choose_unblocked(
-        &self,
-        inner: &mut Inner,
-        now: Time,
-        snapshot: &Snapshot,
-        request: &SlotRequest,
-    ) -> Choice {
         let Inner { router, random, .. } = inner;
         match self.mode {
             RoutingMode::Scored => router.choose(now, snapshot, &request.route(), random),
--- a/tests/traffic_cases/stages.rs
+++ b/tests/traffic_cases/stages.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::Ordering;
 
 use googletest::prelude::*;
-use primrosewalk::blackboard::ControlCommand;
+use primrosewalk::blackboard::{ControlCommand, Snapshot};
+use primrosewalk::clock;
+use primrosewalk::decisions::slots::SlotsConfig;
 use primrosewalk::settings::RoutingMode;
 use primrosewalk::traffic::TrafficConfig;
 
@@ -163,6 +165,16 @@
     expect_that!(run(&vm, "simple", &[], "{}").await.status, eq(200));
 }
 
+/// Gives grants that answer a message sent now, as a keeper does.
+fn renew_grants(snapshot: &mut Snapshot) {
+    let life = SlotsConfig::default().grant_life;
+    let mut grants = HashMap::clone(&snapshot.grants);
+    for grant in grants.values_mut() {
+        grant.valid_until = clock::now() + life;
+    }
+    snapshot.grants = Arc::new(grants);
+}
+
 /// The first sign of a cold start must stop new work there until the grants change, and
 /// be reported once; repeated signs would restart the ramp (P2).
 #[gtest]
@@ -171,11 +183,12 @@
     let cold = Step::Answer("200 OK", "x-state: cold\r\n", r#"{"output":1}"#);
     let first = Fake::start(&[cold]).await;
     let vm = Vm::start(Setup::new(vec![("first", first.clone())])).await;
+    vm.publish(renew_grants);
     expect_that!(run(&vm, "simple", &[], "{}").await.status, eq(200));
     let refused = run(&vm, "simple", &[("x-deadline-ms", "100")], "{}").await;
     expect_that!(refused.refusal(), ends_with("not_run"));
     expect_that!(first.seen().len(), eq(1));
-    vm.publish(|snapshot| snapshot.grants = Arc::new(HashMap::clone(&snapshot.grants)));
+    vm.publish(renew_grants);
     expect_that!(run(&vm, "simple", &[], "{}").await.status, eq(200));
     let count = |kind: fn(&ControlCommand) -> bool| {
         let reports = vm.reports.lock().unwrap();
