--- a/scripts/scenario.sh
+++ b/scripts/scenario.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
 # Runs a scenario against a fleet on loopback and stops everything.
 #
-#     scripts/scenario.sh nakheel|mwangaza [baseline]
+#     scripts/scenario.sh nakheel|mwangaza [baseline|random|no-retry-budget]
 #
-# `baseline` starts the daemons with --quota static-share. Distances between data centres
+# `baseline` starts the daemons with --quota static-share, `random` with --routing random,
+# `no-retry-budget` with --retry-budget off. Distances between data centres
 # are under 2 ms in both scenarios and are not emulated. The report is printed and, with the
 # plot, written to target/scenarios. BIN names a directory with built binaries; without it
 # they are built first. SCENARIO_FLAGS goes to `primrosewalk load`.
@@ -15,6 +16,8 @@
 case $variant in
 '') ;;
 baseline) daemon_flags=(--quota static-share) ;;
+random) daemon_flags=(--routing random) ;;
+no-retry-budget) daemon_flags=(--retry-budget off) ;;
 *) name='' ;;
 esac
 case $name in
@@ -36,7 +39,7 @@
         --open-pipeline tariffs=encoder,retriever,reranker)
     ;;
 *)
-    echo "use: scripts/scenario.sh nakheel|mwangaza [baseline]" >&2
+    echo "use: scripts/scenario.sh nakheel|mwangaza [baseline|random|no-retry-budget]" >&2
     exit 2
     ;;
 esac
