--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,7 +12,7 @@
 pub mod links;
 pub mod loads;
 pub mod messages;
-mod orders;
+pub mod orders;
 pub mod platform;
 pub mod slot_messages;
 pub mod slots;
