--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -16,7 +16,7 @@
 use crate::control::platform::{Next, PlatformReader, Seen, watch_key};
 use crate::control::state::{Control, ControlState, ManifestBytes};
 use crate::findings::Findings;
-use crate::manifest::{Manifest, ManifestIndex, parse_manifest, part_digest};
+use crate::manifest::{Manifest, ManifestIndex, PartReference, parse_manifest, part_digest};
 use crate::peer::calls::ManifestBundle;
 use crate::units::{Time, Version, VmId};
 
@@ -58,34 +58,9 @@
     if !wanted(control, version) {
         return Next::Retry;
     }
-    let named = |sha256: &String| index.parts.iter().any(|part| part.sha256 == *sha256);
-    let mut parts = HashMap::new();
-    control
-        .state
-        .borrow_mut()
-        .unfinished_parts
-        .retain(|sha256, _| named(sha256));
-    for part in &index.parts {
-        let kept = control.state.borrow().kept_part(&part.sha256);
-        let part_bytes = match kept {
-            Some(bytes) => bytes,
-            None => match reader
-                .value(&format!("manifest/part/{}", part.sha256))
-                .await
-            {
-                Ok(bytes) => bytes,
-                Err(error) => {
-                    let name = &part.name;
-                    warn!(control.logger(), "config: part {name} not read: {error}");
-                    return Next::Retry;
-                }
-            },
-        };
-        // A read that fails later must not make this VM read the others again.
-        let unfinished = &mut control.state.borrow_mut().unfinished_parts;
-        unfinished.insert(part.sha256.clone(), part_bytes.clone());
-        parts.insert(part.sha256.clone(), part_bytes);
-    }
+    let Some(parts) = read_parts(control, reader, &index).await else {
+        return Next::Retry;
+    };
     let applied = apply(control, index, bytes, parts, "platform").await;
     control.state.borrow_mut().unfinished_parts.clear();
     match applied {
@@ -99,6 +74,46 @@
     }
 }
 
+/// Reads the parts that this VM does not hold; `None` when one could not be read.
+///
+/// What was read is kept meanwhile, so that the next try reads only what is missing.
+async fn read_parts(
+    control: &Rc<Control>,
+    reader: &mut PlatformReader,
+    index: &ManifestIndex,
+) -> Option<HashMap<String, Bytes>> {
+    control.state.borrow_mut().keep_unfinished(index);
+    let mut parts = HashMap::new();
+    for part in &index.parts {
+        let kept = control.state.borrow().kept_part(&part.sha256);
+        let bytes = match kept {
+            Some(bytes) => bytes,
+            None => read_part(control, reader, part).await?,
+        };
+        let unfinished = &mut control.state.borrow_mut().unfinished_parts;
+        unfinished.insert(part.sha256.clone(), bytes.clone());
+        parts.insert(part.sha256.clone(), bytes);
+    }
+    Some(parts)
+}
+
+async fn read_part(
+    control: &Control,
+    reader: &mut PlatformReader,
+    part: &PartReference,
+) -> Option<Bytes> {
+    let read = reader
+        .value(&format!("manifest/part/{}", part.sha256))
+        .await;
+    let warn = |error| {
+        warn!(
+            control.logger(),
+            "config: part {} not read: {error}", part.name
+        )
+    };
+    read.map_err(warn).ok()
+}
+
 /// Returns whether a version from the platform is newer than all that is known.
 fn wanted(control: &Control, version: Version) -> bool {
     let state = control.state.borrow();
@@ -219,6 +234,12 @@
 }
 
 impl ControlState {
+    /// Drops parts that the index does not name.
+    fn keep_unfinished(&mut self, index: &ManifestIndex) {
+        let named = |sha256: &str| index.parts.iter().any(|part| part.sha256 == *sha256);
+        self.unfinished_parts.retain(|sha256, _| named(sha256));
+    }
+
     fn kept_part(&self, sha256: &str) -> Option<Bytes> {
         let in_force = self.manifest.parts.get(sha256);
         in_force
