--- a/tests/traffic_cases/stages.rs
+++ b/tests/traffic_cases/stages.rs
@@ -7,6 +7,7 @@
 use googletest::prelude::*;
 use primrosewalk::blackboard::{ControlCommand, Snapshot};
 use primrosewalk::clock;
+use primrosewalk::decisions::circuit::CircuitConfig;
 use primrosewalk::decisions::slots::SlotsConfig;
 use primrosewalk::settings::RoutingMode;
 use primrosewalk::traffic::TrafficConfig;
@@ -205,6 +206,27 @@
     expect_that!(count(completed), eq(0));
 }
 
+/// An engine without the model must not be asked for it by every request: the circuit of
+/// the model there opens at the first refusal.
+#[gtest]
+#[tokio::test]
+async fn an_engine_without_the_model_is_asked_once_per_pause() {
+    let engines = [
+        Fake::start(&[Step::Answer("404 Not Found", "", "{}")]).await,
+        Fake::start(&[Step::Stream(&["a"])]).await,
+    ];
+    let endpoints = engines.iter().map(|engine| ("engine", engine.clone()));
+    let vm = Vm::start(Setup::new(endpoints.collect())).await;
+    let started = clock::now();
+    for _ in 0..8 {
+        let answer = run(&vm, "chat", &[], r#"{"prompt":"hello"}"#).await;
+        expect_that!(answer.status, eq(200));
+    }
+    let pause = CircuitConfig::default().first_pause;
+    let pauses = clock::now().since(started).as_millis() / pause.as_millis();
+    expect_that!(engines[0].seen().len() as u128, le(1 + pauses));
+}
+
 /// Baselines must serve requests too, or a comparison means nothing.
 #[gtest]
 #[tokio::test]
