--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -19,6 +19,8 @@
 use crate::context::Context;
 use crate::control::{ControlConfig, Listeners, run_control};
 use crate::explain::{DecisionLog, DecisionLogConfig};
+use crate::fleet::run_fleet_vm;
+use crate::fleet::settings::SETTINGS_VARIABLE;
 use crate::logger::build_logger;
 use crate::settings::{Arguments, Settings};
 use crate::traffic::{self, TrafficConfig};
@@ -33,6 +35,11 @@
 
 /// Reads the settings and serves until a planned stop has ended.
 pub fn run_daemon() -> ExitCode {
+    // The platform names a settings file; without it flags and variables hold the settings.
+    if let Some(path) = std::env::var_os(SETTINGS_VARIABLE) {
+        let check_only = std::env::args().any(|argument| argument == "--check");
+        return run_fleet_vm(path.as_ref(), check_only);
+    }
     let arguments = Arguments::parse();
     let settings = match arguments.validate() {
         Ok(settings) => settings,
--- /dev/null
+++ b/src/decisions/batching.rs
@@ -0,0 +1,576 @@
+//! Batches of stage items for the endpoints of one service.
+//!
+//! A call costs a fixed time besides its items, so the throughput of a service depends on full
+//! batches. One VM batches for the whole fleet (`docs/platform.md`, "Stages"): items wait while
+//! all endpoints are busy, and an endpoint that becomes free takes as many as fit. Answers the
+//! pattern of bursts above the capacity of unbatched calls.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::decisions::circuit::{Circuit, CircuitConfig, Role};
+use crate::decisions::retry::{RetryBudget, RetryConfig};
+use crate::fleet::model::{BatchLimits, Endpoint};
+use crate::units::{EndpointName, Time};
+
+/// Weight of the newest call in the speed of an endpoint.
+const SPEED_WEIGHT: f64 = 0.4;
+
+/// Settings of a batcher.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BatchingConfig {
+    /// Circuits of the endpoints; a reset or refused connection opens one at once.
+    pub circuit: CircuitConfig,
+    /// An endpoint that takes this many times as long as the fastest counts as slow.
+    pub slow_ratio: f64,
+    /// A slow endpoint gets a call this often, which shows whether it has recovered.
+    pub slow_retry: Duration,
+    /// A call that takes this many times its expected time is given up.
+    pub timeout_ratio: f64,
+    /// Least time after which a call is given up.
+    pub least_timeout: Duration,
+    /// Pause of an endpoint that had no room for results.
+    pub room_pause: Duration,
+}
+
+impl Default for BatchingConfig {
+    fn default() -> Self {
+        Self {
+            circuit: CircuitConfig {
+                failures_to_open: 1,
+                first_pause: Duration::from_millis(300),
+                longest_pause: Duration::from_secs(4),
+            },
+            slow_ratio: 2.2,
+            slow_retry: Duration::from_secs(2),
+            timeout_ratio: 3.0,
+            least_timeout: Duration::from_millis(900),
+            room_pause: Duration::from_millis(100),
+        }
+    }
+}
+
+/// What an item reads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ItemInput {
+    /// The key of the request, for stages without predecessors.
+    Key(Arc<str>),
+    /// Results of the preceding stages.
+    Handles(Arc<[String]>),
+}
+
+/// One item of a stage.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ItemSpec {
+    /// Id of the request.
+    pub request: Arc<str>,
+    /// Number of the stage in its route.
+    pub stage: usize,
+    /// Number of the item in its stage.
+    pub piece: u32,
+    /// What it reads.
+    pub input: ItemInput,
+}
+
+/// Why an item has no result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ItemFailure {
+    /// Its deadline passed before its turn.
+    Late,
+    /// One of its inputs does not exist any more.
+    InputGone,
+    /// The endpoint has no memory for the result.
+    NoRoom,
+    /// The endpoint or the way to it failed.
+    Failed,
+}
+
+/// Identifies a job at its batcher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct JobId(pub u64);
+
+/// All items of one stage of one request.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Its id.
+    pub id: JobId,
+    /// Id of the request.
+    pub request: Arc<str>,
+    /// Number of the stage.
+    pub stage: usize,
+    /// How many items it has.
+    pub items: u32,
+    /// What each item reads.
+    pub input: ItemInput,
+    /// Rank of the request; 0 is the most urgent.
+    pub priority: u8,
+    /// End of the stage for an answer that is on time.
+    pub due: Time,
+    /// End of the stage for an answer at all.
+    pub deadline: Time,
+    /// Approximate size of one result.
+    pub result_bytes: u64,
+    /// Whether the stage of this request has run before.
+    pub is_repeat: bool,
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobEnd {
+    /// The job.
+    pub id: JobId,
+    /// Its results in the order of the items, or why there are none.
+    pub results: Result<Vec<String>, ItemFailure>,
+    /// Results that were made although the job failed.
+    pub orphans: Vec<String>,
+}
+
+/// One call to make.
+#[derive(Debug, Clone)]
+pub struct Batch {
+    /// Identifies the call.
+    pub id: u64,
+    /// Where to.
+    pub endpoint: Arc<Endpoint>,
+    /// The items with the end of their time.
+    pub items: Vec<(ItemSpec, Time)>,
+    /// When the call counts as lost.
+    pub timeout: Duration,
+}
+
+/// How a call failed as a whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BatchFailure {
+    /// The endpoint said that it did not run the call.
+    Refused,
+    /// The call may have run.
+    Broken,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    job: JobId,
+    piece: u32,
+    due: Time,
+    deadline: Time,
+    result_bytes: u64,
+    attempts: u32,
+}
+
+#[derive(Debug)]
+struct JobState {
+    job: Job,
+    results: Vec<Option<String>>,
+    missing: u32,
+}
+
+#[derive(Debug, Default)]
+struct EndpointState {
+    calls: u32,
+    circuit: Circuit,
+    /// Time of recent calls as a multiple of what the configuration says; 0 before the first.
+    slowness: f64,
+    last_call_at: Time,
+    paused_until: Time,
+    reserved_bytes: u64,
+    results: HashMap<String, (u64, Time)>,
+}
+
+impl EndpointState {
+    fn used_bytes(&self) -> u64 {
+        let kept: u64 = self.results.values().map(|(bytes, _)| bytes).sum();
+        kept + self.reserved_bytes
+    }
+}
+
+#[derive(Debug)]
+struct Running {
+    endpoint: EndpointName,
+    items: Vec<Item>,
+    started_at: Time,
+    nominal_ms: f64,
+    reserved_bytes: u64,
+    role: Role,
+}
+
+/// Queue and endpoints of one service.
+#[derive(Debug)]
+pub struct Batcher {
+    config: BatchingConfig,
+    limits: BatchLimits,
+    queue: Vec<Item>,
+    jobs: HashMap<JobId, JobState>,
+    endpoints: HashMap<EndpointName, EndpointState>,
+    running: HashMap<u64, Running>,
+    batches: u64,
+    budget: RetryBudget,
+}
+
+impl Batcher {
+    /// Starts empty. `repeats` bounds the items that are sent again.
+    pub fn new(config: BatchingConfig, limits: BatchLimits, repeats: RetryConfig) -> Self {
+        Self {
+            config,
+            limits,
+            queue: Vec::new(),
+            jobs: HashMap::new(),
+            endpoints: HashMap::new(),
+            running: HashMap::new(),
+            batches: 0,
+            budget: RetryBudget::new(repeats),
+        }
+    }
+
+    /// Takes over limits of a newer configuration.
+    pub fn set_limits(&mut self, limits: BatchLimits) {
+        self.limits = limits;
+    }
+
+    /// Returns how many items wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns how many calls run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the time until items that arrive now have run, for `endpoints` endpoints.
+    pub fn expected_wait(&self, now: Time, endpoints: usize, items: usize) -> Duration {
+        let endpoints = endpoints.max(1) as f64;
+        let full_ms = self.nominal_ms(self.limits.batch);
+        let ahead = self.queue.len() + items;
+        let calls = (ahead as f64 / self.limits.batch as f64).ceil();
+        let running_ms: f64 = self
+            .running
+            .values()
+            .map(|call| (call.nominal_ms - now.since(call.started_at).as_millis() as f64).max(0.0))
+            .sum();
+        let own_ms = self.nominal_ms(items.min(self.limits.batch));
+        let ahead_ms = ((calls - 1.0).max(0.0) * full_ms + running_ms) / endpoints;
+        Duration::from_secs_f64((ahead_ms + own_ms) / 1_000.0)
+    }
+
+    /// Adds a job, unless it provably ends after its deadline; then the time is returned
+    /// after which there is room again.
+    ///
+    /// # Errors
+    ///
+    /// Returns how long the queue needs to become short enough.
+    pub fn push(&mut self, now: Time, endpoints: usize, job: Job) -> Result<(), Duration> {
+        let wait = self.expected_wait(now, endpoints, job.items as usize);
+        if now + wait > job.deadline {
+            let excess = (now + wait).since(job.deadline);
+            return Err(excess.max(Duration::from_millis(100)));
+        }
+        if job.is_repeat {
+            for _ in 0..job.items {
+                if !self.budget.take(1) {
+                    return Err(Duration::from_millis(500));
+                }
+            }
+        } else {
+            self.budget.on_first_attempt();
+        }
+        let items = (0..job.items).map(|piece| Item {
+            job: job.id,
+            piece,
+            due: job.due,
+            deadline: job.deadline,
+            result_bytes: job.result_bytes,
+            attempts: 1,
+        });
+        self.queue.extend(items);
+        let state = JobState {
+            results: vec![None; job.items as usize],
+            missing: job.items,
+            job,
+        };
+        self.jobs.insert(state.job.id, state);
+        Ok(())
+    }
+
+    /// Drops a job whose request ended, and returns the results that it already has.
+    pub fn cancel(&mut self, id: JobId) -> Vec<String> {
+        self.queue.retain(|item| item.job != id);
+        let state = self.jobs.remove(&id);
+        state.map_or_else(Vec::new, |state| {
+            state.results.into_iter().flatten().collect()
+        })
+    }
+
+    /// Ends the jobs that can not be done in time any more.
+    pub fn expire(&mut self, now: Time) -> Vec<JobEnd> {
+        let least = Duration::from_secs_f64(self.nominal_ms(1) / 1_000.0);
+        let late: Vec<JobId> = self
+            .queue
+            .iter()
+            .filter(|item| now + least > item.deadline)
+            .map(|item| item.job)
+            .collect();
+        let end = |id| self.fail(id, ItemFailure::Late);
+        late.into_iter().filter_map(end).collect()
+    }
+
+    /// Returns the next call to make, if an endpoint is free and items wait.
+    pub fn next_batch(&mut self, now: Time, usable: &[Arc<Endpoint>]) -> Option<Batch> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        let endpoint = self.choose_endpoint(now, usable)?;
+        let items = self.take_items(now, &endpoint);
+        if items.is_empty() {
+            return None;
+        }
+        let nominal_ms = self.nominal_ms(items.len());
+        let reserved_bytes = items.iter().map(|item| item.result_bytes).sum();
+        let state = self.endpoints.entry(endpoint.id.clone()).or_default();
+        state.calls += 1;
+        state.reserved_bytes += reserved_bytes;
+        state.last_call_at = now;
+        let role = state.circuit.on_start();
+        let slowness = state.slowness.max(1.0);
+        self.batches += 1;
+        let id = self.batches;
+        let specs = items
+            .iter()
+            .filter_map(|item| Some((self.spec(item)?, item.deadline)))
+            .collect();
+        let timeout_ms = nominal_ms * slowness.min(2.0) * self.config.timeout_ratio;
+        let running = Running {
+            endpoint: endpoint.id.clone(),
+            items,
+            started_at: now,
+            nominal_ms,
+            reserved_bytes,
+            role,
+        };
+        self.running.insert(id, running);
+        Some(Batch {
+            id,
+            endpoint,
+            items: specs,
+            timeout: Duration::from_secs_f64(timeout_ms / 1_000.0).max(self.config.least_timeout),
+        })
+    }
+
+    /// Notes the outcome of a call and returns the jobs that ended with it. Results of jobs
+    /// that ended before are among the orphans.
+    pub fn finish(
+        &mut self,
+        now: Time,
+        id: u64,
+        outcome: Result<Vec<Result<String, ItemFailure>>, BatchFailure>,
+    ) -> (Vec<JobEnd>, Vec<String>) {
+        let Some(call) = self.running.remove(&id) else {
+            return (Vec::new(), Vec::new());
+        };
+        self.note_endpoint(now, &call, &outcome);
+        let outcomes = outcome.unwrap_or_else(|_| vec![Err(ItemFailure::Failed); call.items.len()]);
+        let mut ends = Vec::new();
+        let mut orphans = Vec::new();
+        for (item, outcome) in call.items.into_iter().zip(outcomes) {
+            match outcome {
+                Ok(handle) => {
+                    self.keep_result(now, &call.endpoint, &handle, item.result_bytes);
+                    match self.accept(&item, handle) {
+                        Ok(end) => ends.extend(end),
+                        Err(orphan) => orphans.push(orphan),
+                    }
+                }
+                Err(failure) => ends.extend(self.retry(now, item, failure)),
+            }
+        }
+        (ends, orphans)
+    }
+
+    /// Notes that a result was freed.
+    pub fn on_freed(&mut self, handle: &str) {
+        for state in self.endpoints.values_mut() {
+            if state.results.remove(handle).is_some() {
+                return;
+            }
+        }
+    }
+
+    /// Forgets results whose time is over and endpoints that are gone.
+    pub fn sweep(&mut self, now: Time, usable: &[Arc<Endpoint>]) {
+        for state in self.endpoints.values_mut() {
+            state.results.retain(|_, (_, until)| now < *until);
+        }
+        self.endpoints.retain(|id, state| {
+            state.calls > 0
+                || !state.results.is_empty()
+                || usable.iter().any(|endpoint| endpoint.id == *id)
+        });
+    }
+
+    fn nominal_ms(&self, items: usize) -> f64 {
+        self.limits.call_ms + self.limits.item_ms * items as f64
+    }
+
+    fn spec(&self, item: &Item) -> Option<ItemSpec> {
+        let state = self.jobs.get(&item.job)?;
+        Some(ItemSpec {
+            request: Arc::clone(&state.job.request),
+            stage: state.job.stage,
+            piece: item.piece,
+            input: state.job.input.clone(),
+        })
+    }
+
+    /// Prefers fast endpoints with room; a slow one gets a call only now and then.
+    fn choose_endpoint(&self, now: Time, usable: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
+        let state = |endpoint: &Endpoint| self.endpoints.get(&endpoint.id);
+        let slowness =
+            |endpoint: &Endpoint| state(endpoint).map_or(0.0, |state| state.slowness).max(0.5);
+        let fastest = usable
+            .iter()
+            .map(|endpoint| slowness(endpoint))
+            .fold(f64::INFINITY, f64::min);
+        let slow_from = fastest * self.config.slow_ratio;
+        let is_free = |endpoint: &&Arc<Endpoint>| {
+            let Some(state) = state(endpoint) else {
+                return true;
+            };
+            let is_slow = slowness(endpoint) > slow_from;
+            state.calls < self.limits.slots
+                && state.circuit.allows(now)
+                && now >= state.paused_until
+                && (!is_slow || now.since(state.last_call_at) >= self.config.slow_retry)
+        };
+        let used = |endpoint: &Endpoint| state(endpoint).map_or(0, EndpointState::used_bytes);
+        usable
+            .iter()
+            .filter(is_free)
+            .min_by(|left, right| {
+                let by_speed = (slowness(left) * 4.0)
+                    .round()
+                    .total_cmp(&(slowness(right) * 4.0).round());
+                by_speed.then(used(left).cmp(&used(right)))
+            })
+            .cloned()
+    }
+
+    /// Takes the items to run: those that can still be on time first, then by their time.
+    fn take_items(&mut self, now: Time, endpoint: &Endpoint) -> Vec<Item> {
+        let usual = Duration::from_secs_f64(self.nominal_ms(self.limits.batch / 2) / 1_000.0);
+        self.queue
+            .sort_by_key(|item| (now + usual > item.due, item.due, item.job, item.piece));
+        let used = self
+            .endpoints
+            .get(&endpoint.id)
+            .map_or(0, EndpointState::used_bytes);
+        let mut room = self.limits.result_room_bytes.saturating_sub(used);
+        let mut taken = Vec::new();
+        let mut left = Vec::with_capacity(self.queue.len());
+        for item in self.queue.drain(..) {
+            if taken.len() < self.limits.batch && item.result_bytes <= room {
+                room -= item.result_bytes;
+                taken.push(item);
+            } else {
+                left.push(item);
+            }
+        }
+        self.queue = left;
+        taken
+    }
+
+    fn note_endpoint(
+        &mut self,
+        now: Time,
+        call: &Running,
+        outcome: &Result<Vec<Result<String, ItemFailure>>, BatchFailure>,
+    ) {
+        let state = self.endpoints.entry(call.endpoint.clone()).or_default();
+        state.calls = state.calls.saturating_sub(1);
+        state.reserved_bytes = state.reserved_bytes.saturating_sub(call.reserved_bytes);
+        match outcome {
+            Ok(items) => {
+                state.circuit.on_success();
+                let took_ms = now.since(call.started_at).as_secs_f64() * 1_000.0;
+                let ratio = took_ms / call.nominal_ms.max(1.0);
+                state.slowness = if state.slowness == 0.0 {
+                    ratio
+                } else {
+                    state.slowness * (1.0 - SPEED_WEIGHT) + ratio * SPEED_WEIGHT
+                };
+                if items.contains(&Err(ItemFailure::NoRoom)) {
+                    state.paused_until = now + self.config.room_pause;
+                }
+            }
+            Err(_) => state
+                .circuit
+                .on_failure(now, call.role, &self.config.circuit),
+        }
+    }
+
+    fn keep_result(&mut self, now: Time, endpoint: &EndpointName, handle: &str, bytes: u64) {
+        let until = now + self.limits.result_ttl;
+        let state = self.endpoints.entry(endpoint.clone()).or_default();
+        state.results.insert(handle.to_owned(), (bytes, until));
+    }
+
+    /// Stores a result; returns the end of the job if it was the last one, and the result
+    /// itself if nobody waits for it.
+    fn accept(&mut self, item: &Item, handle: String) -> Result<Option<JobEnd>, String> {
+        let Some(state) = self.jobs.get_mut(&item.job) else {
+            return Err(handle);
+        };
+        let place = &mut state.results[item.piece as usize];
+        if place.is_some() {
+            return Err(handle);
+        }
+        *place = Some(handle);
+        state.missing -= 1;
+        if state.missing > 0 {
+            return Ok(None);
+        }
+        let state = self.jobs.remove(&item.job);
+        Ok(state.map(|state| JobEnd {
+            id: state.job.id,
+            results: Ok(state.results.into_iter().flatten().collect()),
+            orphans: Vec::new(),
+        }))
+    }
+
+    /// Queues an item again if another run can help, or ends its job.
+    fn retry(&mut self, now: Time, mut item: Item, failure: ItemFailure) -> Option<JobEnd> {
+        if !self.jobs.contains_key(&item.job) {
+            return None;
+        }
+        let least = Duration::from_secs_f64(self.nominal_ms(1) / 1_000.0);
+        let can_help = matches!(failure, ItemFailure::Failed | ItemFailure::NoRoom)
+            && now + least <= item.deadline;
+        if !can_help || !self.budget.take(item.attempts) {
+            return self.fail(item.job, failure);
+        }
+        item.attempts += 1;
+        self.queue.push(item);
+        None
+    }
+
+    fn fail(&mut self, id: JobId, failure: ItemFailure) -> Option<JobEnd> {
+        self.queue.retain(|item| item.job != id);
+        let state = self.jobs.remove(&id)?;
+        Some(JobEnd {
+            id,
+            results: Err(failure),
+            orphans: state.results.into_iter().flatten().collect(),
+        })
+    }
+}
+
+/// Results to free, grouped by the endpoint that keeps them.
+pub type ResultsByEndpoint = HashMap<SocketAddr, SmallVec<[String; 4]>>;
+
+/// Returns the address of the endpoint that keeps a result.
+pub fn keeper_of(handle: &str) -> Option<SocketAddr> {
+    let (address, _) = handle.split_once('/')?;
+    address.parse().ok()
+}
--- /dev/null
+++ b/src/decisions/gossip.rs
@@ -0,0 +1,647 @@
+//! Membership of VMs by gossip: one probe a period, indirect probes, suspicion, incarnations.
+//!
+//! The work of a VM does not depend on the number of VMs. Each message carries the most
+//! recent changes; a VM that hears that it is suspected answers with a higher incarnation
+//! (`docs/platform.md`, "Membership"). Answers the pattern of VMs that are killed, frozen,
+//! cut off and restarted, alone and all at once.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+
+use crate::fleet::model::FleetVm;
+use crate::units::{Time, VmId};
+
+/// Settings of the membership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GossipConfig {
+    /// Time between two probes.
+    pub probe_period: Duration,
+    /// Time after which a probe goes through other VMs.
+    pub probe_timeout: Duration,
+    /// VMs that are asked to probe in place of this one.
+    pub indirect_probes: usize,
+    /// Time for a suspected VM to object before it counts as dead.
+    pub suspicion: Duration,
+    /// Time after which a dead VM is forgotten.
+    pub forget: Duration,
+    /// Time between two messages to a seed or to a VM that counts as dead, which join parts
+    /// of the fleet that were cut off from each other.
+    pub rejoin_period: Duration,
+    /// Most records in one datagram, so that it fits into a packet.
+    pub records_per_message: usize,
+    /// A longer pause between two ticks means that this VM was suspended.
+    pub suspended_after: Duration,
+}
+
+impl Default for GossipConfig {
+    fn default() -> Self {
+        Self {
+            probe_period: Duration::from_millis(400),
+            probe_timeout: Duration::from_millis(150),
+            indirect_probes: 2,
+            suspicion: Duration::from_millis(1_000),
+            forget: Duration::from_secs(30),
+            rejoin_period: Duration::from_millis(1_200),
+            records_per_message: 12,
+            suspended_after: Duration::from_millis(1_500),
+        }
+    }
+}
+
+/// What is known of a VM. A later variant wins over an earlier one of the same incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum VmState {
+    /// It answers.
+    Alive,
+    /// It did not answer and may object.
+    Suspect,
+    /// It did not object in time.
+    Dead,
+    /// It said that it leaves.
+    Left,
+}
+
+/// A VM and its state, as VMs tell each other.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmRecord {
+    /// The VM.
+    pub vm: FleetVm,
+    /// Rises whenever the VM starts or objects to a suspicion.
+    pub incarnation: u64,
+    /// Its state.
+    pub state: VmState,
+    /// Whether it takes requests of callers.
+    pub is_serving: bool,
+}
+
+/// What a message asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum GossipKind {
+    /// Asks for an acknowledgement.
+    Ping,
+    /// Answers a ping or an indirect probe.
+    Ack,
+    /// Asks the recipient to ping another VM in place of the sender.
+    PingRequest(Ipv4Addr),
+    /// Asks for the records that the recipient holds.
+    Join,
+    /// Tells records without asking for anything.
+    Records,
+}
+
+/// One message between VMs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GossipMessage {
+    /// What it asks for.
+    pub kind: GossipKind,
+    /// Number of the probe that it belongs to.
+    pub probe: u64,
+    /// The sender.
+    pub sender: VmRecord,
+    /// Records of other VMs.
+    pub records: Vec<VmRecord>,
+    /// Version of the configuration that the sender has.
+    pub configuration_version: u64,
+    /// Revision of the store that the sender has seen.
+    pub store_revision: u64,
+}
+
+/// A message to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outgoing {
+    /// Where to.
+    pub to: Ipv4Addr,
+    /// The message.
+    pub message: GossipMessage,
+}
+
+/// A change of what this VM believes, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MembershipChange {
+    /// The VM.
+    pub vm: VmId,
+    /// What it is now.
+    pub state: VmState,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
+#[derive(Debug)]
+struct Member {
+    record: VmRecord,
+    changed_at: Time,
+    /// Messages that still carry the record.
+    sends_left: u32,
+}
+
+#[derive(Debug)]
+struct Probe {
+    number: u64,
+    target: VmId,
+    ip: Ipv4Addr,
+    started_at: Time,
+    is_indirect: bool,
+}
+
+/// A probe that this VM makes in place of another.
+#[derive(Debug)]
+struct ProxyProbe {
+    number: u64,
+    asker: Ipv4Addr,
+    asker_probe: u64,
+    started_at: Time,
+}
+
+/// Versions that each message carries.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct KnownVersions {
+    /// Version of the configuration; 0 for none.
+    pub configuration: u64,
+    /// Revision of the platform's store.
+    pub store_revision: u64,
+}
+
+/// The membership as this VM sees it.
+pub struct Gossip {
+    config: GossipConfig,
+    own: VmRecord,
+    members: BTreeMap<VmId, Member>,
+    seeds: Vec<Ipv4Addr>,
+    order: Vec<VmId>,
+    probe: Option<Probe>,
+    proxies: SmallVec<[ProxyProbe; 4]>,
+    probes: u64,
+    next_probe_at: Time,
+    next_rejoin_at: Time,
+    last_tick_at: Option<Time>,
+    rng: ChaCha8Rng,
+    changes: Vec<MembershipChange>,
+    /// Versions that messages carry.
+    pub versions: KnownVersions,
+}
+
+/// Messages to send; most steps send at most a few.
+pub type OutgoingList = SmallVec<[Outgoing; 4]>;
+
+impl Gossip {
+    /// Starts with the seeds only.
+    pub fn new(
+        config: GossipConfig,
+        own: FleetVm,
+        incarnation: u64,
+        seeds: impl IntoIterator<Item = Ipv4Addr>,
+        rng: ChaCha8Rng,
+    ) -> Self {
+        let own_ip = own.ip;
+        Self {
+            config,
+            own: VmRecord {
+                vm: own,
+                incarnation,
+                state: VmState::Alive,
+                is_serving: false,
+            },
+            members: BTreeMap::new(),
+            seeds: seeds.into_iter().filter(|seed| *seed != own_ip).collect(),
+            order: Vec::new(),
+            probe: None,
+            proxies: SmallVec::new(),
+            probes: 0,
+            next_probe_at: Time::ZERO,
+            next_rejoin_at: Time::ZERO,
+            last_tick_at: None,
+            rng,
+            changes: Vec::new(),
+            versions: KnownVersions::default(),
+        }
+    }
+
+    /// Replaces the seeds after the settings changed.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = Ipv4Addr>) {
+        let own_ip = self.own.vm.ip;
+        self.seeds = seeds.into_iter().filter(|seed| *seed != own_ip).collect();
+    }
+
+    /// Says whether this VM takes requests; other VMs hear of it with the next messages.
+    pub fn set_serving(&mut self, is_serving: bool) -> OutgoingList {
+        if self.own.is_serving == is_serving {
+            return OutgoingList::new();
+        }
+        self.own.is_serving = is_serving;
+        self.own.incarnation += 1;
+        self.tell_all()
+    }
+
+    /// Tells the others that this VM leaves.
+    pub fn leave(&mut self) -> OutgoingList {
+        self.own.is_serving = false;
+        self.own.incarnation += 1;
+        self.own.state = VmState::Left;
+        self.tell_all()
+    }
+
+    /// Returns the live VMs that take requests; this one is among them when it serves.
+    pub fn serving(&self) -> impl Iterator<Item = &FleetVm> {
+        let own = self.own.is_serving.then_some(&self.own.vm);
+        let others = self
+            .members
+            .values()
+            .filter(|member| member.record.state == VmState::Alive && member.record.is_serving);
+        own.into_iter()
+            .chain(others.map(|member| &member.record.vm))
+    }
+
+    /// Returns how many VMs are known, those included that died or left lately.
+    pub fn known_count(&self) -> usize {
+        self.members.len() + 1
+    }
+
+    /// Returns when [`Gossip::tick`] has something to do.
+    pub fn next_tick_at(&self) -> Time {
+        let timeout = self.probe.as_ref().filter(|probe| !probe.is_indirect);
+        let timeout = timeout.map(|probe| probe.started_at + self.config.probe_timeout);
+        timeout.map_or(self.next_probe_at, |at| at.min(self.next_probe_at))
+    }
+
+    /// Takes the changes of belief since the last call.
+    pub fn take_changes(&mut self) -> Vec<MembershipChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time) -> OutgoingList {
+        let mut outgoing = OutgoingList::new();
+        self.forgive_own_suspension(now);
+        self.last_tick_at = Some(now);
+        self.probe_indirectly(now, &mut outgoing);
+        if now >= self.next_probe_at {
+            self.end_probe(now);
+            self.next_probe_at = now + self.config.probe_period;
+            self.start_probe(now, &mut outgoing);
+        }
+        if now >= self.next_rejoin_at {
+            self.next_rejoin_at = now + self.config.rejoin_period;
+            self.rejoin(&mut outgoing);
+        }
+        self.expire(now);
+        outgoing
+    }
+
+    /// Handles a message.
+    pub fn receive(&mut self, now: Time, message: &GossipMessage) -> OutgoingList {
+        let mut outgoing = OutgoingList::new();
+        if message.sender.vm.name == self.own.vm.name {
+            return outgoing;
+        }
+        let sender_ip = message.sender.vm.ip;
+        self.merge(now, &message.sender);
+        for record in &message.records {
+            self.merge(now, record);
+        }
+        match &message.kind {
+            GossipKind::Ping => {
+                let ack = self.message(GossipKind::Ack, message.probe);
+                outgoing.push(Outgoing {
+                    to: sender_ip,
+                    message: ack,
+                });
+            }
+            GossipKind::Join => {
+                let mut reply = self.message(GossipKind::Records, 0);
+                reply.records = self.sample_records();
+                outgoing.push(Outgoing {
+                    to: sender_ip,
+                    message: reply,
+                });
+            }
+            GossipKind::PingRequest(target) => {
+                self.probes += 1;
+                self.proxies.push(ProxyProbe {
+                    number: self.probes,
+                    asker: sender_ip,
+                    asker_probe: message.probe,
+                    started_at: now,
+                });
+                let ping = self.message(GossipKind::Ping, self.probes);
+                outgoing.push(Outgoing {
+                    to: *target,
+                    message: ping,
+                });
+            }
+            GossipKind::Ack => self.on_ack(message.probe, &mut outgoing),
+            GossipKind::Records => {}
+        }
+        // A sender whose state here is worse than alive learns of it and objects.
+        let is_doubted = self
+            .members
+            .get(&message.sender.vm.name)
+            .is_some_and(|member| {
+                member.record.state != VmState::Alive && message.sender.state == VmState::Alive
+            });
+        if is_doubted && message.kind != GossipKind::Records {
+            let mut objection = self.message(GossipKind::Records, 0);
+            objection.records = self
+                .members
+                .get(&message.sender.vm.name)
+                .map(|member| member.record.clone())
+                .into_iter()
+                .collect();
+            outgoing.push(Outgoing {
+                to: sender_ip,
+                message: objection,
+            });
+        }
+        outgoing
+    }
+
+    fn on_ack(&mut self, number: u64, outgoing: &mut OutgoingList) {
+        if self
+            .probe
+            .as_ref()
+            .is_some_and(|probe| probe.number == number)
+        {
+            self.probe = None;
+            return;
+        }
+        let position = self.proxies.iter().position(|proxy| proxy.number == number);
+        if let Some(position) = position {
+            let proxy = self.proxies.remove(position);
+            let ack = self.message(GossipKind::Ack, proxy.asker_probe);
+            outgoing.push(Outgoing {
+                to: proxy.asker,
+                message: ack,
+            });
+        }
+    }
+
+    /// After a suspension of this VM the silence of the others proves nothing.
+    fn forgive_own_suspension(&mut self, now: Time) {
+        let suspended = self
+            .last_tick_at
+            .is_some_and(|last| now.since(last) > self.config.suspended_after);
+        if !suspended {
+            return;
+        }
+        self.probe = None;
+        for member in self.members.values_mut() {
+            if member.record.state == VmState::Suspect {
+                member.changed_at = now;
+            }
+        }
+    }
+
+    fn start_probe(&mut self, now: Time, outgoing: &mut OutgoingList) {
+        let Some(target) = self.next_target() else {
+            return;
+        };
+        let Some(member) = self.members.get(&target) else {
+            return;
+        };
+        let ip = member.record.vm.ip;
+        let doubted = (member.record.state == VmState::Suspect).then(|| member.record.clone());
+        self.probes += 1;
+        self.probe = Some(Probe {
+            number: self.probes,
+            target,
+            ip,
+            started_at: now,
+            is_indirect: false,
+        });
+        let mut ping = self.message(GossipKind::Ping, self.probes);
+        ping.records.extend(doubted);
+        outgoing.push(Outgoing {
+            to: ip,
+            message: ping,
+        });
+    }
+
+    /// Goes through all VMs in a random order before it repeats one, which bounds the time
+    /// until each is probed.
+    fn next_target(&mut self) -> Option<VmId> {
+        for _ in 0..2 {
+            while let Some(candidate) = self.order.pop() {
+                let is_probed = self.members.get(&candidate).is_some_and(|member| {
+                    matches!(member.record.state, VmState::Alive | VmState::Suspect)
+                });
+                if is_probed {
+                    return Some(candidate);
+                }
+            }
+            self.order = self.members.keys().cloned().collect();
+            self.order.shuffle(&mut self.rng);
+        }
+        None
+    }
+
+    fn probe_indirectly(&mut self, now: Time, outgoing: &mut OutgoingList) {
+        let Some(probe) = &mut self.probe else {
+            return;
+        };
+        if probe.is_indirect || now.since(probe.started_at) < self.config.probe_timeout {
+            return;
+        }
+        probe.is_indirect = true;
+        let (number, target, ip) = (probe.number, probe.target.clone(), probe.ip);
+        let mut helpers: Vec<Ipv4Addr> = self
+            .members
+            .values()
+            .filter(|member| {
+                member.record.state == VmState::Alive && member.record.vm.name != target
+            })
+            .map(|member| member.record.vm.ip)
+            .collect();
+        helpers.shuffle(&mut self.rng);
+        for helper in helpers.into_iter().take(self.config.indirect_probes) {
+            let message = self.message(GossipKind::PingRequest(ip), number);
+            outgoing.push(Outgoing {
+                to: helper,
+                message,
+            });
+        }
+    }
+
+    /// Suspects the target of the last probe if nobody got an answer.
+    fn end_probe(&mut self, now: Time) {
+        let Some(probe) = self.probe.take() else {
+            return;
+        };
+        let Some(member) = self.members.get(&probe.target) else {
+            return;
+        };
+        if member.record.state == VmState::Alive {
+            let mut record = member.record.clone();
+            record.state = VmState::Suspect;
+            self.merge(now, &record);
+        }
+    }
+
+    fn rejoin(&mut self, outgoing: &mut OutgoingList) {
+        let is_alone = !self
+            .members
+            .values()
+            .any(|member| member.record.state == VmState::Alive);
+        let mut lost: Vec<Ipv4Addr> = self
+            .members
+            .values()
+            .filter(|member| member.record.state == VmState::Dead)
+            .map(|member| member.record.vm.ip)
+            .collect();
+        let known = |ip: &Ipv4Addr| {
+            self.members
+                .values()
+                .any(|member| member.record.vm.ip == *ip && member.record.state == VmState::Alive)
+        };
+        lost.extend(self.seeds.iter().filter(|seed| !known(seed)));
+        lost.shuffle(&mut self.rng);
+        // A VM that knows nobody asks every seed; else one message a period suffices.
+        let count = if is_alone { lost.len() } else { 1 };
+        for to in lost.into_iter().take(count) {
+            let message = self.message(GossipKind::Join, 0);
+            outgoing.push(Outgoing { to, message });
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        let suspicion = self.config.suspicion;
+        let lapsed: Vec<VmRecord> = self
+            .members
+            .values()
+            .filter(|member| {
+                member.record.state == VmState::Suspect && now.since(member.changed_at) >= suspicion
+            })
+            .map(|member| VmRecord {
+                state: VmState::Dead,
+                ..member.record.clone()
+            })
+            .collect();
+        for record in lapsed {
+            self.merge(now, &record);
+        }
+        let forget = self.config.forget;
+        self.members.retain(|_, member| {
+            !matches!(member.record.state, VmState::Dead | VmState::Left)
+                || now.since(member.changed_at) < forget
+        });
+        let timeout = self.config.suspicion;
+        self.proxies
+            .retain(|proxy| now.since(proxy.started_at) < timeout);
+    }
+
+    /// Takes over a record if it is newer than what is known.
+    fn merge(&mut self, now: Time, record: &VmRecord) {
+        if record.vm.name == self.own.vm.name {
+            self.object(record);
+            return;
+        }
+        let known = self
+            .members
+            .get(&record.vm.name)
+            .map(|member| &member.record);
+        let is_newer = known.is_none_or(|known| {
+            (record.incarnation, record.state) > (known.incarnation, known.state)
+        });
+        if !is_newer {
+            return;
+        }
+        let is_change = known.is_none_or(|known| {
+            known.state != record.state || known.is_serving != record.is_serving
+        });
+        // A VM that was never seen alive is no news when it is gone.
+        if known.is_none() && record.state > VmState::Suspect {
+            return;
+        }
+        if is_change {
+            self.changes.push(MembershipChange {
+                vm: record.vm.name.clone(),
+                state: record.state,
+                incarnation: record.incarnation,
+            });
+        }
+        let sends_left = 3 * (self.members.len() as u32 + 2).ilog2() + 3;
+        let member = Member {
+            record: record.clone(),
+            changed_at: now,
+            sends_left,
+        };
+        self.members.insert(record.vm.name.clone(), member);
+    }
+
+    /// Answers a doubt about this VM, or an older run of it, with a higher incarnation.
+    fn object(&mut self, record: &VmRecord) {
+        let is_same = record.state == self.own.state && record.is_serving == self.own.is_serving;
+        let is_doubt = record.incarnation > self.own.incarnation
+            || (record.incarnation == self.own.incarnation && !is_same);
+        if is_doubt {
+            self.own.incarnation = record.incarnation + 1;
+        }
+    }
+
+    fn message(&mut self, kind: GossipKind, probe: u64) -> GossipMessage {
+        GossipMessage {
+            kind,
+            probe,
+            sender: self.own.clone(),
+            records: self.news(),
+            configuration_version: self.versions.configuration,
+            store_revision: self.versions.store_revision,
+        }
+    }
+
+    /// Takes the records that fewest messages have carried yet.
+    fn news(&mut self) -> Vec<VmRecord> {
+        let mut fresh: Vec<&mut Member> = self
+            .members
+            .values_mut()
+            .filter(|member| member.sends_left > 0)
+            .collect();
+        fresh.sort_by_key(|member| std::cmp::Reverse(member.sends_left));
+        fresh
+            .into_iter()
+            .take(self.config.records_per_message)
+            .map(|member| {
+                member.sends_left -= 1;
+                member.record.clone()
+            })
+            .collect()
+    }
+
+    /// Returns records for a VM that joins: a random part when not all fit.
+    fn sample_records(&mut self) -> Vec<VmRecord> {
+        let mut records: Vec<VmRecord> = self
+            .members
+            .values()
+            .filter(|member| member.record.state <= VmState::Suspect)
+            .map(|member| member.record.clone())
+            .collect();
+        let most = self.config.records_per_message * 2;
+        while records.len() > most {
+            let position = self.rng.random_range(0..records.len());
+            records.swap_remove(position);
+        }
+        records
+    }
+
+    /// Tells a change of this VM to as many others as one round of gossip would reach.
+    fn tell_all(&mut self) -> OutgoingList {
+        const TOLD_AT_ONCE: usize = 8;
+        let mut targets: Vec<Ipv4Addr> = self
+            .members
+            .values()
+            .filter(|member| member.record.state == VmState::Alive)
+            .map(|member| member.record.vm.ip)
+            .collect();
+        targets.shuffle(&mut self.rng);
+        targets.truncate(TOLD_AT_ONCE);
+        let tell = |to| {
+            let message = self.message(GossipKind::Records, 0);
+            Outgoing { to, message }
+        };
+        targets.into_iter().map(tell).collect()
+    }
+}
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -4,9 +4,12 @@
 //! returns what to do. The shells in `control`, `peer` and `traffic` carry it out
 //! (`docs/design.md`, 2).
 
+pub mod batching;
 pub mod circuit;
 pub mod config_version;
+pub mod endpoint_choice;
 pub mod fair_queue;
+pub mod gossip;
 pub mod home_keys;
 pub mod membership;
 pub mod once;
@@ -17,3 +20,4 @@
 pub mod routing;
 pub mod run_time;
 pub mod slots;
+pub mod store_view;
--- /dev/null
+++ b/src/fleet/broker.rs
@@ -0,0 +1,372 @@
+//! Runs stage items for the whole fleet: queues of [`Batcher`]s and the calls they decide on.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, StatusCode};
+use parking_lot::Mutex;
+use slog::{Logger, info, warn};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::{sleep, timeout};
+
+use crate::clock;
+use crate::decisions::batching::{
+    Batch, BatchFailure, Batcher, BatchingConfig, ItemFailure, Job, JobEnd, JobId, keeper_of,
+};
+use crate::decisions::retry::RetryConfig;
+use crate::fleet::endpoint_client::{connect, read_body};
+use crate::fleet::model::FleetView;
+use crate::platform::endpoint_call::{Verdict, judge_stage, stage_headers};
+use crate::platform::stage_call::{FREE_PATH, RUN_PATH, decode_run, encode_free, encode_run};
+use crate::units::{EndpointName, ServiceName};
+
+/// Pause of the queue while all endpoints are busy or in doubt; finished calls wake it sooner.
+const QUEUE_TICK: Duration = Duration::from_millis(40);
+/// Time for which results to free are collected, so that one call frees several.
+const FREE_DELAY: Duration = Duration::from_millis(40);
+/// Longest time of a call that frees results.
+const FREE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Brokers that may act for a service at the same time while VMs disagree on who does; each
+/// has this part of the repeats that the service may get.
+const BROKERS_AT_ONCE: f64 = 3.0;
+/// Runs of one item, the first included.
+const ITEM_ATTEMPTS: u32 = 3;
+/// Age at which the sweep of unknown results and endpoints runs.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// Why a stage job has no results.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobFailure {
+    /// The queue is too long for the deadline; the time after which it is shorter.
+    Overloaded(Duration),
+    /// An item failed.
+    Item(ItemFailure),
+    /// The service is not known or has no endpoint.
+    NoEndpoint,
+}
+
+type Waiting = HashMap<JobId, oneshot::Sender<Result<Vec<String>, ItemFailure>>>;
+
+struct Queue {
+    batcher: Mutex<Batcher>,
+    waiting: Mutex<Waiting>,
+    wake: Notify,
+}
+
+/// The queues of this VM. A service's queue is empty on all VMs but the one that batches for it.
+pub struct Broker {
+    logger: Logger,
+    view: watch::Receiver<Arc<FleetView>>,
+    queues: Mutex<HashMap<ServiceName, Arc<Queue>>>,
+    freeing: Mutex<HashMap<std::net::SocketAddr, Vec<String>>>,
+    free_wake: Notify,
+    jobs: AtomicU64,
+    repeat_ratio: f64,
+    repeat_reserve: f64,
+}
+
+/// Cancels a job whose caller has left.
+struct JobGuard {
+    broker: Arc<Broker>,
+    queue: Arc<Queue>,
+    id: JobId,
+    is_done: bool,
+}
+
+impl Drop for JobGuard {
+    fn drop(&mut self) {
+        if self.is_done {
+            return;
+        }
+        self.queue.waiting.lock().remove(&self.id);
+        let results = self.queue.batcher.lock().cancel(self.id);
+        self.broker.free(results);
+    }
+}
+
+impl Broker {
+    /// Starts without queues.
+    pub fn new(
+        logger: Logger,
+        view: watch::Receiver<Arc<FleetView>>,
+        repeat_ratio: f64,
+        repeat_reserve: f64,
+    ) -> Arc<Self> {
+        let broker = Arc::new(Self {
+            logger,
+            view,
+            queues: Mutex::default(),
+            freeing: Mutex::default(),
+            free_wake: Notify::new(),
+            jobs: AtomicU64::new(0),
+            repeat_ratio,
+            repeat_reserve,
+        });
+        tokio::spawn(free_results(Arc::clone(&broker)));
+        broker
+    }
+
+    /// Runs all items of a job and returns their results.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the job has no results. Results of a part of its items are freed.
+    pub async fn run(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        mut job: Job,
+    ) -> Result<Vec<String>, JobFailure> {
+        let queue = self.queue(service).ok_or(JobFailure::NoEndpoint)?;
+        job.id = JobId(self.jobs.fetch_add(1, Ordering::Relaxed));
+        let id = job.id;
+        let request = Arc::clone(&job.request);
+        let (stage, items) = (job.stage, job.items);
+        let now = clock::now();
+        let endpoints = self.view.borrow().usable(service).len();
+        if endpoints == 0 {
+            return Err(JobFailure::NoEndpoint);
+        }
+        let (sender, receiver) = oneshot::channel();
+        queue.waiting.lock().insert(id, sender);
+        let pushed = queue.batcher.lock().push(now, endpoints, job);
+        let mut guard = JobGuard {
+            broker: Arc::clone(self),
+            queue: Arc::clone(&queue),
+            id,
+            is_done: false,
+        };
+        if let Err(excess) = pushed {
+            info!(self.logger, "stages: refused, the queue is too long"; "id" => &*request,
+                "service" => %service, "waiting" => queue.batcher.lock().waiting(),
+                "excess_ms" => excess.as_millis() as u64);
+            return Err(JobFailure::Overloaded(excess));
+        }
+        queue.wake.notify_one();
+        let result = receiver.await.unwrap_or(Err(ItemFailure::Failed));
+        guard.is_done = true;
+        if let Err(failure) = &result {
+            info!(self.logger, "stages: a job failed"; "id" => &*request, "service" => %service,
+                "stage" => stage, "items" => items, "failure" => format!("{failure:?}"));
+        }
+        result.map_err(JobFailure::Item)
+    }
+
+    /// Frees results soon, several with one call.
+    pub fn free(&self, handles: impl IntoIterator<Item = String>) {
+        let mut freeing = self.freeing.lock();
+        for handle in handles {
+            for queue in self.queues.lock().values() {
+                queue.batcher.lock().on_freed(&handle);
+            }
+            if let Some(address) = keeper_of(&handle) {
+                freeing.entry(address).or_default().push(handle);
+            }
+        }
+        if !freeing.is_empty() {
+            self.free_wake.notify_one();
+        }
+    }
+
+    fn queue(self: &Arc<Self>, service: &ServiceName) -> Option<Arc<Queue>> {
+        let view = self.view.borrow();
+        let limits = view
+            .configuration
+            .as_ref()?
+            .services
+            .get(service)?
+            .batching?;
+        let mut queues = self.queues.lock();
+        if let Some(queue) = queues.get(service) {
+            queue.batcher.lock().set_limits(limits);
+            return Some(Arc::clone(queue));
+        }
+        let repeats = RetryConfig {
+            earned_per_request: self.repeat_ratio,
+            reserve: self.repeat_reserve / BROKERS_AT_ONCE,
+            attempts_per_stage: ITEM_ATTEMPTS,
+        };
+        let queue = Arc::new(Queue {
+            batcher: Mutex::new(Batcher::new(BatchingConfig::default(), limits, repeats)),
+            waiting: Mutex::default(),
+            wake: Notify::new(),
+        });
+        queues.insert(service.clone(), Arc::clone(&queue));
+        tokio::spawn(run_queue(
+            Arc::clone(self),
+            service.clone(),
+            Arc::clone(&queue),
+        ));
+        Some(queue)
+    }
+}
+
+/// Starts calls whenever an endpoint is free and items wait.
+async fn run_queue(broker: Arc<Broker>, service: ServiceName, queue: Arc<Queue>) {
+    let mut swept_at = clock::now();
+    loop {
+        let now = clock::now();
+        let view = Arc::clone(&broker.view.borrow());
+        let usable = view.usable(&service);
+        if now.since(swept_at) >= SWEEP_PERIOD {
+            swept_at = now;
+            queue.batcher.lock().sweep(now, usable);
+        }
+        let late = queue.batcher.lock().expire(now);
+        end_jobs(&broker, &queue, late);
+        loop {
+            let batch = queue.batcher.lock().next_batch(now, usable);
+            let Some(batch) = batch else { break };
+            tokio::spawn(run_batch(
+                Arc::clone(&broker),
+                service.clone(),
+                Arc::clone(&queue),
+                batch,
+            ));
+        }
+        let is_idle = queue.batcher.lock().waiting() == 0;
+        if is_idle {
+            queue.wake.notified().await;
+        } else {
+            // The tick also finds endpoints whose pause is over and items that are late.
+            let _ = timeout(QUEUE_TICK, queue.wake.notified()).await;
+        }
+    }
+}
+
+async fn run_batch(broker: Arc<Broker>, service: ServiceName, queue: Arc<Queue>, batch: Batch) {
+    let started = clock::now();
+    let count = batch.items.len();
+    let outcome = timeout(batch.timeout, call_batch(&batch)).await;
+    let outcome = outcome
+        .unwrap_or_else(|_| Err((BatchFailure::Broken, "the call took too long".to_owned())));
+    let took_ms = clock::now().since(started).as_millis() as u64;
+    match &outcome {
+        Ok(items) => {
+            let failed = items.iter().filter(|item| item.is_err()).count();
+            info!(broker.logger, "stages: a batch ran"; "service" => %service,
+                "endpoint" => %batch.endpoint.id, "items" => count, "failed" => failed,
+                "waiting" => queue.batcher.lock().waiting(), "took_ms" => took_ms);
+        }
+        Err((failure, message)) => {
+            warn!(broker.logger, "stages: a batch failed"; "service" => %service,
+                "endpoint" => %batch.endpoint.id, "items" => count, "took_ms" => took_ms,
+                "failure" => format!("{failure:?}"), "error" => message);
+        }
+    }
+    let outcome = outcome.map_err(|(failure, _)| failure);
+    let (ends, orphans) = queue.batcher.lock().finish(clock::now(), batch.id, outcome);
+    broker.free(orphans);
+    end_jobs(&broker, &queue, ends);
+    queue.wake.notify_one();
+}
+
+fn end_jobs(broker: &Broker, queue: &Queue, ends: Vec<JobEnd>) {
+    for end in ends {
+        broker.free(end.orphans);
+        let Some(waiter) = queue.waiting.lock().remove(&end.id) else {
+            continue;
+        };
+        if let Err(Ok(unused)) = waiter.send(end.results) {
+            broker.free(unused);
+        }
+    }
+}
+
+async fn call_batch(
+    batch: &Batch,
+) -> Result<Vec<Result<String, ItemFailure>>, (BatchFailure, String)> {
+    let now = clock::now();
+    let items = batch.items.iter();
+    let body =
+        encode_run(items.map(|(item, deadline)| (item, deadline.since(now).as_millis() as u64)));
+    let refused = |message: String| (BatchFailure::Refused, message);
+    let broken = |message: String| (BatchFailure::Broken, message);
+    let endpoint = &batch.endpoint;
+    let connection = connect(endpoint.address)
+        .await
+        .map_err(|failure| broken(failure.message))?;
+    let request = stage_request(&endpoint.id, RUN_PATH, endpoint.address, body);
+    let answer = connection
+        .send(request)
+        .await
+        .map_err(|failure| broken(failure.message))?;
+    let (response, _connection) = answer.into_parts();
+    let status = response.status();
+    match judge_stage(status, response.headers()) {
+        Verdict::Answer => {}
+        Verdict::NotRun | Verdict::OtherEndpoint => {
+            return Err(refused(format!("the endpoint answered {status}")));
+        }
+        Verdict::Invalid => return Err(broken(format!("the endpoint answered {status}"))),
+    }
+    let body = read_body(response.into_body())
+        .await
+        .map_err(|failure| broken(failure.message))?;
+    decode_run(&body, batch.items.len()).map_err(|error| broken(format!("{error:#}")))
+}
+
+fn stage_request(
+    endpoint: &EndpointName,
+    path: &str,
+    address: std::net::SocketAddr,
+    body: Vec<u8>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.headers_mut() = stage_headers(endpoint);
+    if let Ok(host) = address.to_string().parse() {
+        request.headers_mut().insert(hyper::header::HOST, host);
+    }
+    request
+}
+
+/// Sends the collected results to the endpoints that keep them.
+async fn free_results(broker: Arc<Broker>) {
+    loop {
+        broker.free_wake.notified().await;
+        sleep(FREE_DELAY).await;
+        let freeing = std::mem::take(&mut *broker.freeing.lock());
+        for (address, handles) in freeing {
+            let view = Arc::clone(&broker.view.borrow());
+            // The results of an endpoint that is gone went with it.
+            let Some(endpoint) = view.endpoint_at(address) else {
+                continue;
+            };
+            let (id, logger) = (endpoint.id.clone(), broker.logger.clone());
+            tokio::spawn(async move {
+                let count = handles.len();
+                let freed = timeout(FREE_TIMEOUT, free_at(&id, address, &handles)).await;
+                let error = match freed {
+                    Ok(Ok(())) => return,
+                    Ok(Err(error)) => error,
+                    Err(_) => "no answer in time".to_owned(),
+                };
+                // Not repeated: the endpoint drops results by itself after their time.
+                warn!(logger, "stages: results were not freed"; "endpoint" => %id,
+                    "results" => count, "error" => error);
+            });
+        }
+    }
+}
+
+async fn free_at(
+    endpoint: &EndpointName,
+    address: std::net::SocketAddr,
+    handles: &[String],
+) -> Result<(), String> {
+    let connection = connect(address).await.map_err(|failure| failure.message)?;
+    let request = stage_request(endpoint, FREE_PATH, address, encode_free(handles));
+    let answer = connection
+        .send(request)
+        .await
+        .map_err(|failure| failure.message)?;
+    match answer.response.status() {
+        StatusCode::OK => Ok(()),
+        status => Err(format!("the endpoint answered {status}")),
+    }
+}
--- /dev/null
+++ b/src/fleet/metric.rs
@@ -0,0 +1,27 @@
+//! Names of the metrics of a VM.
+
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram};
+
+/// Counts a request by its outcome and records the time until its answer.
+pub fn request_ended(outcome: &'static str, status: u16, took: Duration) {
+    counter!("primrosewalk_requests_total", "outcome" => outcome, "status" => status.to_string())
+        .increment(1);
+    histogram!("primrosewalk_request_seconds", "outcome" => outcome).record(took.as_secs_f64());
+}
+
+/// Counts a request sent to an endpoint by how that ended.
+pub fn attempt_ended(end: &'static str) {
+    counter!("primrosewalk_attempts_total", "end" => end).increment(1);
+}
+
+/// Records how long a stage of a request took.
+pub fn stage_ended(took: Duration) {
+    histogram!("primrosewalk_stage_seconds").record(took.as_secs_f64());
+}
+
+/// Sets the number of requests under way.
+pub fn active_requests(count: usize) {
+    gauge!("primrosewalk_active_requests").set(count as f64);
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,24 @@
+//! A VM that serves callers on the users' platform.
+//!
+//! One program on every VM: it takes requests, tells callers which VMs to use, batches stage
+//! items for the fleet, and follows the platform's store. `docs/platform.md` gives the design.
+
+pub mod broker;
+pub mod control;
+pub mod endpoint_client;
+pub mod ingress;
+mod metric;
+pub mod model;
+mod node;
+pub mod peers;
+pub mod plain;
+pub mod reply;
+pub mod request;
+pub mod run;
+pub mod settings;
+pub mod stages;
+pub mod stream;
+pub mod wire;
+
+pub use node::Node;
+pub use run::run_fleet_vm;
--- /dev/null
+++ b/src/fleet/node.rs
@@ -0,0 +1,126 @@
+//! What all parts of a VM's traffic share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+
+use parking_lot::Mutex;
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::decisions::endpoint_choice::{ChoiceConfig, EndpointChoice, cold_share};
+use crate::decisions::rendezvous::rendezvous_order;
+use crate::decisions::retry::{RetryBudget, RetryConfig};
+use crate::fleet::broker::Broker;
+use crate::fleet::model::{Endpoint, FleetView};
+use crate::fleet::peers::Peers;
+use crate::fleet::settings::FleetSettings;
+use crate::units::{ServiceName, Time};
+
+/// Sends of one request, the first included, whatever its route allows to run.
+pub const SENDS_MOST: u32 = 4;
+
+/// State of a VM's traffic; the control state comes with `view`.
+pub struct Node {
+    /// The settings of the start; the addresses never change while a process runs.
+    pub settings: FleetSettings,
+    /// Receives one line per decision.
+    pub logger: Logger,
+    /// The control thread's latest view.
+    pub view: watch::Receiver<Arc<FleetView>>,
+    /// Turns true at a planned stop.
+    pub stopping: watch::Receiver<bool>,
+    /// Calls to other VMs.
+    pub peers: Arc<Peers>,
+    /// Stage items that this VM runs for the fleet.
+    pub broker: Arc<Broker>,
+    /// Observations of endpoints.
+    pub choice: Mutex<EndpointChoice>,
+    /// Repeats that each service may still get from this VM.
+    pub budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    /// Requests under way.
+    pub active: AtomicUsize,
+    /// When the planned stop began.
+    pub stop_began: Mutex<Option<Time>>,
+}
+
+impl Node {
+    /// Assembles the shared state.
+    pub fn new(
+        settings: FleetSettings,
+        logger: Logger,
+        view: watch::Receiver<Arc<FleetView>>,
+        stopping: watch::Receiver<bool>,
+    ) -> Arc<Self> {
+        let broker = Broker::new(
+            logger.clone(),
+            view.clone(),
+            settings.repeat_ratio,
+            settings.repeat_reserve,
+        );
+        Arc::new(Self {
+            peers: Peers::new(settings.peer_port, logger.clone()),
+            settings,
+            logger,
+            view,
+            stopping,
+            broker,
+            choice: Mutex::new(EndpointChoice::new(ChoiceConfig::default())),
+            budgets: Mutex::default(),
+            active: AtomicUsize::new(0),
+            stop_began: Mutex::default(),
+        })
+    }
+
+    /// Returns the latest view.
+    pub fn view(&self) -> Arc<FleetView> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    /// Returns whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Notes a request for a service, which earns repeats.
+    pub fn note_request(&self, service: &ServiceName) {
+        self.with_budget(service, RetryBudget::on_first_attempt);
+    }
+
+    /// Takes a repeat from the service's budget; `sent` is how often the request was sent.
+    pub fn take_repeat(&self, service: &ServiceName, sent: u32) -> bool {
+        self.with_budget(service, |budget| budget.take(sent))
+    }
+
+    /// Returns how many requests a second this VM may send to a cold endpoint.
+    pub fn cold_sends(&self, view: &FleetView, endpoint: &Endpoint) -> usize {
+        let services = view.configuration.as_ref().map(|known| &known.services);
+        let service = services.and_then(|services| services.get(&endpoint.service));
+        let rate = service.map_or(0.0, |service| service.cold_per_s);
+        if rate <= 0.0 {
+            return usize::MAX;
+        }
+        let order = rendezvous_order(endpoint.id.as_str(), view.vms.keys());
+        let rank = order.iter().position(|vm| **vm == self.settings.vm);
+        cold_share(rate, view.share_count, rank.unwrap_or(usize::MAX))
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        use_it: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.lock();
+        if !budgets.contains_key(service) {
+            let shares = f64::from(self.view.borrow().share_count.max(1));
+            let config = RetryConfig {
+                earned_per_request: self.settings.repeat_ratio,
+                reserve: self.settings.repeat_reserve / shares,
+                attempts_per_stage: SENDS_MOST,
+            };
+            budgets.insert(service.clone(), RetryBudget::new(config));
+        }
+        let budget = budgets.get_mut(service);
+        use_it(budget.unwrap_or_else(|| unreachable!("the budget was inserted above")))
+    }
+}
--- /dev/null
+++ b/src/fleet/reply.rs
@@ -0,0 +1,51 @@
+//! Answers to callers.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{HeaderMap, Response, StatusCode};
+
+use crate::platform::endpoint_call::RETRY_AFTER;
+
+/// Body of an answer. An error in it cuts the connection, so that a part never looks whole.
+pub type ReplyBody = UnsyncBoxBody<Bytes, io::Error>;
+/// An answer to a caller.
+pub type Reply = Response<ReplyBody>;
+
+/// Makes a body of known length.
+pub fn whole_body(bytes: impl Into<Bytes>) -> ReplyBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Makes an answer of this system with a line of text.
+pub fn text(status: StatusCode, message: &str) -> Reply {
+    let mut reply = Response::new(whole_body(format!("{message}\n")));
+    *reply.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain");
+    reply.headers_mut().insert(CONTENT_TYPE, plain);
+    reply
+}
+
+/// Makes a refusal that promises that the request has not run and never will.
+pub fn not_run(message: &str, retry_after: Duration) -> Reply {
+    let mut reply = text(StatusCode::SERVICE_UNAVAILABLE, message);
+    let seconds = format!("{:.2}", retry_after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        reply.headers_mut().insert(RETRY_AFTER, value);
+    }
+    reply
+}
+
+/// Makes an answer out of an endpoint's.
+pub fn relayed(status: StatusCode, headers: HeaderMap, body: ReplyBody) -> Reply {
+    let mut reply = Response::new(body);
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    reply
+}
--- /dev/null
+++ b/src/fleet/settings.rs
@@ -0,0 +1,227 @@
+//! Settings of a VM on the users' platform, checked as a whole.
+//!
+//! The file has primrosewalk's own names; the platform fills `deploy/vm.toml.tmpl` in.
+
+use std::fmt::Display;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::str::FromStr;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use serde::Deserialize;
+
+use crate::findings::Findings;
+use crate::units::{DataCentreName, VmId};
+
+/// The variable that names the settings file.
+pub const SETTINGS_VARIABLE: &str = "PRIMROSEWALK_BOOT";
+
+#[derive(Debug, Deserialize)]
+struct Document {
+    #[serde(default)]
+    vm: String,
+    #[serde(default)]
+    data_centre: String,
+    #[serde(default)]
+    ip: String,
+    #[serde(default)]
+    caller_address: String,
+    #[serde(default)]
+    readiness_address: String,
+    #[serde(default)]
+    directory_address: String,
+    #[serde(default)]
+    platform_address: String,
+    #[serde(default)]
+    seeds: Vec<String>,
+    #[serde(default)]
+    peer_ports: Vec<u16>,
+    #[serde(default)]
+    metrics_port: u16,
+    #[serde(default)]
+    grace_s: f64,
+    #[serde(default)]
+    contact_ms: f64,
+    #[serde(default)]
+    address_ttl_most_s: f64,
+    #[serde(default)]
+    repeat_ratio: f64,
+    #[serde(default)]
+    repeat_reserve: f64,
+    #[serde(default)]
+    cold_overage: f64,
+}
+
+/// Validated settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetSettings {
+    /// Name of this VM.
+    pub vm: VmId,
+    /// Where it stands.
+    pub data_centre: DataCentreName,
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the platform asks whether the VM is ready.
+    pub readiness_address: SocketAddr,
+    /// Where callers ask for addresses.
+    pub directory_address: SocketAddr,
+    /// Where the platform's store listens.
+    pub platform_address: SocketAddr,
+    /// VMs that are asked first for the others.
+    pub seeds: Vec<Ipv4Addr>,
+    /// Port of gossip, the same on all VMs.
+    pub gossip_port: u16,
+    /// Port of calls between VMs, the same on all VMs.
+    pub peer_port: u16,
+    /// Port of metrics.
+    pub metrics_port: u16,
+    /// Time from the signal to stop until the platform kills the process.
+    pub grace: Duration,
+    /// Time after a disturbance for which time bounds do not hold.
+    pub contact: Duration,
+    /// Longest time for which callers may keep addresses.
+    pub address_ttl_most: Duration,
+    /// Repeats that the fleet may send for each request.
+    pub repeat_ratio: f64,
+    /// Repeats that the fleet may send besides, in a window.
+    pub repeat_reserve: f64,
+    /// Factor on the rate that a cold endpoint bears, up to which the fleet may go.
+    pub cold_overage: f64,
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns all findings, or why the file cannot be read.
+pub fn read_settings(path: &Path) -> anyhow::Result<FleetSettings> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("settings {} cannot be read", path.display()))?;
+    Ok(check_settings(&text)?)
+}
+
+/// Checks the text of a settings file.
+///
+/// # Errors
+///
+/// Returns all findings with their places.
+pub fn check_settings(text: &str) -> Result<FleetSettings, Findings> {
+    let mut findings = Findings::default();
+    let document: Document = match toml::from_str(text) {
+        Ok(document) => document,
+        Err(error) => {
+            findings.add("settings", error.to_string());
+            return Err(findings);
+        }
+    };
+    let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
+    let mut address = |place, text: &str| parse(&mut findings, place, text, unspecified);
+    let caller_address = address("caller_address", &document.caller_address);
+    let readiness_address = address("readiness_address", &document.readiness_address);
+    let directory_address = address("directory_address", &document.directory_address);
+    let platform_address = address("platform_address", &document.platform_address);
+    let ip = parse(&mut findings, "ip", &document.ip, Ipv4Addr::UNSPECIFIED);
+    let vm = parse_name(&mut findings, "vm", &document.vm);
+    let data_centre = parse_name(&mut findings, "data_centre", &document.data_centre);
+    let seeds = document
+        .seeds
+        .iter()
+        .enumerate()
+        .map(|(index, seed)| parse(&mut findings, format!("seeds[{index}]"), seed, unspecified))
+        .filter_map(|seed| match seed.ip() {
+            std::net::IpAddr::V4(ip) => Some(ip),
+            std::net::IpAddr::V6(_) => None,
+        })
+        .collect();
+    let [first, last] = document.peer_ports[..] else {
+        findings.add(
+            "peer_ports",
+            "give the first and the last port for traffic between VMs",
+        );
+        return Err(findings);
+    };
+    if last < first.saturating_add(1) {
+        findings.add("peer_ports", "at least two ports are needed");
+    }
+    if document.metrics_port <= first.saturating_add(1) && document.metrics_port >= first {
+        findings.add(
+            "metrics_port",
+            "the first two ports are for traffic between VMs",
+        );
+    }
+    let mut positive = |place: &str, value: f64, scale: f64| {
+        if !value.is_finite() || value <= 0.0 {
+            findings.add(place, format!("{value} is not a number above 0"));
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(value * scale)
+    };
+    let grace = positive("grace_s", document.grace_s, 1.0);
+    let contact = positive("contact_ms", document.contact_ms, 1e-3);
+    let address_ttl_most = positive("address_ttl_most_s", document.address_ttl_most_s, 1.0);
+    for (place, value) in [
+        ("repeat_ratio", document.repeat_ratio),
+        ("repeat_reserve", document.repeat_reserve),
+        ("cold_overage", document.cold_overage),
+    ] {
+        if !value.is_finite() || value < 0.0 {
+            findings.add(place, format!("{value} is not a number of 0 or more"));
+        }
+    }
+    let (Some(vm), Some(data_centre)) = (vm, data_centre) else {
+        return Err(findings);
+    };
+    findings.into_result(FleetSettings {
+        vm,
+        data_centre,
+        ip,
+        caller_address,
+        readiness_address,
+        directory_address,
+        platform_address,
+        seeds,
+        gossip_port: first,
+        peer_port: first.saturating_add(1),
+        metrics_port: document.metrics_port,
+        grace,
+        contact,
+        address_ttl_most,
+        repeat_ratio: document.repeat_ratio,
+        repeat_reserve: document.repeat_reserve,
+        cold_overage: document.cold_overage,
+    })
+}
+
+fn parse<T: FromStr>(
+    findings: &mut Findings,
+    place: impl Into<String>,
+    text: &str,
+    fallback: T,
+) -> T
+where
+    T::Err: Display,
+{
+    match text.parse() {
+        Ok(value) => value,
+        Err(error) => {
+            findings.add(place, format!("{text:?}: {error}"));
+            fallback
+        }
+    }
+}
+
+fn parse_name<T: FromStr>(findings: &mut Findings, place: &str, text: &str) -> Option<T>
+where
+    T::Err: Display,
+{
+    match text.parse() {
+        Ok(value) => Some(value),
+        Err(error) => {
+            findings.add(place, error.to_string());
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/stages.rs
@@ -0,0 +1,373 @@
+//! Runs the stages of a request before its generation.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use slog::{info, warn};
+
+use crate::clock;
+use crate::decisions::batching::{ItemFailure, ItemInput, Job, JobId};
+use crate::fleet::broker::JobFailure;
+use crate::fleet::metric;
+use crate::fleet::model::{FleetView, Service};
+use crate::fleet::node::Node;
+use crate::fleet::request::{Call, batching_order};
+use crate::fleet::wire::{Body, Handles, JobFailed, StageJob};
+use crate::units::{DataCentreName, ServiceName, Time};
+
+/// VMs that are asked to batch before this VM does it itself.
+const BATCHERS_TRIED: usize = 2;
+/// Time that a generation is expected to take besides its prompt, until its first event.
+const GENERATION_MS: f64 = 60.0;
+/// Prompt tokens that an engine reads in a millisecond while others run beside.
+const PROMPT_TOKENS_PER_MS: f64 = 30.0;
+/// Part of a batch that is assumed for the expected time of a later stage.
+const LATER_BATCH_PART: f64 = 0.5;
+
+/// Results of stages; those that are left are freed when this is dropped.
+pub struct StageResults {
+    node: Arc<Node>,
+    by_stage: Vec<Option<Vec<String>>>,
+    services: Vec<ServiceName>,
+    sizes_bytes: Vec<u64>,
+    last_stages: Vec<usize>,
+}
+
+impl StageResults {
+    /// Returns the results that the engine reads, and whether the route has stages at all.
+    pub fn inputs(&self) -> Option<Vec<String>> {
+        if self.services.is_empty() {
+            return None;
+        }
+        let last = self.last_stages.iter();
+        let handles = last.filter_map(|stage| self.by_stage[*stage].as_ref());
+        Some(handles.flatten().cloned().collect())
+    }
+
+    /// Returns the data centre that keeps most bytes of the engine's inputs.
+    pub fn data_centre(&self, view: &FleetView) -> Option<DataCentreName> {
+        let mut sizes: std::collections::BTreeMap<DataCentreName, u64> = Default::default();
+        for stage in &self.last_stages {
+            for handle in self.by_stage[*stage].iter().flatten() {
+                let keeper = crate::decisions::batching::keeper_of(handle);
+                if let Some(endpoint) = keeper.and_then(|address| view.endpoint_at(address)) {
+                    *sizes.entry(endpoint.data_centre.clone()).or_default() +=
+                        self.sizes_bytes[*stage];
+                }
+            }
+        }
+        sizes
+            .into_iter()
+            .max_by_key(|(_, bytes)| *bytes)
+            .map(|(name, _)| name)
+    }
+
+    /// Frees all results.
+    pub fn free(&mut self) {
+        for stage in 0..self.by_stage.len() {
+            self.free_stage(stage);
+        }
+    }
+
+    fn free_stage(&mut self, stage: usize) {
+        if let Some(handles) = self.by_stage[stage].take() {
+            free(&self.node, &self.services[stage], handles);
+        }
+    }
+}
+
+impl Drop for StageResults {
+    fn drop(&mut self) {
+        self.free();
+    }
+}
+
+/// Tells the VM that batches for a service that results are not needed any more.
+fn free(node: &Arc<Node>, service: &ServiceName, handles: Vec<String>) {
+    if handles.is_empty() {
+        return;
+    }
+    let order = batching_order(&node.view(), service);
+    let batcher = order.iter().find(|vm| !node.peers.is_avoided(vm.ip));
+    match batcher {
+        Some(vm) if vm.name != node.settings.vm => {
+            let message = Handles {
+                handles,
+                service: service.to_string(),
+            };
+            node.peers.tell(vm.ip, Body::Free(message));
+        }
+        _ => node.broker.free(handles),
+    }
+}
+
+/// Runs all stages of a request, each as soon as those before it have ended.
+///
+/// # Errors
+///
+/// Returns why a stage has no results; the request itself has not run.
+pub async fn run_stages(
+    node: &Arc<Node>,
+    call: &Arc<Call>,
+    is_repeat: bool,
+) -> Result<StageResults, JobFailure> {
+    let route = &call.route;
+    let count = route.stages.len();
+    let is_followed = |stage| {
+        route
+            .stages
+            .iter()
+            .any(|other| other.after.contains(&stage))
+    };
+    let mut results = StageResults {
+        node: Arc::clone(node),
+        by_stage: vec![None; count],
+        services: route
+            .stages
+            .iter()
+            .map(|stage| stage.service.clone())
+            .collect(),
+        sizes_bytes: route
+            .stages
+            .iter()
+            .map(|stage| stage.result_bytes)
+            .collect(),
+        last_stages: (0..count).filter(|stage| !is_followed(*stage)).collect(),
+    };
+    let mut running = FuturesUnordered::new();
+    let mut is_started = vec![false; count];
+    let mut is_done = vec![false; count];
+    loop {
+        for stage in 0..count {
+            let is_ready = route.stages[stage]
+                .after
+                .iter()
+                .all(|before| is_done.get(*before).copied().unwrap_or(true));
+            if is_started[stage] || !is_ready {
+                continue;
+            }
+            is_started[stage] = true;
+            let input = stage_input(call, stage, &results);
+            running.push(run_stage(node, call, stage, input, is_repeat));
+        }
+        let Some((stage, outcome)) = running.next().await else {
+            return Ok(results);
+        };
+        results.by_stage[stage] = Some(outcome?);
+        is_done[stage] = true;
+        for before in &route.stages[stage].after {
+            let followers_done = (0..count)
+                .all(|other| !route.stages[other].after.contains(before) || is_done[other]);
+            if followers_done {
+                results.free_stage(*before);
+            }
+        }
+    }
+}
+
+fn stage_input(call: &Call, stage: usize, results: &StageResults) -> ItemInput {
+    let after = &call.route.stages[stage].after;
+    if after.is_empty() {
+        let key = call.caller.stage_key.as_deref().unwrap_or_default();
+        return ItemInput::Key(Arc::from(key));
+    }
+    let handles = after
+        .iter()
+        .filter_map(|before| results.by_stage.get(*before)?.as_ref())
+        .flatten()
+        .cloned();
+    ItemInput::Handles(handles.collect::<Vec<_>>().into())
+}
+
+async fn run_stage(
+    node: &Arc<Node>,
+    call: &Arc<Call>,
+    stage: usize,
+    input: ItemInput,
+    is_repeat: bool,
+) -> (usize, Result<Vec<String>, JobFailure>) {
+    let items = call.caller.stage_items.get(stage).copied().unwrap_or(0);
+    if items == 0 {
+        return (stage, Ok(Vec::new()));
+    }
+    let view = node.view();
+    let later = later_time(call, &view, stage);
+    let spec = &call.route.stages[stage];
+    let job = Job {
+        id: JobId(0),
+        request: Arc::from(call.caller.id.as_str()),
+        stage,
+        items,
+        input,
+        priority: call.priority(),
+        due: call.due - later,
+        deadline: call.deadline - later,
+        result_bytes: spec.result_bytes,
+        is_repeat,
+    };
+    let started = clock::now();
+    let outcome = run_somewhere(node, &view, &spec.service, job).await;
+    let took = clock::now().since(started);
+    metric::stage_ended(took);
+    info!(node.logger, "request: stage ended"; "id" => &call.caller.id, "stage" => stage,
+        "service" => %spec.service, "items" => items, "took_ms" => took.as_millis() as u64,
+        "failure" => outcome.as_ref().err().map(|failure| format!("{failure:?}")));
+    (stage, outcome)
+}
+
+/// Returns the expected time from the end of a stage to the first event.
+fn later_time(call: &Call, view: &FleetView, stage: usize) -> Duration {
+    let services = view.configuration.as_ref().map(|known| &known.services);
+    let stage_ms = |stage: usize| {
+        let name = &call.route.stages[stage].service;
+        let limits = services
+            .and_then(|services| services.get(name))
+            .and_then(Service::limits);
+        limits.map_or(0.0, |limits| {
+            limits.call_ms + limits.item_ms * limits.batch as f64 * LATER_BATCH_PART
+        })
+    };
+    let mut ms = GENERATION_MS + f64::from(call.caller.prompt_tokens) / PROMPT_TOKENS_PER_MS;
+    let mut current = stage;
+    // Stages only follow earlier ones, so the walk ends.
+    while let Some(next) = (current + 1..call.route.stages.len())
+        .find(|next| call.route.stages[*next].after.contains(&current))
+    {
+        ms += stage_ms(next);
+        current = next;
+    }
+    Duration::from_secs_f64(ms / 1_000.0)
+}
+
+/// Runs a job at the VM that batches for the service, or at the next one when that VM fails.
+async fn run_somewhere(
+    node: &Arc<Node>,
+    view: &FleetView,
+    service: &ServiceName,
+    mut job: Job,
+) -> Result<Vec<String>, JobFailure> {
+    let order = batching_order(view, service);
+    let candidates = order.into_iter().filter(|vm| !node.peers.is_avoided(vm.ip));
+    for vm in candidates.take(BATCHERS_TRIED) {
+        if vm.name == node.settings.vm {
+            break;
+        }
+        let now = clock::now();
+        match node
+            .peers
+            .call(vm.ip, Body::StageJob(encode_job(service, &job, now)))
+            .await
+        {
+            Ok(Body::Results(results)) => return Ok(results.handles),
+            Ok(Body::JobFailed(failed)) => return Err(decode_failure(&failed)),
+            Ok(_) => warn!(node.logger, "stages: a VM sent another answer"; "vm" => %vm.name),
+            Err(_) => {
+                // The items may have run there.
+                job.is_repeat = true;
+                info!(node.logger, "stages: asking the next VM"; "id" => &*job.request,
+                    "service" => %service, "failed_vm" => %vm.name);
+            }
+        }
+    }
+    node.broker.run(service, job).await
+}
+
+fn encode_job(service: &ServiceName, job: &Job, now: Time) -> StageJob {
+    let (key, inputs) = match &job.input {
+        ItemInput::Key(key) => (Some(key.to_string()), Vec::new()),
+        ItemInput::Handles(handles) => (None, handles.to_vec()),
+    };
+    let due_ms = job.due.since(now).as_millis() as i64 - now.since(job.due).as_millis() as i64;
+    StageJob {
+        service: service.to_string(),
+        request: job.request.to_string(),
+        stage: job.stage as u32,
+        items: job.items,
+        key,
+        inputs,
+        priority: u32::from(job.priority),
+        due_ms,
+        deadline_ms: job.deadline.since(now).as_millis() as u64,
+        result_bytes: job.result_bytes,
+        is_repeat: job.is_repeat,
+    }
+}
+
+/// Serves a call of another VM.
+pub async fn serve_peer_call(node: Arc<Node>, body: Body) -> Option<Body> {
+    match body {
+        Body::StageJob(wire) => Some(serve_job(&node, wire).await),
+        Body::Free(free) => {
+            node.broker.free(free.handles);
+            None
+        }
+        Body::StateRequest(_) => {
+            let state = crate::fleet::control::encode_state(&node.view());
+            Some(Body::State(state))
+        }
+        _ => None,
+    }
+}
+
+async fn serve_job(node: &Arc<Node>, wire: StageJob) -> Body {
+    let now = clock::now();
+    let Ok(service) = wire.service.parse() else {
+        return encode_failure(JobFailure::NoEndpoint);
+    };
+    let due = Duration::from_millis(wire.due_ms.unsigned_abs());
+    let input = match wire.key {
+        Some(key) => ItemInput::Key(key.into()),
+        None => ItemInput::Handles(wire.inputs.into()),
+    };
+    let job = Job {
+        id: JobId(0),
+        request: wire.request.into(),
+        stage: wire.stage as usize,
+        items: wire.items,
+        input,
+        priority: u8::try_from(wire.priority).unwrap_or(u8::MAX),
+        due: if wire.due_ms < 0 {
+            now - due
+        } else {
+            now + due
+        },
+        deadline: now + Duration::from_millis(wire.deadline_ms),
+        result_bytes: wire.result_bytes,
+        is_repeat: wire.is_repeat,
+    };
+    match node.broker.run(&service, job).await {
+        Ok(handles) => Body::Results(Handles {
+            handles,
+            service: wire.service,
+        }),
+        Err(failure) => encode_failure(failure),
+    }
+}
+
+fn encode_failure(failure: JobFailure) -> Body {
+    let (reason, retry_after_ms) = match failure {
+        JobFailure::Overloaded(wait) => (0, wait.as_millis() as u64),
+        JobFailure::NoEndpoint => (1, 0),
+        JobFailure::Item(ItemFailure::Late) => (2, 0),
+        JobFailure::Item(ItemFailure::InputGone) => (3, 0),
+        JobFailure::Item(ItemFailure::NoRoom) => (4, 0),
+        JobFailure::Item(ItemFailure::Failed) => (5, 0),
+    };
+    Body::JobFailed(JobFailed {
+        reason,
+        retry_after_ms,
+    })
+}
+
+fn decode_failure(failed: &JobFailed) -> JobFailure {
+    match failed.reason {
+        0 => JobFailure::Overloaded(Duration::from_millis(failed.retry_after_ms)),
+        1 => JobFailure::NoEndpoint,
+        2 => JobFailure::Item(ItemFailure::Late),
+        3 => JobFailure::Item(ItemFailure::InputGone),
+        4 => JobFailure::Item(ItemFailure::NoRoom),
+        _ => JobFailure::Item(ItemFailure::Failed),
+    }
+}
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -39,6 +39,15 @@
     (Logger::root(filtered, o!()), guard)
 }
 
+/// Builds the logger of a VM on the users' platform: JSON lines on standard output.
+///
+/// The guard writes the waiting lines when it is dropped.
+pub fn build_stdout_logger(level: Level) -> (Logger, AsyncGuard) {
+    let (writer, guard) = buffer(slog_json::Json::default(std::io::stdout()).ignore_res());
+    let filtered = writer.ignore_res().filter_level(level).ignore_res();
+    (Logger::root(filtered, o!()), guard)
+}
+
 fn buffer<D>(drain: D) -> (Async, AsyncGuard)
 where
     D: Drain<Ok = (), Err = Never> + Send + 'static,
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,229 @@
+//! Decodes the operator's configuration document.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use bytes::Bytes;
+use serde::Deserialize;
+
+use crate::fleet::model::{
+    BatchLimits, CallerLimits, Configuration, Organisation, Route, RouteKind, RouteStage, Service,
+};
+use crate::units::{OrganisationName, ServiceName};
+
+/// Bytes in a megabyte of the platform's documents.
+const MEGABYTE_BYTES: f64 = 1e6;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Document {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    limits: WireLimits,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireRoute {
+    #[serde(default)]
+    name: String,
+    host: String,
+    path_prefix: String,
+    route_kind: WireKind,
+    timeout_ms: f64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    #[serde(default)]
+    service: Option<ServiceName>,
+    #[serde(default)]
+    split: Vec<WireTarget>,
+    #[serde(default = "one_attempt")]
+    max_attempts: u32,
+    #[serde(default)]
+    stages: Vec<WireStage>,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+fn one_attempt() -> u32 {
+    1
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum WireKind {
+    Idempotent,
+    NonIdempotent,
+    Streaming,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireTarget {
+    service: ServiceName,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireStage {
+    service: ServiceName,
+    #[serde(default)]
+    after: Vec<usize>,
+    #[serde(default)]
+    payload_size: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireService {
+    name: ServiceName,
+    #[serde(default)]
+    cold_per_s: f64,
+    #[serde(default)]
+    pieces: Option<WireBatching>,
+    #[serde(default)]
+    engine: Option<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireBatching {
+    slots: u32,
+    batch: usize,
+    call_ms: f64,
+    item_ms: f64,
+    headroom_mb: f64,
+    handle_ttl_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireLimits {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireTenant {
+    name: OrganisationName,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    #[serde(default)]
+    priority: Option<u8>,
+}
+
+/// Decodes a configuration document.
+///
+/// # Errors
+///
+/// Returns what is wrong with the document; the configuration in force stays.
+pub fn decode_configuration(document: Bytes) -> anyhow::Result<Configuration> {
+    let decoded: Document =
+        serde_json::from_slice(&document).context("the configuration cannot be decoded")?;
+    let mut routes: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+    for route in decoded.routes {
+        let host = route.host.to_ascii_lowercase();
+        routes
+            .entry(host)
+            .or_default()
+            .push(Arc::new(decode_route(route)));
+    }
+    for routes in routes.values_mut() {
+        routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+    }
+    let mut keys = HashMap::new();
+    for tenant in decoded.tenants {
+        let organisation = Arc::new(Organisation {
+            name: tenant.name,
+            priority: tenant.priority,
+        });
+        for key in tenant.api_keys {
+            keys.insert(key, Arc::clone(&organisation));
+        }
+    }
+    let limits = CallerLimits {
+        max_header_bytes: decoded.limits.max_header_bytes,
+        max_body_bytes: decoded.limits.max_body_bytes,
+        header_timeout: Duration::from_millis(decoded.limits.header_timeout_ms),
+        idle_timeout: Duration::from_millis(decoded.limits.idle_timeout_ms),
+    };
+    let services = decoded.services.into_iter().map(decode_service);
+    Ok(Configuration {
+        version: decoded.version,
+        routes,
+        services: services
+            .map(|service| (service.name.clone(), service))
+            .collect(),
+        keys,
+        limits,
+        document,
+    })
+}
+
+fn decode_route(route: WireRoute) -> Route {
+    let mut targets: smallvec::SmallVec<[(ServiceName, u32); 2]> = route
+        .split
+        .into_iter()
+        .map(|target| (target.service, target.weight))
+        .collect();
+    if let Some(service) = route.service {
+        targets.push((service, 1));
+    }
+    let stages = route.stages.into_iter().map(|stage| RouteStage {
+        service: stage.service,
+        after: stage.after.into(),
+        result_bytes: stage.payload_size.max(0.0) as u64,
+    });
+    Route {
+        name: route.name,
+        host: route.host.to_ascii_lowercase(),
+        path_prefix: route.path_prefix,
+        kind: match route.route_kind {
+            WireKind::Idempotent => RouteKind::Idempotent,
+            WireKind::NonIdempotent => RouteKind::NonIdempotent,
+            WireKind::Streaming => RouteKind::Streaming,
+        },
+        timeout: milliseconds(route.timeout_ms),
+        objective: milliseconds(route.target_latency_ms),
+        priority: route.priority,
+        targets,
+        max_attempts: route.max_attempts.max(1),
+        stages: stages.collect(),
+        is_public: route.public,
+        is_resumable: route.resumable,
+    }
+}
+
+fn decode_service(service: WireService) -> Service {
+    let batching = service.pieces.map(|pieces| BatchLimits {
+        slots: pieces.slots.max(1),
+        batch: pieces.batch.max(1),
+        call_ms: pieces.call_ms,
+        item_ms: pieces.item_ms,
+        result_room_bytes: (pieces.headroom_mb.max(0.0) * MEGABYTE_BYTES) as u64,
+        result_ttl: Duration::from_secs_f64(pieces.handle_ttl_s.max(0.0)),
+    });
+    Service {
+        name: service.name,
+        cold_per_s: service.cold_per_s,
+        batching,
+        is_engine: service.engine.is_some(),
+    }
+}
+
+fn milliseconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value.max(0.0) / 1_000.0)
+}
--- /dev/null
+++ b/src/platform/directory.rs
@@ -0,0 +1,31 @@
+//! The address directory that callers ask where to connect.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+
+/// Path of the directory call.
+pub const DIRECTORY_PATH: &str = "/api/resolve";
+/// Path of the readiness call.
+pub const READINESS_PATH: &str = "/api/readyz";
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Answer {
+    addresses: Vec<String>,
+    ttl_s: f64,
+}
+
+/// Returns the data centre that the caller names in its query.
+pub fn caller_data_centre(query: &str) -> Option<&str> {
+    query.split('&').find_map(|pair| pair.strip_prefix("Zone="))
+}
+
+/// Encodes the addresses with the time for which a caller may keep them.
+pub fn encode_addresses(addresses: &[SocketAddr], ttl_s: f64) -> Vec<u8> {
+    let answer = Answer {
+        addresses: addresses.iter().map(SocketAddr::to_string).collect(),
+        ttl_s,
+    };
+    serde_json::to_vec(&answer).unwrap_or_default()
+}
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -20,7 +20,7 @@
 mod request_ids;
 mod router_state;
 mod run;
-mod sse;
+pub mod sse;
 mod stage;
 mod state;
 mod token_relay;
@@ -35,6 +35,7 @@
 
 pub use address::{AddressAnswer, RequestIdAnswer};
 pub use config::TrafficConfig;
+pub use endpoint_client::{Ran, chain as error_chain};
 pub use refusal::{Outcome, Refusal, RefusalCode};
 
 use crate::blackboard::ControlCommand;
--- a/src/traffic/sse.rs
+++ b/src/traffic/sse.rs
@@ -11,28 +11,58 @@
     pub data: String,
 }
 
+/// Cuts a byte stream into blocks that end with an empty line.
+#[derive(Debug, Default)]
+pub struct BlockReader {
+    buffer: BytesMut,
+}
+
+impl BlockReader {
+    /// Adds bytes as they arrived.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns how many bytes wait for the end of their block.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Takes the next whole block with its empty line; `None` until more bytes arrive.
+    pub fn next_block(&mut self) -> Option<Bytes> {
+        let end = end_of_event(&self.buffer)?;
+        Some(self.buffer.split_to(end).freeze())
+    }
+}
+
+/// Returns the number that a block gives as the id of its event.
+pub fn event_number(block: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(block).ok()?;
+    let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
+    id.trim().parse().ok()
+}
+
 /// Cuts a byte stream into events.
 #[derive(Debug, Default)]
 pub struct EventParser {
-    buffer: BytesMut,
+    blocks: BlockReader,
 }
 
 impl EventParser {
     /// Adds bytes as they arrived.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
+        self.blocks.push(bytes);
     }
 
     /// Returns how many bytes wait for the end of their event.
     pub fn buffered_bytes(&self) -> usize {
-        self.buffer.len()
+        self.blocks.buffered_bytes()
     }
 
     /// Takes the next whole event; `None` until more bytes arrive.
     pub fn next_event(&mut self) -> Option<Event> {
         loop {
-            let end = end_of_event(&self.buffer)?;
-            let block = self.buffer.split_to(end);
+            let block = self.blocks.next_block()?;
             if let Some(event) = parse_block(&String::from_utf8_lossy(&block)) {
                 return Some(event);
             }
