--- a/src/decisions/endpoint_choice.rs
+++ b/src/decisions/endpoint_choice.rs
@@ -162,7 +162,7 @@
                 prompt_tokens,
                 near,
             } => self
-                .cached(now, &pool, near, subject, prompt_tokens, mean_ms)
+                .cached(now, &pool, subject, prompt_tokens, mean_ms)
                 .or_else(|| self.least_time(now, &pool, near, mean_ms)),
         }
         .cloned()
@@ -308,27 +308,24 @@
     }
 
     /// Returns the engine that all VMs prefer for a subject, or the next in that order while
-    /// the first ones are loaded or slow.
+    /// the first ones are loaded or slow. The data centre has no say: an engine reads a shared
+    /// part again in far more time than it fetches stage results from another data centre.
     fn cached<'a>(
         &self,
         now: Time,
         pool: &[&'a Arc<Endpoint>],
-        near: &DataCentreName,
         subject: u64,
         prompt_tokens: u32,
         mean_ms: f64,
     ) -> Option<&'a Arc<Endpoint>> {
-        let mut order: SmallVec<[(bool, u64, &'a Arc<Endpoint>); 16]> = pool
+        let mut order: SmallVec<[(u64, &'a Arc<Endpoint>); 16]> = pool
             .iter()
-            .map(|endpoint| {
-                let is_far = endpoint.data_centre != *near;
-                (is_far, !affinity(subject, &endpoint.id), *endpoint)
-            })
+            .map(|endpoint| (!affinity(subject, &endpoint.id), *endpoint))
             .collect();
-        order.sort_by_key(|(is_far, rank, _)| (*is_far, *rank));
+        order.sort_by_key(|(rank, _)| *rank);
         let total: u32 = order
             .iter()
-            .map(|(_, _, endpoint)| self.in_flight(&endpoint.id))
+            .map(|(_, endpoint)| self.in_flight(&endpoint.id))
             .sum();
         let most = 2 + total * 2 / (order.len().max(1) as u32);
         let accepts = |endpoint: &Endpoint| {
@@ -345,7 +342,7 @@
         };
         order
             .into_iter()
-            .map(|(_, _, endpoint)| endpoint)
+            .map(|(_, endpoint)| endpoint)
             .find(|endpoint| accepts(endpoint))
     }
 }
