perf(decisions): keep the items of a stage job in one data centre

Ruled out: the speed of endpoints. The logs show batches of 5 with 90 items waiting, because the endpoints' room for results is full; the wait for a near endpoint holds it longer.

--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -15,11 +15,14 @@
 use crate::decisions::circuit::{Circuit, CircuitConfig, Role};
 use crate::decisions::retry::{RetryBudget, RetryConfig};
 use crate::fleet::model::{BatchLimits, Endpoint};
-use crate::units::{EndpointName, Time};
+use crate::units::{DataCentreName, EndpointName, Time};
 
 /// Weight of the newest call in the speed of an endpoint.
 const SPEED_WEIGHT: f64 = 0.4;
 
+/// Steps of speed that are told apart for each multiple of the nominal time.
+const SPEED_STEPS: f64 = 4.0;
+
 /// Settings of a batcher.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BatchingConfig {
@@ -116,6 +119,8 @@
     pub result_bytes: u64,
     /// Whether the stage of this request has run before.
     pub is_repeat: bool,
+    /// The data centre that keeps most of the results that the items read.
+    pub near: Option<DataCentreName>,
 }
 
 /// How a job ended.
@@ -159,10 +164,14 @@
     deadline: Time,
     result_bytes: u64,
     attempts: u32,
+    /// From when on it may run away from the rest of its job.
+    strays_at: Time,
 }
 
 #[derive(Debug)]
 struct JobState {
+    /// Where its items run: where their inputs are, or where the first item ran.
+    home: Option<DataCentreName>,
     job: Job,
     results: Vec<Option<String>>,
     missing: u32,
@@ -277,7 +286,10 @@
         } else {
             self.budget.on_first_attempt();
         }
+        let usual = self.usual_time();
+        let strays_at = (now + usual).min(job.due - usual * 2).max(now);
         let items = (0..job.items).map(|piece| Item {
+            strays_at,
             job: job.id,
             piece,
             due: job.due,
@@ -289,6 +301,7 @@
         let state = JobState {
             results: vec![None; job.items as usize],
             missing: job.items,
+            home: job.near.clone(),
             job,
         };
         self.jobs.insert(state.job.id, state);
@@ -322,10 +335,20 @@
         if self.queue.is_empty() {
             return None;
         }
-        let endpoint = self.choose_endpoint(now, usable)?;
-        let items = self.take_items(now, &endpoint);
-        if items.is_empty() {
-            return None;
+        let usual = self.usual_time();
+        self.queue
+            .sort_by_key(|item| (now + usual > item.due, item.due, item.job, item.piece));
+        let (endpoint, items) =
+            self.free_endpoints(now, usable)
+                .into_iter()
+                .find_map(|endpoint| {
+                    let items = self.take_items(now, &endpoint);
+                    (!items.is_empty()).then_some((endpoint, items))
+                })?;
+        for item in &items {
+            if let Some(state) = self.jobs.get_mut(&item.job) {
+                state.home.get_or_insert(endpoint.data_centre.clone());
+            }
         }
         let nominal_ms = self.nominal_ms(items.len());
         let reserved_bytes = items.iter().map(|item| item.result_bytes).sum();
@@ -424,8 +447,14 @@
         })
     }
 
-    /// Prefers fast endpoints with room; a slow one gets a call only now and then.
-    fn choose_endpoint(&self, now: Time, usable: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
+    /// Returns the time of a call that is half full.
+    fn usual_time(&self) -> Duration {
+        Duration::from_secs_f64(self.nominal_ms(self.limits.batch / 2) / 1_000.0)
+    }
+
+    /// Returns the endpoints that may take a call: fast ones with room first, and among them
+    /// one where the first item belongs. A slow one gets a call only now and then.
+    fn free_endpoints(&self, now: Time, usable: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
         let state = |endpoint: &Endpoint| self.endpoints.get(&endpoint.id);
         let slowness =
             |endpoint: &Endpoint| state(endpoint).map_or(0.0, |state| state.slowness).max(0.5);
@@ -445,23 +474,31 @@
                 && (!is_slow || now.since(state.last_call_at) >= self.config.slow_retry)
         };
         let used = |endpoint: &Endpoint| state(endpoint).map_or(0, EndpointState::used_bytes);
-        usable
-            .iter()
-            .filter(is_free)
-            .min_by(|left, right| {
-                let by_speed = (slowness(left) * 4.0)
-                    .round()
-                    .total_cmp(&(slowness(right) * 4.0).round());
-                by_speed.then(used(left).cmp(&used(right)))
-            })
-            .cloned()
+        let is_first_away = |endpoint: &Endpoint| {
+            let first = self.queue.first();
+            first.is_some_and(|first| self.is_away(first, endpoint))
+        };
+        let mut free: Vec<Arc<Endpoint>> = usable.iter().filter(is_free).cloned().collect();
+        free.sort_by_cached_key(|endpoint| {
+            let speed = (slowness(endpoint) * SPEED_STEPS).round() as u64;
+            (is_first_away(endpoint), speed, used(endpoint))
+        });
+        free
     }
 
-    /// Takes the items to run: those that can still be on time first, then by their time.
+    /// Returns whether an endpoint stands elsewhere than the rest of an item's job.
+    fn is_away(&self, item: &Item, endpoint: &Endpoint) -> bool {
+        let home = self
+            .jobs
+            .get(&item.job)
+            .and_then(|state| state.home.as_ref());
+        home.is_some_and(|home| *home != endpoint.data_centre)
+    }
+
+    /// Takes the items to run from the sorted queue: those that can still be on time first,
+    /// then by their time. The items of a job stay in one data centre, since the next stage
+    /// reads all their results, unless that makes them late.
     fn take_items(&mut self, now: Time, endpoint: &Endpoint) -> Vec<Item> {
-        let usual = Duration::from_secs_f64(self.nominal_ms(self.limits.batch / 2) / 1_000.0);
-        self.queue
-            .sort_by_key(|item| (now + usual > item.due, item.due, item.job, item.piece));
         let used = self
             .endpoints
             .get(&endpoint.id)
@@ -469,8 +506,10 @@
         let mut room = self.limits.result_room_bytes.saturating_sub(used);
         let mut taken = Vec::new();
         let mut left = Vec::with_capacity(self.queue.len());
-        for item in self.queue.drain(..) {
-            if taken.len() < self.limits.batch && item.result_bytes <= room {
+        for item in std::mem::take(&mut self.queue) {
+            let fits = taken.len() < self.limits.batch && item.result_bytes <= room;
+            let may_run = now >= item.strays_at || !self.is_away(&item, endpoint);
+            if fits && may_run {
                 room -= item.result_bytes;
                 taken.push(item);
             } else {
--- a/src/fleet/broker.rs
+++ b/src/fleet/broker.rs
@@ -1,6 +1,6 @@
 //! Runs stage items for the whole fleet: queues of [`Batcher`]s and the calls they decide on.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -15,14 +15,15 @@
 
 use crate::clock;
 use crate::decisions::batching::{
-    Batch, BatchFailure, Batcher, BatchingConfig, ItemFailure, Job, JobEnd, JobId, keeper_of,
+    Batch, BatchFailure, Batcher, BatchingConfig, ItemFailure, ItemInput, Job, JobEnd, JobId,
+    keeper_of,
 };
 use crate::decisions::retry::RetryConfig;
 use crate::fleet::endpoint_client::{connect, read_body};
 use crate::fleet::model::FleetView;
 use crate::platform::endpoint_call::{Verdict, judge_stage, stage_headers};
 use crate::platform::stage_call::{FREE_PATH, RUN_PATH, decode_run, encode_free, encode_run};
-use crate::units::{EndpointName, ServiceName};
+use crate::units::{DataCentreName, EndpointName, ServiceName};
 
 /// Pause of the queue while all endpoints are busy or in doubt; finished calls wake it sooner.
 const QUEUE_TICK: Duration = Duration::from_millis(40);
@@ -126,7 +127,11 @@
         let request = Arc::clone(&job.request);
         let (stage, items) = (job.stage, job.items);
         let now = clock::now();
-        let endpoints = self.view.borrow().usable(service).len();
+        let view = Arc::clone(&self.view.borrow());
+        let endpoints = view.usable(service).len();
+        if let ItemInput::Handles(handles) = &job.input {
+            job.near = data_centre_of(&view, handles.iter().map(|handle| (handle.as_str(), 1)));
+        }
         if endpoints == 0 {
             return Err(JobFailure::NoEndpoint);
         }
@@ -204,6 +209,22 @@
     }
 }
 
+/// Returns the data centre that keeps most bytes of the given results.
+pub fn data_centre_of<'a>(
+    view: &FleetView,
+    results: impl Iterator<Item = (&'a str, u64)>,
+) -> Option<DataCentreName> {
+    let mut sizes: BTreeMap<DataCentreName, u64> = BTreeMap::new();
+    for (handle, bytes) in results {
+        let keeper = keeper_of(handle).and_then(|address| view.endpoint_at(address));
+        if let Some(endpoint) = keeper {
+            *sizes.entry(endpoint.data_centre.clone()).or_default() += bytes;
+        }
+    }
+    let largest = sizes.into_iter().max_by_key(|(_, bytes)| *bytes);
+    largest.map(|(name, _)| name)
+}
+
 /// Starts calls whenever an endpoint is free and items wait.
 async fn run_queue(broker: Arc<Broker>, service: ServiceName, queue: Arc<Queue>) {
     let mut swept_at = clock::now();
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -9,7 +9,7 @@
 
 use crate::clock;
 use crate::decisions::batching::{ItemFailure, ItemInput, Job, JobId};
-use crate::fleet::broker::JobFailure;
+use crate::fleet::broker::{JobFailure, data_centre_of};
 use crate::fleet::metric;
 use crate::fleet::model::{FleetView, Service};
 use crate::fleet::node::Node;
@@ -48,20 +48,11 @@
 
     /// Returns the data centre that keeps most bytes of the engine's inputs.
     pub fn data_centre(&self, view: &FleetView) -> Option<DataCentreName> {
-        let mut sizes: std::collections::BTreeMap<DataCentreName, u64> = Default::default();
-        for stage in &self.last_stages {
-            for handle in self.by_stage[*stage].iter().flatten() {
-                let keeper = crate::decisions::batching::keeper_of(handle);
-                if let Some(endpoint) = keeper.and_then(|address| view.endpoint_at(address)) {
-                    *sizes.entry(endpoint.data_centre.clone()).or_default() +=
-                        self.sizes_bytes[*stage];
-                }
-            }
-        }
-        sizes
-            .into_iter()
-            .max_by_key(|(_, bytes)| *bytes)
-            .map(|(name, _)| name)
+        let results = self.last_stages.iter().flat_map(|stage| {
+            let handles = self.by_stage[*stage].iter().flatten();
+            handles.map(|handle| (handle.as_str(), self.sizes_bytes[*stage]))
+        });
+        data_centre_of(view, results)
     }
 
     /// Frees all results.
@@ -206,6 +197,7 @@
         deadline: call.deadline - later,
         result_bytes: spec.result_bytes,
         is_repeat,
+        near: None,
     };
     let started = clock::now();
     let outcome = run_somewhere(node, &view, &spec.service, job).await;
@@ -336,6 +328,7 @@
         deadline: now + Duration::from_millis(wire.deadline_ms),
         result_bytes: wire.result_bytes,
         is_repeat: wire.is_repeat,
+        near: None,
     };
     match node.broker.run(&service, job).await {
         Ok(handles) => Body::Results(Handles {
