--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -412,13 +412,10 @@
         (ends, orphans)
     }
 
-    /// Notes that a result was freed.
-    pub fn on_freed(&mut self, handle: &str) {
-        for state in self.endpoints.values_mut() {
-            if state.results.remove(handle).is_some() {
-                return;
-            }
-        }
+    /// Notes that a result was freed; returns whether it was known.
+    pub fn on_freed(&mut self, handle: &str) -> bool {
+        let mut states = self.endpoints.values_mut();
+        states.any(|state| state.results.remove(handle).is_some())
     }
 
     /// Forgets results whose time is over and endpoints that are gone.
--- a/src/fleet/broker.rs
+++ b/src/fleet/broker.rs
@@ -28,7 +28,7 @@
 /// Pause of the queue while all endpoints are busy or in doubt; finished calls wake it sooner.
 const QUEUE_TICK: Duration = Duration::from_millis(40);
 /// Time for which results to free are collected, so that one call frees several.
-const FREE_DELAY: Duration = Duration::from_millis(40);
+const FREE_DELAY: Duration = Duration::from_millis(5);
 /// Longest time of a call that frees results.
 const FREE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Brokers that may act for a service at the same time while VMs disagree on who does; each
@@ -164,9 +164,6 @@
     pub fn free(&self, handles: impl IntoIterator<Item = String>) {
         let mut freeing = self.freeing.lock();
         for handle in handles {
-            for queue in self.queues.lock().values() {
-                queue.batcher.lock().on_freed(&handle);
-            }
             if let Some(address) = keeper_of(&handle) {
                 freeing.entry(address).or_default().push(handle);
             }
@@ -176,6 +173,17 @@
         }
     }
 
+    /// Notes that an endpoint has freed results, which may let the next batch start.
+    fn on_freed(&self, handles: &[String]) {
+        for queue in self.queues.lock().values() {
+            let mut batcher = queue.batcher.lock();
+            let known = handles.iter().filter(|handle| batcher.on_freed(handle)).count();
+            if known > 0 {
+                queue.wake.notify_one();
+            }
+        }
+    }
+
     fn queue(self: &Arc<Self>, service: &ServiceName) -> Option<Arc<Queue>> {
         let view = self.view.borrow();
         let limits = view
@@ -359,11 +367,12 @@
                 continue;
             };
             let (id, logger) = (endpoint.id.clone(), broker.logger.clone());
+            let broker = Arc::clone(&broker);
             tokio::spawn(async move {
                 let count = handles.len();
                 let freed = timeout(FREE_TIMEOUT, free_at(&id, address, &handles)).await;
                 let error = match freed {
-                    Ok(Ok(())) => return,
+                    Ok(Ok(())) => return broker.on_freed(&handles),
                     Ok(Err(error)) => error,
                     Err(_) => "no answer in time".to_owned(),
                 };
