--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -14,7 +14,7 @@
 use hyper::StatusCode;
 use hyper::body::{Frame, Incoming};
 use slog::{info, warn};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::clock;
@@ -48,6 +48,9 @@
 /// Time after the deadline at which a stream is cut, so that an engine that stops work at the
 /// deadline can say so itself.
 const CUT_SLACK: Duration = Duration::from_millis(200);
+/// Time after which an engine has fetched the results that it reads. It fetches them before it
+/// reads the prompt; the room that they take is what limits the stages under load.
+const INPUTS_FETCHED: Duration = Duration::from_millis(80);
 /// Largest event that is taken from an engine.
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
 /// Connections that are tried for one request; none of them costs a repeat.
@@ -249,7 +252,17 @@
                 self.call.time_left()
             };
         let inputs = results.inputs();
-        let opened = timeout(limit, self.exchange(endpoint, connection, inputs)).await;
+        let opened = {
+            let exchange = timeout(limit, self.exchange(endpoint, connection, inputs));
+            let mut exchange = std::pin::pin!(exchange);
+            tokio::select! {
+                opened = exchange.as_mut() => opened,
+                () = sleep(INPUTS_FETCHED) => {
+                    results.free();
+                    exchange.await
+                }
+            }
+        };
         let opening = match opened {
             Ok(opening) => opening,
             Err(_) => {
