--- a/src/fleet/broker.rs
+++ b/src/fleet/broker.rs
@@ -177,7 +177,10 @@
     fn on_freed(&self, handles: &[String]) {
         for queue in self.queues.lock().values() {
             let mut batcher = queue.batcher.lock();
-            let known = handles.iter().filter(|handle| batcher.on_freed(handle)).count();
+            let known = handles
+                .iter()
+                .filter(|handle| batcher.on_freed(handle))
+                .count();
             if known > 0 {
                 queue.wake.notify_one();
             }
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -101,13 +101,6 @@
     pub is_engine: bool,
 }
 
-impl Service {
-    /// Returns the limits of its batches, if its endpoints run stages.
-    pub fn limits(&self) -> Option<BatchLimits> {
-        self.batching
-    }
-}
-
 /// An organisation as its key shows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Organisation {
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -11,7 +11,7 @@
 use crate::decisions::batching::{ItemFailure, ItemInput, Job, JobId};
 use crate::fleet::broker::{JobFailure, data_centre_of};
 use crate::fleet::metric;
-use crate::fleet::model::{FleetView, Service};
+use crate::fleet::model::{BatchLimits, FleetView};
 use crate::fleet::node::Node;
 use crate::fleet::request::{Call, batching_order};
 use crate::fleet::wire::{Body, Handles, JobFailed, StageJob};
@@ -26,6 +26,9 @@
 /// Part of a batch that is assumed for the expected time of a later stage.
 const LATER_BATCH_PART: f64 = 0.5;
 
+/// Part of the time to live of inputs after which a stage has to have read them.
+const INPUTS_TTL_PART: f64 = 0.85;
+
 /// Results of stages; those that are left are freed when this is dropped.
 pub struct StageResults {
     node: Arc<Node>,
@@ -186,6 +189,16 @@
     let view = node.view();
     let later = later_time(call, &view, stage);
     let spec = &call.route.stages[stage];
+    // Inputs lapse some time after they were made, just now at the latest.
+    let inputs_ttl = spec
+        .after
+        .iter()
+        .filter_map(|before| limits_of(&view, &call.route.stages[*before].service))
+        .map(|limits| limits.result_ttl)
+        .min();
+    let now = clock::now();
+    let inputs_lapse = inputs_ttl.map(|ttl| now + ttl.mul_f64(INPUTS_TTL_PART));
+    let deadline = call.deadline - later;
     let job = Job {
         id: JobId(0),
         request: Arc::from(call.caller.id.as_str()),
@@ -194,12 +207,12 @@
         input,
         priority: call.priority(),
         due: call.due - later,
-        deadline: call.deadline - later,
+        deadline: inputs_lapse.map_or(deadline, |lapse| deadline.min(lapse)),
         result_bytes: spec.result_bytes,
         is_repeat,
         near: None,
     };
-    let started = clock::now();
+    let started = now;
     let outcome = run_somewhere(node, &view, &spec.service, job).await;
     let took = clock::now().since(started);
     metric::stage_ended(took);
@@ -209,14 +222,15 @@
     (stage, outcome)
 }
 
+fn limits_of(view: &FleetView, service: &ServiceName) -> Option<BatchLimits> {
+    let services = &view.configuration.as_ref()?.services;
+    services.get(service)?.batching
+}
+
 /// Returns the expected time from the end of a stage to the first event.
 fn later_time(call: &Call, view: &FleetView, stage: usize) -> Duration {
-    let services = view.configuration.as_ref().map(|known| &known.services);
     let stage_ms = |stage: usize| {
-        let name = &call.route.stages[stage].service;
-        let limits = services
-            .and_then(|services| services.get(name))
-            .and_then(Service::limits);
+        let limits = limits_of(view, &call.route.stages[stage].service);
         limits.map_or(0.0, |limits| {
             limits.call_ms + limits.item_ms * limits.batch as f64 * LATER_BATCH_PART
         })
