--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -172,6 +172,8 @@
 struct JobState {
     /// Where its items run: where their inputs are, or where the first item ran.
     home: Option<DataCentreName>,
+    /// Whether any item was sent; its result takes room until all others have one.
+    is_started: bool,
     job: Job,
     results: Vec<Option<String>>,
     missing: u32,
@@ -302,6 +304,7 @@
             results: vec![None; job.items as usize],
             missing: job.items,
             home: job.near.clone(),
+            is_started: false,
             job,
         };
         self.jobs.insert(state.job.id, state);
@@ -335,9 +338,7 @@
         if self.queue.is_empty() {
             return None;
         }
-        let usual = self.usual_time();
-        self.queue
-            .sort_by_key(|item| (now + usual > item.due, item.due, item.job, item.piece));
+        self.sort_queue(now);
         let (endpoint, items) =
             self.free_endpoints(now, usable)
                 .into_iter()
@@ -348,6 +349,7 @@
         for item in &items {
             if let Some(state) = self.jobs.get_mut(&item.job) {
                 state.home.get_or_insert(endpoint.data_centre.clone());
+                state.is_started = true;
             }
         }
         let nominal_ms = self.nominal_ms(items.len());
@@ -444,6 +446,18 @@
         })
     }
 
+    /// Puts the jobs first that have begun, since their results take room and lapse; then those
+    /// that can still be on time; then by their time.
+    fn sort_queue(&mut self, now: Time) {
+        let usual = self.usual_time();
+        let jobs = &self.jobs;
+        self.queue.sort_by_cached_key(|item| {
+            let is_started = jobs.get(&item.job).is_some_and(|state| state.is_started);
+            let is_late = now + usual > item.due;
+            (!is_started, is_late, item.due, item.job, item.piece)
+        });
+    }
+
     /// Returns the time of a call that is half full.
     fn usual_time(&self) -> Duration {
         Duration::from_secs_f64(self.nominal_ms(self.limits.batch / 2) / 1_000.0)
