--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -449,11 +449,12 @@
     /// Puts the jobs first that have begun, since their results take room and lapse; then those
     /// that can still be on time; then by their time.
     fn sort_queue(&mut self, now: Time) {
-        let usual = self.usual_time();
+        // Batches are full while items wait.
+        let full = Duration::from_secs_f64(self.nominal_ms(self.limits.batch) / 1_000.0);
         let jobs = &self.jobs;
         self.queue.sort_by_cached_key(|item| {
             let is_started = jobs.get(&item.job).is_some_and(|state| state.is_started);
-            let is_late = now + usual > item.due;
+            let is_late = now + full > item.due;
             (!is_started, is_late, item.due, item.job, item.piece)
         });
     }
