--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -20,4 +20,5 @@
 pub mod routing;
 pub mod run_time;
 pub mod slots;
+pub mod stage_times;
 pub mod store_view;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -11,6 +11,7 @@
 use crate::decisions::endpoint_choice::{ChoiceConfig, EndpointChoice, cold_share};
 use crate::decisions::rendezvous::rendezvous_order;
 use crate::decisions::retry::{RetryBudget, RetryConfig};
+use crate::decisions::stage_times::StageTimes;
 use crate::fleet::broker::Broker;
 use crate::fleet::model::{Endpoint, FleetView};
 use crate::fleet::peers::Peers;
@@ -38,6 +39,8 @@
     pub choice: Mutex<EndpointChoice>,
     /// Repeats that each service may still get from this VM.
     pub budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    /// Recent times of stages.
+    pub stage_times: Mutex<StageTimes>,
     /// Requests under way.
     pub active: AtomicUsize,
     /// When the planned stop began.
@@ -67,6 +70,7 @@
             broker,
             choice: Mutex::new(EndpointChoice::new(ChoiceConfig::default())),
             budgets: Mutex::default(),
+            stage_times: Mutex::default(),
             active: AtomicUsize::new(0),
             stop_began: Mutex::default(),
         })
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -187,7 +187,12 @@
         return (stage, Ok(Vec::new()));
     }
     let view = node.view();
-    let later = later_time(call, &view, stage);
+    let now = clock::now();
+    let least_later = later_time(call, &view, stage, |_, usual_ms| usual_ms);
+    let later = later_time(call, &view, stage, |service, usual_ms| {
+        let times = node.stage_times.lock();
+        times.expected_ms(now, service, usual_ms)
+    });
     let spec = &call.route.stages[stage];
     // Inputs lapse some time after they were made, just now at the latest.
     let inputs_ttl = spec
@@ -196,9 +201,9 @@
         .filter_map(|before| limits_of(&view, &call.route.stages[*before].service))
         .map(|limits| limits.result_ttl)
         .min();
-    let now = clock::now();
     let inputs_lapse = inputs_ttl.map(|ttl| now + ttl.mul_f64(INPUTS_TTL_PART));
-    let deadline = call.deadline - later;
+    let deadline = call.deadline - least_later;
+    let due = call.due - later;
     let job = Job {
         id: JobId(0),
         request: Arc::from(call.caller.id.as_str()),
@@ -206,7 +211,7 @@
         items,
         input,
         priority: call.priority(),
-        due: call.due - later,
+        due,
         deadline: inputs_lapse.map_or(deadline, |lapse| deadline.min(lapse)),
         result_bytes: spec.result_bytes,
         is_repeat,
@@ -214,7 +219,13 @@
     };
     let started = now;
     let outcome = run_somewhere(node, &view, &spec.service, job).await;
-    let took = clock::now().since(started);
+    let ended = clock::now();
+    let took = ended.since(started);
+    // Late items wait behind the others, so their time says nothing to one that is on time.
+    if outcome.is_ok() && ended <= due {
+        let mut times = node.stage_times.lock();
+        times.record(ended, &spec.service, took);
+    }
     metric::stage_ended(took);
     info!(node.logger, "request: stage ended"; "id" => &call.caller.id, "stage" => stage,
         "service" => %spec.service, "items" => items, "took_ms" => took.as_millis() as u64,
@@ -228,12 +239,18 @@
 }
 
 /// Returns the expected time from the end of a stage to the first event.
-fn later_time(call: &Call, view: &FleetView, stage: usize) -> Duration {
+fn later_time(
+    call: &Call,
+    view: &FleetView,
+    stage: usize,
+    expected_ms: impl Fn(&ServiceName, f64) -> f64,
+) -> Duration {
     let stage_ms = |stage: usize| {
-        let limits = limits_of(view, &call.route.stages[stage].service);
-        limits.map_or(0.0, |limits| {
+        let service = &call.route.stages[stage].service;
+        let usual_ms = limits_of(view, service).map_or(0.0, |limits| {
             limits.call_ms + limits.item_ms * limits.batch as f64 * LATER_BATCH_PART
-        })
+        });
+        expected_ms(service, usual_ms)
     };
     let mut ms = GENERATION_MS + f64::from(call.caller.prompt_tokens) / PROMPT_TOKENS_PER_MS;
     let mut current = stage;
