--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -200,7 +200,7 @@
         service,
         version: configuration.version,
         arrived_at,
-        due: (arrived_at + route.objective) - waited,
+        due: arrived_at + route.objective,
         deadline: arrived_at + wait,
         caller,
     })
