--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -38,8 +38,6 @@
     pub least_timeout: Duration,
     /// Pause of an endpoint that had no room for results.
     pub room_pause: Duration,
-    /// Least pause of a caller that would be late and is refused for that.
-    pub late_pause: Duration,
 }
 
 impl Default for BatchingConfig {
@@ -55,7 +53,6 @@
             timeout_ratio: 3.0,
             least_timeout: Duration::from_millis(900),
             room_pause: Duration::from_millis(100),
-            late_pause: Duration::from_millis(1_200),
         }
     }
 }
@@ -122,8 +119,6 @@
     pub result_bytes: u64,
     /// Whether the stage of this request has run before.
     pub is_repeat: bool,
-    /// Whether the caller was refused before and came back.
-    pub is_return: bool,
     /// The data centre that keeps most of the results that the items read.
     pub near: Option<DataCentreName>,
 }
@@ -284,9 +279,6 @@
             let excess = (now + wait).since(job.deadline);
             return Err(excess.max(Duration::from_millis(100)));
         }
-        if job.near.is_none() && !job.is_return && self.is_late_backlog_full(now, endpoints, &job) {
-            return Err(wait.max(self.config.late_pause));
-        }
         if job.is_repeat {
             for _ in 0..job.items {
                 if !self.budget.take(1) {
@@ -319,18 +311,6 @@
         Ok(())
     }
 
-    /// Returns whether a new request would be late and as many late items wait already as fit
-    /// into one call of each endpoint. Those run when there is time left; more would only wait
-    /// until their deadline.
-    fn is_late_backlog_full(&self, now: Time, endpoints: usize, job: &Job) -> bool {
-        let full = Duration::from_secs_f64(self.nominal_ms(self.limits.batch) / 1_000.0);
-        let is_late = |due: Time| now + full > due;
-        let late = self.queue.iter().filter(|item| is_late(item.due)).count();
-        let on_time = self.queue.len() - late + job.items as usize;
-        let calls = (on_time as f64 / (self.limits.batch * endpoints.max(1)) as f64).ceil();
-        now + full.mul_f64(calls) > job.due && late >= self.limits.batch * endpoints
-    }
-
     /// Drops a job whose request ended, and returns the results that it already has.
     pub fn cancel(&mut self, id: JobId) -> Vec<String> {
         self.queue.retain(|item| item.job != id);
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
-use std::time::Duration;
 
 use parking_lot::Mutex;
 use slog::Logger;
@@ -42,8 +41,6 @@
     pub budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     /// Recent times of stages.
     pub stage_times: Mutex<StageTimes>,
-    /// Longest time that callers of a route say they wait; one that says less has waited already.
-    pub patience: Mutex<HashMap<String, Duration>>,
     /// Requests under way.
     pub active: AtomicUsize,
     /// When the planned stop began.
@@ -74,7 +71,6 @@
             choice: Mutex::new(EndpointChoice::new(ChoiceConfig::default())),
             budgets: Mutex::default(),
             stage_times: Mutex::default(),
-            patience: Mutex::default(),
             active: AtomicUsize::new(0),
             stop_began: Mutex::default(),
         })
@@ -90,15 +86,6 @@
         *self.stopping.borrow()
     }
 
-    /// Returns how long a caller has waited before this attempt, from what it still waits
-    /// compared with others of the route.
-    pub fn waited_before(&self, route: &str, wait: Duration) -> Duration {
-        let mut patience = self.patience.lock();
-        let most = patience.entry(route.to_owned()).or_insert(wait);
-        *most = (*most).max(wait);
-        most.saturating_sub(wait)
-    }
-
     /// Notes a request for a service, which earns repeats.
     pub fn note_request(&self, service: &ServiceName) {
         self.with_budget(service, RetryBudget::on_first_attempt);
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -29,8 +29,6 @@
 /// Time after the signal to stop in which requests are still taken: callers keep addresses
 /// for as long.
 const STOPPING_ACCEPTS: Duration = Duration::from_millis(2_600);
-/// A caller that waits this much less than others of its route has tried before.
-const RETURN_AFTER: Duration = Duration::from_millis(100);
 /// Time until a caller that sends its body too slowly is refused.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -54,8 +52,6 @@
     pub service: ServiceName,
     /// Version of the configuration that it goes by.
     pub version: u64,
-    /// Whether the caller was refused before and came back.
-    pub is_return: bool,
     /// When its head was read.
     pub arrived_at: Time,
     /// When an answer stops to be on time.
@@ -186,11 +182,7 @@
     let wait = caller
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let waited = caller.deadline.map_or(Duration::ZERO, |deadline| {
-        node.waited_before(&route.name, deadline)
-    });
     Ok(Call {
-        is_return: waited > RETURN_AFTER,
         headers: head.headers,
         method: head.method,
         uri: head.uri,
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -215,7 +215,6 @@
         deadline: inputs_lapse.map_or(deadline, |lapse| deadline.min(lapse)),
         result_bytes: spec.result_bytes,
         is_repeat,
-        is_return: call.is_return,
         near: None,
     };
     let started = now;
@@ -316,7 +315,6 @@
         deadline_ms: job.deadline.since(now).as_millis() as u64,
         result_bytes: job.result_bytes,
         is_repeat: job.is_repeat,
-        is_return: job.is_return,
     }
 }
 
@@ -361,7 +359,6 @@
         deadline: now + Duration::from_millis(wire.deadline_ms),
         result_bytes: wire.result_bytes,
         is_repeat: wire.is_repeat,
-        is_return: wire.is_return,
         near: None,
     };
     match node.broker.run(&service, job).await {
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -153,9 +153,6 @@
     /// Whether the stage of this request was asked for before.
     #[prost(bool, tag = "11")]
     pub is_repeat: bool,
-    /// Whether the caller was refused before and came back.
-    #[prost(bool, tag = "12")]
-    pub is_return: bool,
 }
 
 /// Why a stage job has no results.
