--- a/src/decisions/gossip.rs
+++ b/src/decisions/gossip.rs
@@ -33,6 +33,11 @@
     /// Time between two messages to a seed or to a VM that counts as dead, which join parts
     /// of the fleet that were cut off from each other.
     pub rejoin_period: Duration,
+    /// Time after the start in which each rejoin period also asks a live VM for its records:
+    /// what spreads by news alone reaches a VM late while a whole fleet starts.
+    pub young: Duration,
+    /// Time between two such questions afterwards.
+    pub sync_period: Duration,
     /// Most records in one datagram, so that it fits into a packet.
     pub records_per_message: usize,
     /// A longer pause between two ticks means that this VM was suspended.
@@ -48,6 +53,8 @@
             suspicion: Duration::from_millis(1_000),
             forget: Duration::from_secs(30),
             rejoin_period: Duration::from_millis(1_200),
+            young: Duration::from_secs(10),
+            sync_period: Duration::from_secs(10),
             records_per_message: 12,
             suspended_after: Duration::from_millis(1_500),
         }
@@ -179,6 +186,8 @@
     probes: u64,
     next_probe_at: Time,
     next_rejoin_at: Time,
+    next_sync_at: Time,
+    started_at: Option<Time>,
     last_tick_at: Option<Time>,
     rng: ChaCha8Rng,
     changes: Vec<MembershipChange>,
@@ -215,6 +224,8 @@
             probes: 0,
             next_probe_at: Time::ZERO,
             next_rejoin_at: Time::ZERO,
+            next_sync_at: Time::ZERO,
+            started_at: None,
             last_tick_at: None,
             rng,
             changes: Vec::new(),
@@ -289,6 +300,17 @@
             self.next_rejoin_at = now + self.config.rejoin_period;
             self.rejoin(&mut outgoing);
         }
+        if now >= self.next_sync_at {
+            let age = now.since(*self.started_at.get_or_insert(now));
+            let is_young = age < self.config.young;
+            let period = if is_young {
+                self.config.rejoin_period
+            } else {
+                self.config.sync_period
+            };
+            self.next_sync_at = now + period;
+            self.sync(&mut outgoing);
+        }
         self.expire(now);
         outgoing
     }
@@ -507,6 +529,21 @@
         }
     }
 
+    /// Asks one live VM for its records.
+    fn sync(&mut self, outgoing: &mut OutgoingList) {
+        let mut live: Vec<Ipv4Addr> = self
+            .members
+            .values()
+            .filter(|member| member.record.state == VmState::Alive)
+            .map(|member| member.record.vm.ip)
+            .collect();
+        live.shuffle(&mut self.rng);
+        if let Some(to) = live.pop() {
+            let message = self.message(GossipKind::Join, 0);
+            outgoing.push(Outgoing { to, message });
+        }
+    }
+
     fn expire(&mut self, now: Time) {
         let suspicion = self.config.suspicion;
         let lapsed: Vec<VmRecord> = self
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -28,8 +28,9 @@
 
 /// Longest wait of one watch: a connection that fell silent is found after it.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-/// Pause after a watch that brought changes, so that a series of changes costs few calls.
-const CHANGES_PAUSE: Duration = Duration::from_millis(60);
+/// Pause after a watch that brought changes, so that a series of changes costs few calls. A
+/// configuration has to be in force within two seconds, and an endpoint left.
+const CHANGES_PAUSE: Duration = Duration::from_millis(450);
 /// First and longest pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const RETRY_PAUSE_MOST: Duration = Duration::from_millis(900);
--- /dev/null
+++ b/tests/fleet_rules/batching.rs
@@ -0,0 +1,405 @@
+//! Batches of stage items, replayed against endpoints with fixed times.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use primrosewalk::decisions::batching::{
+    Batch, BatchFailure, Batcher, BatchingConfig, ItemFailure, ItemInput, Job, JobEnd, JobId,
+};
+use primrosewalk::decisions::retry::RetryConfig;
+use primrosewalk::fleet::model::{BatchLimits, Endpoint};
+use primrosewalk::units::Time;
+
+use crate::{at, endpoint};
+
+const LIMITS: BatchLimits = BatchLimits {
+    slots: 1,
+    batch: 8,
+    call_ms: 200.0,
+    item_ms: 20.0,
+    result_room_bytes: 18_000,
+    result_ttl: Duration::from_secs(4),
+};
+const REPEATS: RetryConfig = RetryConfig {
+    earned_per_request: 0.2,
+    reserve: 10.0,
+    attempts_per_stage: 3,
+};
+
+fn batcher() -> Batcher {
+    Batcher::new(BatchingConfig::default(), LIMITS, REPEATS)
+}
+
+fn job(id: u64, now_ms: u64, items: u32) -> Job {
+    Job {
+        id: JobId(id),
+        request: Arc::from(format!("r{id}")),
+        stage: 0,
+        items,
+        input: ItemInput::Key("k".into()),
+        priority: 0,
+        due: at(now_ms + 1_000),
+        deadline: at(now_ms + 5_000),
+        result_bytes: 10,
+        is_repeat: false,
+        near: None,
+    }
+}
+
+/// What an endpoint does with a call that it gets at a time.
+type Behaviour<'a> = &'a dyn Fn(&Batch, u64) -> (u64, std::result::Result<(), BatchFailure>);
+
+/// Replays arrivals in steps of a millisecond; returns when and how each job ended.
+struct Replay {
+    batcher: Batcher,
+    endpoints: Vec<Arc<Endpoint>>,
+    running: BTreeMap<(u64, u64), (Batch, std::result::Result<(), BatchFailure>)>,
+    ends: HashMap<u64, (u64, std::result::Result<(), ItemFailure>)>,
+    batches: Vec<(u64, usize, String)>,
+    refused: usize,
+    sent_items: usize,
+    frees_after_ms: u64,
+    to_free: Vec<(u64, String)>,
+}
+
+impl Replay {
+    fn new(endpoints: Vec<Arc<Endpoint>>) -> Self {
+        Self {
+            batcher: batcher(),
+            endpoints,
+            running: BTreeMap::new(),
+            ends: HashMap::new(),
+            batches: Vec::new(),
+            refused: 0,
+            sent_items: 0,
+            frees_after_ms: 100,
+            to_free: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, arrivals: &[(u64, Job)], until_ms: u64, behaviour: Behaviour<'_>) {
+        for now_ms in 0..until_ms {
+            for (_, job) in arrivals.iter().filter(|(ms, _)| *ms == now_ms) {
+                let pushed = self
+                    .batcher
+                    .push(at(now_ms), self.endpoints.len(), job.clone());
+                self.refused += usize::from(pushed.is_err());
+            }
+            let due: Vec<_> = self
+                .running
+                .range(..=(now_ms, u64::MAX))
+                .map(|(key, _)| *key)
+                .collect();
+            for key in due {
+                let (batch, outcome) = self.running.remove(&key).unwrap();
+                self.finish(now_ms, &batch, outcome);
+            }
+            let freed: Vec<String> = self
+                .to_free
+                .extract_if(.., |(ms, _)| *ms <= now_ms)
+                .map(|(_, handle)| handle)
+                .collect();
+            for handle in freed {
+                self.batcher.on_freed(&handle);
+            }
+            let late = self.batcher.expire(at(now_ms));
+            self.note_ends(now_ms, late);
+            while let Some(batch) = self.batcher.next_batch(at(now_ms), &self.endpoints) {
+                let (takes_ms, outcome) = behaviour(&batch, now_ms);
+                self.sent_items += batch.items.len();
+                self.batches
+                    .push((now_ms, batch.items.len(), batch.endpoint.id.to_string()));
+                self.running
+                    .insert((now_ms + takes_ms, batch.id), (batch, outcome));
+            }
+        }
+    }
+
+    fn finish(
+        &mut self,
+        now_ms: u64,
+        batch: &Batch,
+        outcome: std::result::Result<(), BatchFailure>,
+    ) {
+        let address = batch.endpoint.address;
+        let results = outcome.map(|()| {
+            let handle = |(item, _): &(primrosewalk::decisions::batching::ItemSpec, Time)| {
+                Ok(format!(
+                    "{address}/{}-{}-{}",
+                    item.request, item.piece, batch.id
+                ))
+            };
+            batch.items.iter().map(handle).collect()
+        });
+        let (ends, _) = self.batcher.finish(at(now_ms), batch.id, results);
+        self.note_ends(now_ms, ends);
+    }
+
+    fn note_ends(&mut self, now_ms: u64, ends: Vec<JobEnd>) {
+        for end in ends {
+            let outcome = match end.results {
+                Ok(handles) => {
+                    let frees_at = now_ms + self.frees_after_ms;
+                    let handles = handles.into_iter().map(|handle| (frees_at, handle));
+                    self.to_free.extend(handles);
+                    Ok(())
+                }
+                Err(failure) => Err(failure),
+            };
+            self.ends.insert(end.id.0, (now_ms, outcome));
+        }
+    }
+
+    fn on_time(&self, arrivals: &[(u64, Job)]) -> usize {
+        let is_on_time = |job: &Job| {
+            self.ends
+                .get(&job.id.0)
+                .is_some_and(|(ms, outcome)| outcome.is_ok() && at(*ms) <= job.due)
+        };
+        arrivals.iter().filter(|(_, job)| is_on_time(job)).count()
+    }
+}
+
+fn nominal(batch: &Batch, _now_ms: u64) -> (u64, std::result::Result<(), BatchFailure>) {
+    (200 + 20 * batch.items.len() as u64, Ok(()))
+}
+
+fn three() -> Vec<Arc<Endpoint>> {
+    vec![
+        endpoint("e-1", "a"),
+        endpoint("e-2", "b"),
+        endpoint("e-3", "c"),
+    ]
+}
+
+/// 40 items a second are three times what calls with one item each could run.
+#[gtest]
+fn a_load_above_the_capacity_of_single_calls_is_served_on_time() {
+    let arrivals: Vec<_> = (0..200).map(|n| (n * 25, job(n, n * 25, 1))).collect();
+    let mut replay = Replay::new(three());
+    replay.run(&arrivals, 7_000, &nominal);
+    expect_that!(replay.on_time(&arrivals), eq(200));
+    expect_that!(replay.refused, eq(0));
+}
+
+/// Items of a light load do not wait for others.
+#[gtest]
+fn an_item_alone_runs_at_once() {
+    let arrivals = vec![(10, job(1, 10, 1))];
+    let mut replay = Replay::new(three());
+    replay.run(&arrivals, 400, &nominal);
+    expect_that!(replay.ends.get(&1), some(eq(&(230, Ok(())))));
+}
+
+/// In a burst above capacity, those that can be on time pass those that cannot.
+#[gtest]
+fn a_burst_does_not_make_everyone_late() {
+    let arrivals: Vec<_> = (0..400).map(|n| (n * 10, job(n, n * 10, 1))).collect();
+    let mut replay = Replay::new(three());
+    replay.run(&arrivals, 10_000, &nominal);
+    // 66 items a second is the most that full batches allow: 264 of the four seconds, less the
+    // first calls, which are not full.
+    expect_that!(replay.on_time(&arrivals), ge(200));
+}
+
+/// Jobs of six items with room for 18 results: a job that has begun ends before others begin.
+#[gtest]
+fn begun_jobs_end_first() {
+    let arrivals: Vec<_> = (0..60)
+        .map(|n| {
+            let mut job = job(n, n * 50, 6);
+            job.result_bytes = 1_000;
+            // Newer jobs are due sooner, so that they would pass the begun ones.
+            job.due = at(n * 50 + 3_000 - n * 30);
+            (n * 50, job)
+        })
+        .collect();
+    let mut replay = Replay::new(three());
+    replay.run(&arrivals, 9_000, &nominal);
+    let ended: Vec<_> = replay
+        .ends
+        .values()
+        .filter(|(_, end)| end.is_ok())
+        .collect();
+    // Two half-done jobs at a time and endpoint at most: their room never blocks the others.
+    expect_that!(ended.len() + replay.refused, ge(55));
+}
+
+#[gtest]
+fn results_never_take_more_room_than_an_endpoint_has() {
+    let arrivals: Vec<_> = (0..40)
+        .map(|n| {
+            let mut job = job(n, n * 10, 2);
+            job.result_bytes = 4_000;
+            (n * 10, job)
+        })
+        .collect();
+    let mut replay = Replay::new(vec![endpoint("e-1", "a")]);
+    replay.frees_after_ms = 100_000;
+    replay.run(&arrivals, 3_000, &nominal);
+    // Four results of 4,000 bytes fit into 18,000, and none is freed.
+    expect_that!(replay.sent_items, eq(4));
+}
+
+#[gtest]
+fn the_items_of_a_later_stage_run_where_their_inputs_are() {
+    let arrivals: Vec<_> = (0..30)
+        .map(|n| {
+            let mut job = job(n, n * 60, 3);
+            job.near = Some(["a", "b", "c"][n as usize % 3].parse().unwrap());
+            (n * 60, job)
+        })
+        .collect();
+    let mut replay = Replay::new(three());
+    let away = std::cell::Cell::new(0);
+    replay.run(&arrivals, 4_000, &|batch, now_ms| {
+        for (item, _) in &batch.items {
+            let number: usize = item.request[1..].parse().unwrap();
+            let near = ["a", "b", "c"][number % 3];
+            if batch.endpoint.data_centre.as_str() != near {
+                away.set(away.get() + 1);
+            }
+        }
+        nominal(batch, now_ms)
+    });
+    expect_that!(away.get(), eq(0));
+    expect_that!(replay.on_time(&arrivals), eq(30));
+}
+
+/// The endpoint of the data centre is gone: its items run elsewhere rather than late.
+#[gtest]
+fn items_leave_their_data_centre_rather_than_be_late() {
+    let mut away = job(1, 0, 3);
+    away.near = Some("c".parse().unwrap());
+    let arrivals = vec![(0, away)];
+    let mut replay = Replay::new(vec![endpoint("e-1", "a")]);
+    replay.run(&arrivals, 1_500, &nominal);
+    expect_that!(replay.on_time(&arrivals), eq(1));
+}
+
+/// One of three endpoints takes five times as long.
+#[gtest]
+fn a_slow_endpoint_gets_few_calls() {
+    let arrivals: Vec<_> = (0..150).map(|n| (n * 40, job(n, n * 40, 1))).collect();
+    let mut replay = Replay::new(three());
+    replay.run(&arrivals, 8_000, &|batch, now_ms| {
+        let (ms, outcome) = nominal(batch, now_ms);
+        let factor = if batch.endpoint.id.as_str() == "e-2" {
+            5
+        } else {
+            1
+        };
+        (ms * factor, outcome)
+    });
+    let slow = replay
+        .batches
+        .iter()
+        .filter(|(_, _, id)| id == "e-2")
+        .count();
+    expect_that!(slow, le(4));
+    expect_that!(replay.on_time(&arrivals), ge(140));
+}
+
+/// One of three endpoints resets every call.
+#[gtest]
+fn items_of_a_failing_endpoint_run_elsewhere_within_the_budget() {
+    let arrivals: Vec<_> = (0..100).map(|n| (n * 50, job(n, n * 50, 1))).collect();
+    let mut replay = Replay::new(three());
+    replay.run(&arrivals, 7_000, &|batch, now_ms| {
+        if batch.endpoint.id.as_str() == "e-2" {
+            (5, Err(BatchFailure::Broken))
+        } else {
+            nominal(batch, now_ms)
+        }
+    });
+    expect_that!(replay.on_time(&arrivals), ge(98));
+    // The reserve and a fifth of the requests.
+    expect_that!(replay.sent_items, le(100 + 10 + 20));
+}
+
+/// All endpoints are down: the repeats stay within the budget.
+#[gtest]
+fn an_outage_does_not_multiply_the_load() {
+    let arrivals: Vec<_> = (0..100).map(|n| (n * 20, job(n, n * 20, 1))).collect();
+    let mut replay = Replay::new(three());
+    replay.run(&arrivals, 8_000, &|_, _| (2, Err(BatchFailure::Broken)));
+    expect_that!(replay.sent_items, le(100 + 10 + 20));
+    expect_that!(replay.on_time(&arrivals), eq(0));
+}
+
+#[gtest]
+fn a_job_that_cannot_end_in_time_is_refused_at_once() {
+    let mut batcher = batcher();
+    for id in 0..60 {
+        let mut job = job(id, 0, 4);
+        job.deadline = at(2_000);
+        let _ = batcher.push(at(0), 3, job);
+    }
+    let mut late = job(99, 0, 1);
+    late.deadline = at(2_000);
+    expect_that!(
+        batcher.push(at(0), 3, late),
+        err(ge(Duration::from_millis(100)))
+    );
+    expect_that!(batcher.waiting(), gt(0));
+}
+
+#[gtest]
+fn a_cancelled_job_leaves_nothing_behind() {
+    let mut batcher = batcher();
+    let endpoints = three();
+    batcher.push(at(0), 3, job(1, 0, 10)).unwrap();
+    let batch = batcher.next_batch(at(0), &endpoints).unwrap();
+    expect_that!(batcher.cancel(JobId(1)), is_empty());
+    expect_that!(batcher.waiting(), eq(0));
+    let results = (0..8).map(|n| Ok(format!("127.0.0.1:1/{n}"))).collect();
+    let (ends, orphans) = batcher.finish(at(300), batch.id, Ok(results));
+    expect_that!(ends, is_empty());
+    expect_that!(orphans.len(), eq(8));
+}
+
+#[gtest]
+fn outcomes_of_items_end_their_job_as_they_should() {
+    struct Case {
+        name: &'static str,
+        failure: ItemFailure,
+        ends: bool,
+    }
+    let cases = [
+        Case {
+            name: "late",
+            failure: ItemFailure::Late,
+            ends: true,
+        },
+        Case {
+            name: "input gone",
+            failure: ItemFailure::InputGone,
+            ends: true,
+        },
+        Case {
+            name: "no room",
+            failure: ItemFailure::NoRoom,
+            ends: false,
+        },
+        Case {
+            name: "failed",
+            failure: ItemFailure::Failed,
+            ends: false,
+        },
+    ];
+    for case in cases {
+        let mut batcher = batcher();
+        batcher.push(at(0), 3, job(1, 0, 1)).unwrap();
+        let batch = batcher.next_batch(at(0), &three()).unwrap();
+        let (ends, _) = batcher.finish(at(300), batch.id, Ok(vec![Err(case.failure)]));
+        expect_that!(!ends.is_empty(), eq(case.ends), "{}", case.name);
+        expect_that!(
+            batcher.waiting(),
+            eq(usize::from(!case.ends)),
+            "{}",
+            case.name
+        );
+    }
+}
--- /dev/null
+++ b/tests/fleet_rules/choice.rs
@@ -0,0 +1,242 @@
+//! Which endpoint a request goes to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use primrosewalk::decisions::endpoint_choice::{
+    AttemptEnd, ChoiceConfig, EndpointChoice, Work, cold_share,
+};
+use primrosewalk::fleet::model::Endpoint;
+use primrosewalk::units::{DataCentreName, EndpointName};
+
+use crate::{at, endpoint};
+
+fn own() -> DataCentreName {
+    "a".parse().unwrap()
+}
+
+fn engines() -> Vec<Arc<Endpoint>> {
+    (0..9)
+        .map(|n| endpoint(&format!("e-{n}"), ["a", "b", "c"][n % 3]))
+        .collect()
+}
+
+fn choose(
+    choice: &EndpointChoice,
+    ms: u64,
+    candidates: &[Arc<Endpoint>],
+    tried: &[EndpointName],
+    may_repeat: bool,
+    work: Work<'_>,
+) -> Option<String> {
+    let chosen = choice.choose(at(ms), candidates, tried, &own(), may_repeat, work, |_| 1);
+    chosen.map(|endpoint| endpoint.id.to_string())
+}
+
+fn generation(subject: u64, near: &DataCentreName) -> Work<'_> {
+    Work::Generation {
+        subject,
+        prompt_tokens: 1_000,
+        near,
+    }
+}
+
+/// VMs of all data centres send a subject to the engine that has it cached.
+#[gtest]
+fn a_subject_goes_to_one_engine_from_everywhere() {
+    let engines = engines();
+    let mut used = std::collections::BTreeSet::new();
+    for subject in 0..100 {
+        let chosen: Vec<_> = ["a", "b", "c"]
+            .iter()
+            .map(|near| {
+                let near: DataCentreName = near.parse().unwrap();
+                let choice = EndpointChoice::new(ChoiceConfig::default());
+                choose(&choice, 0, &engines, &[], true, generation(subject, &near))
+            })
+            .collect();
+        expect_that!(chosen[0], some(anything()));
+        expect_that!(chosen.iter().all(|other| *other == chosen[0]), eq(true));
+        used.insert(chosen[0].clone());
+    }
+    expect_that!(used.len(), eq(9));
+}
+
+/// Many requests about one subject spread before one engine holds them all.
+#[gtest]
+fn a_hot_subject_spreads_over_engines() {
+    let engines = engines();
+    let mut choice = EndpointChoice::new(ChoiceConfig::default());
+    let near = own();
+    let mut counts = std::collections::BTreeMap::<EndpointName, usize>::new();
+    for _ in 0..36 {
+        let chosen = choice
+            .choose(
+                at(0),
+                &engines,
+                &[],
+                &near,
+                true,
+                generation(7, &near),
+                |_| 1,
+            )
+            .unwrap();
+        choice.start(at(0), &chosen, 1_000);
+        *counts.entry(chosen.id.clone()).or_default() += 1;
+    }
+    expect_that!(counts.values().max(), some(le(&12)));
+}
+
+/// A dead endpoint is left after two failures and tried again after a pause.
+#[gtest]
+fn a_failing_endpoint_is_passed_over_and_tried_again() {
+    let near = [endpoint("near", "a"), endpoint("far", "b")];
+    let mut choice = EndpointChoice::new(ChoiceConfig::default());
+    for _ in 0..2 {
+        let started = choice.start(at(0), &near[0], 0);
+        choice.finish(at(0), started, AttemptEnd::Broken);
+    }
+    let plain = Work::Plain;
+    expect_that!(
+        choose(&choice, 10, &near, &[], true, plain),
+        some(eq("far"))
+    );
+    expect_that!(
+        choose(&choice, 700, &near, &[], true, plain),
+        some(eq("near"))
+    );
+}
+
+/// Requests that run at most once avoid an endpoint after its first failure.
+#[gtest]
+fn one_failure_suffices_for_requests_that_run_at_most_once() {
+    let near = [endpoint("near", "a"), endpoint("far", "b")];
+    let mut choice = EndpointChoice::new(ChoiceConfig::default());
+    let started = choice.start(at(0), &near[0], 0);
+    choice.finish(at(0), started, AttemptEnd::Broken);
+    expect_that!(
+        choose(&choice, 10, &near, &[], true, Work::Plain),
+        some(eq("near"))
+    );
+    expect_that!(
+        choose(&choice, 10, &near, &[], false, Work::Plain),
+        some(eq("far"))
+    );
+}
+
+/// An endpoint that turns slow loses its requests and gets them back after it recovered.
+#[gtest]
+fn a_slow_endpoint_is_left_and_found_again() {
+    let near = [endpoint("near", "a"), endpoint("far", "b")];
+    let mut choice = EndpointChoice::new(ChoiceConfig::default());
+    for (endpoint, ms) in [(&near[0], 300), (&near[1], 60), (&near[1], 60)] {
+        let started = choice.start(at(0), endpoint, 0);
+        let took = Some(Duration::from_millis(ms));
+        choice.finish(at(0), started, AttemptEnd::Answered(took));
+    }
+    expect_that!(
+        choose(&choice, 50, &near, &[], true, Work::Plain),
+        some(eq("far"))
+    );
+    expect_that!(
+        choose(&choice, 60_000, &near, &[], true, Work::Plain),
+        some(eq("near"))
+    );
+}
+
+#[gtest]
+fn an_endpoint_that_refused_as_full_gets_a_pause() {
+    let near = [endpoint("near", "a"), endpoint("far", "b")];
+    let mut choice = EndpointChoice::new(ChoiceConfig::default());
+    let started = choice.start(at(0), &near[0], 0);
+    choice.finish(at(0), started, AttemptEnd::Full);
+    expect_that!(
+        choose(&choice, 10, &near, &[], true, Work::Plain),
+        some(eq("far"))
+    );
+    expect_that!(
+        choose(&choice, 200, &near, &[], true, Work::Plain),
+        some(eq("near"))
+    );
+}
+
+#[gtest]
+fn tried_endpoints_are_not_chosen_again() {
+    let near = [endpoint("near", "a")];
+    let choice = EndpointChoice::new(ChoiceConfig::default());
+    let tried = [near[0].id.clone()];
+    expect_that!(choose(&choice, 0, &near, &tried, true, Work::Plain), none());
+}
+
+/// A cold endpoint gets this VM's part of what it bears in each second, and not more.
+#[gtest]
+fn a_cold_endpoint_gets_no_more_than_its_share() {
+    let mut cold = Endpoint::clone(&endpoint("cold", "a"));
+    cold.cold_until = at(10_000);
+    let cold = Arc::new(cold);
+    let mut choice = EndpointChoice::new(ChoiceConfig::default());
+    let mut sent = Vec::new();
+    for ms in 0..5_000 {
+        let candidates = std::slice::from_ref(&cold);
+        let chosen = choice.choose(at(ms), candidates, &[], &own(), true, Work::Plain, |_| 2);
+        if let Some(endpoint) = chosen {
+            let started = choice.start(at(ms), &endpoint, 0);
+            choice.finish(at(ms), started, AttemptEnd::Answered(None));
+            sent.push(ms);
+        }
+    }
+    let most = sent
+        .iter()
+        .map(|start| {
+            sent.iter()
+                .filter(|ms| (*start..start + 1_000).contains(*ms))
+                .count()
+        })
+        .max();
+    expect_that!(most, some(eq(2)));
+    expect_that!(sent.len(), ge(9));
+}
+
+#[gtest]
+fn shares_of_a_cold_endpoint_add_up_to_its_limit_at_most() {
+    struct Case {
+        limit_per_s: f64,
+        vms: u32,
+    }
+    let cases = [
+        Case {
+            limit_per_s: 12.0,
+            vms: 6,
+        },
+        Case {
+            limit_per_s: 12.0,
+            vms: 9,
+        },
+        Case {
+            limit_per_s: 12.0,
+            vms: 12,
+        },
+        Case {
+            limit_per_s: 12.0,
+            vms: 61,
+        },
+        Case {
+            limit_per_s: 11.0,
+            vms: 331,
+        },
+        Case {
+            limit_per_s: 0.5,
+            vms: 10,
+        },
+    ];
+    for case in cases {
+        let sum: usize = (0..case.vms as usize)
+            .map(|rank| cold_share(case.limit_per_s, case.vms, rank))
+            .sum();
+        expect_that!(sum as f64, le(case.limit_per_s), "{} VMs", case.vms);
+        if case.limit_per_s >= 1.0 {
+            expect_that!(sum, ge(1), "{} VMs", case.vms);
+        }
+    }
+}
--- /dev/null
+++ b/tests/fleet_rules/main.rs
@@ -0,0 +1,37 @@
+//! Decisions of a VM on the users' platform, each under the load or fault that it answers.
+//!
+//! Nothing here opens a socket. `GOSSIP_SEED` and `GOSSIP_RUNS` choose the seeds of the
+//! randomised membership runs.
+
+mod batching;
+mod choice;
+mod gossip;
+mod settings;
+mod store_view;
+
+use std::sync::Arc;
+
+use primrosewalk::fleet::model::Endpoint;
+use primrosewalk::units::Time;
+
+/// A time of the test's clock.
+fn at(ms: u64) -> Time {
+    Time::from_millis(100_000 + ms)
+}
+
+/// A warm endpoint of service `s` in a data centre.
+fn endpoint(name: &str, data_centre: &str) -> Arc<Endpoint> {
+    let number: u16 = name
+        .bytes()
+        .fold(0, |sum, byte| sum * 7 + u16::from(byte) % 100);
+    Arc::new(Endpoint {
+        id: name.parse().unwrap(),
+        service: "s".parse().unwrap(),
+        address: ([127, 0, 0, 1], 10_000 + number).into(),
+        data_centre: data_centre.parse().unwrap(),
+        slots: 6,
+        is_ready: true,
+        cold_until: Time::ZERO,
+        started_ms: 0,
+    })
+}
--- /dev/null
+++ b/tests/fleet_rules/settings.rs
@@ -0,0 +1,128 @@
+//! The settings file of a VM on the users' platform.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use primrosewalk::fleet::settings::check_settings;
+
+const GOOD: &str = r#"
+vm = "edge-1"
+data_centre = "a"
+ip = "127.0.0.1"
+caller_address = "127.0.0.1:8625"
+readiness_address = "127.0.0.1:8621"
+directory_address = "127.0.0.1:8620"
+platform_address = "127.0.0.9:8624"
+seeds = ["127.0.0.1:8628", "127.0.0.2:8628"]
+peer_ports = [7740, 7755]
+metrics_port = 7742
+grace_s = 8
+contact_ms = 3000
+address_ttl_most_s = 5
+repeat_ratio = 0.2
+repeat_reserve = 52
+cold_overage = 1.5
+"#;
+
+#[gtest]
+fn good_settings_have_no_findings() {
+    let settings = check_settings(GOOD).unwrap();
+    expect_that!(settings.gossip_port, eq(7740));
+    expect_that!(settings.peer_port, eq(7741));
+    expect_that!(settings.grace, eq(Duration::from_secs(8)));
+    expect_that!(settings.seeds.len(), eq(2));
+}
+
+#[gtest]
+fn a_field_that_is_not_known_is_ignored() {
+    expect_that!(
+        check_settings(&format!("{GOOD}\nnew_field = 1")),
+        ok(anything())
+    );
+}
+
+#[gtest]
+fn every_problem_is_found_with_its_place() {
+    struct Case {
+        from: &'static str,
+        to: &'static str,
+        place: &'static str,
+    }
+    let cases = [
+        Case {
+            from: "ip = \"127.0.0.1\"",
+            to: "ip = \"x\"",
+            place: "ip",
+        },
+        Case {
+            from: ":8625",
+            to: "",
+            place: "caller_address",
+        },
+        Case {
+            from: ":8620",
+            to: ":no",
+            place: "directory_address",
+        },
+        Case {
+            from: "\"edge-1\"",
+            to: "\"\"",
+            place: "vm",
+        },
+        Case {
+            from: "[7740, 7755]",
+            to: "[7740]",
+            place: "peer_ports",
+        },
+        Case {
+            from: "[7740, 7755]",
+            to: "[7740, 7740]",
+            place: "peer_ports",
+        },
+        Case {
+            from: "metrics_port = 7742",
+            to: "metrics_port = 7741",
+            place: "metrics_port",
+        },
+        Case {
+            from: "grace_s = 8",
+            to: "grace_s = 0",
+            place: "grace_s",
+        },
+        Case {
+            from: "repeat_ratio = 0.2",
+            to: "repeat_ratio = -1",
+            place: "repeat_ratio",
+        },
+        Case {
+            from: "127.0.0.2:8628",
+            to: "seed",
+            place: "seeds[1]",
+        },
+        Case {
+            from: "vm =",
+            to: "= vm",
+            place: "settings",
+        },
+    ];
+    for case in cases {
+        let text = GOOD.replace(case.from, case.to);
+        let findings = check_settings(&text).unwrap_err();
+        let places: Vec<&str> = findings
+            .items()
+            .iter()
+            .map(|item| item.place.as_str())
+            .collect();
+        expect_that!(places, contains(eq(&case.place)), "{}", case.to);
+    }
+}
+
+#[gtest]
+fn several_problems_are_reported_together() {
+    let text = GOOD
+        .replace("grace_s = 8", "grace_s = -8")
+        .replace("ip = \"127.0.0.1\"", "ip = 7");
+    let text = text.replace("ip = 7", "ip = \"7\"");
+    let findings = check_settings(&text).unwrap_err();
+    expect_that!(findings.items().len(), ge(2));
+}
--- /dev/null
+++ b/tests/fleet_rules/store_view.rs
@@ -0,0 +1,146 @@
+//! What a VM believes of the platform's store.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use primrosewalk::decisions::store_view::{StoreChange, StoreView, StoreViewConfig};
+use primrosewalk::fleet::model::{CallerLimits, Configuration, Endpoint, FleetView};
+
+use crate::{at, endpoint};
+
+fn configuration(version: u64) -> StoreChange {
+    StoreChange::Configuration(Arc::new(Configuration {
+        version,
+        routes: Default::default(),
+        services: Default::default(),
+        keys: Default::default(),
+        limits: CallerLimits {
+            max_header_bytes: 1,
+            max_body_bytes: 1,
+            header_timeout: Default::default(),
+            idle_timeout: Default::default(),
+        },
+        document: Bytes::new(),
+    }))
+}
+
+fn entry(name: &str, revision: u64, state: Option<&Arc<Endpoint>>) -> StoreChange {
+    StoreChange::Endpoint {
+        id: name.to_owned(),
+        revision,
+        endpoint: state.cloned(),
+    }
+}
+
+fn evacuation(revision: u64, is_evacuated: bool) -> StoreChange {
+    StoreChange::Evacuation {
+        data_centre: "a".to_owned(),
+        revision,
+        is_evacuated,
+    }
+}
+
+fn usable(view: &StoreView) -> Vec<String> {
+    let mut filled = FleetView::default();
+    view.fill(&mut filled);
+    let mut ids: Vec<String> = filled
+        .endpoints
+        .values()
+        .flatten()
+        .map(|endpoint| endpoint.id.to_string())
+        .collect();
+    ids.sort();
+    ids
+}
+
+fn view() -> StoreView {
+    StoreView::new(StoreViewConfig::default())
+}
+
+#[gtest]
+fn a_configuration_never_goes_back() {
+    let mut view = view();
+    for (version, taken) in [(5, true), (4, false), (5, false), (9, true), (7, false)] {
+        let is_taken = view.apply(at(0), configuration(version));
+        expect_that!(is_taken, eq(taken), "version {version}");
+    }
+    expect_that!(view.configuration().unwrap().version, eq(9));
+}
+
+#[gtest]
+fn an_older_change_of_an_endpoint_is_not_taken() {
+    let one = endpoint("e-1", "a");
+    let mut leaving = Endpoint::clone(&one);
+    leaving.is_ready = false;
+    let leaving = Arc::new(leaving);
+    let mut view = view();
+    view.apply(at(0), entry("e-1", 5, Some(&one)));
+    view.apply(at(0), entry("e-1", 7, Some(&leaving)));
+    expect_that!(usable(&view), is_empty());
+    expect_that!(view.apply(at(0), entry("e-1", 6, Some(&one))), eq(false));
+    expect_that!(usable(&view), is_empty());
+}
+
+#[gtest]
+fn a_listing_removes_what_it_lacks() {
+    let (one, two) = (endpoint("e-1", "a"), endpoint("e-2", "b"));
+    let mut view = view();
+    let listing = vec![entry("e-1", 1, Some(&one)), entry("e-2", 2, Some(&two))];
+    view.apply_listing(at(0), listing, 2);
+    view.apply(at(1), evacuation(3, true));
+    expect_that!(usable(&view), elements_are![eq("e-2")]);
+    view.apply_listing(at(9), vec![entry("e-1", 1, Some(&one))], 8);
+    expect_that!(usable(&view), elements_are![eq("e-1")]);
+}
+
+#[gtest]
+fn an_evacuation_holds_until_it_is_taken_back() {
+    let one = endpoint("e-1", "a");
+    let mut view = view();
+    view.apply(at(0), entry("e-1", 1, Some(&one)));
+    view.apply(at(0), evacuation(4, true));
+    expect_that!(usable(&view), is_empty());
+    view.apply(at(0), evacuation(3, false));
+    expect_that!(usable(&view), is_empty());
+    view.apply(at(0), evacuation(6, false));
+    expect_that!(usable(&view), elements_are![eq("e-1")]);
+}
+
+/// Registrations lapsed while the store was down; live endpoints register again after it.
+#[gtest]
+fn entries_that_lapsed_in_an_outage_count_until_endpoints_can_register_again() {
+    let (one, two) = (endpoint("e-1", "a"), endpoint("e-2", "b"));
+    let mut view = view();
+    let listing = vec![entry("e-1", 1, Some(&one)), entry("e-2", 2, Some(&two))];
+    view.apply_listing(at(0), listing, 2);
+    view.on_lost(at(1_000));
+    view.on_answer(at(6_000));
+    view.apply_listing(at(6_000), Vec::new(), 9);
+    expect_that!(usable(&view), elements_are![eq("e-1"), eq("e-2")]);
+    view.apply(at(7_000), entry("e-1", 10, Some(&one)));
+    expect_that!(view.expire(at(8_400)), eq(true));
+    expect_that!(usable(&view), elements_are![eq("e-1")]);
+}
+
+/// Without an outage a removed entry is gone at once.
+#[gtest]
+fn a_removed_endpoint_gets_nothing_more() {
+    let one = endpoint("e-1", "a");
+    let mut view = view();
+    view.apply(at(0), entry("e-1", 1, Some(&one)));
+    view.apply(at(10), entry("e-1", 2, None));
+    expect_that!(usable(&view), is_empty());
+}
+
+/// A failed watch is no outage: nothing can lapse in so short a time.
+#[gtest]
+fn a_short_loss_of_the_store_keeps_no_removed_entry() {
+    let one = endpoint("e-1", "a");
+    let mut view = view();
+    view.apply(at(0), entry("e-1", 1, Some(&one)));
+    view.on_lost(at(100));
+    view.on_answer(at(500));
+    view.apply(at(600), entry("e-1", 2, None));
+    expect_that!(usable(&view), is_empty());
+}
