--- a/src/http.rs
+++ b/src/http.rs
@@ -68,10 +68,10 @@
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
-    let mut request = Request::builder()
-        .method(&call.method)
-        .uri(call.path)
-        .header("host", call.address.to_string());
+    let mut request = Request::builder().method(&call.method).uri(call.path);
+    if !call.headers.iter().any(|(name, _)| *name == "host") {
+        request = request.header("host", call.address.to_string());
+    }
     for (name, value) in call.headers {
         request = request.header(*name, *value);
     }
--- /dev/null
+++ b/tests/users_platform/backend.rs
@@ -0,0 +1,370 @@
+//! Stand-ins for endpoints: plain services, model engines and stage services, with the faults
+//! that real ones have. They speak HTTP by hand, so that they can break it.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::task::AbortOnDropHandle;
+
+/// What an endpoint is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Plain,
+    Model,
+    Stage,
+}
+
+/// What goes wrong at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// Refuses and says that the request has not run.
+    Full,
+    /// Runs the request and closes the connection.
+    LoseAnswer,
+    /// Runs the request and never answers.
+    Hang,
+    /// Answers with the id of another request.
+    WrongId,
+    /// Answers without its signature.
+    Unsigned,
+    /// Breaks off within the body or within an event.
+    Truncate,
+    /// Answers 500 of its own.
+    Error,
+    /// Sends a second answer behind the first.
+    Extra,
+    /// Another endpoint has the address.
+    Other,
+}
+
+/// One request as an endpoint got it.
+#[derive(Debug, Clone)]
+pub struct Received {
+    pub id: String,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    pub has_run: bool,
+}
+
+impl Received {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(other, _)| other == name);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+struct State {
+    fault: Mutex<Fault>,
+    work: Mutex<Duration>,
+    received: Mutex<Vec<Received>>,
+    results: Mutex<HashSet<String>>,
+    made: AtomicU64,
+}
+
+/// One endpoint of a test.
+pub struct Backend {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddr,
+    state: Arc<State>,
+    task: Option<AbortOnDropHandle<()>>,
+    kind: Kind,
+}
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 8;
+
+impl Backend {
+    pub async fn start(address: SocketAddr, id: &str, service: &str, kind: Kind) -> Self {
+        let state = Arc::new(State {
+            fault: Mutex::new(Fault::None),
+            work: Mutex::new(Duration::from_millis(5)),
+            received: Mutex::default(),
+            results: Mutex::default(),
+            made: AtomicU64::new(0),
+        });
+        let mut backend = Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            address,
+            state,
+            task: None,
+            kind,
+        };
+        backend.resume().await;
+        backend
+    }
+
+    /// Listens again after [`Backend::stop`].
+    pub async fn resume(&mut self) {
+        let listener = TcpListener::bind(self.address).await.unwrap();
+        let (state, id, kind) = (Arc::clone(&self.state), self.id.clone(), self.kind);
+        let address = self.address;
+        self.task = Some(AbortOnDropHandle::new(tokio::spawn(async move {
+            let mut connections = tokio::task::JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                let (state, id) = (Arc::clone(&state), id.clone());
+                connections.spawn(async move {
+                    let _ = serve(stream, &state, &id, kind, address).await;
+                });
+            }
+        })));
+    }
+
+    /// Stops listening and drops all connections and results.
+    pub fn stop(&mut self) {
+        self.task = None;
+        self.state.results.lock().clear();
+    }
+
+    pub fn set_fault(&self, fault: Fault) {
+        *self.state.fault.lock() = fault;
+    }
+
+    pub fn set_work(&self, work: Duration) {
+        *self.state.work.lock() = work;
+    }
+
+    pub fn received(&self) -> Vec<Received> {
+        self.state.received.lock().clone()
+    }
+
+    /// Returns how often a request ran here.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let received = self.state.received.lock();
+        let ran = received
+            .iter()
+            .filter(|request| request.id == id && request.has_run);
+        ran.count()
+    }
+
+    /// Returns how many results are kept.
+    pub fn kept_results(&self) -> usize {
+        self.state.results.lock().len()
+    }
+}
+
+/// Reads one request; `None` at the end of the connection.
+async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Received> {
+    let mut chunk = [0; 4096];
+    let head_end = loop {
+        if let Some(position) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
+            break position + 4;
+        }
+        let read = stream.read(&mut chunk).await.ok()?;
+        if read == 0 {
+            return None;
+        }
+        buffer.extend_from_slice(&chunk[..read]);
+    };
+    let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
+    let mut lines = head.lines();
+    let path = lines.next()?.split(' ').nth(1)?.to_owned();
+    let headers: Vec<(String, String)> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let find = |name: &str| headers.iter().find(|(other, _)| other == name);
+    let length = find("content-length").and_then(|(_, value)| value.parse().ok());
+    let length: usize = length.unwrap_or(0);
+    while buffer.len() < head_end + length {
+        let read = stream.read(&mut chunk).await.ok()?;
+        if read == 0 {
+            return None;
+        }
+        buffer.extend_from_slice(&chunk[..read]);
+    }
+    let body = buffer[head_end..head_end + length].to_vec();
+    buffer.drain(..head_end + length);
+    let id = find("request-id").map(|(_, value)| value.clone());
+    Some(Received {
+        id: id.unwrap_or_default(),
+        path,
+        headers,
+        body,
+        has_run: false,
+    })
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    state: &State,
+    own_id: &str,
+    kind: Kind,
+    address: SocketAddr,
+) -> std::io::Result<()> {
+    let mut buffer = Vec::new();
+    while let Some(mut request) = read_request(&mut stream, &mut buffer).await {
+        let fault = *state.fault.lock();
+        let expected = request
+            .header("expect-instance")
+            .unwrap_or(own_id)
+            .to_owned();
+        let refusal = match fault {
+            Fault::Full => Some("503 Service Unavailable\r\nNot-Executed: 1"),
+            Fault::Other => Some("421 Misdirected Request\r\nInstance-Id: other"),
+            _ if expected != own_id => Some("421 Misdirected Request\r\nInstance-Id: other"),
+            _ => None,
+        };
+        if let Some(refusal) = refusal {
+            state.received.lock().push(request);
+            let text = format!("HTTP/1.1 {refusal}\r\nContent-Length: 0\r\n\r\n");
+            stream.write_all(text.as_bytes()).await?;
+            continue;
+        }
+        if request.path == "/api/stage-free" {
+            free(state, &request);
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                .await?;
+            continue;
+        }
+        request.has_run = true;
+        state.received.lock().push(request.clone());
+        let work = *state.work.lock();
+        tokio::time::sleep(work).await;
+        match fault {
+            Fault::LoseAnswer => return Ok(()),
+            Fault::Hang => std::future::pending().await,
+            _ => {}
+        }
+        match kind {
+            Kind::Plain => answer_plain(&mut stream, &request, own_id, fault).await?,
+            Kind::Model => answer_stream(&mut stream, &request, own_id, fault, work).await?,
+            Kind::Stage => answer_stage(&mut stream, &request, state, address).await?,
+        }
+        if fault == Fault::Truncate {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn head(request: &Request<'_>, fault: Fault) -> String {
+    let status = if fault == Fault::Error {
+        "500 Internal Server Error"
+    } else {
+        "200 OK"
+    };
+    let id = if fault == Fault::WrongId {
+        "another"
+    } else {
+        request.id
+    };
+    let mut text = format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n");
+    if fault != Fault::Unsigned {
+        text.push_str(&format!("Response-Signature: {}.1\r\n", request.signer));
+    }
+    text
+}
+
+struct Request<'a> {
+    id: &'a str,
+    signer: &'a str,
+}
+
+async fn answer_plain(
+    stream: &mut TcpStream,
+    request: &Received,
+    own_id: &str,
+    fault: Fault,
+) -> std::io::Result<()> {
+    let body = format!("answer to {}", request.id);
+    let answered = Request {
+        id: &request.id,
+        signer: own_id,
+    };
+    let text = format!(
+        "{}Content-Length: {}\r\n\r\n{body}",
+        head(&answered, fault),
+        body.len()
+    );
+    let end = if fault == Fault::Truncate {
+        text.len() - 5
+    } else {
+        text.len()
+    };
+    stream.write_all(&text.as_bytes()[..end]).await?;
+    if fault == Fault::Extra {
+        stream.write_all(text.as_bytes()).await?;
+    }
+    Ok(())
+}
+
+async fn answer_stream(
+    stream: &mut TcpStream,
+    request: &Received,
+    own_id: &str,
+    fault: Fault,
+    work: Duration,
+) -> std::io::Result<()> {
+    let answered = Request {
+        id: &request.id,
+        signer: own_id,
+    };
+    let first = request
+        .header("last-event-id")
+        .and_then(|text| text.parse().ok());
+    let first: u64 = first.map_or(0, |last: u64| last + 1);
+    let text = format!(
+        "{}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        head(&answered, fault)
+    );
+    stream.write_all(text.as_bytes()).await?;
+    for event in first..EVENTS {
+        let text = format!("id: {event}\ndata: piece {event} of {}\n\n", request.id);
+        let text = if fault == Fault::Truncate && event == first + 3 {
+            &text[..text.len() / 2]
+        } else {
+            &text
+        };
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        stream.write_all(chunk.as_bytes()).await?;
+        if fault == Fault::Truncate && event == first + 3 {
+            return Ok(());
+        }
+        tokio::time::sleep(work).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
+
+async fn answer_stage(
+    stream: &mut TcpStream,
+    request: &Received,
+    state: &State,
+    address: SocketAddr,
+) -> std::io::Result<()> {
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let items = body["Entries"].as_array().map_or(0, Vec::len);
+    let entries: Vec<Value> = (0..items)
+        .map(|_| {
+            let number = state.made.fetch_add(1, Ordering::Relaxed);
+            let handle = format!("{address}/{number:x}");
+            state.results.lock().insert(handle.clone());
+            json!({ "Handle": handle })
+        })
+        .collect();
+    let body = json!({ "Entries": entries }).to_string();
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(text.as_bytes()).await
+}
+
+fn free(state: &State, request: &Received) {
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let mut results = state.results.lock();
+    for handle in body["Handles"].as_array().into_iter().flatten() {
+        results.remove(handle.as_str().unwrap_or_default());
+    }
+}
--- /dev/null
+++ b/tests/users_platform/store.rs
@@ -0,0 +1,240 @@
+//! A stand-in for the platform's store: items, revisions, watches, and its faults.
+
+use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio_util::task::AbortOnDropHandle;
+
+/// What the store does with calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    Up,
+    /// Answers 503.
+    Busy,
+    /// Takes calls and never answers.
+    Silent,
+}
+
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (Bytes, u64)>,
+    log: Vec<(u64, String, Option<Bytes>)>,
+    mode: Mode,
+    modes_by_caller: HashMap<IpAddr, Mode>,
+    calls: u64,
+}
+
+/// The store of one test.
+pub struct Store {
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+    _task: AbortOnDropHandle<()>,
+}
+
+impl Store {
+    pub async fn start(address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).await.unwrap();
+        let state = Arc::new(Mutex::new(State {
+            revision: 10,
+            items: BTreeMap::new(),
+            log: Vec::new(),
+            mode: Mode::Up,
+            modes_by_caller: HashMap::new(),
+            calls: 0,
+        }));
+        let changed = Arc::new(Notify::new());
+        let (served, waking) = (Arc::clone(&state), Arc::clone(&changed));
+        let task = tokio::spawn(async move {
+            while let Ok((stream, from)) = listener.accept().await {
+                let (state, changed) = (Arc::clone(&served), Arc::clone(&waking));
+                tokio::spawn(async move {
+                    let service = service_fn(move |request| {
+                        answer(Arc::clone(&state), Arc::clone(&changed), from.ip(), request)
+                    });
+                    let connection = hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service);
+                    let _ = connection.await;
+                });
+            }
+        });
+        Self {
+            address,
+            state,
+            changed,
+            _task: AbortOnDropHandle::new(task),
+        }
+    }
+
+    pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, Bytes::from(value.to_string()));
+    }
+
+    pub fn put_bytes(&self, key: &str, value: Bytes) {
+        let mut state = self.state.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        state
+            .items
+            .insert(key.to_owned(), (value.clone(), revision));
+        state.log.push((revision, key.to_owned(), Some(value)));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    pub fn delete(&self, key: &str) {
+        let mut state = self.state.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        state.log.push((revision, key.to_owned(), None));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    pub fn set_mode(&self, mode: Mode) {
+        self.state.lock().mode = mode;
+        self.changed.notify_waiters();
+    }
+
+    /// Sets what the store does with the calls of one VM.
+    pub fn set_mode_for(&self, ip: IpAddr, mode: Mode) {
+        self.state.lock().modes_by_caller.insert(ip, mode);
+        self.changed.notify_waiters();
+    }
+
+    /// Drops the history, so that watches from before get 410.
+    pub fn compact(&self) {
+        self.state.lock().log.clear();
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.state.lock().calls
+    }
+}
+
+type Answer = Result<Response<Full<Bytes>>, Infallible>;
+
+fn json_answer(value: &Value) -> Response<Full<Bytes>> {
+    Response::new(Full::new(Bytes::from(value.to_string())))
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::new()));
+    *answer.status_mut() = status;
+    answer
+}
+
+fn item(key: &str, value: &Bytes, revision: u64) -> Value {
+    json!({ "Key": key, "Value": STANDARD.encode(value), "Revision": revision,
+        "Created": revision, "Lease": 0 })
+}
+
+async fn answer(
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+    from: IpAddr,
+    request: Request<Incoming>,
+) -> Answer {
+    let mode = {
+        let mut state = state.lock();
+        state.calls += 1;
+        let own = state.modes_by_caller.get(&from).copied();
+        own.unwrap_or(state.mode)
+    };
+    match mode {
+        Mode::Up => {}
+        Mode::Busy => return Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
+        Mode::Silent => std::future::pending().await,
+    }
+    let query: HashMap<String, String> = request
+        .uri()
+        .query()
+        .unwrap_or_default()
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect();
+    let prefix = query.get("PathPrefix").cloned().unwrap_or_default();
+    let after = query.get("After").cloned().unwrap_or_default();
+    match request.uri().path() {
+        "/api/kv-range" => Ok(range(&state.lock(), &prefix, &after)),
+        "/api/kv-watch" => {
+            let wait_ms = query.get("WaitMs").and_then(|text| text.parse().ok());
+            let wait = Duration::from_millis(wait_ms.unwrap_or(0));
+            Ok(watch(&state, &changed, &prefix, after.parse().unwrap_or(0), wait).await)
+        }
+        _ => Ok(status(StatusCode::NOT_FOUND)),
+    }
+}
+
+/// Pages are small, so that tests meet more than one.
+const PAGE: usize = 4;
+
+fn range(state: &State, prefix: &str, after: &str) -> Response<Full<Bytes>> {
+    let fitting = state
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+    let mut entries: Vec<Value> = fitting
+        .take(PAGE + 1)
+        .map(|(key, (value, revision))| item(key, value, *revision))
+        .collect();
+    let has_more = entries.len() > PAGE;
+    entries.truncate(PAGE);
+    json_answer(&json!({ "Entries": entries, "HasMore": has_more,
+        "StoreRevision": state.revision }))
+}
+
+async fn watch(
+    state: &Mutex<State>,
+    changed: &Notify,
+    prefix: &str,
+    after: u64,
+    wait: Duration,
+) -> Response<Full<Bytes>> {
+    let deadline = tokio::time::Instant::now() + wait;
+    loop {
+        let notified = changed.notified();
+        {
+            let state = state.lock();
+            let first = state
+                .log
+                .first()
+                .map_or(state.revision + 1, |(first, ..)| *first);
+            if after + 1 < first && after < state.revision {
+                return status(StatusCode::GONE);
+            }
+            let events: Vec<Value> = state
+                .log
+                .iter()
+                .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
+                .map(|(revision, key, value)| match value {
+                    Some(value) => item(key, value, *revision),
+                    None => json!({ "Key": key, "Revision": revision, "Deleted": true }),
+                })
+                .collect();
+            let is_over = tokio::time::Instant::now() >= deadline;
+            if !events.is_empty() || is_over || state.mode != Mode::Up {
+                return json_answer(&json!({ "events": events,
+                    "StoreRevision": state.revision }));
+            }
+        }
+        let _ = tokio::time::timeout_at(deadline, notified).await;
+    }
+}
