--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -121,6 +121,8 @@
     pub is_repeat: bool,
     /// The data centre that keeps most of the results that the items read.
     pub near: Option<DataCentreName>,
+    /// Whether nothing else reads the inputs of the items.
+    pub reads_inputs_last: bool,
 }
 
 /// How a job ended.
@@ -145,6 +147,8 @@
     pub items: Vec<(ItemSpec, Time)>,
     /// When the call counts as lost.
     pub timeout: Duration,
+    /// Inputs that nothing reads any more once the endpoint has fetched those of this call.
+    pub last_inputs: Vec<Arc<[String]>>,
 }
 
 /// How a call failed as a whole.
@@ -352,6 +356,7 @@
                 state.is_started = true;
             }
         }
+        let last_inputs = self.last_inputs(&items);
         let nominal_ms = self.nominal_ms(items.len());
         let reserved_bytes = items.iter().map(|item| item.result_bytes).sum();
         let state = self.endpoints.entry(endpoint.id.clone()).or_default();
@@ -381,6 +386,7 @@
             endpoint,
             items: specs,
             timeout: Duration::from_secs_f64(timeout_ms / 1_000.0).max(self.config.least_timeout),
+            last_inputs,
         })
     }
 
@@ -459,6 +465,24 @@
         });
     }
 
+    /// Returns the inputs of the jobs that have no item left in the queue. Endpoints fetch inputs
+    /// when a call begins, and their room limits the stage before.
+    fn last_inputs(&self, taken: &[Item]) -> Vec<Arc<[String]>> {
+        let mut jobs: SmallVec<[JobId; 8]> = taken.iter().map(|item| item.job).collect();
+        jobs.sort();
+        jobs.dedup();
+        jobs.retain(|job| !self.queue.iter().any(|item| item.job == *job));
+        let input = |job: JobId| match &self.jobs.get(&job)?.job {
+            Job {
+                reads_inputs_last: true,
+                input: ItemInput::Handles(handles),
+                ..
+            } => Some(Arc::clone(handles)),
+            _ => None,
+        };
+        jobs.into_iter().filter_map(input).collect()
+    }
+
     /// Returns the time of a call that is half full.
     fn usual_time(&self) -> Duration {
         Duration::from_secs_f64(self.nominal_ms(self.limits.batch / 2) / 1_000.0)
--- a/src/fleet/broker.rs
+++ b/src/fleet/broker.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Request, StatusCode};
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::clock;
@@ -36,6 +36,8 @@
 const BROKERS_AT_ONCE: f64 = 3.0;
 /// Runs of one item, the first included.
 const ITEM_ATTEMPTS: u32 = 3;
+/// Time after which an endpoint has fetched the inputs of a call.
+const INPUTS_FETCHED: Duration = Duration::from_millis(120);
 /// Age at which the sweep of unknown results and endpoints runs.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
@@ -68,6 +70,7 @@
     jobs: AtomicU64,
     repeat_ratio: f64,
     repeat_reserve: f64,
+    unused_inputs: mpsc::UnboundedSender<Vec<String>>,
 }
 
 /// Cancels a job whose caller has left.
@@ -90,12 +93,14 @@
 }
 
 impl Broker {
-    /// Starts without queues.
+    /// Starts without queues. `unused_inputs` gets the results that nothing reads any more; the
+    /// VMs that batch for their services free them.
     pub fn new(
         logger: Logger,
         view: watch::Receiver<Arc<FleetView>>,
         repeat_ratio: f64,
         repeat_reserve: f64,
+        unused_inputs: mpsc::UnboundedSender<Vec<String>>,
     ) -> Arc<Self> {
         let broker = Arc::new(Self {
             logger,
@@ -106,6 +111,7 @@
             jobs: AtomicU64::new(0),
             repeat_ratio,
             repeat_reserve,
+            unused_inputs,
         });
         tokio::spawn(free_results(Arc::clone(&broker)));
         broker
@@ -272,7 +278,19 @@
 async fn run_batch(broker: Arc<Broker>, service: ServiceName, queue: Arc<Queue>, batch: Batch) {
     let started = clock::now();
     let count = batch.items.len();
-    let outcome = timeout(batch.timeout, call_batch(&batch)).await;
+    let outcome = {
+        let call = timeout(batch.timeout, call_batch(&batch));
+        let mut call = std::pin::pin!(call);
+        tokio::select! {
+            outcome = call.as_mut() => outcome,
+            () = sleep(INPUTS_FETCHED) => {
+                let handles = batch.last_inputs.iter().flat_map(|inputs| inputs.iter().cloned());
+                // Nobody receives them when the VM ends; they lapse by themselves.
+                let _ = broker.unused_inputs.send(handles.collect());
+                call.await
+            }
+        }
+    };
     let outcome = outcome
         .unwrap_or_else(|_| Err((BatchFailure::Broken, "the call took too long".to_owned())));
     let took_ms = clock::now().since(started).as_millis() as u64;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -6,7 +6,7 @@
 
 use parking_lot::Mutex;
 use slog::Logger;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::decisions::endpoint_choice::{ChoiceConfig, EndpointChoice, cold_share};
 use crate::decisions::rendezvous::rendezvous_order;
@@ -16,6 +16,7 @@
 use crate::fleet::model::{Endpoint, FleetView};
 use crate::fleet::peers::Peers;
 use crate::fleet::settings::FleetSettings;
+use crate::fleet::stages::free_unused_inputs;
 use crate::units::{ServiceName, Time};
 
 /// Sends of one request, the first included, whatever its route allows to run.
@@ -55,13 +56,15 @@
         view: watch::Receiver<Arc<FleetView>>,
         stopping: watch::Receiver<bool>,
     ) -> Arc<Self> {
+        let (unused_inputs, unused) = mpsc::unbounded_channel();
         let broker = Broker::new(
             logger.clone(),
             view.clone(),
             settings.repeat_ratio,
             settings.repeat_reserve,
+            unused_inputs,
         );
-        Arc::new(Self {
+        let node = Arc::new(Self {
             peers: Peers::new(settings.peer_port, logger.clone()),
             settings,
             logger,
@@ -73,7 +76,9 @@
             stage_times: Mutex::default(),
             active: AtomicUsize::new(0),
             stop_began: Mutex::default(),
-        })
+        });
+        tokio::spawn(free_unused_inputs(Arc::clone(&node), unused));
+        node
     }
 
     /// Returns the latest view.
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -3,15 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use std::collections::BTreeMap;
+
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use slog::{info, warn};
+use tokio::sync::mpsc;
 
 use crate::clock;
-use crate::decisions::batching::{ItemFailure, ItemInput, Job, JobId};
+use crate::decisions::batching::{ItemFailure, ItemInput, Job, JobId, keeper_of};
 use crate::fleet::broker::{JobFailure, data_centre_of};
 use crate::fleet::metric;
-use crate::fleet::model::{BatchLimits, FleetView};
+use crate::fleet::model::{BatchLimits, FleetView, Route};
 use crate::fleet::node::Node;
 use crate::fleet::request::{Call, batching_order};
 use crate::fleet::wire::{Body, Handles, JobFailed, StageJob};
@@ -97,6 +100,26 @@
     }
 }
 
+/// Frees results that this VM's batches have read for the last time.
+pub async fn free_unused_inputs(node: Arc<Node>, mut unused: mpsc::UnboundedReceiver<Vec<String>>) {
+    while let Some(handles) = unused.recv().await {
+        let view = node.view();
+        let mut by_service: BTreeMap<ServiceName, Vec<String>> = BTreeMap::new();
+        for handle in handles {
+            let keeper = keeper_of(&handle).and_then(|address| view.endpoint_at(address));
+            if let Some(endpoint) = keeper {
+                by_service
+                    .entry(endpoint.service.clone())
+                    .or_default()
+                    .push(handle);
+            }
+        }
+        for (service, handles) in by_service {
+            free(&node, &service, handles);
+        }
+    }
+}
+
 /// Runs all stages of a request, each as soon as those before it have ended.
 ///
 /// # Errors
@@ -216,6 +239,7 @@
         result_bytes: spec.result_bytes,
         is_repeat,
         near: None,
+        reads_inputs_last: reads_inputs_last(&call.route, stage),
     };
     let started = now;
     let outcome = run_somewhere(node, &view, &spec.service, job).await;
@@ -233,6 +257,16 @@
     (stage, outcome)
 }
 
+/// Returns whether no other stage reads the inputs of a stage.
+fn reads_inputs_last(route: &Route, stage: usize) -> bool {
+    let readers = |before: &usize| {
+        let stages = route.stages.iter();
+        stages.filter(|other| other.after.contains(before)).count()
+    };
+    let after = &route.stages[stage].after;
+    after.iter().all(|before| readers(before) == 1)
+}
+
 fn limits_of(view: &FleetView, service: &ServiceName) -> Option<BatchLimits> {
     let services = &view.configuration.as_ref()?.services;
     services.get(service)?.batching
@@ -315,6 +349,7 @@
         deadline_ms: job.deadline.since(now).as_millis() as u64,
         result_bytes: job.result_bytes,
         is_repeat: job.is_repeat,
+        reads_inputs_last: job.reads_inputs_last,
     }
 }
 
@@ -360,6 +395,7 @@
         result_bytes: wire.result_bytes,
         is_repeat: wire.is_repeat,
         near: None,
+        reads_inputs_last: wire.reads_inputs_last,
     };
     match node.broker.run(&service, job).await {
         Ok(handles) => Body::Results(Handles {
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -153,6 +153,9 @@
     /// Whether the stage of this request was asked for before.
     #[prost(bool, tag = "11")]
     pub is_repeat: bool,
+    /// Whether nothing else reads the inputs.
+    #[prost(bool, tag = "12")]
+    pub reads_inputs_last: bool,
 }
 
 /// Why a stage job has no results.
--- a/tests/fleet_rules/batching.rs
+++ b/tests/fleet_rules/batching.rs
@@ -45,6 +45,7 @@
         result_bytes: 10,
         is_repeat: false,
         near: None,
+        reads_inputs_last: false,
     }
 }
 
