--- a/src/fleet/broker.rs
+++ b/src/fleet/broker.rs
@@ -297,8 +297,16 @@
     match &outcome {
         Ok(items) => {
             let failed = items.iter().filter(|item| item.is_err()).count();
+            let no_room = items
+                .iter()
+                .filter(|item| **item == Err(ItemFailure::NoRoom))
+                .count();
+            let gone = items
+                .iter()
+                .filter(|item| **item == Err(ItemFailure::InputGone))
+                .count();
             info!(broker.logger, "stages: a batch ran"; "service" => %service,
-                "endpoint" => %batch.endpoint.id, "items" => count, "failed" => failed,
+                "endpoint" => %batch.endpoint.id, "items" => count, "failed" => failed, "no_room" => no_room, "input_gone" => gone,
                 "waiting" => queue.batcher.lock().waiting(), "took_ms" => took_ms);
         }
         Err((failure, message)) => {
