--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -38,6 +38,10 @@
     pub least_timeout: Duration,
     /// Pause of an endpoint that had no room for results.
     pub room_pause: Duration,
+    /// Time after which an endpoint is asked again for its room, while others take some of it.
+    pub room_ask_period: Duration,
+    /// Time for which a call waits for the answer.
+    pub room_answer: Duration,
 }
 
 impl Default for BatchingConfig {
@@ -53,6 +57,8 @@
             timeout_ratio: 3.0,
             least_timeout: Duration::from_millis(900),
             room_pause: Duration::from_millis(100),
+            room_ask_period: Duration::from_millis(400),
+            room_answer: Duration::from_millis(60),
         }
     }
 }
@@ -193,12 +199,43 @@
     paused_until: Time,
     reserved_bytes: u64,
     results: HashMap<String, (u64, Time)>,
+    room: Room,
+}
+
+/// What is known of room that others than this batcher take at an endpoint: results of a VM
+/// that batched before, or does so at the same time.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum Room {
+    /// The endpoint is to be asked.
+    #[default]
+    Unknown,
+    /// It was asked.
+    Asked(Time),
+    /// Others took this much.
+    Taken(u64, Time),
 }
 
 impl EndpointState {
+    /// Returns whether the endpoint should say how much room it has.
+    fn is_room_due(&self, now: Time, config: &BatchingConfig) -> bool {
+        match self.room {
+            Room::Unknown => true,
+            Room::Asked(at) => now.since(at) >= config.room_ask_period,
+            Room::Taken(0, _) => false,
+            Room::Taken(_, at) => now.since(at) >= config.room_ask_period,
+        }
+    }
+
+    fn others_bytes(&self) -> u64 {
+        match self.room {
+            Room::Taken(bytes, _) => bytes,
+            Room::Unknown | Room::Asked(_) => 0,
+        }
+    }
+
     fn used_bytes(&self) -> u64 {
         let kept: u64 = self.results.values().map(|(bytes, _)| bytes).sum();
-        kept + self.reserved_bytes
+        kept + self.reserved_bytes + self.others_bytes()
     }
 }
 
@@ -337,6 +374,36 @@
         late.into_iter().filter_map(end).collect()
     }
 
+    /// Returns the endpoints that are to be asked for their room before they get calls.
+    pub fn ask_for_room(&mut self, now: Time, usable: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        let mut due = Vec::new();
+        for endpoint in usable {
+            let state = self.endpoints.entry(endpoint.id.clone()).or_default();
+            if state.is_room_due(now, &self.config) {
+                if state.others_bytes() == 0 {
+                    state.room = Room::Asked(now);
+                } else {
+                    state.room = Room::Taken(state.others_bytes(), now);
+                }
+                due.push(Arc::clone(endpoint));
+            }
+        }
+        due
+    }
+
+    /// Takes over what an endpoint says of its room; `None` when it does not say.
+    pub fn on_room(&mut self, now: Time, endpoint: &EndpointName, free_bytes: Option<u64>) {
+        let total = self.limits.result_room_bytes;
+        let state = self.endpoints.entry(endpoint.clone()).or_default();
+        state.room = Room::Taken(0, now);
+        let known = state.used_bytes();
+        let others = free_bytes.map_or(0, |free| total.saturating_sub(free.saturating_add(known)));
+        state.room = Room::Taken(others, now);
+    }
+
     /// Returns the next call to make, if an endpoint is free and items wait.
     pub fn next_batch(&mut self, now: Time, usable: &[Arc<Endpoint>]) -> Option<Batch> {
         if self.queue.is_empty() {
@@ -501,10 +568,16 @@
         let slow_from = fastest * self.config.slow_ratio;
         let is_free = |endpoint: &&Arc<Endpoint>| {
             let Some(state) = state(endpoint) else {
-                return true;
+                return false;
             };
             let is_slow = slowness(endpoint) > slow_from;
-            state.calls < self.limits.slots
+            let waits_for_room = match state.room {
+                Room::Unknown => true,
+                Room::Asked(at) => now.since(at) < self.config.room_answer,
+                Room::Taken(..) => false,
+            };
+            !waits_for_room
+                && state.calls < self.limits.slots
                 && state.circuit.allows(now)
                 && now >= state.paused_until
                 && (!is_slow || now.since(state.last_call_at) >= self.config.slow_retry)
@@ -577,6 +650,7 @@
                 };
                 if items.contains(&Err(ItemFailure::NoRoom)) {
                     state.paused_until = now + self.config.room_pause;
+                    state.room = Room::Unknown;
                 }
             }
             Err(_) => state
--- a/src/fleet/broker.rs
+++ b/src/fleet/broker.rs
@@ -20,9 +20,12 @@
 };
 use crate::decisions::retry::RetryConfig;
 use crate::fleet::endpoint_client::{connect, read_body};
-use crate::fleet::model::FleetView;
+use crate::fleet::model::{Endpoint, FleetView};
+use crate::http::{Call, fetch};
 use crate::platform::endpoint_call::{Verdict, judge_stage, stage_headers};
-use crate::platform::stage_call::{FREE_PATH, RUN_PATH, decode_run, encode_free, encode_run};
+use crate::platform::stage_call::{
+    FREE_PATH, REPORT_PATH, RUN_PATH, decode_free_bytes, decode_run, encode_free, encode_run,
+};
 use crate::units::{DataCentreName, EndpointName, ServiceName};
 
 /// Pause of the queue while all endpoints are busy or in doubt; finished calls wake it sooner.
@@ -31,6 +34,8 @@
 const FREE_DELAY: Duration = Duration::from_millis(5);
 /// Longest time of a call that frees results.
 const FREE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time of a call that asks for room.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(500);
 /// Brokers that may act for a service at the same time while VMs disagree on who does; each
 /// has this part of the repeats that the service may get.
 const BROKERS_AT_ONCE: f64 = 3.0;
@@ -255,6 +260,14 @@
         }
         let late = queue.batcher.lock().expire(now);
         end_jobs(&broker, &queue, late);
+        let asked = queue.batcher.lock().ask_for_room(now, usable);
+        for endpoint in asked {
+            tokio::spawn(ask_for_room(
+                Arc::clone(&broker),
+                Arc::clone(&queue),
+                endpoint,
+            ));
+        }
         loop {
             let batch = queue.batcher.lock().next_batch(now, usable);
             let Some(batch) = batch else { break };
@@ -275,6 +288,32 @@
     }
 }
 
+/// Asks an endpoint how much room it has for results.
+async fn ask_for_room(broker: Arc<Broker>, queue: Arc<Queue>, endpoint: Arc<Endpoint>) {
+    let call = Call::get(endpoint.address, REPORT_PATH, ROOM_TIMEOUT);
+    let answer = fetch(&call, ROOM_TIMEOUT).await;
+    let free_bytes = match answer {
+        Ok((StatusCode::OK, body)) => decode_free_bytes(&body),
+        Ok((status, _)) => {
+            info!(broker.logger, "stages: no answer on room"; "endpoint" => %endpoint.id,
+                "status" => status.as_u16());
+            None
+        }
+        Err(error) => {
+            info!(broker.logger, "stages: no answer on room"; "endpoint" => %endpoint.id,
+                "error" => format!("{error:#}"));
+            None
+        }
+    };
+    info!(broker.logger, "stages: an endpoint said its room"; "endpoint" => %endpoint.id,
+        "service" => %endpoint.service, "free_bytes" => free_bytes);
+    queue
+        .batcher
+        .lock()
+        .on_room(clock::now(), &endpoint.id, free_bytes);
+    queue.wake.notify_one();
+}
+
 async fn run_batch(broker: Arc<Broker>, service: ServiceName, queue: Arc<Queue>, batch: Batch) {
     let started = clock::now();
     let count = batch.items.len();
--- a/src/platform/stage_call.rs
+++ b/src/platform/stage_call.rs
@@ -10,6 +10,17 @@
 /// Path of the call that frees results.
 pub const FREE_PATH: &str = "/api/stage-free";
 
+/// Path of the call that tells an endpoint's load and room.
+pub const REPORT_PATH: &str = "/api/report";
+/// Bytes in a megabyte of the platform's documents.
+const MEGABYTE_BYTES: f64 = 1e6;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Report {
+    free_mb: f64,
+}
+
 #[derive(Serialize)]
 #[serde(rename_all = "PascalCase")]
 struct RunBody<'a> {
@@ -102,3 +113,11 @@
 pub fn encode_free(handles: &[String]) -> Vec<u8> {
     serde_json::to_vec(&FreeBody { handles }).unwrap_or_default()
 }
+
+/// Decodes how much room an endpoint has for results at most; `None` if it does not say. It
+/// reports whole megabytes, rounded down.
+pub fn decode_free_bytes(answer: &[u8]) -> Option<u64> {
+    let report: Report = serde_json::from_slice(answer).ok()?;
+    let free_mb = report.free_mb.max(0.0) + 1.0;
+    Some((free_mb * MEGABYTE_BYTES) as u64)
+}
--- a/tests/fleet_rules/batching.rs
+++ b/tests/fleet_rules/batching.rs
@@ -107,6 +107,10 @@
             }
             let late = self.batcher.expire(at(now_ms));
             self.note_ends(now_ms, late);
+            let asked = self.batcher.ask_for_room(at(now_ms), &self.endpoints);
+            for endpoint in asked {
+                self.batcher.on_room(at(now_ms), &endpoint.id, None);
+            }
             while let Some(batch) = self.batcher.next_batch(at(now_ms), &self.endpoints) {
                 let (takes_ms, outcome) = behaviour(&batch, now_ms);
                 self.sent_items += batch.items.len();
@@ -330,6 +334,60 @@
     expect_that!(replay.on_time(&arrivals), eq(0));
 }
 
+/// Lets endpoints answer that they have as much room as they should.
+fn answer_for_room(batcher: &mut Batcher, endpoints: &[Arc<Endpoint>]) {
+    for endpoint in batcher.ask_for_room(at(0), endpoints) {
+        batcher.on_room(at(0), &endpoint.id, None);
+    }
+}
+
+/// A VM that batched before was killed; its results still take room at the endpoint.
+#[gtest]
+fn room_that_others_take_is_left_to_them() {
+    let endpoints = vec![endpoint("e-1", "a")];
+    let mut batcher = batcher();
+    let mut first = job(1, 0, 8);
+    first.result_bytes = 2_000;
+    batcher.push(at(0), 1, first).unwrap();
+    expect_that!(batcher.next_batch(at(0), &endpoints).is_none(), eq(true));
+    expect_that!(batcher.ask_for_room(at(0), &endpoints).len(), eq(1));
+    batcher.on_room(at(2), &endpoints[0].id, Some(6_500));
+    let batch = batcher.next_batch(at(2), &endpoints).unwrap();
+    expect_that!(batch.items.len(), eq(3));
+    // Asked again while others take room, and not more often than each period.
+    expect_that!(batcher.ask_for_room(at(300), &endpoints), is_empty());
+    expect_that!(batcher.ask_for_room(at(410), &endpoints).len(), eq(1));
+}
+
+/// An endpoint that does not answer about its room gets its call after a moment.
+#[gtest]
+fn a_call_does_not_wait_long_for_an_answer_on_room() {
+    let endpoints = vec![endpoint("e-1", "a")];
+    let mut batcher = batcher();
+    batcher.push(at(0), 1, job(1, 0, 1)).unwrap();
+    expect_that!(batcher.ask_for_room(at(0), &endpoints).len(), eq(1));
+    expect_that!(batcher.next_batch(at(30), &endpoints).is_none(), eq(true));
+    expect_that!(batcher.next_batch(at(60), &endpoints).is_some(), eq(true));
+}
+
+/// The inputs of a job are given back with the call that takes its last items.
+#[gtest]
+fn inputs_are_named_with_the_last_call_that_reads_them() {
+    let endpoints = three();
+    let mut batcher = batcher();
+    let mut reading = job(1, 0, 10);
+    reading.input = ItemInput::Handles(vec!["127.0.0.1:1/a".to_owned()].into());
+    reading.reads_inputs_last = true;
+    batcher.push(at(0), 3, reading).unwrap();
+    answer_for_room(&mut batcher, &endpoints);
+    let first = batcher.next_batch(at(0), &endpoints).unwrap();
+    expect_that!(first.items.len(), eq(8));
+    expect_that!(first.last_inputs, is_empty());
+    // The rest may run elsewhere once it would be late at home.
+    let last = batcher.next_batch(at(600), &endpoints).unwrap();
+    expect_that!(last.last_inputs.len(), eq(1));
+}
+
 #[gtest]
 fn a_job_that_cannot_end_in_time_is_refused_at_once() {
     let mut batcher = batcher();
@@ -352,6 +410,7 @@
     let mut batcher = batcher();
     let endpoints = three();
     batcher.push(at(0), 3, job(1, 0, 10)).unwrap();
+    answer_for_room(&mut batcher, &endpoints);
     let batch = batcher.next_batch(at(0), &endpoints).unwrap();
     expect_that!(batcher.cancel(JobId(1)), is_empty());
     expect_that!(batcher.waiting(), eq(0));
@@ -393,6 +452,7 @@
     for case in cases {
         let mut batcher = batcher();
         batcher.push(at(0), 3, job(1, 0, 1)).unwrap();
+        answer_for_room(&mut batcher, &three());
         let batch = batcher.next_batch(at(0), &three()).unwrap();
         let (ends, _) = batcher.finish(at(300), batch.id, Ok(vec![Err(case.failure)]));
         expect_that!(!ends.is_empty(), eq(case.ends), "{}", case.name);
--- /dev/null
+++ b/tests/platform_decoders.rs
@@ -0,0 +1,320 @@
+//! What the adapter makes of the platform's documents and headers, sound and broken.
+//!
+//! `DECODER_SEED` and `DECODER_RUNS` choose the inputs of the random runs.
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use hyper::{HeaderMap, StatusCode};
+use primrosewalk::fleet::model::RouteKind;
+use primrosewalk::fleet::wire::decode_gossip;
+use primrosewalk::platform::caller::decode_caller;
+use primrosewalk::platform::configuration::decode_configuration;
+use primrosewalk::platform::directory::{caller_data_centre, encode_addresses};
+use primrosewalk::platform::endpoint_call::{Verdict, decode_load, judge, returned_headers};
+use primrosewalk::platform::endpoint_entry::decode_endpoint;
+use primrosewalk::platform::stage_call::{decode_free_bytes, decode_run};
+use primrosewalk::units::Time;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const CONFIGURATION: &str = r#"{"Version":7,"Routes":[
+ {"Name":"r-1","Host":"One.example","PathPrefix":"/a/","RouteKind":"streaming","TimeoutMs":6000,
+  "TargetLatencyMs":1100,"Priority":1,"Split":[{"Service":"s1","Weight":90},
+  {"Service":"s2","Weight":10}],"MaxAttempts":2,"Stages":[{"Service":"s3","After":[],
+  "PayloadSize":1500000},{"Service":"s3","After":[0],"PayloadSize":8000}],"Public":false,
+  "Sticky":true,"Resumable":true,"GapTargetMs":500},
+ {"Name":"r-2","Host":"one.example","PathPrefix":"/a/b/","RouteKind":"non_idempotent",
+  "TimeoutMs":1500,"TargetLatencyMs":300,"Priority":0,"Service":"s1","MaxAttempts":1,"Stages":[],
+  "Public":true}],
+ "Services":[{"Name":"s1","ColdPerS":12.0,"Engine":{"Slots":64}},{"Name":"s3","Pieces":{"Slots":1,
+  "Queue":2,"Batch":8,"CallMs":200.0,"ItemMs":21.0,"HeadroomMb":18.0,"HandleTtlS":4.0}}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
+  "IdleTimeoutMs":15000},
+ "Tenants":[{"Name":"org","ApiKeys":["k1","k2"],"Priority":1}]}"#;
+
+const ENTRY: &str = r#"{"Service":"s1","Address":"10.1.2.3:80","Zone":"a","Version":"v1","Slots":64,
+ "State":"ready","ColdRemainingMs":1500,"Sequence":4,"born":1234}"#;
+
+fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
+    let pairs = pairs.iter().map(|(name, value)| {
+        let name = hyper::header::HeaderName::from_static(name);
+        (name, value.parse().unwrap())
+    });
+    pairs.collect()
+}
+
+#[gtest]
+fn a_configuration_is_decoded() {
+    let decoded = decode_configuration(Bytes::from_static(CONFIGURATION.as_bytes())).unwrap();
+    expect_that!(decoded.version, eq(7));
+    struct Case {
+        path: &'static str,
+        route: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            path: "/a/x",
+            route: Some("r-1"),
+        },
+        Case {
+            path: "/a/b/x",
+            route: Some("r-2"),
+        },
+        Case {
+            path: "/a",
+            route: None,
+        },
+        Case {
+            path: "/b/",
+            route: None,
+        },
+    ];
+    for case in cases {
+        let route = decoded.route("one.example", case.path);
+        let name = route.map(|route| route.name.as_str());
+        expect_that!(name, eq(case.route), "{}", case.path);
+    }
+    expect_that!(decoded.route("two.example", "/a/x"), none());
+    let route = decoded.route("one.example", "/a/x").unwrap();
+    expect_that!(route.kind, eq(RouteKind::Streaming));
+    expect_that!(route.may_repeat(), eq(true));
+    expect_that!(route.targets.len(), eq(2));
+    expect_that!(route.stages[1].after.as_slice(), eq(&[0]));
+    expect_that!(decoded.keys["k2"].name.as_str(), eq("org"));
+    expect_that!(decoded.keys["k1"].priority, some(eq(1)));
+    let limits = decoded.services[&"s3".parse().unwrap()].batching.unwrap();
+    expect_that!(limits.result_room_bytes, eq(18_000_000));
+}
+
+#[gtest]
+fn an_entry_is_decoded_or_names_no_endpoint() {
+    let endpoint = decode_endpoint("i-1", ENTRY.as_bytes(), Time::from_millis(1_000)).unwrap();
+    expect_that!(endpoint.is_ready, eq(true));
+    expect_that!(endpoint.cold_until, eq(Time::from_millis(2_500)));
+    expect_that!(endpoint.started_ms, eq(1_234));
+    struct Case {
+        from: &'static str,
+        to: &'static str,
+    }
+    let cases = [
+        Case {
+            from: "\"ready\"",
+            to: "\"resting\"",
+        },
+        Case {
+            from: "10.1.2.3:80",
+            to: "somewhere",
+        },
+        Case {
+            from: "\"Slots\":64",
+            to: "\"Slots\":\"many\"",
+        },
+        Case {
+            from: "\"Service\":\"s1\",",
+            to: "",
+        },
+        Case {
+            from: "\"Zone\":\"a\"",
+            to: "\"Zone\":\"\"",
+        },
+        Case {
+            from: "1500",
+            to: "null",
+        },
+    ];
+    for case in cases {
+        let text = ENTRY.replace(case.from, case.to);
+        let decoded = decode_endpoint("i-1", text.as_bytes(), Time::ZERO);
+        expect_that!(decoded, err(anything()), "{}", case.to);
+    }
+    let draining = ENTRY.replace("\"ready\"", "\"draining\"");
+    let endpoint = decode_endpoint("i-1", draining.as_bytes(), Time::ZERO).unwrap();
+    expect_that!(endpoint.is_ready, eq(false));
+}
+
+#[gtest]
+fn headers_of_a_caller_are_decoded() {
+    let caller = decode_caller(&headers(&[
+        ("request-id", "9c41"),
+        ("deadline-ms", "6000"),
+        ("authorization", "Token abc"),
+        ("token-usage", "1460,80"),
+        ("prefix-hash", "5c1e07a2:800,91bd3f06:410,zz:1,e4402b7d:250"),
+        ("last-event-id", "12"),
+        ("pieces", "2,0,3"),
+        ("piece-key", "7c1e"),
+    ]));
+    expect_that!(caller.id, eq("9c41"));
+    expect_that!(caller.key, some(eq("abc")));
+    expect_that!(caller.prompt_tokens, eq(1_460));
+    expect_that!(caller.output_tokens, eq(80));
+    expect_that!(caller.prompt.len(), eq(3));
+    expect_that!(caller.last_event, some(eq(12)));
+    expect_that!(caller.stage_items.as_slice(), eq(&[2, 0, 3]));
+    expect_that!(
+        decode_caller(&headers(&[("authorization", "Basic x")])).key,
+        none()
+    );
+}
+
+#[gtest]
+fn an_answer_is_judged_by_its_head() {
+    struct Case {
+        name: &'static str,
+        status: u16,
+        headers: &'static [(&'static str, &'static str)],
+        verdict: Verdict,
+    }
+    const SIGNED: (&str, &str) = ("response-signature", "x");
+    const OWN: (&str, &str) = ("request-id", "r");
+    let cases = [
+        Case {
+            name: "whole",
+            status: 200,
+            headers: &[SIGNED, OWN],
+            verdict: Verdict::Answer,
+        },
+        Case {
+            name: "its error",
+            status: 500,
+            headers: &[SIGNED, OWN],
+            verdict: Verdict::Answer,
+        },
+        Case {
+            name: "unsigned",
+            status: 200,
+            headers: &[OWN],
+            verdict: Verdict::Invalid,
+        },
+        Case {
+            name: "no id",
+            status: 200,
+            headers: &[SIGNED],
+            verdict: Verdict::Invalid,
+        },
+        Case {
+            name: "another's",
+            status: 200,
+            headers: &[SIGNED, ("request-id", "q")],
+            verdict: Verdict::Invalid,
+        },
+        Case {
+            name: "another's refusal",
+            status: 503,
+            headers: &[("not-executed", "1"), ("request-id", "q")],
+            verdict: Verdict::Invalid,
+        },
+        Case {
+            name: "encoded",
+            status: 200,
+            headers: &[SIGNED, OWN, ("content-encoding", "gzip")],
+            verdict: Verdict::Invalid,
+        },
+        Case {
+            name: "full",
+            status: 503,
+            headers: &[("not-executed", "1")],
+            verdict: Verdict::NotRun,
+        },
+        Case {
+            name: "unsigned 503",
+            status: 503,
+            headers: &[],
+            verdict: Verdict::Invalid,
+        },
+        Case {
+            name: "other",
+            status: 421,
+            headers: &[],
+            verdict: Verdict::OtherEndpoint,
+        },
+    ];
+    for case in cases {
+        let status = StatusCode::from_u16(case.status).unwrap();
+        let verdict = judge(status, &headers(case.headers), "r");
+        expect_that!(verdict, eq(case.verdict), "{}", case.name);
+    }
+    let kept = returned_headers(&headers(&[
+        SIGNED,
+        ("connection", "close"),
+        ("keep-alive", "9"),
+    ]));
+    expect_that!(kept.len(), eq(1));
+    let load = decode_load(&headers(&[("instance-load", "3,1,8")])).unwrap();
+    expect_that!((load.running, load.waiting), eq((3, 1)));
+}
+
+#[gtest]
+fn outcomes_of_a_stage_call_are_decoded() {
+    let answer = br#"{"Entries":[{"Handle":"1.2.3.4:5/a"},{"Reason":"gone"},{"Reason":"new"}]}"#;
+    let outcomes = decode_run(answer, 3).unwrap();
+    expect_that!(outcomes[0], ok(eq("1.2.3.4:5/a")));
+    expect_that!(outcomes[1].is_err() && outcomes[2].is_err(), eq(true));
+    expect_that!(decode_run(answer, 2), err(anything()));
+    expect_that!(decode_run(b"{}", 0), err(anything()));
+    expect_that!(decode_free_bytes(br#"{"FreeMb":3}"#), some(eq(4_000_000)));
+    expect_that!(decode_free_bytes(b"{}"), none());
+}
+
+#[gtest]
+fn the_directory_speaks_the_callers_language() {
+    expect_that!(
+        caller_data_centre("Name=h&Region=r&Zone=dar-a"),
+        some(eq("dar-a"))
+    );
+    expect_that!(caller_data_centre("Name=h"), none());
+    let body = encode_addresses(&["10.1.0.41:8625".parse().unwrap()], 2.0);
+    let text = String::from_utf8(body).unwrap();
+    expect_that!(text, eq(r#"{"Addresses":["10.1.0.41:8625"],"TtlS":2.0}"#));
+}
+
+/// Truncated, changed and random bytes are refused or decoded, and never end the process.
+#[gtest]
+fn hostile_bytes_do_no_harm() {
+    let number = |name: &str, usual: u64| -> u64 {
+        let text = std::env::var(name).ok();
+        text.and_then(|text| text.parse().ok()).unwrap_or(usual)
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(number("DECODER_SEED", 11));
+    let sound: [&[u8]; 4] = [
+        CONFIGURATION.as_bytes(),
+        ENTRY.as_bytes(),
+        br#"{"Entries":[{"Handle":"1.2.3.4:5/a"},{"Reason":"gone"}]}"#,
+        b"\x08\x01\x18\x07\x22\x04\x0a\x02ab",
+    ];
+    for _ in 0..number("DECODER_RUNS", 20_000) {
+        let mut bytes = sound[rng.random_range(0..sound.len())].to_vec();
+        match rng.random_range(0..3) {
+            0 => bytes.truncate(rng.random_range(0..=bytes.len())),
+            1 => {
+                for _ in 0..rng.random_range(1..6) {
+                    let place = rng.random_range(0..bytes.len());
+                    bytes[place] = rng.random();
+                }
+            }
+            _ => {
+                bytes = (0..rng.random_range(0..200))
+                    .map(|_| rng.random())
+                    .collect()
+            }
+        }
+        let _ = decode_configuration(Bytes::from(bytes.clone()));
+        let _ = decode_endpoint("i-1", &bytes, Time::ZERO);
+        let _ = decode_run(&bytes, 2);
+        let _ = decode_free_bytes(&bytes);
+        let _ = decode_gossip(&bytes);
+        if let Ok(value) = hyper::header::HeaderValue::from_bytes(&bytes) {
+            let mut hostile = HeaderMap::new();
+            for name in [
+                "token-usage",
+                "prefix-hash",
+                "pieces",
+                "deadline-ms",
+                "authorization",
+            ] {
+                hostile.insert(name, value.clone());
+            }
+            let _ = decode_caller(&hostile);
+        }
+    }
+}
--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -106,7 +106,13 @@
 
     /// Listens again after [`Backend::stop`].
     pub async fn resume(&mut self) {
-        let listener = TcpListener::bind(self.address).await.unwrap();
+        // The task that listened before may not have ended yet.
+        let listener = loop {
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        };
         let (state, id, kind) = (Arc::clone(&self.state), self.id.clone(), self.kind);
         let address = self.address;
         self.task = Some(AbortOnDropHandle::new(tokio::spawn(async move {
