--- a/src/decisions/endpoint_choice.rs
+++ b/src/decisions/endpoint_choice.rs
@@ -23,12 +23,12 @@
     pub circuit: CircuitConfig,
     /// Weight of the newest observation of an endpoint's time.
     pub time_weight: f64,
-    /// Time in which half of a deviation from the service's mean is forgotten, so that a slow
+    /// Time in which half of a deviation from the service's median is forgotten, so that a slow
     /// endpoint is tried again.
     pub forget_half: Duration,
     /// Added to the time of an endpoint in another data centre, in milliseconds.
     pub distance_ms: f64,
-    /// An engine that takes this many times as long as the mean loses its affinity.
+    /// An engine that takes this many times as long as the median loses its affinity.
     pub slow_ratio: f64,
     /// Unread prompt tokens of this VM's requests above which an engine is passed over.
     pub prompt_backlog_tokens: u64,
@@ -67,6 +67,19 @@
     },
 }
 
+/// A request that needs an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Placement<'a> {
+    /// Endpoints that it was offered to before.
+    pub tried: &'a [EndpointName],
+    /// The data centre of this VM.
+    pub own: &'a DataCentreName,
+    /// Whether it may run more than once.
+    pub may_repeat: bool,
+    /// What it asks of the endpoint.
+    pub work: Work<'a>,
+}
+
 /// How an attempt ended, as far as the endpoint is concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -135,10 +148,7 @@
         &self,
         now: Time,
         candidates: &[Arc<Endpoint>],
-        tried: &[EndpointName],
-        own: &DataCentreName,
-        may_repeat: bool,
-        work: Work<'_>,
+        placement: Placement<'_>,
         cold_sends: impl Fn(&Endpoint) -> usize,
     ) -> Option<Arc<Endpoint>> {
         let bears = |endpoint: &Endpoint| {
@@ -149,21 +159,21 @@
         };
         let open: Vec<&Arc<Endpoint>> = candidates
             .iter()
-            .filter(|endpoint| !tried.contains(&endpoint.id) && bears(endpoint))
+            .filter(|endpoint| !placement.tried.contains(&endpoint.id) && bears(endpoint))
             .collect();
-        let fit = |endpoint: &&&Arc<Endpoint>| self.is_fit(now, endpoint, may_repeat);
+        let fit = |endpoint: &&&Arc<Endpoint>| self.is_fit(now, endpoint, placement.may_repeat);
         let fit: Vec<&Arc<Endpoint>> = open.iter().filter(fit).copied().collect();
         let pool = if fit.is_empty() { open } else { fit };
-        let mean_ms = self.mean_ms(now, &pool);
-        match work {
-            Work::Plain => self.least_time(now, &pool, own, mean_ms),
+        let median_ms = self.median_ms(&pool);
+        match placement.work {
+            Work::Plain => self.least_time(now, &pool, placement.own, median_ms),
             Work::Generation {
                 subject,
                 prompt_tokens,
                 near,
             } => self
-                .cached(now, &pool, subject, prompt_tokens, mean_ms)
-                .or_else(|| self.least_time(now, &pool, near, mean_ms)),
+                .cached(now, &pool, subject, prompt_tokens, median_ms)
+                .or_else(|| self.least_time(now, &pool, near, median_ms)),
         }
         .cloned()
     }
@@ -259,21 +269,21 @@
         state.circuit.allows(now) && now >= state.full_until && (may_repeat || !is_doubted)
     }
 
-    /// Returns the remembered time of an endpoint, which fades towards the mean.
-    fn time_ms(&self, now: Time, endpoint: &Endpoint, mean_ms: f64) -> f64 {
+    /// Returns the remembered time of an endpoint, which fades towards the median.
+    fn time_ms(&self, now: Time, endpoint: &Endpoint, median_ms: f64) -> f64 {
         let Some(state) = self.states.get(&endpoint.id) else {
-            return mean_ms;
+            return median_ms;
         };
         let Some(time_ms) = state.time_ms else {
-            return mean_ms;
+            return median_ms;
         };
         let age = now.since(state.observed_at).as_secs_f64();
         let kept = 0.5_f64.powf(age / self.config.forget_half.as_secs_f64());
-        mean_ms + (time_ms - mean_ms) * kept
+        median_ms + (time_ms - median_ms) * kept
     }
 
     /// Returns the median of the remembered times.
-    fn mean_ms(&self, _now: Time, pool: &[&Arc<Endpoint>]) -> f64 {
+    fn median_ms(&self, pool: &[&Arc<Endpoint>]) -> f64 {
         let mut times: SmallVec<[f64; 16]> = pool
             .iter()
             .filter_map(|endpoint| self.states.get(&endpoint.id)?.time_ms)
@@ -290,11 +300,11 @@
         now: Time,
         pool: &[&'a Arc<Endpoint>],
         near: &DataCentreName,
-        mean_ms: f64,
+        median_ms: f64,
     ) -> Option<&'a Arc<Endpoint>> {
         let cost = |endpoint: &Endpoint| {
             let in_flight = f64::from(self.in_flight(&endpoint.id));
-            let time_ms = self.time_ms(now, endpoint, mean_ms);
+            let time_ms = self.time_ms(now, endpoint, median_ms);
             let distance = if endpoint.data_centre == *near {
                 0.0
             } else {
@@ -316,7 +326,7 @@
         pool: &[&'a Arc<Endpoint>],
         subject: u64,
         prompt_tokens: u32,
-        mean_ms: f64,
+        median_ms: f64,
     ) -> Option<&'a Arc<Endpoint>> {
         let mut order: SmallVec<[(u64, &'a Arc<Endpoint>); 16]> = pool
             .iter()
@@ -335,10 +345,10 @@
             let backlog = state.unread_tokens + u64::from(prompt_tokens);
             let is_backlogged =
                 state.unread_tokens > 0 && backlog > self.config.prompt_backlog_tokens;
-            let slow_from = mean_ms * self.config.slow_ratio;
+            let slow_from = median_ms * self.config.slow_ratio;
             state.in_flight <= most
                 && !is_backlogged
-                && self.time_ms(now, endpoint, mean_ms) <= slow_from
+                && self.time_ms(now, endpoint, median_ms) <= slow_from
         };
         order
             .into_iter()
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -13,7 +13,9 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::decisions::gossip::{Gossip, GossipConfig, GossipMessage, KnownVersions, Outgoing};
+use crate::decisions::gossip::{
+    Gossip, GossipConfig, GossipMessage, KnownVersions, Outgoing, OutgoingList,
+};
 use crate::decisions::store_view::{StoreChange, StoreView, StoreViewConfig};
 use crate::fleet::model::{Endpoint, FleetView, FleetVm};
 use crate::fleet::peers::Peers;
@@ -137,27 +139,33 @@
                 let outgoing = control.gossip.lock().tick(clock::now());
                 send_all(control, socket, &outgoing).await;
             }
-            received = socket.recv_from(&mut datagram) => match received {
-                Ok((size, from)) => match decode_gossip(&datagram[..size]) {
-                    Ok(message) => {
-                        note_versions(control, &message);
-                        let outgoing = control.gossip.lock().receive(clock::now(), &message);
-                        send_all(control, socket, &outgoing).await;
-                    }
-                    Err(error) => {
-                        warn!(control.logger, "membership: a datagram was dropped";
-                            "from" => %from, "error" => format!("{error:#}"));
-                    }
-                },
-                // A connection-refused report of an earlier datagram: its VM is down.
-                Err(_) => {}
-            },
+            received = socket.recv_from(&mut datagram) => {
+                // An error reports that the VM of an earlier datagram is down.
+                if let Ok((size, from)) = received {
+                    let outgoing = receive(control, &datagram[..size], from);
+                    send_all(control, socket, &outgoing).await;
+                }
+            }
             _ = stopping.changed() => {}
             _ = view.changed() => {}
         }
     }
 }
 
+fn receive(control: &Control, datagram: &[u8], from: SocketAddr) -> OutgoingList {
+    match decode_gossip(datagram) {
+        Ok(message) => {
+            note_versions(control, &message);
+            control.gossip.lock().receive(clock::now(), &message)
+        }
+        Err(error) => {
+            warn!(control.logger, "membership: a datagram was dropped";
+                "from" => %from, "error" => format!("{error:#}"));
+            OutgoingList::new()
+        }
+    }
+}
+
 async fn send_all(control: &Control, socket: &UdpSocket, outgoing: &[Outgoing]) {
     let port = control.settings.lock().gossip_port;
     for Outgoing { to, message } in outgoing {
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
-use crate::decisions::endpoint_choice::{AttemptEnd, Work};
+use crate::decisions::endpoint_choice::{AttemptEnd, Placement, Work};
 use crate::fleet::endpoint_client::{Answer, CallFailure, Connection, connect, read_body};
 use crate::fleet::metric;
 use crate::fleet::model::{Endpoint, RouteKind};
@@ -147,10 +147,12 @@
     node.choice.lock().choose(
         clock::now(),
         view.usable(&call.service),
-        &attempts.tried,
-        &node.settings.data_centre,
-        call.route.may_repeat(),
-        work,
+        Placement {
+            tried: &attempts.tried,
+            own: &node.settings.data_centre,
+            may_repeat: call.route.may_repeat(),
+            work,
+        },
         |endpoint| node.cold_sends(&view, endpoint),
     )
 }
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -75,8 +75,8 @@
 
 /// How a request ended, for the log.
 pub struct Ended {
-    /// The answer.
-    pub reply: Reply,
+    /// The answer; boxed, since most results that may hold it hold something else.
+    pub reply: Box<Reply>,
     /// What led to it.
     pub reason: String,
 }
@@ -85,7 +85,7 @@
     /// Pairs an answer with its reason.
     pub fn new(reply: Reply, reason: impl Into<String>) -> Self {
         Self {
-            reply,
+            reply: Box::new(reply),
             reason: reason.into(),
         }
     }
@@ -136,7 +136,7 @@
         "reason" => ended.reason, "took_ms" => took.as_millis() as u64,
         "route" => call.map_or("", |call| &call.route.name),
         "configuration" => call.map_or(0, |call| call.version));
-    ended.reply
+    *ended.reply
 }
 
 async fn admit(
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -157,15 +157,15 @@
     let mut is_started = vec![false; count];
     let mut is_done = vec![false; count];
     loop {
-        for stage in 0..count {
+        for (stage, is_started) in is_started.iter_mut().enumerate() {
             let is_ready = route.stages[stage]
                 .after
                 .iter()
                 .all(|before| is_done.get(*before).copied().unwrap_or(true));
-            if is_started[stage] || !is_ready {
+            if *is_started || !is_ready {
                 continue;
             }
-            is_started[stage] = true;
+            *is_started = true;
             let input = stage_input(call, stage, &results);
             running.push(run_stage(node, call, stage, input, is_repeat));
         }
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -32,7 +32,7 @@
 use crate::platform::endpoint_call::{Verdict, judge, returned_headers};
 use crate::traffic::Ran;
 use crate::traffic::sse::{BlockReader, event_number};
-use crate::units::{EndpointName, Time};
+use crate::units::EndpointName;
 
 /// Pause that a caller is told when no engine takes its request.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
@@ -77,7 +77,6 @@
     endpoint: EndpointName,
     body: Incoming,
     blocks: BlockReader,
-    sent_at: Time,
     _connection: AbortOnDropHandle<()>,
 }
 
@@ -289,7 +288,6 @@
         connection: Connection,
         inputs: Option<Vec<String>>,
     ) -> Opening {
-        let sent_at = clock::now();
         let request = build_request(&self.call, endpoint, inputs.as_deref(), self.last_event);
         let answer = match connection.send(request).await {
             Ok(answer) => answer,
@@ -326,7 +324,6 @@
             endpoint: endpoint.id.clone(),
             body,
             blocks: BlockReader::default(),
-            sent_at,
             _connection: guard,
         });
         match self.read().await {
@@ -415,32 +412,29 @@
         if self.is_ended {
             return None;
         }
-        loop {
-            let left = (self.call.deadline + CUT_SLACK).since(clock::now());
-            let may_resume = self.call.route.is_resumable && self.may_go_on();
-            let limit = if may_resume {
-                GAP_LIMIT.min(left)
-            } else {
-                left
-            };
-            let read = timeout(limit, self.read()).await;
-            let reason = match read {
-                Ok(Read::Event(event)) => return Some(Ok(event)),
-                Ok(Read::Complete) => {
-                    self.end_attempt(AttemptEnd::Answered(None));
-                    self.log_end("complete");
-                    return None;
-                }
-                Ok(Read::Broken(reason)) => reason,
-                Err(_) => format!("no event in {limit:?}"),
-            };
-            self.end_attempt(AttemptEnd::Broken);
-            if let Some(event) = self.resume(&reason).await {
-                return Some(Ok(event));
+        let left = (self.call.deadline + CUT_SLACK).since(clock::now());
+        let may_resume = self.call.route.is_resumable && self.may_go_on();
+        let limit = if may_resume {
+            GAP_LIMIT.min(left)
+        } else {
+            left
+        };
+        let reason = match timeout(limit, self.read()).await {
+            Ok(Read::Event(event)) => return Some(Ok(event)),
+            Ok(Read::Complete) => {
+                self.end_attempt(AttemptEnd::Answered(None));
+                self.log_end("complete");
+                return None;
             }
-            self.log_end(&reason);
-            return Some(Err(io::Error::other(reason)));
+            Ok(Read::Broken(reason)) => reason,
+            Err(_) => format!("no event in {limit:?}"),
+        };
+        self.end_attempt(AttemptEnd::Broken);
+        if let Some(event) = self.resume(&reason).await {
+            return Some(Ok(event));
         }
+        self.log_end(&reason);
+        Some(Err(io::Error::other(reason)))
     }
 
     /// Goes on at another engine after the last event that the caller got.
@@ -459,10 +453,6 @@
     }
 
     fn end_attempt(&mut self, end: AttemptEnd) {
-        let time = self
-            .open
-            .as_ref()
-            .map(|open| clock::now().since(open.sent_at));
         self.open = None;
         if let Some(started) = self.started.take() {
             metric::attempt_ended(match end {
@@ -472,7 +462,6 @@
                 AttemptEnd::Full => "full",
                 AttemptEnd::NoVerdict => "cancelled",
             });
-            let _ = time;
             self.node.choice.lock().finish(clock::now(), started, end);
         }
     }
--- a/tests/fleet_rules/choice.rs
+++ b/tests/fleet_rules/choice.rs
@@ -5,7 +5,7 @@
 
 use googletest::prelude::*;
 use primrosewalk::decisions::endpoint_choice::{
-    AttemptEnd, ChoiceConfig, EndpointChoice, Work, cold_share,
+    AttemptEnd, ChoiceConfig, EndpointChoice, Placement, Work, cold_share,
 };
 use primrosewalk::fleet::model::Endpoint;
 use primrosewalk::units::{DataCentreName, EndpointName};
@@ -30,7 +30,14 @@
     may_repeat: bool,
     work: Work<'_>,
 ) -> Option<String> {
-    let chosen = choice.choose(at(ms), candidates, tried, &own(), may_repeat, work, |_| 1);
+    let own = own();
+    let placement = Placement {
+        tried,
+        own: &own,
+        may_repeat,
+        work,
+    };
+    let chosen = choice.choose(at(ms), candidates, placement, |_| 1);
     chosen.map(|endpoint| endpoint.id.to_string())
 }
 
@@ -71,17 +78,13 @@
     let near = own();
     let mut counts = std::collections::BTreeMap::<EndpointName, usize>::new();
     for _ in 0..36 {
-        let chosen = choice
-            .choose(
-                at(0),
-                &engines,
-                &[],
-                &near,
-                true,
-                generation(7, &near),
-                |_| 1,
-            )
-            .unwrap();
+        let placement = Placement {
+            tried: &[],
+            own: &near,
+            may_repeat: true,
+            work: generation(7, &near),
+        };
+        let chosen = choice.choose(at(0), &engines, placement, |_| 1).unwrap();
         choice.start(at(0), &chosen, 1_000);
         *counts.entry(chosen.id.clone()).or_default() += 1;
     }
@@ -179,7 +182,14 @@
     let mut sent = Vec::new();
     for ms in 0..5_000 {
         let candidates = std::slice::from_ref(&cold);
-        let chosen = choice.choose(at(ms), candidates, &[], &own(), true, Work::Plain, |_| 2);
+        let own = own();
+        let placement = Placement {
+            tried: &[],
+            own: &own,
+            may_repeat: true,
+            work: Work::Plain,
+        };
+        let chosen = choice.choose(at(ms), candidates, placement, |_| 2);
         if let Some(endpoint) = chosen {
             let started = choice.start(at(ms), &endpoint, 0);
             choice.finish(at(ms), started, AttemptEnd::Answered(None));
--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -194,6 +194,7 @@
     EndpointUp(usize),
     Evacuate(usize),
     TakeBack(usize),
+    Link(usize, &'static str),
     Configure,
 }
 
@@ -209,11 +210,20 @@
         Fault::Error,
         Fault::Extra,
     ];
+    const LINKS: [&str; 7] = [
+        "pass",
+        "delay?ms=30",
+        "delay?ms=400",
+        "cut",
+        "freeze",
+        "half-open?forward=to",
+        "half-open?forward=from",
+    ];
     let modes = [Mode::Up, Mode::Busy, Mode::Silent];
     let vm = rng.random_range(0..VMS);
     let endpoint = rng.random_range(0..6);
     let data_centre = rng.random_range(0..3);
-    match rng.random_range(0..17) {
+    match rng.random_range(0..19) {
         0 => Step::Kill(vm),
         1 | 2 => Step::Restart(vm),
         3 => Step::Pause(vm),
@@ -228,6 +238,7 @@
         14 => Step::EndpointUp(endpoint),
         15 if rng.random_bool(0.5) => Step::Evacuate(data_centre),
         15 => Step::TakeBack(data_centre),
+        16 | 17 => Step::Link(endpoint, LINKS[rng.random_range(0..LINKS.len())]),
         _ => Step::Configure,
     }
 }
@@ -262,6 +273,7 @@
                 .store
                 .delete(&format!("op/evacuate/{}", DATA_CENTRES[index]));
         }
+        Step::Link(endpoint, mode) => fleet.set_link(Some(endpoint), mode).await,
         Step::Configure => fleet.change(|configuration| {
             configuration["Routes"][0]["TimeoutMs"] = json!(2_900);
         }),
@@ -276,6 +288,7 @@
         apply(fleet, Step::Restart(vm)).await;
     }
     fleet.store.set_mode(Mode::Up);
+    fleet.set_link(None, "pass").await;
     for endpoint in 0..fleet.backends.len() {
         apply(fleet, Step::Endpoint(endpoint, Fault::None)).await;
         apply(fleet, Step::EndpointUp(endpoint)).await;
@@ -288,7 +301,7 @@
 /// Runs one seed and returns the promises that it broke.
 async fn soak(seed: u64, faults_for: Duration) -> Vec<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut fleet = Fleet::start(VMS).await;
+    let mut fleet = Fleet::start_proxied(VMS).await;
     let names: Vec<SocketAddr> = fleet.vms.iter().map(|vm| (vm.ip, 8620).into()).collect();
     let callers: Vec<SocketAddr> = fleet.vms.iter().map(|vm| vm.caller()).collect();
     let directory = Arc::new(Mutex::new(callers));
--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -75,6 +75,8 @@
     pub id: String,
     pub service: String,
     pub address: SocketAddr,
+    /// Where the store lists it: a proxy may stand before it.
+    pub listed: SocketAddr,
     state: Arc<State>,
     task: Option<AbortOnDropHandle<()>>,
     kind: Kind,
@@ -84,7 +86,13 @@
 pub const EVENTS: u64 = 8;
 
 impl Backend {
-    pub async fn start(address: SocketAddr, id: &str, service: &str, kind: Kind) -> Self {
+    pub async fn start(
+        address: SocketAddr,
+        listed: SocketAddr,
+        id: &str,
+        service: &str,
+        kind: Kind,
+    ) -> Self {
         let state = Arc::new(State {
             fault: Mutex::new(Fault::None),
             work: Mutex::new(Duration::from_millis(5)),
@@ -96,6 +104,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             address,
+            listed,
             state,
             task: None,
             kind,
@@ -114,7 +123,7 @@
             }
         };
         let (state, id, kind) = (Arc::clone(&self.state), self.id.clone(), self.kind);
-        let address = self.address;
+        let address = self.listed;
         self.task = Some(AbortOnDropHandle::new(tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -140,9 +140,49 @@
     pub backends: Vec<Backend>,
     pub configuration: Value,
     net: [u8; 2],
+    proxy: Option<Proxy>,
     _files: tempfile::TempDir,
 }
 
+/// Port of an endpoint, and of the proxy before it.
+const PORT: u16 = 9_000;
+const PROXIED_PORT: u16 = 9_001;
+/// Endpoints that a proxy stands before.
+const PROXIED: usize = 6;
+
+/// The fault-injecting proxy before the endpoints, as a process.
+struct Proxy {
+    control: SocketAddr,
+    child: Child,
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn backend_ip(net: [u8; 2], number: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, net[0], net[1], 100 + number as u8)
+}
+
+fn start_proxy(net: [u8; 2]) -> Proxy {
+    let control = (Ipv4Addr::new(127, net[0], net[1], 251), 9_100).into();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_primrosewalk-standins"));
+    command.args(["fault-proxy", "--control", &format!("{control}")]);
+    for number in 0..PROXIED {
+        let ip = backend_ip(net, number);
+        command.args(["--link", &format!("{ip}:{PROXIED_PORT}={ip}:{PORT}")]);
+    }
+    let child = command
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    Proxy { control, child }
+}
+
 /// Data centres that VMs and endpoints are spread over.
 pub const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
 
@@ -157,9 +197,42 @@
         fleet
     }
 
+    /// Starts what [`Fleet::start`] does, with a fault-injecting proxy before the endpoints.
+    pub async fn start_proxied(vms: usize) -> Self {
+        let mut fleet = Self::prepare_in(next_net(), vms, true).await;
+        for vm in &mut fleet.vms {
+            vm.start();
+        }
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
+    /// Tells the proxy what to do with the connections to one endpoint, or to all.
+    pub async fn set_link(&self, number: Option<usize>, mode: &str) {
+        let proxy = self.proxy.as_ref().unwrap();
+        let listen =
+            number.map(|number| format!("{}:{PROXIED_PORT}", backend_ip(self.net, number)));
+        let separator = if mode.contains('?') { '&' } else { '?' };
+        let link = listen.map_or(String::new(), |listen| format!("{separator}link={listen}"));
+        let path = format!("/control/{mode}{link}");
+        let call = Call {
+            address: proxy.control,
+            method: Method::POST,
+            path: &path,
+            headers: &[],
+            body: Bytes::new(),
+            head_timeout: Duration::from_secs(5),
+        };
+        let answer = send(&call).await.unwrap();
+        assert!(answer.status().is_success(), "{path}: {}", answer.status());
+    }
+
     /// Prepares everything; no VM runs yet.
     pub async fn prepare(vms: usize) -> Self {
-        let net = next_net();
+        Self::prepare_in(next_net(), vms, false).await
+    }
+
+    async fn prepare_in(net: [u8; 2], vms: usize, is_proxied: bool) -> Self {
         let files = tempfile::tempdir().unwrap();
         let store = Store::start((Ipv4Addr::new(127, net[0], net[1], 250), 8624).into()).await;
         let ip = |index: usize| Ipv4Addr::new(127, net[0], net[1], index as u8 + 1);
@@ -187,6 +260,7 @@
             backends: Vec::new(),
             configuration: configuration(1),
             net,
+            proxy: is_proxied.then(|| start_proxy(net)),
             _files: files,
         };
         fleet.publish();
@@ -206,9 +280,15 @@
     /// Adds an endpoint and lists it in the store.
     pub async fn add_backend(&mut self, service: &str, kind: Kind) -> usize {
         let number = self.backends.len();
-        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], 100 + number as u8);
+        let ip = backend_ip(self.net, number);
         let id = format!("i-{number}");
-        let backend = Backend::start((ip, 9000).into(), &id, service, kind).await;
+        let port = if self.proxy.is_some() {
+            PROXIED_PORT
+        } else {
+            PORT
+        };
+        let (address, listed) = ((ip, PORT).into(), (ip, port).into());
+        let backend = Backend::start(address, listed, &id, service, kind).await;
         self.backends.push(backend);
         self.list_backend(number, "ready");
         number
@@ -218,7 +298,7 @@
     pub fn list_backend(&self, number: usize, state: &str) {
         let backend = &self.backends[number];
         let entry = json!({
-            "Service": backend.service, "Address": backend.address.to_string(),
+            "Service": backend.service, "Address": backend.listed.to_string(),
             "Zone": DATA_CENTRES[number % 3], "Version": "v1", "Slots": 6, "State": state,
             "ColdRemainingMs": 0, "Sequence": 1, "born": 1_000
         });
