--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -213,8 +213,6 @@
     Asked(Time),
     /// Others took this much.
     Taken(u64, Time),
-    /// There was no room for a result: others took this much, and their results lapse.
-    Full(u64, Time),
 }
 
 impl EndpointState {
@@ -225,31 +223,16 @@
             Room::Asked(at) => now.since(at) >= config.room_ask_period,
             Room::Taken(0, _) => false,
             Room::Taken(_, at) => now.since(at) >= config.room_ask_period,
-            Room::Full(..) => false,
         }
     }
 
     fn others_bytes(&self) -> u64 {
         match self.room {
-            Room::Taken(bytes, _) | Room::Full(bytes, _) => bytes,
+            Room::Taken(bytes, _) => bytes,
             Room::Unknown | Room::Asked(_) => 0,
         }
     }
 
-    /// Lets the results of others lapse evenly over their time to live.
-    fn lapse_others(&mut self, now: Time, result_ttl: Duration) {
-        let Room::Full(bytes, since) = self.room else {
-            return;
-        };
-        let part = now.since(since).as_secs_f64() / result_ttl.as_secs_f64().max(0.001);
-        let left = (bytes as f64 * (1.0 - part)).max(0.0) as u64;
-        self.room = if left == 0 {
-            Room::Unknown
-        } else {
-            Room::Full(left, now.max(since))
-        };
-    }
-
     fn used_bytes(&self) -> u64 {
         let kept: u64 = self.results.values().map(|(bytes, _)| bytes).sum();
         kept + self.reserved_bytes + self.others_bytes()
@@ -399,7 +382,6 @@
         let mut due = Vec::new();
         for endpoint in usable {
             let state = self.endpoints.entry(endpoint.id.clone()).or_default();
-            state.lapse_others(now, self.limits.result_ttl);
             if state.is_room_due(now, &self.config) {
                 if state.others_bytes() == 0 {
                     state.room = Room::Asked(now);
@@ -592,7 +574,7 @@
             let waits_for_room = match state.room {
                 Room::Unknown => true,
                 Room::Asked(at) => now.since(at) < self.config.room_answer,
-                Room::Taken(..) | Room::Full(..) => false,
+                Room::Taken(..) => false,
             };
             !waits_for_room
                 && state.calls < self.limits.slots
@@ -668,13 +650,7 @@
                 };
                 if items.contains(&Err(ItemFailure::NoRoom)) {
                     state.paused_until = now + self.config.room_pause;
-                    let made = call.items.iter().zip(items);
-                    let made = made.filter(|(_, outcome)| outcome.is_ok());
-                    let made: u64 = made.map(|(item, _)| item.result_bytes).sum();
                     state.room = Room::Unknown;
-                    let own = state.used_bytes() + made;
-                    let others = self.limits.result_room_bytes.saturating_sub(own);
-                    state.room = Room::Full(others, now);
                 }
             }
             Err(_) => state
