--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -5,14 +5,21 @@
 //! all endpoints are busy, and an endpoint that becomes free takes as many as fit. Answers the
 //! pattern of bursts above the capacity of unbatched calls.
 
+mod endpoint;
+mod job;
+
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
-use crate::decisions::circuit::{Circuit, CircuitConfig, Role};
+pub use job::{
+    Batch, BatchFailure, ItemFailure, ItemInput, ItemSpec, Job, JobEnd, JobId, keeper_of,
+};
+
+use crate::decisions::batching::endpoint::{EndpointState, Room};
+use crate::decisions::circuit::{CircuitConfig, Role};
 use crate::decisions::retry::{RetryBudget, RetryConfig};
 use crate::fleet::model::{BatchLimits, Endpoint};
 use crate::units::{DataCentreName, EndpointName, Time};
@@ -63,109 +70,6 @@
     }
 }
 
-/// What an item reads.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ItemInput {
-    /// The key of the request, for stages without predecessors.
-    Key(Arc<str>),
-    /// Results of the preceding stages.
-    Handles(Arc<[String]>),
-}
-
-/// One item of a stage.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ItemSpec {
-    /// Id of the request.
-    pub request: Arc<str>,
-    /// Number of the stage in its route.
-    pub stage: usize,
-    /// Number of the item in its stage.
-    pub piece: u32,
-    /// What it reads.
-    pub input: ItemInput,
-}
-
-/// Why an item has no result.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum ItemFailure {
-    /// Its deadline passed before its turn.
-    Late,
-    /// One of its inputs does not exist any more.
-    InputGone,
-    /// The endpoint has no memory for the result.
-    NoRoom,
-    /// The endpoint or the way to it failed.
-    Failed,
-}
-
-/// Identifies a job at its batcher.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct JobId(pub u64);
-
-/// All items of one stage of one request.
-#[derive(Debug, Clone)]
-pub struct Job {
-    /// Its id.
-    pub id: JobId,
-    /// Id of the request.
-    pub request: Arc<str>,
-    /// Number of the stage.
-    pub stage: usize,
-    /// How many items it has.
-    pub items: u32,
-    /// What each item reads.
-    pub input: ItemInput,
-    /// Rank of the request; 0 is the most urgent.
-    pub priority: u8,
-    /// End of the stage for an answer that is on time.
-    pub due: Time,
-    /// End of the stage for an answer at all.
-    pub deadline: Time,
-    /// Approximate size of one result.
-    pub result_bytes: u64,
-    /// Whether the stage of this request has run before.
-    pub is_repeat: bool,
-    /// The data centre that keeps most of the results that the items read.
-    pub near: Option<DataCentreName>,
-    /// Whether nothing else reads the inputs of the items.
-    pub reads_inputs_last: bool,
-}
-
-/// How a job ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct JobEnd {
-    /// The job.
-    pub id: JobId,
-    /// Its results in the order of the items, or why there are none.
-    pub results: Result<Vec<String>, ItemFailure>,
-    /// Results that were made although the job failed.
-    pub orphans: Vec<String>,
-}
-
-/// One call to make.
-#[derive(Debug, Clone)]
-pub struct Batch {
-    /// Identifies the call.
-    pub id: u64,
-    /// Where to.
-    pub endpoint: Arc<Endpoint>,
-    /// The items with the end of their time.
-    pub items: Vec<(ItemSpec, Time)>,
-    /// When the call counts as lost.
-    pub timeout: Duration,
-    /// Inputs that nothing reads any more once the endpoint has fetched those of this call.
-    pub last_inputs: Vec<Arc<[String]>>,
-}
-
-/// How a call failed as a whole.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BatchFailure {
-    /// The endpoint said that it did not run the call.
-    Refused,
-    /// The call may have run.
-    Broken,
-}
-
 #[derive(Debug, Clone)]
 struct Item {
     job: JobId,
@@ -189,56 +93,6 @@
     missing: u32,
 }
 
-#[derive(Debug, Default)]
-struct EndpointState {
-    calls: u32,
-    circuit: Circuit,
-    /// Time of recent calls as a multiple of what the configuration says; 0 before the first.
-    slowness: f64,
-    last_call_at: Time,
-    paused_until: Time,
-    reserved_bytes: u64,
-    results: HashMap<String, (u64, Time)>,
-    room: Room,
-}
-
-/// What is known of room that others than this batcher take at an endpoint: results of a VM
-/// that batched before, or does so at the same time.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-enum Room {
-    /// The endpoint is to be asked.
-    #[default]
-    Unknown,
-    /// It was asked.
-    Asked(Time),
-    /// Others took this much.
-    Taken(u64, Time),
-}
-
-impl EndpointState {
-    /// Returns whether the endpoint should say how much room it has.
-    fn is_room_due(&self, now: Time, config: &BatchingConfig) -> bool {
-        match self.room {
-            Room::Unknown => true,
-            Room::Asked(at) => now.since(at) >= config.room_ask_period,
-            Room::Taken(0, _) => false,
-            Room::Taken(_, at) => now.since(at) >= config.room_ask_period,
-        }
-    }
-
-    fn others_bytes(&self) -> u64 {
-        match self.room {
-            Room::Taken(bytes, _) => bytes,
-            Room::Unknown | Room::Asked(_) => 0,
-        }
-    }
-
-    fn used_bytes(&self) -> u64 {
-        let kept: u64 = self.results.values().map(|(bytes, _)| bytes).sum();
-        kept + self.reserved_bytes + self.others_bytes()
-    }
-}
-
 #[derive(Debug)]
 struct Running {
     endpoint: EndpointName,
@@ -714,12 +568,3 @@
         })
     }
 }
-
-/// Results to free, grouped by the endpoint that keeps them.
-pub type ResultsByEndpoint = HashMap<SocketAddr, SmallVec<[String; 4]>>;
-
-/// Returns the address of the endpoint that keeps a result.
-pub fn keeper_of(handle: &str) -> Option<SocketAddr> {
-    let (address, _) = handle.split_once('/')?;
-    address.parse().ok()
-}
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -18,9 +18,10 @@
 };
 use crate::decisions::store_view::{StoreChange, StoreView, StoreViewConfig};
 use crate::fleet::model::{Endpoint, FleetView, FleetVm};
+use crate::fleet::peer_state::decode_state;
 use crate::fleet::peers::Peers;
 use crate::fleet::settings::FleetSettings;
-use crate::fleet::wire::{Body, FleetState, Nothing, WireEndpoint, decode_gossip, encode_gossip};
+use crate::fleet::wire::{Body, Nothing, decode_gossip, encode_gossip};
 use crate::platform::configuration::decode_configuration;
 use crate::platform::endpoint_entry::decode_endpoint;
 use crate::platform::store::{
@@ -418,7 +419,10 @@
             Ok(Body::State(state)) => {
                 info!(control.logger, "store: took the state of another VM";
                     "vm" => %ip, "revision" => state.store_revision, "own_revision" => own);
-                take_state(&control, state);
+                let revision = state.store_revision;
+                let changes = decode_state(&control.logger, state);
+                let now = clock::now();
+                control.store.lock().apply_listing(now, changes, revision);
                 publish_store(&control);
             }
             Ok(_) => warn!(control.logger, "store: another VM sent no state"; "vm" => %ip),
@@ -428,79 +432,3 @@
         sleep(ASK_PEERS_PERIOD).await;
     }
 }
-
-fn take_state(control: &Control, state: FleetState) {
-    let revision = state.store_revision;
-    let now = clock::now();
-    let mut changes = Vec::new();
-    if !state.configuration.is_empty() {
-        match decode_configuration(state.configuration) {
-            Ok(configuration) => {
-                changes.push(StoreChange::Configuration(Arc::new(configuration)));
-            }
-            Err(error) => warn!(control.logger, "configuration: a VM sent one that is not valid";
-                "error" => format!("{error:#}")),
-        }
-    }
-    for data_centre in state.evacuated {
-        changes.push(StoreChange::Evacuation {
-            data_centre,
-            revision,
-            is_evacuated: true,
-        });
-    }
-    for wire in state.endpoints {
-        match endpoint_of(&wire, now) {
-            Ok(endpoint) => changes.push(StoreChange::Endpoint {
-                id: wire.id,
-                revision,
-                endpoint: Some(Arc::new(endpoint)),
-            }),
-            Err(error) => warn!(control.logger, "endpoints: a VM sent one that is not valid";
-                "endpoint" => wire.id, "error" => format!("{error:#}")),
-        }
-    }
-    control.store.lock().apply_listing(now, changes, revision);
-}
-
-fn endpoint_of(wire: &WireEndpoint, now: crate::units::Time) -> anyhow::Result<Endpoint> {
-    Ok(Endpoint {
-        id: wire.id.parse()?,
-        service: wire.service.parse()?,
-        address: wire.address.parse::<SocketAddr>()?,
-        data_centre: wire.data_centre.parse()?,
-        slots: wire.slots.max(1),
-        is_ready: wire.is_ready,
-        cold_until: now + Duration::from_millis(wire.cold_ms),
-        started_ms: wire.started_ms,
-    })
-}
-
-/// Encodes what this VM knows of the store, for VMs that cannot reach it.
-pub fn encode_state(view: &FleetView) -> FleetState {
-    let now = clock::now();
-    let endpoints = view
-        .endpoints
-        .values()
-        .flatten()
-        .map(|endpoint| WireEndpoint {
-            id: endpoint.id.to_string(),
-            service: endpoint.service.to_string(),
-            address: endpoint.address.to_string(),
-            data_centre: endpoint.data_centre.to_string(),
-            slots: endpoint.slots,
-            is_ready: endpoint.is_ready,
-            cold_ms: endpoint.cold_until.since(now).as_millis() as u64,
-            started_ms: endpoint.started_ms,
-        });
-    FleetState {
-        store_revision: view.store_revision,
-        configuration: view
-            .configuration
-            .as_ref()
-            .map(|configuration| configuration.document.clone())
-            .unwrap_or_default(),
-        evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
-        endpoints: endpoints.collect(),
-    }
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod metric;
 pub mod model;
 mod node;
+pub mod peer_state;
 pub mod peers;
 pub mod plain;
 pub mod reply;
--- /dev/null
+++ b/src/fleet/peer_state.rs
@@ -0,0 +1,90 @@
+//! What a VM knows of the store, as VMs tell each other while one cannot reach it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, warn};
+
+use crate::clock;
+use crate::decisions::store_view::StoreChange;
+use crate::fleet::model::{Endpoint, FleetView};
+use crate::fleet::wire::{FleetState, WireEndpoint};
+use crate::platform::configuration::decode_configuration;
+
+/// Decodes what another VM knows; what cannot be decoded is left out.
+pub fn decode_state(logger: &Logger, state: FleetState) -> Vec<StoreChange> {
+    let revision = state.store_revision;
+    let now = clock::now();
+    let mut changes = Vec::new();
+    if !state.configuration.is_empty() {
+        match decode_configuration(state.configuration) {
+            Ok(configuration) => {
+                changes.push(StoreChange::Configuration(Arc::new(configuration)));
+            }
+            Err(error) => warn!(logger, "configuration: a VM sent one that is not valid";
+                "error" => format!("{error:#}")),
+        }
+    }
+    for data_centre in state.evacuated {
+        changes.push(StoreChange::Evacuation {
+            data_centre,
+            revision,
+            is_evacuated: true,
+        });
+    }
+    for wire in state.endpoints {
+        match endpoint_of(&wire, now) {
+            Ok(endpoint) => changes.push(StoreChange::Endpoint {
+                id: wire.id,
+                revision,
+                endpoint: Some(Arc::new(endpoint)),
+            }),
+            Err(error) => warn!(logger, "endpoints: a VM sent one that is not valid";
+                "endpoint" => wire.id, "error" => format!("{error:#}")),
+        }
+    }
+    changes
+}
+
+fn endpoint_of(wire: &WireEndpoint, now: crate::units::Time) -> anyhow::Result<Endpoint> {
+    Ok(Endpoint {
+        id: wire.id.parse()?,
+        service: wire.service.parse()?,
+        address: wire.address.parse::<SocketAddr>()?,
+        data_centre: wire.data_centre.parse()?,
+        slots: wire.slots.max(1),
+        is_ready: wire.is_ready,
+        cold_until: now + Duration::from_millis(wire.cold_ms),
+        started_ms: wire.started_ms,
+    })
+}
+
+/// Encodes what this VM knows of the store, for VMs that cannot reach it.
+pub fn encode_state(view: &FleetView) -> FleetState {
+    let now = clock::now();
+    let endpoints = view
+        .endpoints
+        .values()
+        .flatten()
+        .map(|endpoint| WireEndpoint {
+            id: endpoint.id.to_string(),
+            service: endpoint.service.to_string(),
+            address: endpoint.address.to_string(),
+            data_centre: endpoint.data_centre.to_string(),
+            slots: endpoint.slots,
+            is_ready: endpoint.is_ready,
+            cold_ms: endpoint.cold_until.since(now).as_millis() as u64,
+            started_ms: endpoint.started_ms,
+        });
+    FleetState {
+        store_revision: view.store_revision,
+        configuration: view
+            .configuration
+            .as_ref()
+            .map(|configuration| configuration.document.clone())
+            .unwrap_or_default(),
+        evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
+        endpoints: endpoints.collect(),
+    }
+}
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -362,7 +362,7 @@
             None
         }
         Body::StateRequest(_) => {
-            let state = crate::fleet::control::encode_state(&node.view());
+            let state = crate::fleet::peer_state::encode_state(&node.view());
             Some(Body::State(state))
         }
         _ => None,
