fix(fleet): answer 504 when the deadline ends the last attempt

Cause: the limit of the last attempt and the deadline of the request end at the same moment; beside load the attempt's timer fired first and the answer was 502.

--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -28,7 +28,7 @@
 /// Pause that a caller is told when no endpoint takes its request.
 const FULL_PAUSE: Duration = Duration::from_millis(200);
 /// Least time that is left for an attempt to make sense.
-const LEAST_ATTEMPT: Duration = Duration::from_millis(20);
+pub const LEAST_ATTEMPT: Duration = Duration::from_millis(20);
 /// An idempotent request that has no answer after this many objectives is sent elsewhere.
 const PATIENCE_OBJECTIVES: f64 = 1.5;
 /// Connections that are tried for one request; none of them costs a repeat.
@@ -101,6 +101,10 @@
             break;
         }
     }
+    if fallback.is_none() && call.time_left() < LEAST_ATTEMPT {
+        // The limit of the last attempt and the deadline of the request end at the same moment.
+        return timed_out(attempts);
+    }
     match fallback {
         Some(reply) => Ended::new(reply, format!("error of the endpoint; {last}")),
         None if attempts.runs > 0 => Ended::new(
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -25,7 +25,7 @@
 use crate::fleet::metric;
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::{Node, SENDS_MOST};
-use crate::fleet::plain::{Attempts, build_request, choose, connect_to, timed_out};
+use crate::fleet::plain::{Attempts, LEAST_ATTEMPT, build_request, choose, connect_to, timed_out};
 use crate::fleet::reply::{self, ReplyBody, relayed, whole_body};
 use crate::fleet::request::{Call, Ended};
 use crate::fleet::stages::{StageResults, run_stages};
@@ -153,6 +153,9 @@
     }
 
     fn failure(&self, reason: String) -> Ended {
+        if self.call.time_left() < LEAST_ATTEMPT {
+            return timed_out(&self.attempts);
+        }
         if self.attempts.runs > 0 {
             let reply = reply::text(StatusCode::BAD_GATEWAY, "the engine failed");
             return Ended::new(reply, reason);
