--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -141,11 +141,6 @@
         self.queue.len()
     }
 
-    /// Returns how many calls run.
-    pub fn running(&self) -> usize {
-        self.running.len()
-    }
-
     /// Returns the time until items that arrive now have run, for `endpoints` endpoints.
     pub fn expected_wait(&self, now: Time, endpoints: usize, items: usize) -> Duration {
         let endpoints = endpoints.max(1) as f64;
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -4,6 +4,8 @@
 
 use metrics::{counter, gauge, histogram};
 
+use crate::decisions::endpoint_choice::AttemptEnd;
+
 /// Counts a request by its outcome and records the time until its answer.
 pub fn request_ended(outcome: &'static str, status: u16, took: Duration) {
     counter!("primrosewalk_requests_total", "outcome" => outcome, "status" => status.to_string())
@@ -12,10 +14,22 @@
 }
 
 /// Counts a request sent to an endpoint by how that ended.
-pub fn attempt_ended(end: &'static str) {
+pub fn attempt_ended(end: AttemptEnd) {
+    let end = match end {
+        AttemptEnd::Answered(_) => "answered",
+        AttemptEnd::Error => "error",
+        AttemptEnd::Broken => "broken",
+        AttemptEnd::Full => "full",
+        AttemptEnd::NoVerdict => "cancelled",
+    };
     counter!("primrosewalk_attempts_total", "end" => end).increment(1);
 }
 
+/// Counts a connection to an endpoint that failed.
+pub fn connection_failed() {
+    counter!("primrosewalk_attempts_total", "end" => "no_connection").increment(1);
+}
+
 /// Records how long a stage of a request took.
 pub fn stage_ended(took: Duration) {
     histogram!("primrosewalk_stage_seconds").record(took.as_secs_f64());
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -97,8 +97,6 @@
     pub cold_per_s: f64,
     /// Present when its endpoints run stages.
     pub batching: Option<BatchLimits>,
-    /// Whether its endpoints are model engines.
-    pub is_engine: bool,
 }
 
 /// An organisation as its key shows it.
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -176,7 +176,7 @@
             let mut choice = node.choice.lock();
             let started = choice.start(clock::now(), endpoint, 0);
             choice.finish(clock::now(), started, AttemptEnd::Broken);
-            metric::attempt_ended("no_connection");
+            metric::connection_failed();
             info!(node.logger, "request: no connection"; "id" => &call.caller.id,
                 "endpoint" => %endpoint.id, "error" => message);
             None
@@ -252,13 +252,7 @@
 impl Observed<'_> {
     fn finish(&mut self, end: AttemptEnd) {
         if let Some(started) = self.started.take() {
-            metric::attempt_ended(match end {
-                AttemptEnd::Answered(_) => "answered",
-                AttemptEnd::Error => "error",
-                AttemptEnd::Broken => "broken",
-                AttemptEnd::Full => "full",
-                AttemptEnd::NoVerdict => "cancelled",
-            });
+            metric::attempt_ended(end);
             self.node.choice.lock().finish(clock::now(), started, end);
         }
     }
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -42,15 +42,11 @@
     #[serde(default)]
     grace_s: f64,
     #[serde(default)]
-    contact_ms: f64,
-    #[serde(default)]
     address_ttl_most_s: f64,
     #[serde(default)]
     repeat_ratio: f64,
     #[serde(default)]
     repeat_reserve: f64,
-    #[serde(default)]
-    cold_overage: f64,
 }
 
 /// Validated settings.
@@ -80,16 +76,12 @@
     pub metrics_port: u16,
     /// Time from the signal to stop until the platform kills the process.
     pub grace: Duration,
-    /// Time after a disturbance for which time bounds do not hold.
-    pub contact: Duration,
     /// Longest time for which callers may keep addresses.
     pub address_ttl_most: Duration,
     /// Repeats that the fleet may send for each request.
     pub repeat_ratio: f64,
     /// Repeats that the fleet may send besides, in a window.
     pub repeat_reserve: f64,
-    /// Factor on the rate that a cold endpoint bears, up to which the fleet may go.
-    pub cold_overage: f64,
 }
 
 /// Reads and checks a settings file.
@@ -152,20 +144,18 @@
             "the first two ports are for traffic between VMs",
         );
     }
-    let mut positive = |place: &str, value: f64, scale: f64| {
+    let mut positive = |place: &str, value: f64| {
         if !value.is_finite() || value <= 0.0 {
             findings.add(place, format!("{value} is not a number above 0"));
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(value * scale)
+        Duration::from_secs_f64(value)
     };
-    let grace = positive("grace_s", document.grace_s, 1.0);
-    let contact = positive("contact_ms", document.contact_ms, 1e-3);
-    let address_ttl_most = positive("address_ttl_most_s", document.address_ttl_most_s, 1.0);
+    let grace = positive("grace_s", document.grace_s);
+    let address_ttl_most = positive("address_ttl_most_s", document.address_ttl_most_s);
     for (place, value) in [
         ("repeat_ratio", document.repeat_ratio),
         ("repeat_reserve", document.repeat_reserve),
-        ("cold_overage", document.cold_overage),
     ] {
         if !value.is_finite() || value < 0.0 {
             findings.add(place, format!("{value} is not a number of 0 or more"));
@@ -187,11 +177,9 @@
         peer_port: first.saturating_add(1),
         metrics_port: document.metrics_port,
         grace,
-        contact,
         address_ttl_most,
         repeat_ratio: document.repeat_ratio,
         repeat_reserve: document.repeat_reserve,
-        cold_overage: document.cold_overage,
     })
 }
 
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -458,13 +458,7 @@
     fn end_attempt(&mut self, end: AttemptEnd) {
         self.open = None;
         if let Some(started) = self.started.take() {
-            metric::attempt_ended(match end {
-                AttemptEnd::Answered(_) => "answered",
-                AttemptEnd::Error => "error",
-                AttemptEnd::Broken => "broken",
-                AttemptEnd::Full => "full",
-                AttemptEnd::NoVerdict => "cancelled",
-            });
+            metric::attempt_ended(end);
             self.node.choice.lock().finish(clock::now(), started, end);
         }
     }
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -91,8 +91,6 @@
     cold_per_s: f64,
     #[serde(default)]
     pieces: Option<WireBatching>,
-    #[serde(default)]
-    engine: Option<serde_json::Value>,
 }
 
 #[derive(Deserialize)]
@@ -220,7 +218,6 @@
         name: service.name,
         cold_per_s: service.cold_per_s,
         batching,
-        is_engine: service.engine.is_some(),
     }
 }
 
--- a/src/platform/endpoint_call.rs
+++ b/src/platform/endpoint_call.rs
@@ -166,25 +166,6 @@
     headers
 }
 
-/// What an endpoint says of its load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReportedLoad {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-}
-
-/// Decodes the load that an endpoint adds to its answers.
-pub fn decode_load(headers: &HeaderMap) -> Option<ReportedLoad> {
-    let text = headers.get("instance-load")?.to_str().ok()?;
-    let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
-    Some(ReportedLoad {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-    })
-}
-
 /// Judges the head of an endpoint's answer to a stage call, which bears no signature.
 pub fn judge_stage(status: StatusCode, headers: &HeaderMap) -> Verdict {
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -10,7 +10,7 @@
 use primrosewalk::platform::caller::decode_caller;
 use primrosewalk::platform::configuration::decode_configuration;
 use primrosewalk::platform::directory::{caller_data_centre, encode_addresses};
-use primrosewalk::platform::endpoint_call::{Verdict, decode_load, judge, returned_headers};
+use primrosewalk::platform::endpoint_call::{Verdict, judge, returned_headers};
 use primrosewalk::platform::endpoint_entry::decode_endpoint;
 use primrosewalk::platform::stage_call::{decode_free_bytes, decode_run};
 use primrosewalk::units::Time;
@@ -240,8 +240,6 @@
         ("keep-alive", "9"),
     ]));
     expect_that!(kept.len(), eq(1));
-    let load = decode_load(&headers(&[("instance-load", "3,1,8")])).unwrap();
-    expect_that!((load.running, load.waiting), eq((3, 1)));
 }
 
 #[gtest]
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -365,11 +365,9 @@
 peer_ports = [7740, 7755]
 metrics_port = 7742
 grace_s = 8
-contact_ms = 3000
 address_ttl_most_s = 5
 repeat_ratio = 0.2
 repeat_reserve = 52
-cold_overage = 1.5
 "#,
         store.address,
         serde_json::to_string(seeds).unwrap()
