--- a/tests/fleet_rules/gossip.rs
+++ b/tests/fleet_rules/gossip.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 
 use googletest::prelude::*;
-use primrosewalk::decisions::gossip::{Gossip, GossipConfig, GossipMessage, Outgoing};
+use primrosewalk::decisions::gossip::{Gossip, GossipConfig, GossipMessage, Outgoing, VmState};
 use primrosewalk::fleet::model::FleetVm;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -40,6 +40,8 @@
     seed: u64,
     now_ms: u64,
     vms: Vec<Option<Gossip>>,
+    /// What each VM last heard of the others.
+    beliefs: Vec<BTreeMap<String, VmState>>,
     frozen: BTreeSet<usize>,
     cut: BTreeSet<usize>,
     loss: f64,
@@ -56,6 +58,7 @@
             vms: (0..count)
                 .map(|index| Some(new_vm(index, 1, seed)))
                 .collect(),
+            beliefs: vec![BTreeMap::new(); count],
             frozen: BTreeSet::new(),
             cut: BTreeSet::new(),
             loss: 0.02,
@@ -143,8 +146,8 @@
         well.iter().filter_map(difference).collect()
     }
 
-    /// Checks that no VM that is down is named, and that all agree. A live VM whose answers were
-    /// lost is suspected until it objects, so that agreement may come a moment later.
+    /// Checks that no VM that is down is named, and that all agree. Only a live VM that is
+    /// suspected, because its answers were lost, may be missing until it has objected.
     fn check(&mut self, what: &str) {
         let well: BTreeSet<String> = self
             .well()
@@ -152,11 +155,17 @@
             .map(|index| format!("vm-{index}"))
             .collect();
         for index in self.well() {
-            expect_that!(
-                self.serving_at(index).is_subset(&well),
-                eq(true),
-                "{what}: vm-{index}"
-            );
+            let believed = self.serving_at(index);
+            expect_that!(believed.is_subset(&well), eq(true), "{what}: vm-{index}");
+            let changes = self.vms[index].as_mut().unwrap().take_changes();
+            for change in changes {
+                self.beliefs[index].insert(change.vm.to_string(), change.state);
+            }
+            for missing in well.difference(&believed) {
+                let state = self.beliefs[index].get(missing);
+                let whom = format!("{what}: vm-{index} lacks {missing}");
+                expect_that!(state, some(eq(&VmState::Suspect)), "{whom}");
+            }
         }
         for _ in 0..OBJECTION_MS / 100 {
             if self.disagreeing().is_empty() {
@@ -171,19 +180,27 @@
         // The clock of the restarted VM may have gone back: its incarnation is no higher.
         let incarnation = self.rng.random_range(1..3);
         self.vms[index] = Some(new_vm(index, incarnation, self.seed + 77));
+        self.beliefs[index].clear();
         self.frozen.remove(&index);
     }
 }
 
 #[gtest]
 fn all_vms_that_start_at_once_find_each_other() {
-    for count in [1, 2, 6, 30, 68] {
+    for count in [1, 2, 6, 30] {
         let mut fleet = Fleet::new(count, 5);
         fleet.run(AGREE_MS);
         fleet.check(&format!("{count} VMs"));
     }
 }
 
+#[gtest]
+fn a_large_fleet_that_starts_at_once_meets() {
+    let mut fleet = Fleet::new(68, 5);
+    fleet.run(AGREE_MS);
+    fleet.check("68 VMs");
+}
+
 #[gtest]
 fn a_killed_vm_is_named_no_longer_than_the_bound() {
     for seed in 0..20 {
@@ -256,32 +273,42 @@
     };
     let first = number("GOSSIP_SEED", 1);
     for seed in first..first + number("GOSSIP_RUNS", 150) {
-        let mut fleet = Fleet::new(7, seed);
-        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0xfa);
-        fleet.run(rng.random_range(0..4_000));
-        for _ in 0..rng.random_range(1..8) {
-            let index = rng.random_range(0..7);
-            match rng.random_range(0..6) {
-                0 => fleet.vms[index] = None,
-                1 | 2 => fleet.restart(index),
-                3 => drop(fleet.frozen.insert(index)),
-                4 => drop(fleet.frozen.remove(&index)),
-                _ => {
-                    if !fleet.cut.remove(&index) {
-                        fleet.cut.insert(index);
-                    }
+        heal_after_random_faults(seed);
+    }
+}
+
+/// A seed of fresh runs that failed: a VM does not hear of a restarted one in time.
+#[gtest]
+fn a_restarted_vm_is_heard_of_everywhere() {
+    heal_after_random_faults(1_432);
+}
+
+fn heal_after_random_faults(seed: u64) {
+    let mut fleet = Fleet::new(7, seed);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0xfa);
+    fleet.run(rng.random_range(0..4_000));
+    for _ in 0..rng.random_range(1..8) {
+        let index = rng.random_range(0..7);
+        match rng.random_range(0..6) {
+            0 => fleet.vms[index] = None,
+            1 | 2 => fleet.restart(index),
+            3 => drop(fleet.frozen.insert(index)),
+            4 => drop(fleet.frozen.remove(&index)),
+            _ => {
+                if !fleet.cut.remove(&index) {
+                    fleet.cut.insert(index);
                 }
             }
-            fleet.run(rng.random_range(10..5_000));
         }
-        fleet.frozen.clear();
-        fleet.cut.clear();
-        for index in 0..7 {
-            if fleet.vms[index].is_none() {
-                fleet.restart(index);
-            }
+        fleet.run(rng.random_range(10..5_000));
+    }
+    fleet.frozen.clear();
+    fleet.cut.clear();
+    for index in 0..7 {
+        if fleet.vms[index].is_none() {
+            fleet.restart(index);
         }
-        fleet.run(2 * AGREE_MS);
-        fleet.check(&format!("seed {seed}"));
     }
+    fleet.run(2 * AGREE_MS);
+    fleet.check(&format!("seed {seed}"));
 }
