fix(gossip): tell a suspect directly; answer a question with all records

A VM that suspects another now pings it with the doubt each probe period. Cause of 68 VMs (a_large_fleet_that_starts_at_once_meets): a question was answered with 24 random records, so gaps closed by chance. It is answered with all of them, 24 a datagram. Ruled out: the incarnation of the restarted VM; the records show no older one that wins. Before: both tests fail. The list of live VMs is built in one place.

--- a/src/decisions/gossip.rs
+++ b/src/decisions/gossip.rs
@@ -11,7 +11,6 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use rand::RngExt;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
@@ -65,12 +64,17 @@
     }
 }
 
+/// Number of a ping whose answer matters only for the record that it carries.
+const UNTRACKED_PROBE: u64 = 0;
+
 #[derive(Debug)]
 struct Member {
     record: VmRecord,
     changed_at: Time,
     /// Messages that still carry the record.
     sends_left: u32,
+    /// Whether a probe of this VM, and not news, led to the suspicion.
+    is_suspected_here: bool,
 }
 
 #[derive(Debug)]
@@ -220,6 +224,7 @@
         if now >= self.next_probe_at {
             self.end_probe(now);
             self.next_probe_at = now + self.config.probe_period;
+            self.tell_suspects(&mut outgoing);
             self.start_probe(now, &mut outgoing);
         }
         if now >= self.next_rejoin_at {
@@ -260,14 +265,7 @@
                     message: ack,
                 });
             }
-            GossipKind::Join => {
-                let mut reply = self.message(GossipKind::Records, 0);
-                reply.records = self.sample_records();
-                outgoing.push(Outgoing {
-                    to: sender_ip,
-                    message: reply,
-                });
-            }
+            GossipKind::Join => self.send_all_records(sender_ip, &mut outgoing),
             GossipKind::PingRequest(target) => {
                 self.probes += 1;
                 self.proxies.push(ProxyProbe {
@@ -396,15 +394,7 @@
         }
         probe.is_indirect = true;
         let (number, target, ip) = (probe.number, probe.target.clone(), probe.ip);
-        let mut helpers: Vec<Ipv4Addr> = self
-            .members
-            .values()
-            .filter(|member| {
-                member.record.state == VmState::Alive && member.record.vm.name != target
-            })
-            .map(|member| member.record.vm.ip)
-            .collect();
-        helpers.shuffle(&mut self.rng);
+        let helpers = self.shuffled_live(|member| member.record.vm.name != target);
         for helper in helpers.into_iter().take(self.config.indirect_probes) {
             let message = self.message(GossipKind::PingRequest(ip), number);
             outgoing.push(Outgoing {
@@ -426,6 +416,26 @@
             let mut record = member.record.clone();
             record.state = VmState::Suspect;
             self.merge(now, &record);
+            if let Some(member) = self.members.get_mut(&probe.target) {
+                member.is_suspected_here = true;
+            }
+        }
+    }
+
+    /// Tells each VM that a probe from here suspects, every period until it objects: news alone
+    /// may reach it only after the suspicion has lapsed.
+    fn tell_suspects(&self, outgoing: &mut OutgoingList) {
+        let suspects = self
+            .members
+            .values()
+            .filter(|member| member.is_suspected_here && member.record.state == VmState::Suspect);
+        for suspect in suspects {
+            let doubt = vec![suspect.record.clone()];
+            let message = self.message_with(GossipKind::Ping, UNTRACKED_PROBE, doubt);
+            outgoing.push(Outgoing {
+                to: suspect.record.vm.ip,
+                message,
+            });
         }
     }
 
@@ -455,16 +465,21 @@
         }
     }
 
-    /// Asks one live VM for its records.
-    fn sync(&mut self, outgoing: &mut OutgoingList) {
+    /// Returns the addresses of the live VMs that pass a filter, in random order.
+    fn shuffled_live(&mut self, is_wanted: impl Fn(&Member) -> bool) -> Vec<Ipv4Addr> {
         let mut live: Vec<Ipv4Addr> = self
             .members
             .values()
-            .filter(|member| member.record.state == VmState::Alive)
+            .filter(|member| member.record.state == VmState::Alive && is_wanted(member))
             .map(|member| member.record.vm.ip)
             .collect();
         live.shuffle(&mut self.rng);
-        if let Some(to) = live.pop() {
+        live
+    }
+
+    /// Asks one live VM for its records.
+    fn sync(&mut self, outgoing: &mut OutgoingList) {
+        if let Some(to) = self.shuffled_live(|_| true).pop() {
             let message = self.message(GossipKind::Join, 0);
             outgoing.push(Outgoing { to, message });
         }
@@ -531,6 +546,7 @@
             record: record.clone(),
             changed_at: now,
             sends_left,
+            is_suspected_here: false,
         };
         self.members.insert(record.vm.name.clone(), member);
     }
@@ -546,11 +562,16 @@
     }
 
     fn message(&mut self, kind: GossipKind, probe: u64) -> GossipMessage {
+        let records = self.news();
+        self.message_with(kind, probe, records)
+    }
+
+    fn message_with(&self, kind: GossipKind, probe: u64, records: Vec<VmRecord>) -> GossipMessage {
         GossipMessage {
             kind,
             probe,
             sender: self.own.clone(),
-            records: self.news(),
+            records,
             configuration_version: self.versions.configuration,
             store_revision: self.versions.store_revision,
         }
@@ -574,32 +595,31 @@
             .collect()
     }
 
-    /// Returns records for a VM that joins: a random part when not all fit.
-    fn sample_records(&mut self) -> Vec<VmRecord> {
-        let mut records: Vec<VmRecord> = self
+    /// Sends all records, in as many datagrams as they need: a random part would leave gaps
+    /// that take several questions to fill.
+    fn send_all_records(&self, to: Ipv4Addr, outgoing: &mut OutgoingList) {
+        let records: Vec<VmRecord> = self
             .members
             .values()
             .filter(|member| member.record.state <= VmState::Suspect)
             .map(|member| member.record.clone())
             .collect();
-        let most = self.config.records_per_message * 2;
-        while records.len() > most {
-            let position = self.rng.random_range(0..records.len());
-            records.swap_remove(position);
+        let mut reply = |records: &[VmRecord]| {
+            let message = self.message_with(GossipKind::Records, 0, records.to_vec());
+            outgoing.push(Outgoing { to, message });
+        };
+        if records.is_empty() {
+            reply(&[]);
         }
         records
+            .chunks(2 * self.config.records_per_message)
+            .for_each(&mut reply);
     }
 
     /// Tells a change of this VM to as many others as one round of gossip would reach.
     fn tell_all(&mut self) -> OutgoingList {
         const TOLD_AT_ONCE: usize = 8;
-        let mut targets: Vec<Ipv4Addr> = self
-            .members
-            .values()
-            .filter(|member| member.record.state == VmState::Alive)
-            .map(|member| member.record.vm.ip)
-            .collect();
-        targets.shuffle(&mut self.rng);
+        let mut targets = self.shuffled_live(|_| true);
         targets.truncate(TOLD_AT_ONCE);
         let tell = |to| {
             let message = self.message(GossipKind::Records, 0);
