fix(traffic): tell the router what an attempt was for

Cause: traffic used Router::on_start and on_end, which know no model, prefix or probe, beside start and finish, which do. Circuits of single models never opened and prefixes were forgotten. Before: an_engine_without_the_model_is_asked_once_per_pause fails. After: it passes.

--- a/src/decisions/circuit.rs
+++ b/src/decisions/circuit.rs
@@ -100,12 +100,6 @@
         Role::Probe(self.probes)
     }
 
-    /// Returns the role of the only attempt under way.
-    pub fn role_of_last(&self) -> Role {
-        let probe = self.open.and_then(|open| open.probe);
-        probe.map_or(Role::Ordinary, Role::Probe)
-    }
-
     /// Notes an attempt that ended well, whichever it was: the endpoint works.
     pub fn on_success(&mut self) {
         self.failures = 0;
--- a/src/decisions/routing.rs
+++ b/src/decisions/routing.rs
@@ -179,11 +179,6 @@
         self.in_flight.get(endpoint).copied().unwrap_or(0)
     }
 
-    /// Returns the endpoints with requests in flight and their counts.
-    pub fn all_in_flight(&self) -> impl Iterator<Item = (&EndpointName, u32)> {
-        self.in_flight.iter().map(|(name, count)| (name, *count))
-    }
-
     /// Returns the circuit of an endpoint.
     pub fn circuit(&self, endpoint: &EndpointName) -> Circuit {
         self.circuits.get(endpoint).copied().unwrap_or_default()
@@ -236,26 +231,6 @@
         self.note_result(now, &attempt.endpoint, attempt.role, result);
     }
 
-    /// Notes the end of an attempt that [`Router::on_start`] began. `None` is an attempt that
-    /// was cancelled.
-    ///
-    /// Without the attempt itself, it can be taken for the probe only when no other is in
-    /// flight there; [`Router::finish`] knows at once.
-    pub fn on_end(
-        &mut self,
-        now: Time,
-        endpoint: &EndpointName,
-        result: Option<Result<(), FailureClass>>,
-    ) {
-        self.release(endpoint);
-        let role = if self.in_flight(endpoint) == 0 {
-            self.circuit(endpoint).role_of_last()
-        } else {
-            Role::Ordinary
-        };
-        self.note_result(now, endpoint, role, result);
-    }
-
     fn release(&mut self, endpoint: &EndpointName) {
         let Some(count) = self.in_flight.get_mut(endpoint) else {
             debug_assert!(false, "an attempt ended that never started");
--- a/src/traffic/router_state.rs
+++ b/src/traffic/router_state.rs
@@ -18,7 +18,7 @@
 use crate::decisions::circuit::FailureClass;
 use crate::decisions::fair_queue::{FairQueue, Ticket};
 use crate::decisions::retry::RetryBudget;
-use crate::decisions::routing::{Choice, RouteRequest, Router};
+use crate::decisions::routing::{Attempt, Choice, RouteRequest, Router};
 use crate::manifest::{Endpoint, Stage, StageKind};
 use crate::settings::RoutingMode;
 use crate::traffic::cold_marks::ColdMarks;
@@ -99,6 +99,8 @@
     pub endpoint: Endpoint,
     /// Why the endpoint was chosen.
     pub reason: &'static str,
+    /// Taken when the slot is given back.
+    attempt: Option<Attempt>,
     result: Option<Result<(), FailureClass>>,
 }
 
@@ -111,7 +113,9 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.state.release(&self.endpoint, self.result);
+        if let Some(attempt) = self.attempt.take() {
+            self.state.release(&self.endpoint, attempt, self.result);
+        }
     }
 }
 
@@ -197,7 +201,7 @@
             let queue_is_empty = inner.queues.get(&key).is_none_or(FairQueue::is_empty);
             match self.choose(&mut inner, &snapshot, &request) {
                 Choice::Endpoint { name, reason } if queue_is_empty => {
-                    let slot = self.start(&mut inner, &snapshot, &name, reason);
+                    let slot = self.start(&mut inner, &snapshot, &request, &name, reason);
                     return slot.ok_or(NoSlot::NoEndpoint);
                 }
                 Choice::None => return Err(NoSlot::NoEndpoint),
@@ -241,23 +245,30 @@
         self: &Arc<Self>,
         inner: &mut Inner,
         snapshot: &Snapshot,
+        request: &SlotRequest,
         name: &EndpointName,
         reason: &'static str,
     ) -> Option<Slot> {
         let endpoint = snapshot.catalogue.as_ref()?.endpoint(name)?.clone();
-        inner.router.on_start(name);
+        let attempt = inner.router.start(clock::now(), name, &request.route());
         Some(Slot {
             state: Arc::clone(self),
             endpoint,
             reason,
+            attempt: Some(attempt),
             result: None,
         })
     }
 
-    fn release(self: &Arc<Self>, endpoint: &Endpoint, result: Option<Result<(), FailureClass>>) {
+    fn release(
+        self: &Arc<Self>,
+        endpoint: &Endpoint,
+        attempt: Attempt,
+        result: Option<Result<(), FailureClass>>,
+    ) {
         let now = clock::now();
         let mut inner = self.inner.lock();
-        inner.router.on_end(now, &endpoint.name, result);
+        inner.router.finish(now, attempt, result);
         let in_flight = inner.router.in_flight(&endpoint.name);
         drop(inner);
         let snapshot = self.snapshot.load();
@@ -314,7 +325,7 @@
         let waiter = waiter?;
         inner.on_wait_ended(key, &waiter.request.stage);
         let (name, reason) = chosen?;
-        let slot = self.start(&mut inner, &snapshot, &name, reason)?;
+        let slot = self.start(&mut inner, &snapshot, &waiter.request, &name, reason)?;
         Some((waiter, slot))
     }
 
