--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -279,6 +279,7 @@
         state.calls += 1;
         state.reserved_bytes += reserved_bytes;
         state.last_call_at = now;
+        let used_bytes = state.used_bytes();
         let role = state.circuit.on_start();
         let slowness = state.slowness.max(1.0);
         self.batches += 1;
@@ -303,6 +304,7 @@
             items: specs,
             timeout: Duration::from_secs_f64(timeout_ms / 1_000.0).max(self.config.least_timeout),
             last_inputs,
+            used_bytes,
         })
     }
 
--- a/src/decisions/batching/job.rs
+++ b/src/decisions/batching/job.rs
@@ -99,6 +99,8 @@
     pub timeout: Duration,
     /// Inputs that nothing reads any more once the endpoint has fetched those of this call.
     pub last_inputs: Vec<Arc<[String]>>,
+    /// Room that results take at the endpoint or are promised, those of this call included.
+    pub used_bytes: u64,
 }
 
 /// How a call failed as a whole.
--- a/src/fleet/broker.rs
+++ b/src/fleet/broker.rs
@@ -346,7 +346,8 @@
                 .count();
             info!(broker.logger, "stages: a batch ran"; "service" => %service,
                 "endpoint" => %batch.endpoint.id, "items" => count, "failed" => failed, "no_room" => no_room, "input_gone" => gone,
-                "waiting" => queue.batcher.lock().waiting(), "took_ms" => took_ms);
+                "waiting" => queue.batcher.lock().waiting(), "used_bytes" => batch.used_bytes,
+                "took_ms" => took_ms);
         }
         Err((failure, message)) => {
             warn!(broker.logger, "stages: a batch failed"; "service" => %service,
