--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -103,10 +103,6 @@
     role: Role,
 }
 
-/// Place in the queue, the lowest first: the jobs that have begun, since their results take room
-/// and lapse (false is lower); then those that can still be on time; then by their time.
-type Urgency = (bool, bool, Time);
-
 /// Queue and endpoints of one service.
 #[derive(Debug)]
 pub struct Batcher {
@@ -145,15 +141,11 @@
         self.queue.len()
     }
 
-    /// Returns the time until items that arrive now and are due at a time have run, for
-    /// `endpoints` endpoints. Items behind them in the queue do not count: a long queue of late
-    /// ones must not refuse what can still be on time.
-    pub fn expected_wait(&self, now: Time, endpoints: usize, due: Time, items: usize) -> Duration {
+    /// Returns the time until items that arrive now have run, for `endpoints` endpoints.
+    pub fn expected_wait(&self, now: Time, endpoints: usize, items: usize) -> Duration {
         let endpoints = endpoints.max(1) as f64;
         let full_ms = self.nominal_ms(self.limits.batch);
-        let own = self.urgency(now, false, due);
-        let is_ahead = |item: &&Item| self.urgency_of(now, item) <= own;
-        let ahead = self.queue.iter().filter(is_ahead).count() + items;
+        let ahead = self.queue.len() + items;
         let calls = (ahead as f64 / self.limits.batch as f64).ceil();
         let running_ms: f64 = self
             .running
@@ -172,7 +164,7 @@
     ///
     /// Returns how long the queue needs to become short enough.
     pub fn push(&mut self, now: Time, endpoints: usize, job: Job) -> Result<(), Duration> {
-        let wait = self.expected_wait(now, endpoints, job.due, job.items as usize);
+        let wait = self.expected_wait(now, endpoints, job.items as usize);
         if now + wait > job.deadline {
             let excess = (now + wait).since(job.deadline);
             return Err(excess.max(Duration::from_millis(100)));
@@ -378,22 +370,17 @@
         })
     }
 
+    /// Puts the jobs first that have begun, since their results take room and lapse; then those
+    /// that can still be on time; then by their time.
     fn sort_queue(&mut self, now: Time) {
-        let mut queue = std::mem::take(&mut self.queue);
-        queue.sort_by_cached_key(|item| (self.urgency_of(now, item), item.job, item.piece));
-        self.queue = queue;
-    }
-
-    fn urgency_of(&self, now: Time, item: &Item) -> Urgency {
-        let state = self.jobs.get(&item.job);
-        let is_started = state.is_some_and(|state| state.is_started);
-        self.urgency(now, is_started, item.due)
-    }
-
-    fn urgency(&self, now: Time, is_started: bool, due: Time) -> Urgency {
         // Batches are full while items wait.
         let full = Duration::from_secs_f64(self.nominal_ms(self.limits.batch) / 1_000.0);
-        (!is_started, now + full > due, due)
+        let jobs = &self.jobs;
+        self.queue.sort_by_cached_key(|item| {
+            let is_started = jobs.get(&item.job).is_some_and(|state| state.is_started);
+            let is_late = now + full > item.due;
+            (!is_started, is_late, item.due, item.job, item.piece)
+        });
     }
 
     /// Returns the inputs of the jobs that have no item left in the queue. Endpoints fetch inputs
