--- a/src/platform/stage_call.rs
+++ b/src/platform/stage_call.rs
@@ -114,11 +114,10 @@
     serde_json::to_vec(&FreeBody { handles }).unwrap_or_default()
 }
 
-/// Decodes how much room an endpoint probably has for results; `None` if it does not say. It
-/// reports whole megabytes, rounded down, so half of one is added: the most that it may have
-/// would let every call run into full endpoints that have room for two megabytes in all.
+/// Decodes how much room an endpoint has for results at most; `None` if it does not say. It
+/// reports whole megabytes, rounded down.
 pub fn decode_free_bytes(answer: &[u8]) -> Option<u64> {
     let report: Report = serde_json::from_slice(answer).ok()?;
-    let free_mb = report.free_mb.max(0.0) + 0.5;
+    let free_mb = report.free_mb.max(0.0) + 1.0;
     Some((free_mb * MEGABYTE_BYTES) as u64)
 }
