feat(stages): make results for the engine in the engine's data centre

The engine is chosen by the cached part of the prompt, in any data centre; the first stage ran wherever an endpoint was free, so two of three of its results of 1.5 MB crossed. Ruled out: choosing the engine near the results; reading a shared part of 6,300 tokens again costs more than moving 4 MB. A stage that only the engine reads now prefers the data centre of the engine chosen for now. The new test of fleet_vm fails before the change.

--- a/src/decisions/batching/job.rs
+++ b/src/decisions/batching/job.rs
@@ -69,7 +69,8 @@
     pub result_bytes: u64,
     /// Whether the stage of this request has run before.
     pub is_repeat: bool,
-    /// The data centre that keeps most of the results that the items read.
+    /// The data centre that keeps most of the results that the items read or, without inputs,
+    /// where their own results will be read.
     pub near: Option<DataCentreName>,
     /// Whether nothing else reads the inputs of the items.
     pub reads_inputs_last: bool,
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -18,7 +18,9 @@
 use crate::fleet::metric;
 use crate::fleet::model::{BatchLimits, FleetView, Route, RouteStage};
 use crate::fleet::node::Node;
+use crate::fleet::plain::{Attempts, choose};
 use crate::fleet::request::{Call, batching_order};
+use crate::fleet::stream::generation;
 use crate::fleet::wire::{Body, Handles, JobFailed, StageJob};
 use crate::units::{DataCentreName, ServiceName, Time};
 
@@ -134,12 +136,6 @@
 ) -> Result<StageResults, JobFailure> {
     let route = &call.route;
     let count = route.stages.len();
-    let is_followed = |stage| {
-        route
-            .stages
-            .iter()
-            .any(|other| other.after.contains(&stage))
-    };
     let mut results = StageResults {
         node: Arc::clone(node),
         by_stage: vec![None; count],
@@ -153,7 +149,9 @@
             .iter()
             .map(|stage| stage.result_bytes)
             .collect(),
-        last_stages: (0..count).filter(|stage| !is_followed(*stage)).collect(),
+        last_stages: (0..count)
+            .filter(|stage| !is_followed(route, *stage))
+            .collect(),
     };
     let mut running = FuturesUnordered::new();
     let items = |stage: usize| call.caller.stage_items.get(stage).copied();
@@ -254,6 +252,8 @@
     let inputs_lapse = inputs_ttl.map(|ttl| now + ttl.mul_f64(INPUTS_TTL_PART));
     let deadline = call.deadline - least_later;
     let due = call.due - later;
+    // Where a stage has inputs, the VM that batches places it near them.
+    let is_read_by_engine = spec.after.is_empty() && !is_followed(&call.route, stage);
     let job = Job {
         id: JobId(0),
         request: Arc::from(call.caller.id.as_str()),
@@ -265,7 +265,9 @@
         deadline: inputs_lapse.map_or(deadline, |lapse| deadline.min(lapse)),
         result_bytes: spec.result_bytes,
         is_repeat,
-        near: None,
+        near: is_read_by_engine
+            .then(|| engine_data_centre(node, call))
+            .flatten(),
         reads_inputs_last: reads_inputs_last(&call.route, stage),
     };
     let started = now;
@@ -284,6 +286,22 @@
     (stage, outcome)
 }
 
+/// Returns whether another stage reads the results of a stage.
+fn is_followed(route: &Route, stage: usize) -> bool {
+    route
+        .stages
+        .iter()
+        .any(|other| other.after.contains(&stage))
+}
+
+/// Returns the data centre of the engine that the request would go to now. Results of a stage
+/// that only the engine reads are large, and it rarely changes until then.
+fn engine_data_centre(node: &Node, call: &Call) -> Option<DataCentreName> {
+    let work = generation(call, &node.settings.data_centre);
+    let endpoint = choose(node, call, &Attempts::default(), work)?;
+    Some(endpoint.data_centre.clone())
+}
+
 /// Returns whether no other stage reads the inputs of a stage.
 fn reads_inputs_last(route: &Route, stage: usize) -> bool {
     let readers = |before: &usize| {
@@ -381,6 +399,7 @@
         result_bytes: job.result_bytes,
         is_repeat: job.is_repeat,
         reads_inputs_last: job.reads_inputs_last,
+        near: job.near.as_ref().map(ToString::to_string),
     }
 }
 
@@ -425,7 +444,7 @@
         deadline: now + Duration::from_millis(wire.deadline_ms),
         result_bytes: wire.result_bytes,
         is_repeat: wire.is_repeat,
-        near: None,
+        near: wire.near.and_then(|near| near.parse().ok()),
         reads_inputs_last: wire.reads_inputs_last,
     };
     match node.broker.run(&service, job).await {
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -32,7 +32,7 @@
 use crate::platform::endpoint_call::{Verdict, judge, returned_headers};
 use crate::traffic::Ran;
 use crate::traffic::sse::{BlockReader, event_number};
-use crate::units::EndpointName;
+use crate::units::{DataCentreName, EndpointName};
 
 /// Pause that a caller is told when no engine takes its request.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
@@ -210,14 +210,7 @@
         let view = self.node.view();
         let near = results.data_centre(&view);
         let near = near.as_ref().unwrap_or(&self.node.settings.data_centre);
-        let prompt = &self.call.caller.prompt;
-        // The last part belongs to the request alone; the one before it is shared and longest.
-        let subject = prompt.iter().rev().nth(1).or(prompt.last());
-        let work = Work::Generation {
-            subject: subject.map_or(0, |part| part.id),
-            prompt_tokens: self.call.caller.prompt_tokens,
-            near,
-        };
+        let work = generation(&self.call, near);
         loop {
             let endpoint = choose(&self.node, &self.call, &self.attempts, work)?;
             let connection =
@@ -482,6 +475,19 @@
     }
 }
 
+/// Returns what a request asks of an engine. `near` is the data centre with most of what the
+/// engine reads.
+pub fn generation<'a>(call: &Call, near: &'a DataCentreName) -> Work<'a> {
+    let prompt = &call.caller.prompt;
+    // The last part belongs to the request alone; the one before it is shared and longest.
+    let subject = prompt.iter().rev().nth(1).or(prompt.last());
+    Work::Generation {
+        subject: subject.map_or(0, |part| part.id),
+        prompt_tokens: call.caller.prompt_tokens,
+        near,
+    }
+}
+
 fn relay_body<G: Send + 'static>(source: Source, first: Bytes, active: G) -> ReplyBody {
     let state = (source, Some(first), active);
     let events = stream::unfold(state, |(mut source, first, active)| async move {
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -156,6 +156,9 @@
     /// Whether nothing else reads the inputs.
     #[prost(bool, tag = "12")]
     pub reads_inputs_last: bool,
+    /// The data centre where the results will be read, if it is known.
+    #[prost(string, optional, tag = "13")]
+    pub near: Option<String>,
 }
 
 /// Why a stage job has no results.
--- a/tests/fleet_vm.rs
+++ b/tests/fleet_vm.rs
@@ -8,9 +8,9 @@
 use googletest::prelude::*;
 use rustix::process::Signal;
 use serde_json::json;
-use users_platform::backend::{EVENTS, Fault, Kind};
+use users_platform::backend::{Backend, EVENTS, Fault, Kind};
 use users_platform::store::Mode;
-use users_platform::{Fleet, Got, eventually, request, request_with, within};
+use users_platform::{DATA_CENTRES, Fleet, Got, eventually, request, request_with, within};
 
 /// Time for which an endpoint may still get work after it is said to leave.
 const LEAVE_LIMIT: Duration = Duration::from_secs(2);
@@ -312,6 +312,62 @@
     eventually("all results are freed", freed).await;
 }
 
+/// Guards large results that cross data centres: a stage that only the engine reads runs where
+/// that engine is.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn results_for_the_engine_are_made_in_its_data_centre() {
+    let mut fleet = Fleet::start(3).await;
+    for _ in 0..3 {
+        fleet.add_backend("first", Kind::Stage).await;
+    }
+    fleet.change(|configuration| {
+        let routes = configuration["Routes"].as_array_mut().unwrap();
+        let mut route = routes[2].clone();
+        route["PathPrefix"] = json!("/alone/");
+        route["Name"] = json!("alone");
+        route["Stages"].as_array_mut().unwrap().truncate(1);
+        // Items may run elsewhere after the time of a call, or when they would be late.
+        route["TargetLatencyMs"] = json!(8_000);
+        routes.push(route);
+        configuration["Services"][2]["Pieces"]["CallMs"] = json!(1_000.0);
+    });
+    // The endpoints came before the configuration, so a VM that knows the route knows them.
+    for vm in &fleet.vms {
+        let served = || async {
+            let got = request(vm.caller(), "/alone/x", "probe", "key-1").await;
+            status(&got) == 200
+        };
+        eventually("the route is in force", served).await;
+    }
+    for number in 0..12 {
+        let vm = &fleet.vms[number % 3];
+        let got = request(vm.caller(), "/alone/x", &format!("n-{number}"), "key-1").await;
+        expect_that!(status(&got), eq(200));
+    }
+    let data_centre_of = |address: &str| {
+        let is_at = |backend: &Backend| backend.listed.to_string() == address;
+        let number = fleet.backends.iter().position(is_at);
+        DATA_CENTRES[number.unwrap() % 3]
+    };
+    for engine in fleet.backends_of("lm") {
+        let received = engine.received();
+        let is_counted = |id: &str| id.starts_with("n-");
+        let counted = received
+            .iter()
+            .filter(|call| call.header("request-id").is_some_and(is_counted));
+        for call in counted {
+            let inputs = call.header("inputs").unwrap_or_default();
+            expect_that!(inputs.split(',').count(), eq(2), "{inputs}");
+            for handle in inputs.split(',') {
+                let (address, _) = handle.split_once('/').unwrap();
+                let own = data_centre_of(&engine.listed.to_string());
+                expect_that!(data_centre_of(address), eq(own), "{inputs}");
+            }
+        }
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broken_stream_goes_on_at_another_engine_or_is_cut() {
