fix(platform): call the store from the VM's own address

Cause: found while a new test of a silent watch passed without its change. The stand-in store tells VMs apart by their address, but they all called it from 127.0.0.1, so set_mode_for had no effect: service_goes_on_without_the_store and the soak cut no single VM off. On a VM with several addresses the platform would see one that it does not know. The store client now binds to the address of the settings.

--- a/src/cli/send.rs
+++ b/src/cli/send.rs
@@ -77,6 +77,7 @@
     let path = format!("/v1/pipelines/{}", options.pipeline);
     let call = Call {
         address: target.address,
+        own_ip: None,
         method: Method::POST,
         path: &path,
         headers: &headers,
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -239,8 +239,12 @@
     let mut needs_listing = true;
     let mut rng = ChaCha8Rng::seed_from_u64(u64::from(u32::from(control.settings.lock().ip)));
     loop {
-        let client = StoreClient {
-            address: control.settings.lock().platform_address,
+        let client = {
+            let settings = control.settings.lock();
+            StoreClient {
+                address: settings.platform_address,
+                own_ip: settings.ip,
+            }
         };
         match follow_once(&control, client, needs_listing).await {
             Ok(next_needs_listing) => {
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing is retried and nothing is pooled, so a call is sent at most once.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use anyhow::Context as _;
@@ -12,7 +12,7 @@
 use hyper::client::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 /// Largest answer that [`fetch`] reads.
@@ -23,6 +23,8 @@
 pub struct Call<'a> {
     /// Where to connect.
     pub address: SocketAddr,
+    /// The address to connect from; `None` leaves it to the system.
+    pub own_ip: Option<Ipv4Addr>,
     /// The method.
     pub method: Method,
     /// Path and query.
@@ -40,6 +42,7 @@
     pub fn get(address: SocketAddr, path: &'a str, head_timeout: Duration) -> Self {
         Self {
             address,
+            own_ip: None,
             method: Method::GET,
             path,
             headers: &[],
@@ -64,7 +67,14 @@
 }
 
 async fn send_once(call: &Call<'_>) -> anyhow::Result<Response<Incoming>> {
-    let stream = TcpStream::connect(call.address).await?;
+    let stream = match call.own_ip {
+        Some(own_ip) => {
+            let socket = TcpSocket::new_v4()?;
+            socket.bind((own_ip, 0).into())?;
+            socket.connect(call.address).await?
+        }
+        None => TcpStream::connect(call.address).await?,
+    };
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's store, which can only be read.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use anyhow::{Context as _, bail};
@@ -101,6 +101,8 @@
 pub struct StoreClient {
     /// Where the store listens.
     pub address: SocketAddr,
+    /// The address of this VM, from which it connects.
+    pub own_ip: Ipv4Addr,
 }
 
 impl StoreClient {
@@ -164,7 +166,8 @@
     }
 
     async fn get(&self, path: &str, limit: Duration) -> anyhow::Result<(StatusCode, Bytes)> {
-        let call = Call::get(self.address, path, limit);
+        let mut call = Call::get(self.address, path, limit);
+        call.own_ip = Some(self.own_ip);
         tokio::time::timeout(limit, fetch(&call, limit))
             .await
             .with_context(|| format!("no answer of the store in {limit:?}"))?
--- a/tests/support/http_calls.rs
+++ b/tests/support/http_calls.rs
@@ -96,6 +96,7 @@
         let path = format!("/v1/pipelines/{pipeline}");
         let call = Call {
             address: vm,
+            own_ip: None,
             method: Method::POST,
             path: &path,
             headers: &all,
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -217,6 +217,7 @@
         let path = format!("/control/{mode}{link}");
         let call = Call {
             address: proxy.control,
+            own_ip: None,
             method: Method::POST,
             path: &path,
             headers: &[],
@@ -459,6 +460,7 @@
     headers.extend_from_slice(more);
     let call = Call {
         address: vm,
+        own_ip: None,
         method: Method::POST,
         path,
         headers: &headers,
