feat(control): watches wait longer in large fleets; a VM that lags asks others

The wait was short only to find silent connections. A VM now notices from gossip that others know a newer revision for 0.8 s and takes their state, so a watch of a fleet of 40 VMs or more may wait 10 s, and of one up to 8 VMs 2 s as before. Ruled out: reads that may be stale; a watch is not served that way.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -29,8 +29,17 @@
 };
 use crate::units::Incarnation;
 
-/// Longest wait of one watch: a connection that fell silent is found after it.
+/// Longest wait of one watch in a small fleet. A watch whose connection fell silent is found by
+/// what other VMs know ([`LAG_MOST`]), and after this time where none knows more.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// VMs up to which watches wait that long. In larger fleets they wait longer, so that the calls
+/// to the store do not grow with the number of VMs and some watch ends just as often.
+const WATCH_WAIT_VMS: u32 = 8;
+/// Longest wait of one watch in a large fleet.
+const WATCH_WAIT_MOST: Duration = Duration::from_millis(10_000);
+/// Time for which another VM may know a newer state of the store while the own watch is open.
+/// Watches pause for [`CHANGES_PAUSE`] after a change, and news takes a period of gossip.
+const LAG_MOST: Duration = Duration::from_millis(800);
 /// Pause after a watch that brought changes, so that a series of changes costs few calls. A
 /// configuration has to be in force within two seconds, and an endpoint left.
 const CHANGES_PAUSE: Duration = Duration::from_millis(450);
@@ -288,7 +297,7 @@
         return Ok(false);
     }
     let after = control.store.lock().revision;
-    match client.watch("", after, WATCH_WAIT).await? {
+    match client.watch("", after, watch_wait(control)).await? {
         Watched::HistoryLost => {
             info!(control.logger, "store: the history is gone"; "after" => after);
             note_answer(control);
@@ -305,6 +314,13 @@
     }
 }
 
+/// Returns how long a watch waits for changes.
+fn watch_wait(control: &Control) -> Duration {
+    let vms = u32::try_from(control.view.borrow().vms.len()).unwrap_or(u32::MAX);
+    let factor = f64::from(vms.max(WATCH_WAIT_VMS)) / f64::from(WATCH_WAIT_VMS);
+    WATCH_WAIT.mul_f64(factor).min(WATCH_WAIT_MOST)
+}
+
 fn note_answer(control: &Control) {
     if let Some(outage) = control.store.lock().on_answer(clock::now()) {
         info!(control.logger, "store: regained"; "outage_ms" => outage.as_millis() as u64);
@@ -405,20 +421,18 @@
     }
 }
 
-/// Asks other VMs for their state of the store while this VM cannot reach it.
+/// Asks other VMs for their state of the store while this VM cannot reach it, or while its watch
+/// does not bring what they know.
 async fn follow_peers(control: Arc<Control>) {
     loop {
         control.peer_is_newer.notified().await;
-        sleep(ASK_PEERS_AFTER).await;
-        let own = control.store.lock().revision;
         let is_lost = control.store.lock().is_lost();
+        sleep(if is_lost { ASK_PEERS_AFTER } else { LAG_MOST }).await;
+        let own = control.store.lock().revision;
         let newest = control.newest_peer.lock().take();
-        let Some((ip, revision)) = newest else {
+        let Some((ip, _)) = newest.filter(|(_, revision)| *revision > own) else {
             continue;
         };
-        if !is_lost || revision <= own {
-            continue;
-        }
         match control.peers.call(ip, Body::StateRequest(Nothing {})).await {
             Ok(Body::State(state)) => {
                 info!(control.logger, "store: took the state of another VM";
--- a/tests/fleet_vm.rs
+++ b/tests/fleet_vm.rs
@@ -418,6 +418,27 @@
     }
 }
 
+/// Guards a watch whose connection fell silent: the VM hears from the others that it lags.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_whose_watch_is_silent_learns_of_a_change_from_others() {
+    let mut fleet = Fleet::start(3).await;
+    fleet
+        .store
+        .set_mode_for(fleet.vms[1].ip.into(), Mode::Silent);
+    fleet.change(|configuration| {
+        let routes = configuration["Routes"].as_array_mut().unwrap();
+        let mut route = routes[0].clone();
+        route["PathPrefix"] = json!("/new/");
+        routes.push(route);
+    });
+    let served = || async {
+        let got = request(fleet.vms[1].caller(), "/new/x", "n", "key-1").await;
+        status(&got) == 200
+    };
+    within("the change is in force", APPLY_LIMIT, served).await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_endpoint_gets_nothing_after_a_moment() {
--- a/tests/users_platform/store.rs
+++ b/tests/users_platform/store.rs
@@ -177,7 +177,15 @@
         "/api/kv-watch" => {
             let wait_ms = query.get("WaitMs").and_then(|text| text.parse().ok());
             let wait = Duration::from_millis(wait_ms.unwrap_or(0));
-            Ok(watch(&state, &changed, &prefix, after.parse().unwrap_or(0), wait).await)
+            Ok(watch(
+                &state,
+                &changed,
+                from,
+                &prefix,
+                after.parse().unwrap_or(0),
+                wait,
+            )
+            .await)
         }
         _ => Ok(status(StatusCode::NOT_FOUND)),
     }
@@ -204,6 +212,7 @@
 async fn watch(
     state: &Mutex<State>,
     changed: &Notify,
+    caller: IpAddr,
     prefix: &str,
     after: u64,
     wait: Duration,
@@ -211,6 +220,11 @@
     let deadline = tokio::time::Instant::now() + wait;
     loop {
         let notified = changed.notified();
+        // The connection of the watch falls silent as well.
+        let is_silent = state.lock().modes_by_caller.get(&caller) == Some(&Mode::Silent);
+        if is_silent {
+            std::future::pending::<()>().await;
+        }
         {
             let state = state.lock();
             let first = state
