--- a/benches/path.rs
+++ b/benches/path.rs
@@ -29,6 +29,7 @@
     ];
     let call = Call {
         address: endpoint,
+        own_ip: None,
         method: Method::POST,
         path: "/v1/run",
         headers: &headers,
--- a/src/decisions/gossip.rs
+++ b/src/decisions/gossip.rs
@@ -6,6 +6,7 @@
 //! cut off and restarted, alone and all at once.
 
 mod message;
+mod probing;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -17,6 +18,7 @@
 
 pub use message::{GossipKind, GossipMessage, MembershipChange, Outgoing, VmRecord, VmState};
 
+use crate::decisions::gossip::probing::{Probe, ProxyProbe};
 use crate::fleet::model::FleetVm;
 use crate::units::{Time, VmId};
 
@@ -72,9 +74,6 @@
     }
 }
 
-/// Number of a ping whose answer matters only for the record that it carries.
-const UNTRACKED_PROBE: u64 = 0;
-
 #[derive(Debug)]
 struct Member {
     record: VmRecord,
@@ -85,24 +84,6 @@
     is_suspected_here: bool,
 }
 
-#[derive(Debug)]
-struct Probe {
-    number: u64,
-    target: VmId,
-    ip: Ipv4Addr,
-    started_at: Time,
-    is_indirect: bool,
-}
-
-/// A probe that this VM makes in place of another.
-#[derive(Debug)]
-struct ProxyProbe {
-    number: u64,
-    asker: Ipv4Addr,
-    asker_probe: u64,
-    started_at: Time,
-}
-
 /// Versions that each message carries.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct KnownVersions {
@@ -342,119 +323,6 @@
         }
     }
 
-    /// After a suspension of this VM the silence of the others proves nothing.
-    fn forgive_own_suspension(&mut self, now: Time) {
-        let suspended = self
-            .last_tick_at
-            .is_some_and(|last| now.since(last) > self.config.suspended_after);
-        if !suspended {
-            return;
-        }
-        self.probe = None;
-        for member in self.members.values_mut() {
-            if member.record.state == VmState::Suspect {
-                member.changed_at = now;
-            }
-        }
-    }
-
-    fn start_probe(&mut self, now: Time, outgoing: &mut OutgoingList) {
-        let Some(target) = self.next_target() else {
-            return;
-        };
-        let Some(member) = self.members.get(&target) else {
-            return;
-        };
-        let ip = member.record.vm.ip;
-        let doubted = (member.record.state == VmState::Suspect).then(|| member.record.clone());
-        self.probes += 1;
-        self.probe = Some(Probe {
-            number: self.probes,
-            target,
-            ip,
-            started_at: now,
-            is_indirect: false,
-        });
-        let mut ping = self.message(GossipKind::Ping, self.probes);
-        ping.records.extend(doubted);
-        outgoing.push(Outgoing {
-            to: ip,
-            message: ping,
-        });
-    }
-
-    /// Goes through all VMs in a random order before it repeats one, which bounds the time
-    /// until each is probed.
-    fn next_target(&mut self) -> Option<VmId> {
-        for _ in 0..2 {
-            while let Some(candidate) = self.order.pop() {
-                let is_probed = self.members.get(&candidate).is_some_and(|member| {
-                    matches!(member.record.state, VmState::Alive | VmState::Suspect)
-                });
-                if is_probed {
-                    return Some(candidate);
-                }
-            }
-            self.order = self.members.keys().cloned().collect();
-            self.order.shuffle(&mut self.rng);
-        }
-        None
-    }
-
-    fn probe_indirectly(&mut self, now: Time, outgoing: &mut OutgoingList) {
-        let Some(probe) = &mut self.probe else {
-            return;
-        };
-        if probe.is_indirect || now.since(probe.started_at) < self.config.probe_timeout {
-            return;
-        }
-        probe.is_indirect = true;
-        let (number, target, ip) = (probe.number, probe.target.clone(), probe.ip);
-        let helpers = self.shuffled_live(|member| member.record.vm.name != target);
-        for helper in helpers.into_iter().take(self.config.indirect_probes) {
-            let message = self.message(GossipKind::PingRequest(ip), number);
-            outgoing.push(Outgoing {
-                to: helper,
-                message,
-            });
-        }
-    }
-
-    /// Suspects the target of the last probe if nobody got an answer.
-    fn end_probe(&mut self, now: Time) {
-        let Some(probe) = self.probe.take() else {
-            return;
-        };
-        let Some(member) = self.members.get(&probe.target) else {
-            return;
-        };
-        if member.record.state == VmState::Alive {
-            let mut record = member.record.clone();
-            record.state = VmState::Suspect;
-            self.merge(now, &record);
-            if let Some(member) = self.members.get_mut(&probe.target) {
-                member.is_suspected_here = true;
-            }
-        }
-    }
-
-    /// Tells each VM that a probe from here suspects, every period until it objects: news alone
-    /// may reach it only after the suspicion has lapsed.
-    fn tell_suspects(&self, outgoing: &mut OutgoingList) {
-        let suspects = self
-            .members
-            .values()
-            .filter(|member| member.is_suspected_here && member.record.state == VmState::Suspect);
-        for suspect in suspects {
-            let doubt = vec![suspect.record.clone()];
-            let message = self.message_with(GossipKind::Ping, UNTRACKED_PROBE, doubt);
-            outgoing.push(Outgoing {
-                to: suspect.record.vm.ip,
-                message,
-            });
-        }
-    }
-
     fn rejoin(&mut self, outgoing: &mut OutgoingList) {
         let is_alone = !self
             .members
--- a/src/decisions/retry.rs
+++ b/src/decisions/retry.rs
@@ -60,14 +60,14 @@
     /// Takes one retry from the balance, if attempt number `attempts` was not the last
     /// allowed and the balance holds one.
     pub fn take(&mut self, attempts: u32) -> bool {
-        if attempts >= self.attempts_per_stage {
-            return false;
-        }
-        let Some(rest) = self.balance_parts.checked_sub(parts(1.0)) else {
-            return false;
-        };
-        self.balance_parts = rest;
-        true
+        attempts < self.attempts_per_stage && self.take_all(1)
+    }
+
+    /// Takes several retries that make sense only together, or none.
+    pub fn take_all(&mut self, count: u32) -> bool {
+        let rest = self.balance_parts.checked_sub(parts(f64::from(count)));
+        self.balance_parts = rest.unwrap_or(self.balance_parts);
+        rest.is_some()
     }
 }
 
--- a/tests/fleet_rules/batching.rs
+++ b/tests/fleet_rules/batching.rs
@@ -464,3 +464,17 @@
         );
     }
 }
+
+/// A repeat that the budget does not cover as a whole takes nothing of it.
+#[gtest]
+fn a_refused_repeat_leaves_the_budget_to_smaller_ones() {
+    let mut batcher = batcher();
+    let repeat = |id, items| Job {
+        is_repeat: true,
+        ..job(id, 0, items)
+    };
+    // The reserve holds ten.
+    let pushed = [(1, 11), (2, 6), (3, 5), (4, 4), (5, 1)]
+        .map(|(id, items)| batcher.push(at(0), 3, repeat(id, items)).is_ok());
+    expect_that!(pushed, eq([false, true, false, true, false]));
+}
