refactor(fleet): one connecting loop, one end of an attempt; drop what nothing reads

Batcher::cancel and fail share withdraw. The rank in a stage job and the version in gossip messages were sent and never read; their numbers are not used again. The periods of gossip and the first progress of stages are said once. No check or expectation changes.

--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -200,11 +200,7 @@
 
     /// Drops a job whose request ended, and returns the results that it already has.
     pub fn cancel(&mut self, id: JobId) -> Vec<String> {
-        self.queue.retain(|item| item.job != id);
-        let state = self.jobs.remove(&id);
-        state.map_or_else(Vec::new, |state| {
-            state.results.into_iter().flatten().collect()
-        })
+        self.withdraw(id).unwrap_or_default()
     }
 
     /// Ends the jobs that can not be done in time any more.
@@ -443,12 +439,17 @@
     }
 
     fn fail(&mut self, id: JobId, failure: ItemFailure) -> Option<JobEnd> {
-        self.queue.retain(|item| item.job != id);
-        let state = self.jobs.remove(&id)?;
         Some(JobEnd {
             id,
             results: Err(failure),
-            orphans: state.results.into_iter().flatten().collect(),
+            orphans: self.withdraw(id)?,
         })
     }
+
+    /// Takes a job out, with the results that it already has.
+    fn withdraw(&mut self, id: JobId) -> Option<Vec<String>> {
+        self.queue.retain(|item| item.job != id);
+        let state = self.jobs.remove(&id)?;
+        Some(state.results.into_iter().flatten().collect())
+    }
 }
--- a/src/decisions/batching/job.rs
+++ b/src/decisions/batching/job.rs
@@ -59,8 +59,6 @@
     pub items: u32,
     /// What each item reads.
     pub input: ItemInput,
-    /// Rank of the request; 0 is the most urgent.
-    pub priority: u8,
     /// End of the stage for an answer that is on time.
     pub due: Time,
     /// End of the stage for an answer at all.
--- a/src/decisions/gossip.rs
+++ b/src/decisions/gossip.rs
@@ -84,15 +84,6 @@
     is_suspected_here: bool,
 }
 
-/// Versions that each message carries.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub struct KnownVersions {
-    /// Version of the configuration; 0 for none.
-    pub configuration: u64,
-    /// Revision of the platform's store.
-    pub store_revision: u64,
-}
-
 /// The membership as this VM sees it.
 pub struct Gossip {
     config: GossipConfig,
@@ -110,8 +101,8 @@
     last_tick_at: Option<Time>,
     rng: ChaCha8Rng,
     changes: Vec<MembershipChange>,
-    /// Versions that messages carry.
-    pub versions: KnownVersions,
+    /// Revision of the platform's store that this VM knows; messages carry it.
+    pub store_revision: u64,
 }
 
 /// Messages to send; most steps send at most a few.
@@ -148,7 +139,7 @@
             last_tick_at: None,
             rng,
             changes: Vec::new(),
-            versions: KnownVersions::default(),
+            store_revision: 0,
         }
     }
 
@@ -219,24 +210,21 @@
         }
         let age = now.since(*self.started_at.get_or_insert(now));
         let is_starting = age < self.config.start;
+        let rejoin_period = match is_starting {
+            true => self.config.start_period,
+            false => self.config.rejoin_period,
+        };
         if now >= self.next_rejoin_at {
-            let config = &self.config;
-            self.next_rejoin_at = now
-                + match is_starting {
-                    true => config.start_period,
-                    false => config.rejoin_period,
-                };
+            self.next_rejoin_at = now + rejoin_period;
             self.rejoin(&mut outgoing);
         }
         if now >= self.next_sync_at {
-            let period = if is_starting {
-                self.config.start_period
-            } else if age < self.config.young {
-                self.config.rejoin_period
-            } else {
-                self.config.sync_period
-            };
-            self.next_sync_at = now + period;
+            let is_young = is_starting || age < self.config.young;
+            self.next_sync_at = now
+                + match is_young {
+                    true => rejoin_period,
+                    false => self.config.sync_period,
+                };
             self.sync(&mut outgoing);
         }
         self.expire(now);
@@ -456,8 +444,7 @@
             probe,
             sender: self.own.clone(),
             records,
-            configuration_version: self.versions.configuration,
-            store_revision: self.versions.store_revision,
+            store_revision: self.store_revision,
         }
     }
 
--- a/src/decisions/gossip/message.rs
+++ b/src/decisions/gossip/message.rs
@@ -57,8 +57,6 @@
     pub sender: VmRecord,
     /// Records of other VMs.
     pub records: Vec<VmRecord>,
-    /// Version of the configuration that the sender has.
-    pub configuration_version: u64,
     /// Revision of the store that the sender has seen.
     pub store_revision: u64,
 }
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -13,9 +13,7 @@
 use tokio::time::sleep;
 
 use crate::clock;
-use crate::decisions::gossip::{
-    Gossip, GossipConfig, GossipMessage, KnownVersions, Outgoing, OutgoingList,
-};
+use crate::decisions::gossip::{Gossip, GossipConfig, GossipMessage, Outgoing, OutgoingList};
 use crate::decisions::store_view::{StoreChange, StoreView, StoreViewConfig};
 use crate::fleet::model::{Endpoint, FleetView, FleetVm};
 use crate::fleet::peer_state::decode_state;
@@ -231,10 +229,7 @@
 
 fn publish_store(control: &Control) {
     let store = control.store.lock();
-    control.gossip.lock().versions = KnownVersions {
-        configuration: store.configuration().map_or(0, |known| known.version),
-        store_revision: store.revision,
-    };
+    control.gossip.lock().store_revision = store.revision;
     control.view.send_modify(|view| {
         let mut next = FleetView::clone(view);
         store.fill(&mut next);
@@ -338,7 +333,7 @@
     }
     let mut store = control.store.lock();
     store.revision = store.revision.max(answer.revision);
-    control.gossip.lock().versions.store_revision = store.revision;
+    control.gossip.lock().store_revision = store.revision;
     is_changed
 }
 
--- a/src/fleet/ingress.rs
+++ b/src/fleet/ingress.rs
@@ -31,6 +31,10 @@
 const IDLE_SLACK: Duration = Duration::from_millis(1_500);
 /// Idle limit while no configuration is known.
 const IDLE_DEFAULT: Duration = Duration::from_secs(20);
+/// Head size that is accepted while no configuration is known.
+const HEADER_BYTES_DEFAULT: usize = 16 * 1024;
+/// The request line and line ends beside the headers.
+const HEADER_SLACK_BYTES: usize = 8 * 1024;
 /// Time for which callers keep addresses: short enough to leave a dead VM soon.
 const ADDRESS_TTL: Duration = Duration::from_secs(2);
 /// Addresses of the caller's own data centre that suffice to send it nowhere else.
@@ -207,8 +211,3 @@
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
-
-/// Head size that is accepted while no configuration is known.
-const HEADER_BYTES_DEFAULT: usize = 16 * 1024;
-/// The request line and line ends beside the headers.
-const HEADER_SLACK_BYTES: usize = 8 * 1024;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -8,11 +8,15 @@
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
 
-use crate::decisions::endpoint_choice::{ChoiceConfig, EndpointChoice, cold_share};
+use crate::clock;
+use crate::decisions::endpoint_choice::{
+    AttemptEnd, ChoiceConfig, EndpointChoice, Started, cold_share,
+};
 use crate::decisions::rendezvous::rendezvous_order;
 use crate::decisions::retry::{RetryBudget, RetryConfig};
 use crate::decisions::stage_times::StageTimes;
 use crate::fleet::broker::Broker;
+use crate::fleet::metric;
 use crate::fleet::model::{Endpoint, FleetView};
 use crate::fleet::peers::Peers;
 use crate::fleet::settings::FleetSettings;
@@ -101,6 +105,12 @@
         self.with_budget(service, |budget| budget.take(sent))
     }
 
+    /// Notes how an attempt ended, for later choices and the metrics.
+    pub fn end_attempt(&self, started: Started, end: AttemptEnd) {
+        metric::attempt_ended(end);
+        self.choice.lock().finish(clock::now(), started, end);
+    }
+
     /// Returns how many requests a second this VM may send to a cold endpoint.
     pub fn cold_sends(&self, view: &FleetView, endpoint: &Endpoint) -> usize {
         let services = view.configuration.as_ref().map(|known| &known.services);
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -32,7 +32,7 @@
 /// An idempotent request that has no answer after this many objectives is sent elsewhere.
 const PATIENCE_OBJECTIVES: f64 = 1.5;
 /// Connections that are tried for one request; none of them costs a repeat.
-const CONNECTS_MOST: u32 = 4;
+pub const CONNECTS_MOST: u32 = 4;
 
 /// Endpoints that a request was offered to and what came of it.
 #[derive(Debug, Default)]
@@ -69,7 +69,9 @@
     let is_idempotent = call.route.kind == RouteKind::Idempotent;
     let mut fallback: Option<Reply> = None;
     let mut last = String::from("no endpoint");
-    while let Some((endpoint, connection)) = next_connection(node, call, attempts).await {
+    while let Some((endpoint, connection)) =
+        next_connection(node, call, attempts, Work::Plain).await
+    {
         if attempts.sent > 0 && !node.take_repeat(&call.service, attempts.sent) {
             last.push_str(", no repeat left");
             break;
@@ -125,13 +127,14 @@
 }
 
 /// Connects to the best endpoint that can be reached.
-async fn next_connection(
+pub async fn next_connection(
     node: &Node,
     call: &Call,
     attempts: &mut Attempts,
+    work: Work<'_>,
 ) -> Option<(Arc<Endpoint>, Connection)> {
     loop {
-        let endpoint = choose(node, call, attempts, Work::Plain)?;
+        let endpoint = choose(node, call, attempts, work)?;
         match connect_to(node, call, &endpoint, attempts).await {
             Some(connection) => return Some((endpoint, connection)),
             None if attempts.connects >= CONNECTS_MOST => return None,
@@ -162,7 +165,7 @@
 }
 
 /// Connects to an endpoint; a failure is noted and costs no repeat, since nothing was sent.
-pub async fn connect_to(
+async fn connect_to(
     node: &Node,
     call: &Call,
     endpoint: &Endpoint,
@@ -252,8 +255,7 @@
 impl Observed<'_> {
     fn finish(&mut self, end: AttemptEnd) {
         if let Some(started) = self.started.take() {
-            metric::attempt_ended(end);
-            self.node.choice.lock().finish(clock::now(), started, end);
+            self.node.end_attempt(started, end);
         }
     }
 }
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -124,7 +124,7 @@
     }
 }
 
-/// Runs all stages of a request, each as soon as those before it have ended.
+/// Runs all stages of a request, each when [`start_times`] says.
 ///
 /// # Errors
 ///
@@ -154,11 +154,9 @@
             .collect(),
     };
     let mut running = FuturesUnordered::new();
-    let items = |stage: usize| call.caller.stage_items.get(stage).copied();
-    let is_skipped = |stage| items(stage).unwrap_or(0) == 0;
-    let first_progress = |stage| match is_skipped(stage) {
-        true => Progress::Done,
-        false => Progress::Waiting,
+    let first_progress = |stage| match items_of(call, stage) {
+        0 => Progress::Done,
+        _ => Progress::Waiting,
     };
     let mut progress: Vec<Progress> = (0..count).map(first_progress).collect();
     loop {
@@ -195,6 +193,11 @@
     }
 }
 
+/// Returns how many items a stage has; one without any is left out.
+fn items_of(call: &Call, stage: usize) -> u32 {
+    call.caller.stage_items.get(stage).copied().unwrap_or(0)
+}
+
 /// Returns the stages as their start is decided from: with the times that they take lately.
 fn stage_states<'a>(node: &Node, call: &'a Call, progress: &[Progress]) -> Vec<StageState<'a>> {
     let (view, now) = (node.view(), clock::now());
@@ -233,7 +236,7 @@
     input: ItemInput,
     is_repeat: bool,
 ) -> (usize, Result<Vec<String>, JobFailure>) {
-    let items = call.caller.stage_items.get(stage).copied().unwrap_or(0);
+    let items = items_of(call, stage);
     let view = node.view();
     let now = clock::now();
     let least_later = later_time(call, &view, stage, |_, usual_ms| usual_ms);
@@ -260,7 +263,6 @@
         stage,
         items,
         input,
-        priority: call.priority(),
         due,
         deadline: inputs_lapse.map_or(deadline, |lapse| deadline.min(lapse)),
         result_bytes: spec.result_bytes,
@@ -393,7 +395,6 @@
         items: job.items,
         key,
         inputs,
-        priority: u32::from(job.priority),
         due_ms,
         deadline_ms: job.deadline.since(now).as_millis() as u64,
         result_bytes: job.result_bytes,
@@ -435,7 +436,6 @@
         stage: wire.stage as usize,
         items: wire.items,
         input,
-        priority: u8::try_from(wire.priority).unwrap_or(u8::MAX),
         due: if wire.due_ms < 0 {
             now - due
         } else {
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -22,10 +22,11 @@
 use crate::decisions::endpoint_choice::{AttemptEnd, Started, Work};
 use crate::fleet::broker::JobFailure;
 use crate::fleet::endpoint_client::{Connection, read_body};
-use crate::fleet::metric;
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::{Node, SENDS_MOST};
-use crate::fleet::plain::{Attempts, LEAST_ATTEMPT, build_request, choose, connect_to, timed_out};
+use crate::fleet::plain::{
+    Attempts, CONNECTS_MOST, LEAST_ATTEMPT, build_request, next_connection, timed_out,
+};
 use crate::fleet::reply::{self, ReplyBody, relayed, whole_body};
 use crate::fleet::request::{Call, Ended};
 use crate::fleet::stages::{StageResults, run_stages};
@@ -53,8 +54,6 @@
 const INPUTS_FETCHED: Duration = Duration::from_millis(80);
 /// Largest event that is taken from an engine.
 const EVENT_LIMIT_BYTES: usize = 1024 * 1024;
-/// Connections that are tried for one request; none of them costs a repeat.
-const CONNECTS_MOST: u32 = 4;
 
 /// Serves a request until its first event; the rest follows with the body.
 pub async fn serve<G: Send + 'static>(node: Arc<Node>, call: Arc<Call>, active: G) -> Ended {
@@ -211,16 +210,7 @@
         let near = results.data_centre(&view);
         let near = near.as_ref().unwrap_or(&self.node.settings.data_centre);
         let work = generation(&self.call, near);
-        loop {
-            let endpoint = choose(&self.node, &self.call, &self.attempts, work)?;
-            let connection =
-                connect_to(&self.node, &self.call, &endpoint, &mut self.attempts).await;
-            match connection {
-                Some(connection) => return Some((endpoint, connection)),
-                None if self.attempts.connects >= CONNECTS_MOST => return None,
-                None => {}
-            }
-        }
+        next_connection(&self.node, &self.call, &mut self.attempts, work).await
     }
 
     async fn send(
@@ -451,8 +441,7 @@
     fn end_attempt(&mut self, end: AttemptEnd) {
         self.open = None;
         if let Some(started) = self.started.take() {
-            metric::attempt_ended(end);
-            self.node.choice.lock().finish(clock::now(), started, end);
+            self.node.end_attempt(started, end);
         }
     }
 
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -51,9 +51,6 @@
     /// Records of other VMs.
     #[prost(message, repeated, tag = "5")]
     pub records: Vec<WireRecord>,
-    /// Version of the sender's configuration.
-    #[prost(uint64, tag = "6")]
-    pub configuration_version: u64,
     /// Revision of the store that the sender has seen.
     #[prost(uint64, tag = "7")]
     pub store_revision: u64,
@@ -138,9 +135,6 @@
     /// Results that each item reads.
     #[prost(string, repeated, tag = "6")]
     pub inputs: Vec<String>,
-    /// Rank of the request.
-    #[prost(uint32, tag = "7")]
-    pub priority: u32,
     /// Time until the stage has to end for an answer on time, in milliseconds.
     #[prost(sint64, tag = "8")]
     pub due_ms: i64,
@@ -268,7 +262,6 @@
         probe: message.probe,
         sender: Some((&message.sender).into()),
         records: message.records.iter().map(WireRecord::from).collect(),
-        configuration_version: message.configuration_version,
         store_revision: message.store_revision,
     };
     wire.encode_to_vec()
@@ -297,7 +290,6 @@
         probe: wire.probe,
         sender: sender.try_into()?,
         records: records?,
-        configuration_version: wire.configuration_version,
         store_revision: wire.store_revision,
     })
 }
--- a/tests/fleet_rules/batching.rs
+++ b/tests/fleet_rules/batching.rs
@@ -39,7 +39,6 @@
         stage: 0,
         items,
         input: ItemInput::Key("k".into()),
-        priority: 0,
         due: at(now_ms + 1_000),
         deadline: at(now_ms + 5_000),
         result_bytes: 10,
