--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -20,8 +20,9 @@
 use rustix::process::Signal;
 use serde_json::json;
 use users_platform::backend::{EVENTS, Fault};
+use users_platform::caller::{Got, request};
 use users_platform::store::Mode;
-use users_platform::{DATA_CENTRES, Fleet, Got, request};
+use users_platform::{DATA_CENTRES, Fleet};
 
 /// VMs of one soak.
 const VMS: usize = 4;
