--- a/tests/fleet_rules/store_view.rs
+++ b/tests/fleet_rules/store_view.rs
@@ -6,6 +6,8 @@
 use googletest::prelude::*;
 use primrosewalk::decisions::store_view::{StoreChange, StoreView, StoreViewConfig};
 use primrosewalk::fleet::model::{CallerLimits, Configuration, Endpoint, FleetView};
+use primrosewalk::fleet::peer_state::{decode_state, encode_state};
+use slog::{Discard, Logger, o};
 
 use crate::{at, endpoint};
 
@@ -62,6 +64,16 @@
     StoreView::new(StoreViewConfig::default())
 }
 
+/// Sends the state of one VM to another, encoded as on the wire.
+fn send_state(now_ms: u64, from: &StoreView, to: &mut StoreView) {
+    let mut fleet_view = FleetView::default();
+    from.fill(&mut fleet_view);
+    let state = encode_state(&fleet_view);
+    let revision = state.store_revision;
+    let changes = decode_state(&Logger::root(Discard, o!()), state);
+    to.apply_listing(at(now_ms), changes, revision);
+}
+
 #[gtest]
 fn a_configuration_never_goes_back() {
     let mut view = view();
@@ -150,3 +162,22 @@
     view.apply(at(600), entry("e-1", 2, None));
     expect_that!(usable_endpoints(&view), is_empty());
 }
+
+/// A VM that returns to the store keeps removed endpoints for a while. Its state must not bring them
+/// back at a VM that knows of their removal.
+#[gtest]
+fn a_removed_endpoint_is_not_restored_by_the_state_of_a_returning_vm() {
+    let (one, two) = (endpoint("e-1", "a"), endpoint("e-2", "b"));
+    let listing = vec![entry("e-1", 1, Some(&one)), entry("e-2", 2, Some(&two))];
+    let (mut returning, mut steady) = (view(), view());
+    returning.apply_listing(at(0), listing.clone(), 2);
+    steady.apply_listing(at(0), listing, 2);
+    returning.on_call_failed(at(1_000));
+    steady.apply(at(8_500), entry("e-1", 5, None));
+    returning.on_answer(at(9_000));
+    returning.apply(at(9_000), entry("e-1", 5, None));
+    returning.apply(at(9_100), entry("e-2", 6, Some(&two)));
+    returning.revision = 6;
+    send_state(9_500, &returning, &mut steady);
+    expect_that!(usable_endpoints(&steady), elements_are![eq("e-2")]);
+}
