fix(store_view): send the state of the store whole, each entry with its revision

Callers' requests reached an endpoint up to 3.8 s after the store had acknowledged its leaving.

Cause: a VM that cannot reach the store, or whose watch is late, asks another VM for its state. That state named only the usable endpoints, all at the sender's revision. A VM that has just returned to the store keeps removed entries for 2.3 s, as live endpoints may register again, and so it sent them as ready and newer than their removal. The receiver listed them again and no later change removed them. The class: a replica's provisional state passed on as confirmed, with its version replaced. For the same reason draining and evacuated endpoints were missing after a transfer: an evacuated data centre stayed unused after its evacuation when the state had come from another VM.

Change: the state has all listed endpoints, each with the revision of its own entry, and for an entry that is about to expire the time left. A receiver that knows of the removal keeps its own decision.

Before: store_view::a_removed_endpoint_is_not_restored_by_the_state_of_a_returning_vm, entries_that_lapsed_in_an_outage_expire_at_all_vms and the_state_of_another_vm_includes_endpoints_that_are_not_usable_now fail (the latter two with "Actual: [e-1]" and "Actual: []"). After: fleet_rules passes.

--- a/src/decisions/store_view.rs
+++ b/src/decisions/store_view.rs
@@ -5,7 +5,7 @@
 //! are kept for a short time after it answers again, since live endpoints register again. This
 //! handles a store that is down, slow, lagging or has dropped its history.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,6 +57,31 @@
     },
 }
 
+/// A listed endpoint, as one VM sends it to another.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SnapshotEntry {
+    /// Revision of the entry's last change. For an entry that is about to expire this is its removal.
+    pub revision: u64,
+    /// The endpoint as registered.
+    pub endpoint: Arc<Endpoint>,
+    /// When the endpoint stops being listed unless it registers again; `None` for an entry that
+    /// the store has.
+    pub expires_at: Option<Time>,
+}
+
+/// The complete state of the store at one revision, as one VM knows it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct StoreSnapshot {
+    /// Revision that the state reflects.
+    pub revision: u64,
+    /// The configuration in force.
+    pub configuration: Option<Arc<Configuration>>,
+    /// Names of the evacuated data centres.
+    pub evacuated: Vec<String>,
+    /// All listed endpoints: also those that drain, are evacuated or are about to expire.
+    pub endpoints: Vec<SnapshotEntry>,
+}
+
 /// The newest known entry of an endpoint.
 #[derive(Debug)]
 struct Entry {
@@ -168,16 +193,34 @@
         }
     }
 
+    /// Applies the answer to a watch, which has all changes from the one before up to `revision`.
+    /// Returns whether any of them is newer than the known state of its item.
+    pub fn apply_changes(
+        &mut self,
+        now: Time,
+        changes: impl IntoIterator<Item = StoreChange>,
+        revision: u64,
+    ) -> bool {
+        let mut is_any_newer = false;
+        for change in changes {
+            is_any_newer |= self.apply(now, change);
+        }
+        self.revision = self.revision.max(revision);
+        is_any_newer
+    }
+
     /// Applies a complete listing of the store at `revision`. Known items that are not in it count
     /// as removed.
     pub fn apply_listing(&mut self, now: Time, changes: Vec<StoreChange>, revision: u64) {
-        let mut listed_endpoints = Vec::new();
-        let mut listed_evacuations = Vec::new();
+        let mut listed_endpoints = HashSet::new();
+        let mut listed_evacuations = HashSet::new();
         for change in &changes {
             match change {
-                StoreChange::Endpoint { id, .. } => listed_endpoints.push(id.clone()),
+                StoreChange::Endpoint { id, .. } => {
+                    listed_endpoints.insert(id.clone());
+                }
                 StoreChange::Evacuation { data_centre, .. } => {
-                    listed_evacuations.push(data_centre.clone());
+                    listed_evacuations.insert(data_centre.clone());
                 }
                 StoreChange::Configuration(_) => {}
             }
@@ -185,22 +228,58 @@
         for change in changes {
             self.apply(now, change);
         }
-        let removed: Vec<String> = self
-            .entries
-            .iter()
-            .filter(|(id, entry)| entry.revision <= revision && !listed_endpoints.contains(id))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in removed {
-            self.apply_endpoint(now, id, revision, None);
+        self.remove_unlisted(now, revision, &listed_endpoints, &listed_evacuations);
+    }
+
+    /// Returns the complete state for another VM.
+    pub fn snapshot(&self) -> StoreSnapshot {
+        let listed = |entry: &Entry| {
+            Some(SnapshotEntry {
+                revision: entry.revision,
+                endpoint: Arc::clone(entry.endpoint.as_ref()?),
+                expires_at: entry.expires_at,
+            })
+        };
+        StoreSnapshot {
+            revision: self.revision,
+            configuration: self.configuration.clone(),
+            evacuated: self.evacuated().map(str::to_owned).collect(),
+            endpoints: self.entries.values().filter_map(listed).collect(),
         }
-        for (name, (known, is_evacuated)) in &mut self.evacuations {
-            if *known <= revision && !listed_evacuations.contains(name) {
-                *known = revision;
-                *is_evacuated = false;
+    }
+
+    /// Applies another VM's state of the store if it is newer than this one, and returns whether
+    /// it is.
+    pub fn apply_snapshot(&mut self, now: Time, snapshot: StoreSnapshot) -> bool {
+        let revision = snapshot.revision;
+        if revision <= self.revision {
+            return false;
+        }
+        if let Some(configuration) = snapshot.configuration {
+            self.apply(now, StoreChange::Configuration(configuration));
+        }
+        for data_centre in &snapshot.evacuated {
+            let change = StoreChange::Evacuation {
+                data_centre: data_centre.clone(),
+                revision,
+                is_evacuated: true,
+            };
+            self.apply(now, change);
+        }
+        let mut listed_endpoints = HashSet::new();
+        for entry in snapshot.endpoints {
+            let id = entry.endpoint.id.to_string();
+            listed_endpoints.insert(id.clone());
+            match entry.expires_at {
+                None => {
+                    self.apply_endpoint(now, id, entry.revision, Some(entry.endpoint));
+                }
+                Some(at) => self.apply_expiring(id, entry.revision, entry.endpoint, at),
             }
         }
-        self.revision = self.revision.max(revision);
+        let listed_evacuations = snapshot.evacuated.into_iter().collect();
+        self.remove_unlisted(now, revision, &listed_endpoints, &listed_evacuations);
+        true
     }
 
     /// Drops removed endpoints whose time to register again has passed. Returns whether there were
@@ -228,7 +307,7 @@
     /// view.
     pub fn fill(&self, view: &mut FleetView) {
         view.configuration = self.configuration.clone();
-        view.store_revision = self.revision;
+        view.store = Arc::new(self.snapshot());
         view.evacuated = self
             .evacuated()
             .filter_map(|name| name.parse().ok())
@@ -242,6 +321,55 @@
         }
     }
 
+    /// Removes what a complete state at `revision` does not list, and sets the view to that revision.
+    fn remove_unlisted(
+        &mut self,
+        now: Time,
+        revision: u64,
+        listed_endpoints: &HashSet<String>,
+        listed_evacuations: &HashSet<String>,
+    ) {
+        let removed: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(id, entry)| entry.revision <= revision && !listed_endpoints.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in removed {
+            self.apply_endpoint(now, id, revision, None);
+        }
+        for (name, (known, is_evacuated)) in &mut self.evacuations {
+            if *known <= revision && !listed_evacuations.contains(name) {
+                *known = revision;
+                *is_evacuated = false;
+            }
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Applies an entry that was removed at `revision` and that another VM keeps until `expires_at`.
+    /// A VM that knows of the removal has already decided whether to keep the entry.
+    fn apply_expiring(
+        &mut self,
+        id: String,
+        revision: u64,
+        endpoint: Arc<Endpoint>,
+        expires_at: Time,
+    ) {
+        let entry = self.entries.entry(id).or_insert(Entry {
+            revision: 0,
+            endpoint: None,
+            expires_at: None,
+        });
+        if revision <= entry.revision {
+            return;
+        }
+        entry.revision = revision;
+        // An endpoint that is known to drain goes on draining.
+        entry.endpoint.get_or_insert(endpoint);
+        entry.expires_at = Some(expires_at);
+    }
+
     /// Applies an endpoint's entry. Shortly after an outage a removed endpoint stays listed, since
     /// it may be live and register again.
     fn apply_endpoint(
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -24,7 +24,7 @@
 use crate::platform::configuration::decode_configuration;
 use crate::platform::endpoint_entry::decode_endpoint;
 use crate::platform::store::{
-    ENDPOINTS_PREFIX, OPERATOR_PREFIX, StoreAnswer, StoreClient, StoreItem, StoreKey, WatchOutcome,
+    ENDPOINTS_PREFIX, OPERATOR_PREFIX, StoreClient, StoreItem, StoreKey, WatchOutcome,
 };
 use crate::units::Incarnation;
 
@@ -320,8 +320,18 @@
         }
         WatchOutcome::Changes(answer) => {
             note_store_answer(control);
-            if apply_changes(control, answer) {
+            let items = answer.items.into_iter();
+            let changes = items.filter_map(|item| decode_change(control, item));
+            let changes: Vec<StoreChange> = changes.collect();
+            let is_any_newer =
+                control
+                    .store
+                    .lock()
+                    .apply_changes(clock::now(), changes, answer.revision);
+            if is_any_newer || answer.revision > after {
                 publish_store(control);
+            }
+            if is_any_newer {
                 sleep(CHANGES_PAUSE).await;
             }
             Ok(false)
@@ -343,21 +353,6 @@
     }
 }
 
-/// Applies the changes of a watch; returns whether any of them is newer than what was known.
-fn apply_changes(control: &Control, answer: StoreAnswer) -> bool {
-    let mut is_any_newer = false;
-    let now = clock::now();
-    for item in answer.items {
-        if let Some(change) = decode_change(control, item) {
-            is_any_newer |= control.store.lock().apply(now, change);
-        }
-    }
-    let mut store = control.store.lock();
-    store.revision = store.revision.max(answer.revision);
-    control.gossip.lock().store_revision = store.revision;
-    is_any_newer
-}
-
 /// Decodes an item of the store. Returns `None` for items that this system ignores, and for a
 /// removed or invalid configuration, which leaves the former one in force.
 fn decode_change(control: &Control, item: StoreItem) -> Option<StoreChange> {
@@ -461,11 +456,11 @@
                 info!(control.logger, "store: received the state of another VM";
                     "vm" => %ip, "revision" => state.store_revision,
                     "own_revision" => own_revision);
-                let revision = state.store_revision;
-                let changes = decode_state(&control.logger, state);
                 let now = clock::now();
-                control.store.lock().apply_listing(now, changes, revision);
-                publish_store(&control);
+                let snapshot = decode_state(&control.logger, now, state);
+                if control.store.lock().apply_snapshot(now, snapshot) {
+                    publish_store(&control);
+                }
             }
             Ok(_) => {
                 warn!(control.logger, "store: another VM did not answer with its state"; "vm" => %ip)
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use smallvec::SmallVec;
 
+use crate::decisions::store_view::StoreSnapshot;
 use crate::units::{DataCentreName, EndpointName, OrganisationName, ServiceName, Time, VmId};
 
 /// Says how often a request of a route may run.
@@ -198,8 +199,8 @@
     /// Upper bound on the number of VMs that act at the same time. Each VM uses a fleet-wide limit
     /// divided by this number.
     pub share_count: u32,
-    /// Revision of the platform's store that the view reflects.
-    pub store_revision: u64,
+    /// State of the platform's store that the view reflects, for VMs that ask for it.
+    pub store: Arc<StoreSnapshot>,
 }
 
 impl FleetView {
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -19,6 +19,7 @@
 use crate::fleet::metric;
 use crate::fleet::model::{BatchLimits, FleetView, Route, RouteStage};
 use crate::fleet::node::Node;
+use crate::fleet::peer_state::encode_state;
 use crate::fleet::plain::{Attempts, choose};
 use crate::fleet::request::{AdmittedRequest, batching_order};
 use crate::fleet::stream::generation_work;
@@ -448,7 +449,7 @@
             None
         }
         Body::StateRequest(_) => {
-            let state = crate::fleet::peer_state::encode_state(&node.view());
+            let state = encode_state(clock::now(), &node.view().store);
             Some(Body::State(state))
         }
         _ => None,
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -182,7 +182,7 @@
     /// Names of the evacuated data centres.
     #[prost(string, repeated, tag = "3")]
     pub evacuated: Vec<String>,
-    /// Endpoints that may be used.
+    /// All listed endpoints.
     #[prost(message, repeated, tag = "4")]
     pub endpoints: Vec<WireEndpoint>,
 }
@@ -214,6 +214,12 @@
     /// Start of the endpoint's process, in milliseconds since the Unix epoch; 0 if unknown.
     #[prost(uint64, tag = "8")]
     pub started_ms: u64,
+    /// Revision of the entry's last change.
+    #[prost(uint64, tag = "9")]
+    pub revision: u64,
+    /// Time until a removed entry stops being listed, in milliseconds; absent if the store has it.
+    #[prost(uint64, optional, tag = "10")]
+    pub expires_in_ms: Option<u64>,
 }
 
 impl From<&VmRecord> for WireRecord {
--- a/tests/fleet_rules/store_view.rs
+++ b/tests/fleet_rules/store_view.rs
@@ -66,12 +66,9 @@
 
 /// Sends the state of one VM to another, encoded as on the wire.
 fn send_state(now_ms: u64, from: &StoreView, to: &mut StoreView) {
-    let mut fleet_view = FleetView::default();
-    from.fill(&mut fleet_view);
-    let state = encode_state(&fleet_view);
-    let revision = state.store_revision;
-    let changes = decode_state(&Logger::root(Discard, o!()), state);
-    to.apply_listing(at(now_ms), changes, revision);
+    let state = encode_state(at(now_ms), &from.snapshot());
+    let snapshot = decode_state(&Logger::root(Discard, o!()), at(now_ms), state);
+    to.apply_snapshot(at(now_ms), snapshot);
 }
 
 #[gtest]
@@ -175,9 +172,45 @@
     returning.on_call_failed(at(1_000));
     steady.apply(at(8_500), entry("e-1", 5, None));
     returning.on_answer(at(9_000));
-    returning.apply(at(9_000), entry("e-1", 5, None));
-    returning.apply(at(9_100), entry("e-2", 6, Some(&two)));
-    returning.revision = 6;
+    let changes = [entry("e-1", 5, None), entry("e-2", 6, Some(&two))];
+    returning.apply_changes(at(9_000), changes, 6);
     send_state(9_500, &returning, &mut steady);
     expect_that!(usable_endpoints(&steady), elements_are![eq("e-2")]);
 }
+
+/// A VM that cannot reach the store gets its endpoints from others. It has to learn which of them
+/// drain, and which can be used again after the evacuation of their data centre.
+#[gtest]
+fn the_state_of_another_vm_includes_endpoints_that_are_not_usable_now() {
+    let (one, two) = (endpoint("e-1", "a"), endpoint("e-2", "b"));
+    let mut leaving = Endpoint::clone(&two);
+    leaving.is_ready = false;
+    let (mut steady, mut cut_off) = (view(), view());
+    let listing = vec![entry("e-1", 1, Some(&one)), entry("e-2", 2, Some(&two))];
+    cut_off.apply_listing(at(0), listing.clone(), 2);
+    steady.apply_listing(at(0), listing, 2);
+    let leaving = entry("e-2", 4, Some(&Arc::new(leaving)));
+    steady.apply_changes(at(100), [evacuation(3, true), leaving], 4);
+    send_state(500, &steady, &mut cut_off);
+    expect_that!(usable_endpoints(&cut_off), is_empty());
+    cut_off.apply_changes(at(900), [evacuation(5, false)], 5);
+    expect_that!(usable_endpoints(&cut_off), elements_are![eq("e-1")]);
+}
+
+/// After an outage of the store for all VMs, the one that returns first tells the others. They keep
+/// what it keeps, and no longer.
+#[gtest]
+fn entries_that_lapsed_in_an_outage_expire_at_all_vms() {
+    let one = endpoint("e-1", "a");
+    let (mut first, mut second) = (view(), view());
+    for view in [&mut first, &mut second] {
+        view.apply_listing(at(0), vec![entry("e-1", 1, Some(&one))], 1);
+        view.on_call_failed(at(1_000));
+    }
+    first.on_answer(at(6_000));
+    first.apply_changes(at(6_000), [entry("e-1", 4, None)], 4);
+    send_state(6_500, &first, &mut second);
+    expect_that!(usable_endpoints(&second), elements_are![eq("e-1")]);
+    second.expire(at(8_400));
+    expect_that!(usable_endpoints(&second), is_empty());
+}
