fix(store_view): ignore an answer of the store that another VM's state overtook

Cause: while a watch or a listing is under way, the state of another VM can bring this VM to a later revision. The answer then still added endpoints that had registered and left in between: they were unknown here, so nothing marked them as removed, and the next watch starts after their removal. They stayed listed until the next listing.

Change: a view is complete at its revision. Changes of a watch at or below it, and listings before it, are not applied.

Before: an_answer_of_the_store_that_a_newer_state_overtook_adds_no_endpoint fails for both cases with "Actual: [e-1]". After: it passes.

--- a/src/decisions/store_view.rs
+++ b/src/decisions/store_view.rs
@@ -4,6 +4,10 @@
 //! replaced only by one of a higher revision. Entries that expired while the store was unreachable
 //! are kept for a short time after it answers again, since live endpoints register again. This
 //! handles a store that is down, slow, lagging or has dropped its history.
+//!
+//! A view is complete at its revision: it has every change up to it. A listing, the answer to a watch
+//! or the state of another VM can be overtaken by another of them, and what is overtaken must not be
+//! applied (`docs/platform.md`, "The store").
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -57,6 +61,16 @@
     },
 }
 
+impl StoreChange {
+    /// Returns the revision of the change; `None` for a configuration, which has a version instead.
+    fn revision(&self) -> Option<u64> {
+        match self {
+            Self::Configuration(_) => None,
+            Self::Evacuation { revision, .. } | Self::Endpoint { revision, .. } => Some(*revision),
+        }
+    }
+}
+
 /// A listed endpoint, as one VM sends it to another.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SnapshotEntry {
@@ -201,9 +215,15 @@
         changes: impl IntoIterator<Item = StoreChange>,
         revision: u64,
     ) -> bool {
+        // The state of another VM may have arrived during the watch. An endpoint that registered and
+        // left before that state is unknown here, and the next watch will not bring its removal.
+        let known_revision = self.revision;
         let mut is_any_newer = false;
         for change in changes {
-            is_any_newer |= self.apply(now, change);
+            let is_overtaken = change
+                .revision()
+                .is_some_and(|revision| revision <= known_revision);
+            is_any_newer |= !is_overtaken && self.apply(now, change);
         }
         self.revision = self.revision.max(revision);
         is_any_newer
@@ -212,6 +232,9 @@
     /// Applies a complete listing of the store at `revision`. Known items that are not in it count
     /// as removed.
     pub fn apply_listing(&mut self, now: Time, changes: Vec<StoreChange>, revision: u64) {
+        if revision < self.revision {
+            return;
+        }
         let mut listed_endpoints = HashSet::new();
         let mut listed_evacuations = HashSet::new();
         for change in &changes {
--- a/tests/fleet_rules/store_view.rs
+++ b/tests/fleet_rules/store_view.rs
@@ -214,3 +214,33 @@
     second.expire(at(8_400));
     expect_that!(usable_endpoints(&second), is_empty());
 }
+
+/// Guards against endpoints that stay listed for good: an answer of the store that another VM's
+/// state has overtaken must not add what was removed since, as no later change removes it again.
+#[gtest]
+fn an_answer_of_the_store_that_a_newer_state_overtook_adds_no_endpoint() {
+    struct Case {
+        name: &'static str,
+        apply: fn(&mut StoreView, StoreChange),
+    }
+    let cases = [
+        Case {
+            name: "watch",
+            apply: |view, change| {
+                view.apply_changes(at(200), [change], 3);
+            },
+        },
+        Case {
+            name: "listing",
+            apply: |view, change| view.apply_listing(at(200), vec![change], 3),
+        },
+    ];
+    for Case { name, apply } in cases {
+        let (mut steady, mut late) = (view(), view());
+        steady.apply_changes(at(0), [entry("e-1", 3, Some(&endpoint("e-1", "a")))], 3);
+        steady.apply_changes(at(100), [entry("e-1", 4, None)], 4);
+        send_state(150, &steady, &mut late);
+        apply(&mut late, entry("e-1", 3, Some(&endpoint("e-1", "a"))));
+        expect_that!(usable_endpoints(&late), is_empty(), "{name}");
+    }
+}
