fix(control): ask another VM for its state only behind one revision for 800 ms

Cause: a VM that heard of a newer revision waited 800 ms and then asked if any newer revision had been reported meanwhile. Under a series of changes some VM is always ahead by a moment, as watches pause 450 ms after a change, so VMs whose watches kept up asked as well.

Change: decisions::revision_lag remembers the oldest report of a revision that this VM has not reached; the VM is late 800 ms after it, or 300 ms while it cannot reach the store, as before.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -17,6 +17,7 @@
 pub mod quota;
 pub mod rendezvous;
 pub mod retry;
+pub mod revision_lag;
 pub mod routing;
 pub mod run_time;
 pub mod slots;
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -1,7 +1,7 @@
 //! The control thread: follows the platform's store, exchanges the membership with other VMs by
 //! gossip, and publishes both as one view to the traffic thread.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 
 use crate::clock;
 use crate::decisions::gossip::{Gossip, GossipConfig, GossipMessage, Outgoing, OutgoingList};
+use crate::decisions::revision_lag::RevisionLag;
 use crate::decisions::store_view::{StoreChange, StoreView, StoreViewConfig};
 use crate::fleet::model::{Endpoint, FleetView, FleetVm};
 use crate::fleet::peer_state::decode_state;
@@ -38,8 +39,8 @@
 const SMALL_FLEET_VMS: u32 = 8;
 /// Upper bound on the time that a watch waits for changes, however large the fleet.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(10_000);
-/// Time for which this VM waits for its own watch after another VM reported a newer revision of
-/// the store, before it asks that VM for its state. The watch may be behind because it pauses
+/// Time for which this VM waits for its own watch to reach a revision that another VM reported,
+/// before it asks for the state of a VM. The watch may be behind because it pauses
 /// for [`CHANGES_PAUSE`] after a change, and because reports take a period of gossip.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(800);
 /// Pause after a watch that brought changes, so that a series of changes takes few calls. It has
@@ -51,7 +52,7 @@
 /// Maximum pause after a failed call to the store.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(900);
 /// Delay, while the store cannot be reached, from another VM's report of a newer revision until
-/// that VM is asked for its state.
+/// a VM is asked for its state.
 const STATE_REQUEST_DELAY: Duration = Duration::from_millis(300);
 /// Minimum interval between two requests for another VM's state of the store.
 const STATE_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
@@ -73,8 +74,7 @@
     peers: Arc<Peers>,
     // Notified when a VM reports a newer revision of the store than this VM's.
     peer_is_newer: Notify,
-    // Address and revision of the VM that reported the newest state of the store.
-    newest_peer: Mutex<Option<(Ipv4Addr, u64)>>,
+    lag: Mutex<RevisionLag>,
 }
 
 /// Runs the control thread until the process ends.
@@ -108,7 +108,7 @@
         view,
         stopping,
         peer_is_newer: Notify::new(),
-        newest_peer: Mutex::default(),
+        lag: Mutex::default(),
     });
     tokio::spawn(follow_store(Arc::clone(&control)));
     tokio::spawn(fetch_newer_peer_state(Arc::clone(&control)));
@@ -198,16 +198,12 @@
     }
 }
 
-/// Notes the sender of a message as the VM to ask if its revision of the store is the newest
-/// reported so far and newer than this VM's.
+/// Notes the revision of the store that the sender of a message has reached.
 fn note_store_revision(control: &Control, message: &GossipMessage) {
     let own_revision = control.store.lock().revision;
-    if message.store_revision <= own_revision {
-        return;
-    }
-    let mut newest = control.newest_peer.lock();
-    if newest.is_none_or(|(_, revision)| message.store_revision >= revision) {
-        *newest = Some((message.sender.vm.ip, message.store_revision));
+    let (sender, revision) = (message.sender.vm.ip, message.store_revision);
+    let mut lag = control.lag.lock();
+    if lag.on_report(clock::now(), own_revision, sender, revision) {
         control.peer_is_newer.notify_one();
     }
 }
@@ -438,17 +434,29 @@
 /// watch does not deliver changes that the other VM already has.
 async fn fetch_newer_peer_state(control: Arc<Control>) {
     loop {
-        control.peer_is_newer.notified().await;
-        let is_unreachable = control.store.lock().is_unreachable();
-        sleep(if is_unreachable {
-            STATE_REQUEST_DELAY
-        } else {
-            MAX_WATCH_LAG
-        })
-        .await;
-        let own_revision = control.store.lock().revision;
-        let newest = control.newest_peer.lock().take();
-        let Some((ip, _)) = newest.filter(|(_, revision)| *revision > own_revision) else {
+        let (own_revision, max_lag) = {
+            let store = control.store.lock();
+            let is_unreachable = store.is_unreachable();
+            let max_lag = if is_unreachable {
+                STATE_REQUEST_DELAY
+            } else {
+                MAX_WATCH_LAG
+            };
+            (store.revision, max_lag)
+        };
+        let due_at = control.lag.lock().due_at(own_revision, max_lag);
+        match due_at {
+            None => {
+                control.peer_is_newer.notified().await;
+                continue;
+            }
+            Some(at) if at > clock::now() => {
+                sleep(at.since(clock::now())).await;
+                continue;
+            }
+            Some(_) => {}
+        }
+        let Some(ip) = control.lag.lock().take_newest() else {
             continue;
         };
         match control.peers.call(ip, Body::StateRequest(Empty {})).await {
--- a/tests/fleet_rules/main.rs
+++ b/tests/fleet_rules/main.rs
@@ -7,6 +7,7 @@
 mod batching;
 mod choice;
 mod gossip;
+mod revision_lag;
 mod settings;
 mod stage_start;
 mod store_view;
