fix(store_view): keep no removed entries on the return from a cut of one VM alone

Callers' requests reached endpoints for up to 2.3 s after this VM could read of their removal, and after 3.2 s or more from the removal itself if it came during or just after the cut.

Cause: after each loss of the store of 1 s or more, a VM kept removed entries for 2.3 s from its own return, as endpoints whose registrations lapse while the store is away register again. If only the VM was cut off, the store was never away, and removed entries are of endpoints that left.

Change: the time to register again counts from the first sign that the store answers others: another VM's report of a revision that did not exist when the outage began (reports of the first 2 s may be late ones). An outage for all VMs is treated as before.

Before: without reports the entry is kept until 11,300 ms in each case of a_vm_that_was_cut_off_alone_keeps_no_endpoint_that_left, after: until 11,300, 11,300, 11,100 and 9,000 ms.

--- a/src/decisions/store_view.rs
+++ b/src/decisions/store_view.rs
@@ -25,6 +25,9 @@
     /// Time after such an outage in which removed endpoints stay listed, since live endpoints
     /// register again.
     pub re_registration_grace: Duration,
+    /// Time from the start of an outage in which reports of other VMs may still be of changes
+    /// from before it.
+    pub report_delay: Duration,
 }
 
 impl Default for StoreViewConfig {
@@ -32,6 +35,7 @@
         Self {
             min_expiry_outage: Duration::from_millis(1_000),
             re_registration_grace: Duration::from_millis(2_300),
+            report_delay: Duration::from_millis(2_000),
         }
     }
 }
@@ -105,6 +109,17 @@
     expires_at: Option<Time>,
 }
 
+/// A time in which this VM's calls to the store fail.
+#[derive(Debug)]
+struct Outage {
+    since: Time,
+    /// Newest revision that any VM has reached.
+    newest_revision: u64,
+    /// When a new revision showed that the store answers other VMs, so that live endpoints can
+    /// register.
+    served_others_at: Option<Time>,
+}
+
 /// The state of the store after all changes that this VM has received.
 #[derive(Debug, Default)]
 pub struct StoreView {
@@ -115,9 +130,10 @@
     entries: BTreeMap<String, Entry>,
     /// Newest revision that the view reflects.
     pub revision: u64,
-    /// When the first call of the current outage failed; `None` while the store answers.
-    unreachable_since: Option<Time>,
-    /// When the store answered again after the last outage in which entries may have expired.
+    /// `None` while the store answers.
+    outage: Option<Outage>,
+    /// When the last outage ended in which entries may have expired: when the store answered this
+    /// VM again, or other VMs before.
     returned_at: Option<Time>,
 }
 
@@ -132,23 +148,43 @@
 
     /// Records that a call to the store failed. Returns whether it is the first of an outage.
     pub fn on_call_failed(&mut self, now: Time) -> bool {
-        let is_first = self.unreachable_since.is_none();
-        self.unreachable_since.get_or_insert(now);
+        let is_first = self.outage.is_none();
+        self.outage.get_or_insert(Outage {
+            since: now,
+            newest_revision: self.revision,
+            served_others_at: None,
+        });
         is_first
     }
 
+    /// Records that another VM has reached a revision.
+    pub fn on_peer_revision(&mut self, now: Time, revision: u64) {
+        let report_delay = self.config.report_delay;
+        let Some(outage) = &mut self.outage else {
+            return;
+        };
+        if revision <= outage.newest_revision {
+            return;
+        }
+        outage.newest_revision = revision;
+        if now.since(outage.since) >= report_delay {
+            outage.served_others_at.get_or_insert(now);
+        }
+    }
+
     /// Records that the store answered. Returns the length of the outage that this ends, if any.
     pub fn on_answer(&mut self, now: Time) -> Option<Duration> {
-        let outage = now.since(self.unreachable_since.take()?);
-        if outage >= self.config.min_expiry_outage {
-            self.returned_at = Some(now);
+        let outage = self.outage.take()?;
+        let length = now.since(outage.since);
+        if length >= self.config.min_expiry_outage {
+            self.returned_at = Some(outage.served_others_at.unwrap_or(now));
         }
-        Some(outage)
+        Some(length)
     }
 
     /// Returns whether the last call to the store failed.
     pub fn is_unreachable(&self) -> bool {
-        self.unreachable_since.is_some()
+        self.outage.is_some()
     }
 
     /// Returns the configuration in force.
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -200,10 +200,15 @@
 
 /// Notes the revision of the store that the sender of a message has reached.
 fn note_store_revision(control: &Control, message: &GossipMessage) {
-    let own_revision = control.store.lock().revision;
     let (sender, revision) = (message.sender.vm.ip, message.store_revision);
+    let now = clock::now();
+    let own_revision = {
+        let mut store = control.store.lock();
+        store.on_peer_revision(now, revision);
+        store.revision
+    };
     let mut lag = control.lag.lock();
-    if lag.on_report(clock::now(), own_revision, sender, revision) {
+    if lag.on_report(now, own_revision, sender, revision) {
         control.peer_is_newer.notify_one();
     }
 }
--- a/tests/fleet_rules/store_view.rs
+++ b/tests/fleet_rules/store_view.rs
@@ -244,3 +244,59 @@
         expect_that!(usable_endpoints(&late), is_empty(), "{name}");
     }
 }
+
+/// Guards against requests to endpoints that left: only an outage of the store itself keeps
+/// endpoints from registering, and a VM that was cut off alone keeps no removed entry on its return.
+#[gtest]
+fn a_vm_that_was_cut_off_alone_keeps_no_endpoint_that_left() {
+    struct Case {
+        name: &'static str,
+        /// Times and revisions of other VMs' reports during the outage from 1,000 ms to 9,000 ms.
+        reports: &'static [(u64, u64)],
+        /// Time until which an entry that was removed by the return is kept.
+        kept_until_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "no VM reaches the store",
+            reports: &[],
+            kept_until_ms: 11_300,
+        },
+        Case {
+            name: "a change from before the outage is reported late",
+            reports: &[(1_500, 5)],
+            kept_until_ms: 11_300,
+        },
+        Case {
+            name: "another VM returns a little sooner",
+            reports: &[(1_500, 5), (8_800, 6)],
+            kept_until_ms: 11_100,
+        },
+        Case {
+            name: "the other VMs have the store all the time",
+            reports: &[(1_500, 5), (4_000, 6), (8_800, 9)],
+            kept_until_ms: 9_000,
+        },
+    ];
+    for case in cases {
+        let mut view = view();
+        let listing = vec![entry("e-1", 1, Some(&endpoint("e-1", "a")))];
+        view.apply_listing(at(0), listing, 1);
+        view.on_call_failed(at(1_000));
+        for (now_ms, revision) in case.reports {
+            view.on_peer_revision(at(*now_ms), *revision);
+        }
+        view.on_answer(at(9_000));
+        view.apply_changes(at(9_000), [entry("e-1", 10, None)], 10);
+        for now_ms in [9_000, 11_099, 11_100, 11_299, 11_300] {
+            view.expire(at(now_ms));
+            let is_kept = !usable_endpoints(&view).is_empty();
+            expect_that!(
+                is_kept,
+                eq(now_ms < case.kept_until_ms),
+                "{}, {now_ms}",
+                case.name
+            );
+        }
+    }
+}
