fix(store_view): a VM that has the store keeps no entry for a returning VM

Cause: a VM with an intact watch that took the state of a VM just back from an outage kept the removed entries that the other one keeps.

Change: entries that are about to expire are taken over only by a VM that cannot reach the store itself.

Before: a_vm_that_has_the_store_keeps_no_entry_for_a_returning_vm fails with "Actual: [e-1]"; after: it passes.

--- a/src/decisions/store_view.rs
+++ b/src/decisions/store_view.rs
@@ -333,7 +333,12 @@
                 None => {
                     self.apply_endpoint(now, id, entry.revision, Some(entry.endpoint));
                 }
-                Some(at) => self.apply_expiring(id, entry.revision, entry.endpoint, at),
+                Some(at) if self.is_unreachable() => {
+                    self.apply_expiring(id, entry.revision, entry.endpoint, at);
+                }
+                Some(_) => {
+                    self.apply_endpoint(now, id, entry.revision, None);
+                }
             }
         }
         let listed_evacuations = snapshot.evacuated.into_iter().collect();
@@ -407,7 +412,8 @@
     }
 
     /// Applies an entry that was removed at `revision` and that another VM keeps until `expires_at`.
-    /// A VM that knows of the removal has already decided whether to keep the entry.
+    /// A VM that knows of the removal has already decided whether to keep the entry. One that has the
+    /// store decides by its own outages, since the other VM may have been cut off alone.
     fn apply_expiring(
         &mut self,
         id: String,
--- a/tests/fleet_rules/store_view.rs
+++ b/tests/fleet_rules/store_view.rs
@@ -197,8 +197,8 @@
     expect_that!(usable_endpoints(&cut_off), elements_are![eq("e-1")]);
 }
 
-/// After an outage of the store for all VMs, the one that returns first tells the others. They keep
-/// what it keeps, and no longer.
+/// After an outage of the store for all VMs, the one that returns first tells the others. Those that
+/// cannot reach the store yet keep what it keeps, and no longer.
 #[gtest]
 fn entries_that_lapsed_in_an_outage_expire_at_all_vms() {
     let one = endpoint("e-1", "a");
@@ -215,6 +215,22 @@
     expect_that!(usable_endpoints(&second), is_empty());
 }
 
+/// Guards against requests to an endpoint that left: a VM that has the store takes an entry as
+/// removed even if the VM that tells it of the removal keeps the entry.
+#[gtest]
+fn a_vm_that_has_the_store_keeps_no_entry_for_a_returning_vm() {
+    let one = endpoint("e-1", "a");
+    let (mut returning, mut steady) = (view(), view());
+    for view in [&mut returning, &mut steady] {
+        view.apply_listing(at(0), vec![entry("e-1", 1, Some(&one))], 1);
+    }
+    returning.on_call_failed(at(1_000));
+    returning.on_answer(at(6_000));
+    returning.apply_changes(at(6_000), [entry("e-1", 4, None)], 4);
+    send_state(6_500, &returning, &mut steady);
+    expect_that!(usable_endpoints(&steady), is_empty());
+}
+
 /// Guards against endpoints that stay listed for good: an answer of the store that another VM's
 /// state has overtaken must not add what was removed since, as no later change removes it again.
 #[gtest]
