fix(fleet): bound bytes without end in the head or the body of an endpoint's answer

What callers saw (tests/endless_answers.rs on the code before): lines or comments without end in a stream were relayed to the caller as events, also past its deadline, for as long as the engine sent them. A request that may run once got 504 at its deadline instead of 502 (interim answers, chunks of one byte); its connection took 70 MB in 4 s. A first run of the test did not end: the VM relayed lines for 20 minutes, until it was stopped.

Cause: the limits were on decoded data. The HTTP library skips interim answers without a limit. Blocks without an event number were relayed, and a timeout around a read that is always ready never fires. Each frame searched the whole buffered event again.

Change: bytes are counted as they are read from the connection, for the head, the answer, and each event. A block without a number breaks the stream off. The deadline is checked before each event. The search for the end of an event goes on where it ended. Events that were read are sent before a stream is cut.

--- a/src/fleet/endpoint_client.rs
+++ b/src/fleet/endpoint_client.rs
@@ -16,13 +16,16 @@
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::fleet::read_limit::{LimitedStream, ReadLimit};
 use crate::traffic::Execution;
 use crate::traffic::error_chain;
 
 /// Timeout for connecting to an endpoint. Endpoints are a few milliseconds away, and one that does
 /// not answer the opening packet is dead or cut off.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Maximum size of the body of an answer that is read as a whole.
+/// Maximum size of the head of an answer, with all interim answers before it.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum size of the body of an answer that is read as a whole, on the wire.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 /// Timeout for the acknowledgement of sent data, after which the kernel closes a connection
 /// (`TCP_USER_TIMEOUT`).
@@ -42,21 +45,35 @@
 pub struct Answer {
     /// The head, and the body to be read.
     pub response: Response<Incoming>,
-    connection: AbortOnDropHandle<()>,
+    connection: AnswerConnection,
 }
 
 impl Answer {
-    /// Splits the answer into the response and a guard; the connection stays open until the guard
-    /// is dropped.
-    pub fn into_parts(self) -> (Response<Incoming>, AbortOnDropHandle<()>) {
+    /// Splits the answer into the response and its connection, which stays open until it is
+    /// dropped.
+    pub fn into_parts(self) -> (Response<Incoming>, AnswerConnection) {
         (self.response, self.connection)
     }
 }
 
+/// The connection on which the body of an answer arrives.
+pub struct AnswerConnection {
+    _task: AbortOnDropHandle<()>,
+    limit: ReadLimit,
+}
+
+impl AnswerConnection {
+    /// Allows that many further bytes on the wire, after which the answer breaks off.
+    pub fn allow(&self, bytes: usize) {
+        self.limit.set(bytes);
+    }
+}
+
 /// An open connection on which nothing was sent yet.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortOnDropHandle<()>,
+    limit: ReadLimit,
 }
 
 /// Connects to an endpoint. When this fails, nothing was sent and nothing has run.
@@ -81,13 +98,19 @@
         &stream,
         u32::try_from(ACKNOWLEDGEMENT_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
     );
+    let limit = ReadLimit::new(MAX_HEAD_BYTES);
+    let stream = LimitedStream::new(stream, limit.clone());
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
     let task = AbortOnDropHandle::new(tokio::spawn(async move {
         // The task that waits for the answer gets the error too.
         let _ = connection.await;
     }));
-    Ok(Connection { sender, task })
+    Ok(Connection {
+        sender,
+        task,
+        limit,
+    })
 }
 
 impl Connection {
@@ -102,9 +125,13 @@
             ran: Execution::MayHaveRun,
             message: format!("the call failed: {}", error_chain(&error)),
         })?;
+        self.limit.set(MAX_ANSWER_BYTES);
         Ok(Answer {
             response,
-            connection: self.task,
+            connection: AnswerConnection {
+                _task: self.task,
+                limit: self.limit,
+            },
         })
     }
 }
@@ -118,7 +145,7 @@
     let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let whole = whole.map_err(|error| CallFailure {
         ran: Execution::MayHaveRun,
-        message: format!("the answer broke off: {error}"),
+        message: format!("the answer broke off: {}", error_chain(&*error)),
     })?;
     Ok(whole.to_bytes())
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 pub mod peer_state;
 pub mod peers;
 pub mod plain;
+mod read_limit;
 pub mod reply;
 pub mod request;
 pub mod run;
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -14,14 +14,14 @@
 use hyper::StatusCode;
 use hyper::body::{Frame, Incoming};
 use slog::{info, warn};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
-use tokio_util::task::AbortOnDropHandle;
 
 use crate::clock;
 use crate::decisions::batching::ItemFailure;
 use crate::decisions::endpoint_choice::{AttemptEnd, StartedAttempt, Work};
 use crate::fleet::dispatcher::JobFailure;
-use crate::fleet::endpoint_client::{Connection, read_body};
+use crate::fleet::endpoint_client::{AnswerConnection, Connection, read_body};
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::{MAX_SENDS, Node};
 use crate::fleet::plain::{
@@ -56,7 +56,7 @@
 /// does before it reads the prompt. The results are freed then: the memory that they use is what
 /// limits the stages under load.
 const INPUT_FETCH_ESTIMATE: Duration = Duration::from_millis(80);
-/// Maximum size of an event that is accepted from an engine.
+/// Maximum size of an event that is accepted from an engine, on the wire.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Serves a request until its first event. The body of the reply then relays the further events;
@@ -85,7 +85,7 @@
     endpoint: EndpointName,
     body: Incoming,
     blocks: BlockReader,
-    _connection: AbortOnDropHandle<()>,
+    connection: AnswerConnection,
 }
 
 /// Outcome of reading the next event from an engine.
@@ -330,7 +330,7 @@
                 return OpenOutcome::Failed(failure.message);
             }
         };
-        let (response, connection_guard) = answer.into_parts();
+        let (response, connection) = answer.into_parts();
         let (head, body) = response.into_parts();
         let status = head.status;
         match classify(status, &head.headers, &self.admitted.caller.id) {
@@ -355,7 +355,7 @@
             endpoint: endpoint.id.clone(),
             body,
             blocks: BlockReader::default(),
-            _connection: connection_guard,
+            connection,
         });
         match self.read().await {
             ReadOutcome::Event(event) => {
@@ -414,21 +414,22 @@
         };
         loop {
             if let Some(block) = open.blocks.next_block() {
-                let number = event_number(&block);
-                match (number, self.last_event) {
-                    (Some(number), Some(last)) if number <= last => continue,
-                    (Some(number), Some(last)) if number > last + 1 => {
+                // Each event has a number, so this is no event.
+                let Some(number) = event_number(&block) else {
+                    return ReadOutcome::Broken("a block is no event".to_owned());
+                };
+                match self.last_event {
+                    Some(last) if number <= last => continue,
+                    Some(last) if number > last + 1 => {
                         return ReadOutcome::Broken(format!("event {number} follows {last}"));
                     }
                     _ => {}
                 }
-                self.last_event = number.or(self.last_event);
+                self.last_event = Some(number);
+                open.connection.allow(MAX_EVENT_BYTES);
                 self.events += 1;
                 return ReadOutcome::Event(block);
             }
-            if open.blocks.buffered_bytes() > MAX_EVENT_BYTES {
-                return ReadOutcome::Broken("an event is too large".to_owned());
-            }
             match open.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
@@ -452,6 +453,12 @@
             return None;
         }
         let left = (self.admitted.deadline + DEADLINE_GRACE).since(clock::now());
+        // A timeout does not end a read that is ready at once.
+        if left.is_zero() {
+            self.end_attempt(AttemptEnd::Broken);
+            self.log_end("the deadline has passed");
+            return Some(Err(io::Error::other("the deadline has passed")));
+        }
         let may_resume = self.admitted.route.is_resumable && self.may_send_again();
         let limit = if may_resume {
             NEXT_EVENT_TIMEOUT.min(left)
@@ -547,6 +554,10 @@
             Some(event) => Some(Ok(event)),
             None => caller_stream.next().await,
         };
+        if matches!(next, Some(Err(_))) {
+            // An error drops what is not sent yet; the server sends it while the body waits.
+            yield_now().await;
+        }
         next.map(|event| (event.map(Frame::data), (caller_stream, None, active)))
     });
     StreamBody::new(events).boxed_unsync()
--- a/src/traffic/sse.rs
+++ b/src/traffic/sse.rs
@@ -15,6 +15,10 @@
 #[derive(Debug, Default)]
 pub struct BlockReader {
     buffer: BytesMut,
+    /// Start of the first line that may be the empty one at the end of the block.
+    line_start: usize,
+    /// Position up to which the buffer was searched, so that each byte is searched once.
+    searched_to: usize,
 }
 
 impl BlockReader {
@@ -31,9 +35,28 @@
     /// Removes and returns the next complete block, including its empty line. Returns `None`
     /// if more bytes are needed.
     pub fn next_block(&mut self) -> Option<Bytes> {
-        let end = block_end(&self.buffer)?;
+        let end = self.find_block_end()?;
+        (self.line_start, self.searched_to) = (0, 0);
         Some(self.buffer.split_to(end).freeze())
     }
+
+    /// Returns the position after the empty line that ends the first block.
+    fn find_block_end(&mut self) -> Option<usize> {
+        while let Some(length) = self.buffer[self.searched_to..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+        {
+            let line_end = self.searched_to + length;
+            let line = &self.buffer[self.line_start..line_end];
+            let is_empty = line.is_empty() || line == b"\r";
+            (self.line_start, self.searched_to) = (line_end + 1, line_end + 1);
+            if is_empty {
+                return Some(line_end + 1);
+            }
+        }
+        self.searched_to = self.buffer.len();
+        None
+    }
 }
 
 /// Returns the event id of a block, if it is a number.
@@ -72,22 +95,6 @@
     }
 }
 
-/// Returns the position after the empty line that ends the first block.
-fn block_end(buffer: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in buffer.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buffer[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
-
 fn parse_block(block: &str) -> Option<Event> {
     let mut name = None;
     let mut data: Option<String> = None;
--- /dev/null
+++ b/tests/endless_answers.rs
@@ -0,0 +1,146 @@
+//! Guards VMs against endpoints that send bytes without end in the head or the body of an answer.
+
+mod users_platform;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use users_platform::backend::{Backend, EVENTS, Endless, Fault};
+use users_platform::caller::request;
+use users_platform::{Fleet, eventually};
+
+/// Time within which a VM has to close a connection on which bytes without end come as fast as it
+/// reads: half of the deadline of the requests, so that the deadline is not what ends them.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Upper bound of the bytes that an endpoint can hand to the system on one connection: the largest
+/// answer that a VM reads, and the buffers of the kernel on both sides.
+const MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// Waits until each endless answer of an endpoint has ended, and checks how.
+async fn expect_closed_soon(endpoint: &Backend, place: Endless) {
+    let closed = || async { !endpoint.endless_answers().is_empty() };
+    eventually("the VM closes the endless answer", closed).await;
+    for answer in endpoint.endless_answers() {
+        expect_that!(answer.took, lt(CLOSE_TIMEOUT), "{place:?}");
+        expect_that!(answer.bytes, lt(MAX_BYTES), "{place:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_answered_by_another_endpoint_than_one_that_answers_without_end() {
+    for place in [
+        Endless::Head,
+        Endless::Interim,
+        Endless::Body,
+        Endless::Chunks,
+    ] {
+        let fleet = Fleet::start(1).await;
+        let endpoint = fleet.backends_of("plain").next().unwrap();
+        endpoint.set_fault(Fault::Endless(place));
+        for number in 0..6 {
+            let id = format!("r-{number}");
+            let answer = request(fleet.vms[0].caller_address(), "/look/x", &id, "key-1").await;
+            let answer = answer.unwrap();
+            expect_that!(answer.status, eq(200), "{place:?}");
+            expect_that!(answer.body, eq(&format!("answer to {id}")), "{place:?}");
+        }
+        expect_closed_soon(endpoint, place).await;
+    }
+}
+
+/// A request that may run once has run at the endpoint, so no answer may say that it has not.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_run_once_fails_soon_on_an_answer_without_end() {
+    for place in [
+        Endless::Head,
+        Endless::Interim,
+        Endless::Body,
+        Endless::Chunks,
+    ] {
+        let fleet = Fleet::start(1).await;
+        for endpoint in fleet.backends_of("plain") {
+            endpoint.set_fault(Fault::Endless(place));
+        }
+        let vm = fleet.vms[0].caller_address();
+        let answer = request(vm, "/pay/x", "r-1", "key-1").await.unwrap();
+        expect_that!(answer.status, eq(502), "{place:?}");
+        expect_that!(fleet.runs_of("r-1"), eq(1), "{place:?}");
+        let ran = |endpoint: &&Backend| endpoint.runs_of("r-1") > 0;
+        let endpoint = fleet.backends_of("plain").find(ran).unwrap();
+        expect_closed_soon(endpoint, place).await;
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_with_bytes_without_end_goes_on_at_another_engine() {
+    let places = [
+        Endless::Head,
+        Endless::Interim,
+        Endless::Body,
+        Endless::Chunks,
+        Endless::Lines,
+        Endless::Comments,
+    ];
+    for place in places {
+        let fleet = Fleet::start(1).await;
+        let engine = fleet.backends_of("lm").next().unwrap();
+        engine.set_fault(Fault::Endless(place));
+        let mut number = 0;
+        while engine.received().is_empty() && number < 20 {
+            number += 1;
+            let id = format!("r-{number}");
+            let answer = request(fleet.vms[0].caller_address(), "/stream/x", &id, "key-1").await;
+            let answer = answer.unwrap();
+            expect_that!(answer.status, eq(200), "{place:?}");
+            expect_that!(answer.is_complete, eq(true), "{place:?}");
+            let event = |event: u64| format!("id: {event}\ndata: piece {event} of {id}\n\n");
+            let events: String = (0..EVENTS).map(event).collect();
+            expect_that!(answer.body, eq(&events), "{place:?}");
+        }
+        expect_closed_soon(engine, place).await;
+    }
+}
+
+/// A stream that cannot be resumed is broken off, and nothing that is no event reaches the caller.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_may_run_once_breaks_off_at_bytes_without_end() {
+    for place in [Endless::Lines, Endless::Comments] {
+        let fleet = Fleet::start(1).await;
+        for engine in fleet.backends_of("lm") {
+            engine.set_fault(Fault::Endless(place));
+        }
+        let vm = fleet.vms[0].caller_address();
+        let answer = request(vm, "/once-stream/x", "r-1", "key-1").await.unwrap();
+        expect_that!(answer.status, eq(200), "{place:?}");
+        expect_that!(answer.is_complete, eq(false), "{place:?}");
+        let events = "id: 0\ndata: piece 0 of r-1\n\nid: 1\ndata: piece 1 of r-1\n\n";
+        expect_that!(answer.body, eq(events), "{place:?}");
+    }
+}
+
+/// A stage call on which bytes come without end fails, and its items run elsewhere or the request
+/// is refused; the VM goes on serving.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stage_call_with_bytes_without_end_is_closed_soon() {
+    for place in [
+        Endless::Head,
+        Endless::Interim,
+        Endless::Body,
+        Endless::Chunks,
+    ] {
+        let fleet = Fleet::start(1).await;
+        let endpoint = fleet.backends_of("first").next().unwrap();
+        endpoint.set_fault(Fault::Endless(place));
+        let vm = fleet.vms[0].caller_address();
+        let answer = request(vm, "/stream/x", "r-1", "key-1").await.unwrap();
+        expect_that!(answer.status, eq(503), "{place:?}");
+        expect_closed_soon(endpoint, place).await;
+        let answer = request(vm, "/look/x", "r-2", "key-1").await.unwrap();
+        expect_that!(answer.status, eq(200), "{place:?}");
+    }
+}
--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -45,6 +45,34 @@
     Extra,
     /// Refuses each request (421) as if another endpoint now had this address.
     Other,
+    /// Sends bytes without end in place of the answer, until the caller closes the connection.
+    Endless(Endless),
+}
+
+/// Where bytes without end come in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Endless {
+    /// Headers without end.
+    Head,
+    /// Interim answers (100) without end, and no final one.
+    Interim,
+    /// A body without end, whose length is not announced.
+    Body,
+    /// A body without end in chunks of one byte.
+    Chunks,
+    /// Lines that are no events after the first two events of a stream.
+    Lines,
+    /// Comments without end after the first two events of a stream.
+    Comments,
+}
+
+/// What an endpoint with [`Fault::Endless`] sent on one connection.
+#[derive(Debug, Clone, Copy)]
+pub struct EndlessAnswer {
+    /// Bytes until the caller closed the connection, with those in the buffers of the kernel.
+    pub bytes: usize,
+    /// Time until the caller closed the connection.
+    pub took: Duration,
 }
 
 /// One request as the endpoint received it.
@@ -73,6 +101,7 @@
     /// Handles of the stage results that no caller has freed yet.
     results: Mutex<HashSet<String>>,
     results_made: AtomicU64,
+    endless_answers: Mutex<Vec<EndlessAnswer>>,
 }
 
 /// Stand-in for one endpoint.
@@ -87,6 +116,8 @@
     kind: Kind,
 }
 
+/// Time after which an answer without end ends all the same, so that a test that fails ends too.
+const MAX_ENDLESS_TIME: Duration = Duration::from_secs(8);
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 8;
 
@@ -104,6 +135,7 @@
             received: Mutex::default(),
             results: Mutex::default(),
             results_made: AtomicU64::new(0),
+            endless_answers: Mutex::default(),
         });
         let mut backend = Self {
             id: id.to_owned(),
@@ -169,6 +201,11 @@
         ran.count()
     }
 
+    /// Returns the answers without end whose callers have closed the connection.
+    pub fn endless_answers(&self) -> Vec<EndlessAnswer> {
+        self.state.endless_answers.lock().clone()
+    }
+
     /// Returns the number of stage results that have not been freed.
     pub fn unfreed_results(&self) -> usize {
         self.state.results.lock().len()
@@ -258,6 +295,11 @@
         match fault {
             Fault::LoseAnswer => return Ok(()),
             Fault::Hang => std::future::pending().await,
+            Fault::Endless(place) => {
+                let answer = answer_endlessly(&mut stream, &request, own_id, kind, place).await;
+                state.endless_answers.lock().push(answer);
+                return Ok(());
+            }
             _ => {}
         }
         match kind {
@@ -362,6 +404,48 @@
     stream.write_all(b"0\r\n\r\n").await
 }
 
+/// Sends bytes without end until the caller closes the connection.
+async fn answer_endlessly(
+    stream: &mut TcpStream,
+    request: &Received,
+    own_id: &str,
+    kind: Kind,
+    place: Endless,
+) -> EndlessAnswer {
+    let answered = AnsweredRequest {
+        id: &request.id,
+        signer: own_id,
+    };
+    let content_type = match kind {
+        Kind::Model => "text/event-stream",
+        Kind::Plain | Kind::Stage => "application/json",
+    };
+    let head = response_head(&answered, Fault::None) + "Content-Type: " + content_type + "\r\n";
+    let events: String = (0..2)
+        .map(|event| format!("id: {event}\ndata: piece {event} of {}\n\n", request.id))
+        .collect();
+    let (start, filler) = match place {
+        Endless::Head => (head, "X-Filler: 0123456789abcdef\r\n"),
+        Endless::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
+        Endless::Body => (head + "\r\n", "0123456789abcdef"),
+        Endless::Chunks => (head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+        Endless::Lines => (head + "\r\n" + &events, "0123456789abcdef\n\n"),
+        Endless::Comments => (head + "\r\n" + &events, ": 0123456789abcdef\n\n"),
+    };
+    let started = Instant::now();
+    let filler = filler.repeat(1024);
+    let mut bytes = 0;
+    let mut next = start.into_bytes();
+    while started.elapsed() < MAX_ENDLESS_TIME && stream.write_all(&next).await.is_ok() {
+        bytes += next.len();
+        next = filler.clone().into_bytes();
+    }
+    EndlessAnswer {
+        bytes,
+        took: started.elapsed(),
+    }
+}
+
 async fn answer_stage(
     stream: &mut TcpStream,
     request: &Received,
--- a/tests/users_platform/caller.rs
+++ b/tests/users_platform/caller.rs
@@ -8,6 +8,9 @@
 use hyper::Method;
 use primrosewalk::http::{Call, send};
 
+/// Largest body that a caller reads; a longer one counts as incomplete.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
 /// Answer that a caller received.
 #[derive(Debug, Clone)]
 pub struct CallerAnswer {
@@ -69,6 +72,9 @@
     let mut body = answer.into_body();
     let mut bytes = Vec::new();
     let is_complete = loop {
+        if bytes.len() > MAX_BODY_BYTES {
+            break false;
+        }
         match tokio::time::timeout(Duration::from_secs(10), body.frame()).await {
             Ok(Some(Ok(frame))) => bytes.extend(frame.into_data().unwrap_or_default()),
             Ok(None) => break true,
