fix(http): close the connection of a call whose time is over

Cause: the task of a connection outlived its call. When the report of a stage endpoint came without end (interim answers), the VM gave up after 0.5 s and went on reading for 3.9 s, 70 MB (stage case of tests/endless_answers.rs); a report could also be 16 MiB.

Change: fetch holds the connection and closes it with the call. Reports of stage endpoints are read like their other answers, within the same limits.

--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -22,7 +22,6 @@
 use crate::decisions::retry::RetryConfig;
 use crate::fleet::endpoint_client::{connect, read_body};
 use crate::fleet::model::{Endpoint, FleetView};
-use crate::http::{Call, fetch};
 use crate::platform::endpoint_call::{ResponseClass, classify_stage, stage_headers};
 use crate::platform::stage_call::{
     FREE_PATH, REPORT_PATH, RUN_PATH, decode_free_bytes, decode_run, encode_free, encode_run,
@@ -311,23 +310,15 @@
     queue: Arc<ServiceQueue>,
     endpoint: Arc<Endpoint>,
 ) {
-    let call = Call::get(endpoint.address, REPORT_PATH, MEMORY_TIMEOUT);
-    let answer = fetch(&call, MEMORY_TIMEOUT).await;
-    let free_bytes = match answer {
-        Ok((StatusCode::OK, body)) => decode_free_bytes(&body),
-        Ok((status, _)) => {
+    let report = timeout(MEMORY_TIMEOUT, read_report(&endpoint)).await;
+    let report = report.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+    let free_bytes = report
+        .inspect_err(|error| {
             info!(dispatcher.logger, "stages: asking for free result memory failed";
-                "endpoint" => %endpoint.id,
-                "status" => status.as_u16());
-            None
-        }
-        Err(error) => {
-            info!(dispatcher.logger, "stages: asking for free result memory failed";
-                "endpoint" => %endpoint.id,
-                "error" => format!("{error:#}"));
-            None
-        }
-    };
+                "endpoint" => %endpoint.id, "error" => error);
+        })
+        .ok()
+        .and_then(|report| decode_free_bytes(&report));
     info!(dispatcher.logger, "stages: free result memory updated"; "endpoint" => %endpoint.id,
         "service" => %endpoint.service, "free_bytes" => free_bytes);
     queue
@@ -337,6 +328,26 @@
     queue.wake.notify_one();
 }
 
+/// Reads the report of a stage endpoint.
+async fn read_report(endpoint: &Endpoint) -> Result<Bytes, String> {
+    let connection = connect(endpoint.address)
+        .await
+        .map_err(|failure| failure.message)?;
+    let mut request = stage_request(&endpoint.id, REPORT_PATH, endpoint.address, Vec::new());
+    *request.method_mut() = Method::GET;
+    let answer = connection
+        .send(request)
+        .await
+        .map_err(|failure| failure.message)?;
+    let (response, _connection) = answer.into_parts();
+    match response.status() {
+        StatusCode::OK => read_body(response.into_body())
+            .await
+            .map_err(|failure| failure.message),
+        status => Err(format!("the endpoint answered {status}")),
+    }
+}
+
 /// Makes the call of a batch and passes its results to the jobs.
 async fn run_batch(
     dispatcher: Arc<BatchDispatcher>,
--- a/src/http.rs
+++ b/src/http.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
 
 /// Maximum size of an answer body that [`fetch`] reads.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
@@ -59,6 +60,13 @@
 /// Fails if the connection is refused or breaks, if the answer is not HTTP, or if the head of
 /// the answer takes longer than `head_timeout`.
 pub async fn send(call: &Call<'_>) -> anyhow::Result<Response<Incoming>> {
+    let (response, connection) = open(call).await?;
+    connection.detach();
+    Ok(response)
+}
+
+/// Sends a call and returns the answer with its connection, which closes when it is dropped.
+async fn open(call: &Call<'_>) -> anyhow::Result<(Response<Incoming>, AbortOnDropHandle<()>)> {
     let description = format!("{} {}{}", call.method, call.address, call.path);
     let answer = timeout(call.head_timeout, send_once(call)).await;
     answer
@@ -66,7 +74,7 @@
         .with_context(|| description)
 }
 
-async fn send_once(call: &Call<'_>) -> anyhow::Result<Response<Incoming>> {
+async fn send_once(call: &Call<'_>) -> anyhow::Result<(Response<Incoming>, AbortOnDropHandle<()>)> {
     let stream = match call.own_ip {
         Some(own_ip) => {
             let socket = TcpSocket::new_v4()?;
@@ -77,7 +85,10 @@
     };
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(connection);
+    let connection = AbortOnDropHandle::new(tokio::spawn(async move {
+        // The task that waits for the answer gets the error too.
+        let _ = connection.await;
+    }));
     let mut request = Request::builder().method(&call.method).uri(call.path);
     if !call.headers.iter().any(|(name, _)| *name == "host") {
         request = request.header("host", call.address.to_string());
@@ -86,7 +97,7 @@
         request = request.header(*name, *value);
     }
     let request = request.body(Full::new(call.body.clone()))?;
-    Ok(sender.send_request(request).await?)
+    Ok((sender.send_request(request).await?, connection))
 }
 
 /// Sends a call and reads its whole answer.
@@ -96,7 +107,7 @@
 /// Fails like [`send`], and also if the body breaks off, is larger than 16 MiB or takes longer
 /// than `body_timeout`.
 pub async fn fetch(call: &Call<'_>, body_timeout: Duration) -> anyhow::Result<(StatusCode, Bytes)> {
-    let response = send(call).await?;
+    let (response, _connection) = open(call).await?;
     let status = response.status();
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
     let body = timeout(body_timeout, body).await;
