fix(traffic): a refusal by a cold endpoint uses no retry

What callers saw: 502 stage_failed, "the endpoint answered 503 Service Unavailable", outcome not_run, while endpoints turned cold under full load (the entry of KNOWN-RED.txt).

Cause: attempts in flight when an endpoint turns cold are refused together. Each refusal took a retry from the VM's budget of 10, and one of the three attempts of its stage, although it states that nothing has run and the router has just dropped the endpoint's grant. When more requests are refused at once than the budget has, the others fail. In an idle run of the listed test one VM has 6 refusals within 1 ms; a busy machine delays answers and makes the groups larger.

Change: such a refusal sends the request back to wait for a slot, up to 8 times in a stage.

Before: traffic::refusals_of_a_cold_endpoint_use_no_retry fails in each of 8 requests with the error of the entry; after: it passes, as do traffic (30) and slots_fleet (3).

--- a/src/traffic/stage.rs
+++ b/src/traffic/stage.rs
@@ -25,6 +25,10 @@
 /// Number of leading bytes of an engine's input that are hashed as its prompt prefix.
 const PREFIX_BYTES: usize = 256;
 
+/// Maximum number of refusals by cold endpoints after which one stage waits for a slot again without
+/// a retry. It bounds what a stage sends to endpoints that always refuse.
+const MAX_COLD_REFUSALS: u32 = 8;
+
 /// Lower bound of the timeout for one step of an idempotent attempt.
 const MIN_STEP_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -46,6 +50,8 @@
     relay: TokenRelay,
     request: SlotRequest,
     attempts: u32,
+    /// Number of attempts that a cold endpoint refused without running them.
+    cold_refusals: u32,
     /// Whether the last answer said that the endpoint is in a cold start.
     answered_cold: bool,
 }
@@ -81,6 +87,7 @@
         relay: TokenRelay::new(streams.then(|| run.messages.clone())),
         request: slot_request(run, stage, input),
         attempts: 0,
+        cold_refusals: 0,
         answered_cold: false,
     };
     run.traffic.router.on_first_attempt();
@@ -136,9 +143,6 @@
                 "request" => %self.run.id, "stage" => %self.stage.name,
                 "endpoint" => %endpoint.name, "attempt" => self.attempts);
             self.check_retry(&error)?;
-            metrics::counter!(metric::RETRIES_TOTAL,
-                "service" => self.stage.service.to_string())
-            .increment(1);
             self.request.exclude.push(endpoint.name);
             self.request.avoid = Some(endpoint.data_centre);
         }
@@ -366,8 +370,9 @@
         result.unwrap_or_else(|_| Err(timed_out()))
     }
 
-    /// Returns `Ok` if another attempt may start, and the refusal for the caller otherwise.
-    fn check_retry(&self, error: &CallError) -> Result<(), Refusal> {
+    /// Returns `Ok` if another attempt may start, and the refusal for the caller otherwise. Takes a
+    /// retry from the budget unless the attempt was one that a cold endpoint refused.
+    fn check_retry(&mut self, error: &CallError) -> Result<(), Refusal> {
         let run = self.run;
         let message = format!("stage {} failed: {}", self.stage.name, error.message);
         if !self.stage.idempotent && error.execution == Execution::MayHaveRun {
@@ -377,9 +382,26 @@
             return Err(run.interrupt_refusal());
         }
         let has_time = !self.deadline.since(clock::now()).is_zero();
-        if !error.can_retry || !has_time || !run.traffic.router.take_retry(self.attempts) {
+        if !error.can_retry || !has_time {
             return Err(run.refusal(RefusalCode::StageFailed, message));
         }
+        // The router has dropped the endpoint's grant, so the next attempt waits for a slot that
+        // takes the cold start into account.
+        let is_cold_refusal = error.is_cold && error.execution == Execution::NotRun;
+        if is_cold_refusal && self.cold_refusals < MAX_COLD_REFUSALS {
+            self.cold_refusals += 1;
+            return Ok(());
+        }
+        if !run
+            .traffic
+            .router
+            .take_retry(self.attempts - self.cold_refusals)
+        {
+            return Err(run.refusal(RefusalCode::StageFailed, message));
+        }
+        metrics::counter!(metric::RETRIES_TOTAL,
+            "service" => self.stage.service.to_string())
+        .increment(1);
         Ok(())
     }
 }
--- a/tests/traffic_cases/stages.rs
+++ b/tests/traffic_cases/stages.rs
@@ -47,6 +47,32 @@
     }
 }
 
+/// Guards against requests that fail when many endpoints turn cold at once: a cold endpoint that
+/// refuses says that nothing has run, so the request must wait for a slot again. It is no retry.
+#[gtest]
+#[tokio::test]
+async fn refusals_of_a_cold_endpoint_use_no_retry() {
+    let refusal = Step::Answer(
+        "503 Service Unavailable",
+        "x-state: cold\r\nx-not-run: true\r\n",
+        "{}",
+    );
+    let mut endpoints = Vec::new();
+    for _ in 0..4 {
+        let endpoint = FakeEndpoint::start(std::slice::from_ref(&refusal)).await;
+        endpoints.push(("first", endpoint));
+    }
+    endpoints.push(("first", FakeEndpoint::start(&[OK]).await));
+    let mut setup = Setup::new(endpoints);
+    setup.config.retry.reserve = 0.0;
+    setup.config.retry.earned_per_request = 0.0;
+    let vm = Vm::start(setup).await;
+    for _ in 0..8 {
+        let reply = run(&vm, "simple", &[], "{}").await;
+        expect_that!(reply.status, eq(200), "{}", reply.body);
+    }
+}
+
 /// A hanging endpoint must be given up early enough for a retry at another endpoint.
 #[gtest]
 #[tokio::test]
