test(soak): series that overlap, kept connections, leaving endpoints, and a departure at the end

Half of the callers keep their connections until a VM closes them. Faults come alone or in series of the same step at several VMs or endpoints (planned stops and restarts, reloads with new configurations, pauses, departures), which overlap with further draws.

--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -1,13 +1,14 @@
 //! Soak test with seeded random faults: VMs run as processes while callers send requests without
 //! pause.
 //!
-//! Each seed gives a series of faults: kills, pauses, planned stops and restarts of VMs, outages
-//! of the store for all VMs or for one, faults and restarts of endpoints, new configurations,
-//! evacuations, and a loopback proxy that delays, cuts or silences the connections between VMs and
-//! one endpoint. The guarantees of the system are checked from what callers and endpoints see.
-//! `SOAK_SEED` is the first seed, `SOAK_RUNS` the number of seeds and `SOAK_SECONDS` the time
-//! during which faults occur for each seed. `SOAK_SEEDS.txt` beside this file lists the seeds that
-//! have ever failed.
+//! Each seed gives faults, alone or in series that overlap: kills, pauses, planned stops and
+//! restarts of VMs, outages of the store for all VMs or for one, faults, restarts and departures of
+//! endpoints, new configurations, evacuations, and a loopback proxy that delays, cuts or silences
+//! the connections between VMs and one endpoint. Half of the callers keep their connections open
+//! until a VM closes them. The guarantees of the system are checked from what callers and endpoints
+//! see. `SOAK_SEED` is the first seed, `SOAK_RUNS` the number of seeds, `SOAK_SECONDS` the time
+//! during which faults occur for each seed and `SOAK_VMS` the number of VMs. `SOAK_SEEDS.txt` beside
+//! this file lists the seeds that have ever failed.
 
 mod users_platform;
 
@@ -23,14 +24,20 @@
 use rustix::process::Signal;
 use serde_json::json;
 use users_platform::backend::{EVENTS, Fault};
-use users_platform::caller::{CallerAnswer, request};
+use users_platform::caller::{CallerAnswer, KeptConnection, request};
 use users_platform::store::Mode;
-use users_platform::{DATA_CENTRES, Fleet};
+use users_platform::{DATA_CENTRES, Fleet, eventually};
 
-/// Number of VMs.
-const VM_COUNT: usize = 4;
+/// Number of VMs, unless `SOAK_VMS` is set.
+const DEFAULT_VM_COUNT: usize = 4;
 /// Number of concurrent callers; each sends one request after the other.
 const CALLER_COUNT: usize = 6;
+/// Number of endpoints.
+const ENDPOINT_COUNT: usize = 6;
+/// Endpoint of the service `plain` that leaves at the end of each run; another one stays.
+const LEAVING_ENDPOINT: usize = 0;
+/// Time after which a VM that can reach the store again counts as in contact.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Upper bound of the time between two faults.
 const MAX_FAULT_GAP_MS: u64 = 900;
 /// Timeout for requests to be served again after all faults have ended.
@@ -160,6 +167,7 @@
     stop: Arc<AtomicBool>,
 ) {
     let mut round = 0;
+    let mut kept = KeptConnection::default();
     while !stop.load(Ordering::Relaxed) {
         round += 1;
         let path = ["/look/x", "/pay/x", "/stream/x", "/once-stream/x"][(number + round) % 4];
@@ -169,7 +177,10 @@
             addresses[(number + round) % addresses.len()]
         };
         observations.sent.fetch_add(1, Ordering::Relaxed);
-        let answer = request(address, path, &id, "key-1").await;
+        let answer = match number % 2 {
+            0 => request(address, path, &id, "key-1").await,
+            _ => kept.request(address, path, &id, "key-1").await,
+        };
         observations.check(&id, path, answer);
         tokio::time::sleep(Duration::from_millis(15)).await;
     }
@@ -227,6 +238,12 @@
     Endpoint(usize, Fault),
     EndpointDown(usize),
     EndpointUp(usize),
+    /// Lists the endpoint as draining.
+    Drain(usize),
+    /// Removes the endpoint's entry, though it goes on serving.
+    Unlist(usize),
+    /// Lists the endpoint as ready.
+    List(usize),
     Evacuate(usize),
     /// Ends the evacuation of a data centre.
     TakeBack(usize),
@@ -237,7 +254,7 @@
 }
 
 /// Draws the next step of the fault series.
-fn draw_step(rng: &mut ChaCha8Rng) -> Step {
+fn draw_step(rng: &mut ChaCha8Rng, vm_count: usize) -> Step {
     const FAULTS: [Fault; 9] = [
         Fault::None,
         Fault::Full,
@@ -259,10 +276,10 @@
         "half-open?forward=from",
     ];
     let modes = [Mode::Up, Mode::Busy, Mode::Silent];
-    let vm = rng.random_range(0..VM_COUNT);
-    let endpoint = rng.random_range(0..6);
+    let vm = rng.random_range(0..vm_count);
+    let endpoint = rng.random_range(0..ENDPOINT_COUNT);
     let data_centre = rng.random_range(0..3);
-    match rng.random_range(0..19) {
+    match rng.random_range(0..22) {
         0 => Step::Kill(vm),
         1 | 2 => Step::Restart(vm),
         3 => Step::Pause(vm),
@@ -278,10 +295,44 @@
         15 if rng.random_bool(0.5) => Step::Evacuate(data_centre),
         15 => Step::TakeBack(data_centre),
         16 | 17 => Step::Link(endpoint, LINKS[rng.random_range(0..LINKS.len())]),
+        18 => Step::Drain(endpoint),
+        19 => Step::Unlist(endpoint),
+        20 => Step::List(endpoint),
         _ => Step::Configure,
     }
 }
 
+/// Draws steps that follow each other, with the pause after each: mostly a single one, otherwise the
+/// same kind of step at several VMs or endpoints. The next draw does not wait for their end.
+fn draw_series(rng: &mut ChaCha8Rng, vm_count: usize) -> Vec<(Step, Duration)> {
+    let pause = Duration::from_millis(rng.random_range(20..400));
+    let first_vm = rng.random_range(0..vm_count);
+    let vms = (0..vm_count.min(8)).map(|offset| (first_vm + offset) % vm_count);
+    let in_series = |steps: Vec<Step>| steps.into_iter().map(|step| (step, pause)).collect();
+    match rng.random_range(0..12) {
+        0 => in_series(
+            vms.flat_map(|vm| [Step::Stop(vm), Step::Restart(vm)])
+                .collect(),
+        ),
+        1 => in_series(
+            vms.flat_map(|vm| [Step::Reload(vm), Step::Configure])
+                .collect(),
+        ),
+        2 => in_series(
+            vms.flat_map(|vm| [Step::Pause(vm), Step::Wake(vm)])
+                .collect(),
+        ),
+        3 => in_series(
+            (0..ENDPOINT_COUNT)
+                .step_by(2)
+                .flat_map(|endpoint| [Step::Drain(endpoint), Step::Unlist(endpoint)])
+                .chain((0..ENDPOINT_COUNT).map(Step::List))
+                .collect(),
+        ),
+        _ => vec![(draw_step(rng, vm_count), Duration::ZERO)],
+    }
+}
+
 /// Carries out one step. Signals to a VM that does not run are left out.
 async fn apply(fleet: &mut Fleet, step: Step) {
     match step {
@@ -304,6 +355,12 @@
             fleet.backends[endpoint].stop();
             fleet.backends[endpoint].resume().await;
         }
+        Step::Drain(endpoint) => fleet.list_backend(endpoint, "draining"),
+        Step::Unlist(endpoint) => {
+            let key = format!("servers/{}", fleet.backends[endpoint].id);
+            fleet.store.delete(&key);
+        }
+        Step::List(endpoint) => fleet.list_backend(endpoint, "ready"),
         Step::Evacuate(index) => {
             let key = format!("op/evacuate/{}", DATA_CENTRES[index]);
             fleet.store.put(&key, &json!({}));
@@ -322,7 +379,7 @@
 
 /// Ends all faults and restarts all VMs and endpoints.
 async fn end_all_faults(fleet: &mut Fleet) {
-    for vm in 0..VM_COUNT {
+    for vm in 0..fleet.vms.len() {
         fleet.store.set_mode_for(fleet.vms[vm].ip.into(), Mode::Up);
         // A VM in a planned stop is restarted as well: its process still runs but would soon exit.
         apply(fleet, Step::Restart(vm)).await;
@@ -332,16 +389,48 @@
     for endpoint in 0..fleet.backends.len() {
         apply(fleet, Step::Endpoint(endpoint, Fault::None)).await;
         apply(fleet, Step::EndpointUp(endpoint)).await;
+        apply(fleet, Step::List(endpoint)).await;
     }
     for index in 0..DATA_CENTRES.len() {
         apply(fleet, Step::TakeBack(index)).await;
     }
 }
 
+/// Lets an endpoint leave while one VM returns to the store and others ask each other for changes,
+/// and checks that no VM sends it requests once the time for it has passed.
+async fn check_departure(fleet: &Fleet, observations: &Observations) {
+    let returning = &fleet.vms[0];
+    let returns = || returning.log().matches("store: answers again").count();
+    let returns_before = returns();
+    fleet.store.set_mode_for(returning.ip.into(), Mode::Busy);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    fleet.store.set_mode_for(returning.ip.into(), Mode::Up);
+    eventually("the VM reaches the store again", || async {
+        returns() > returns_before
+    })
+    .await;
+    let key = format!("servers/{}", fleet.backends[LEAVING_ENDPOINT].id);
+    fleet.store.delete(&key);
+    let left_at = Instant::now();
+    while left_at.elapsed() < CONTACT_TIME {
+        fleet.list_backend(LEAVING_ENDPOINT + 1, "ready");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let received = || fleet.backends[LEAVING_ENDPOINT].received().len();
+    let received_before = received();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let late = received() - received_before;
+    if late > 0 {
+        observations.record_violation(format!(
+            "{late} requests reached an endpoint over {CONTACT_TIME:?} after it left"
+        ));
+    }
+}
+
 /// Runs the fault series of one seed and returns the violations found.
-async fn soak(seed: u64, fault_duration: Duration) -> Vec<String> {
+async fn soak(seed: u64, vm_count: usize, fault_duration: Duration) -> Vec<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut fleet = Fleet::start_proxied(VM_COUNT).await;
+    let mut fleet = Fleet::start_proxied(vm_count).await;
     let directory_servers: Vec<SocketAddr> =
         fleet.vms.iter().map(|vm| (vm.ip, 8620).into()).collect();
     let callers: Vec<SocketAddr> = fleet.vms.iter().map(|vm| vm.caller_address()).collect();
@@ -361,16 +450,26 @@
     }
     let started = Instant::now();
     let mut steps = Vec::new();
+    let mut scheduled: Vec<(Instant, Step)> = Vec::new();
+    let mut next_draw = started;
     while started.elapsed() < fault_duration {
-        let step = draw_step(&mut rng);
-        steps.push(format!(
-            "{:?} at {:.1} s",
-            step,
-            started.elapsed().as_secs_f64()
-        ));
-        apply(&mut fleet, step).await;
-        let gap = rng.random_range(0..MAX_FAULT_GAP_MS);
-        tokio::time::sleep(Duration::from_millis(gap)).await;
+        let now = Instant::now();
+        if now >= next_draw {
+            let mut at = now;
+            for (step, pause) in draw_series(&mut rng, vm_count) {
+                scheduled.push((at, step));
+                at += pause;
+            }
+            next_draw = now + Duration::from_millis(rng.random_range(0..MAX_FAULT_GAP_MS));
+        }
+        scheduled.sort_by_key(|(at, _)| *at);
+        let due = scheduled.partition_point(|(at, _)| *at <= now);
+        for (_, step) in scheduled.drain(..due) {
+            let elapsed_s = started.elapsed().as_secs_f64();
+            steps.push(format!("{step:?} at {elapsed_s:.1} s"));
+            apply(&mut fleet, step).await;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
     }
     end_all_faults(&mut fleet).await;
     let faults_ended = Instant::now();
@@ -379,7 +478,7 @@
     while served_in_a_row < 8 && faults_ended.elapsed() < RECOVERY_TIMEOUT {
         probe += 1;
         let id = format!("probe-{probe}");
-        let address = fleet.vms[probe % VM_COUNT].caller_address();
+        let address = fleet.vms[probe % vm_count].caller_address();
         let answer = request(address, "/stream/x", &id, "key-1").await;
         let is_served = answer
             .as_ref()
@@ -388,6 +487,7 @@
         served_in_a_row = if is_served { served_in_a_row + 1 } else { 0 };
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
+    check_departure(&fleet, &observations).await;
     stop.store(true, Ordering::Relaxed);
     while tasks.join_next().await.is_some() {}
     if served_in_a_row < 8 {
@@ -432,12 +532,13 @@
             let first = number_from_env("SOAK_SEED", 1);
             (first..first + number_from_env("SOAK_RUNS", 1)).collect()
         }
-        Err(_) => listed_seeds.chain([1, 2]).collect(),
+        Err(_) => listed_seeds.chain(1..=4).collect(),
     };
     let fault_duration = Duration::from_secs(number_from_env("SOAK_SECONDS", 8));
+    let vm_count = number_from_env("SOAK_VMS", DEFAULT_VM_COUNT as u64) as usize;
     let mut all_violations = Vec::new();
     for seed in seeds {
-        let violations = soak(seed, fault_duration).await;
+        let violations = soak(seed, vm_count, fault_duration).await;
         all_violations.extend(
             violations
                 .into_iter()
--- a/tests/users_platform/caller.rs
+++ b/tests/users_platform/caller.rs
@@ -4,9 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::Method;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
 use primrosewalk::http::{Call, send};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Largest body that a caller reads; a longer one counts as incomplete.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
@@ -64,7 +69,10 @@
         // deadline would miss that answer, so it waits 800 ms longer.
         head_timeout: Duration::from_millis(deadline_ms + 800),
     };
-    let answer = send(&call).await.ok()?;
+    read_answer(send(&call).await.ok()?).await
+}
+
+async fn read_answer(answer: Response<Incoming>) -> Option<CallerAnswer> {
     let status = answer.status().as_u16();
     let header = |name: &str| answer.headers().get(name)?.to_str().ok().map(str::to_owned);
     let is_signed = header("response-signature").is_some();
@@ -89,3 +97,58 @@
         retry_after_s,
     })
 }
+
+/// Caller that sends its requests on one connection for as long as the VM keeps it open, whatever
+/// the directory says meanwhile.
+#[derive(Default)]
+pub struct KeptConnection {
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl KeptConnection {
+    /// Sends a request on the open connection, or on a new one to `vm` if there is none. Returns
+    /// `None` if no answer arrived.
+    pub async fn request(
+        &mut self,
+        vm: SocketAddr,
+        path: &str,
+        id: &str,
+        key: &str,
+    ) -> Option<CallerAnswer> {
+        let mut sender = match self.sender.take().filter(|sender| !sender.is_closed()) {
+            Some(sender) => sender,
+            None => connect(vm).await?,
+        };
+        let request = Request::post(path)
+            .header("host", "h.example")
+            .header("request-id", id)
+            .header("authorization", format!("Token {key}"))
+            .header("deadline-ms", "6000")
+            .header("model", "m")
+            .header("token-usage", "120,40")
+            .header("prefix-hash", "a1:80,b2:40")
+            .header("piece-key", "pk")
+            .header("pieces", "2,3")
+            .body(Full::new(Bytes::from_static(b"{}")))
+            .unwrap();
+        let answer = timeout(KEPT_TIMEOUT, sender.send_request(request)).await;
+        let answer = read_answer(answer.ok()?.ok()?).await;
+        self.sender = Some(sender);
+        answer
+    }
+}
+
+/// Time after which a caller gives up a request on a kept connection: the deadline of 6 s and the
+/// time in which the VM reports that it has passed.
+const KEPT_TIMEOUT: Duration = Duration::from_millis(6_800);
+
+async fn connect(vm: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let connecting = timeout(Duration::from_secs(1), TcpStream::connect(vm));
+    let stream = connecting.await.ok()?.ok()?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        // The request that waits for its answer gets the error too.
+        let _ = connection.await;
+    });
+    Some(sender)
+}
