fix(http): give a connect one second, so that the store's return is noticed soon

Cause: a call to the store that began during a cut hung on its opening packet, which is sent again after 1, 2 and 4 s. The VM noticed the return up to 4 s late, or at the end of the watch's 10.7 s, and it counted as in contact before.

Before: a_call_whose_opening_packet_is_lost_fails_before_its_timeout fails ("Actual: 10.001370748s", bound 2 s); after: it passes with the 19 other tests of fleet_vm.

--- a/src/http.rs
+++ b/src/http.rs
@@ -2,6 +2,7 @@
 //!
 //! It doesn't retry calls or reuse connections, so each call is sent at most once.
 
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -19,6 +20,10 @@
 /// Maximum size of an answer body that [`fetch`] reads.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Timeout of connecting. A lost opening packet is sent again only after one second, and then after
+/// pauses that double, so a new call gets through sooner once a cut has healed.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// An HTTP request to send, with its destination and timeout.
 #[derive(Debug, Clone)]
 pub struct Call<'a> {
@@ -57,8 +62,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the connection is refused or breaks, if the answer is not HTTP, or if the head of
-/// the answer takes longer than `head_timeout`.
+/// Fails if there is no connection within `CONNECT_TIMEOUT`, if it breaks, if the answer is not HTTP,
+/// or if the head of the answer takes longer than `head_timeout`.
 pub async fn send(call: &Call<'_>) -> anyhow::Result<Response<Incoming>> {
     let (response, connection) = open(call).await?;
     connection.detach();
@@ -74,15 +79,18 @@
         .with_context(|| description)
 }
 
-async fn send_once(call: &Call<'_>) -> anyhow::Result<(Response<Incoming>, AbortOnDropHandle<()>)> {
-    let stream = match call.own_ip {
-        Some(own_ip) => {
-            let socket = TcpSocket::new_v4()?;
-            socket.bind((own_ip, 0).into())?;
-            socket.connect(call.address).await?
-        }
-        None => TcpStream::connect(call.address).await?,
+async fn connect(call: &Call<'_>) -> io::Result<TcpStream> {
+    let Some(own_ip) = call.own_ip else {
+        return TcpStream::connect(call.address).await;
     };
+    let socket = TcpSocket::new_v4()?;
+    socket.bind((own_ip, 0).into())?;
+    socket.connect(call.address).await
+}
+
+async fn send_once(call: &Call<'_>) -> anyhow::Result<(Response<Incoming>, AbortOnDropHandle<()>)> {
+    let stream = timeout(CONNECT_TIMEOUT, connect(call)).await;
+    let stream = stream.context("the connect timeout passed")??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let connection = AbortOnDropHandle::new(tokio::spawn(async move {
--- a/tests/fleet_vm_cases/platform.rs
+++ b/tests/fleet_vm_cases/platform.rs
@@ -1,11 +1,13 @@
 //! Guards how VMs react to changes of the store, endpoints, settings and other VMs, and to signals.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use googletest::prelude::*;
+use primrosewalk::http::{Call, send};
 use rustix::process::Signal;
 use serde_json::json;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::status;
 use crate::users_platform::backend::Kind;
@@ -40,6 +42,29 @@
     }
 }
 
+/// Guards against a return of the store that is noticed seconds late: while it is cut off, the opening
+/// packets of a call are lost, and the next one is sent only after a long pause.
+#[gtest]
+#[tokio::test]
+async fn a_call_whose_opening_packet_is_lost_fails_before_its_timeout() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let listener = socket.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    // Nobody accepts these, and the packets of further ones are dropped.
+    let waiting: Vec<_> = (0..4)
+        .map(|_| tokio::spawn(TcpStream::connect(address)))
+        .collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let started = Instant::now();
+    let call = Call::get(address, "/api/kv-watch", Duration::from_secs(10));
+    expect_that!(send(&call).await.is_err(), eq(true));
+    expect_that!(started.elapsed(), lt(Duration::from_secs(2)));
+    for connecting in waiting {
+        connecting.abort();
+    }
+}
+
 /// Guards a watch on which nothing arrives any more though its connection stays open: the other VMs
 /// tell the VM that its state is old.
 #[gtest]
