test(soak): end the open watch before the outage at the end of a run

Traced: the stand-in does not end an open watch when one caller's mode changes, so a VM whose watch stayed open for the 1.5 s never lost the store. A change now ends the watch, and the test waits until the VM has lost the store. One more VM asks the others meanwhile.

--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -396,24 +396,37 @@
     }
 }
 
-/// Lets an endpoint leave while one VM returns to the store and others ask each other for changes,
-/// and checks that no VM sends it requests once the time for it has passed.
+/// Lets an endpoint leave while one VM returns to the store and another asks it for changes, and
+/// checks that no VM sends it requests once the time for it has passed.
 async fn check_departure(fleet: &Fleet, observations: &Observations) {
-    let returning = &fleet.vms[0];
-    let returns = || returning.log().matches("store: answers again").count();
-    let returns_before = returns();
+    let (returning, asking) = (&fleet.vms[0], &fleet.vms[1]);
+    let count = |message: &str| returning.log().matches(message).count();
+    let change_store = || fleet.list_backend(LEAVING_ENDPOINT + 1, "ready");
+    let (losses, returns) = (
+        count("store: cannot be reached"),
+        count("store: answers again"),
+    );
     fleet.store.set_mode_for(returning.ip.into(), Mode::Busy);
+    // The change ends the open watch, whose answer does not depend on the mode.
+    change_store();
+    eventually("the VM loses the store", || async {
+        count("store: cannot be reached") > losses
+    })
+    .await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     fleet.store.set_mode_for(returning.ip.into(), Mode::Up);
     eventually("the VM reaches the store again", || async {
-        returns() > returns_before
+        count("store: answers again") > returns
     })
     .await;
     let key = format!("servers/{}", fleet.backends[LEAVING_ENDPOINT].id);
     fleet.store.delete(&key);
     let left_at = Instant::now();
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    // This VM knows of the departure, and learns of further changes from the others only.
+    fleet.store.set_mode_for(asking.ip.into(), Mode::Silent);
     while left_at.elapsed() < CONTACT_TIME {
-        fleet.list_backend(LEAVING_ENDPOINT + 1, "ready");
+        change_store();
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
     let received = || fleet.backends[LEAVING_ENDPOINT].received().len();
