--- a/src/decisions/store_view.rs
+++ b/src/decisions/store_view.rs
@@ -7,7 +7,7 @@
 //!
 //! A view is complete at its revision: it has every change up to it. A listing, the answer to a watch
 //! or the state of another VM can be overtaken by another of them, and what is overtaken must not be
-//! applied (`docs/platform.md`, "The store").
+//! applied (`docs/platform.md`, "Endpoints that leave").
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -336,6 +336,7 @@
                 Some(at) if self.is_unreachable() => {
                     self.apply_expiring(id, entry.revision, entry.endpoint, at);
                 }
+                // The other VM may have been cut off alone; this one decides by its own outages.
                 Some(_) => {
                     self.apply_endpoint(now, id, entry.revision, None);
                 }
@@ -412,8 +413,7 @@
     }
 
     /// Applies an entry that was removed at `revision` and that another VM keeps until `expires_at`.
-    /// A VM that knows of the removal has already decided whether to keep the entry. One that has the
-    /// store decides by its own outages, since the other VM may have been cut off alone.
+    /// A VM that knows of the removal has already decided whether to keep the entry.
     fn apply_expiring(
         &mut self,
         id: String,
