fix(fleet): bound what the kernel receives from an endpoint on one connection

Traced: the VM closed at its limit of 4 MiB, and the rest was in the kernel: its receive buffer grows up to 32 MiB on this machine (tcp_rmem). On a VM that is memory like any other.

Change: connections to endpoints have a receive buffer of 256 KiB. The test and its bound stay.

--- a/src/fleet/endpoint_client.rs
+++ b/src/fleet/endpoint_client.rs
@@ -3,6 +3,7 @@
 //! An endpoint may send bytes that belong to no request, or drop an idle connection; on a new
 //! connection neither can affect another request (`docs/platform.md`, "Connections").
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -27,6 +28,10 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum size of the body of an answer that is read as a whole, on the wire.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Size of the kernel's receive buffer for a connection. Without a limit the kernel takes up to tens of
+/// megabytes from an endpoint that sends without end; an answer needs the bandwidth of its link
+/// times a few milliseconds.
+const RECEIVE_BUFFER_BYTES: u32 = 256 * 1024;
 /// Timeout for the acknowledgement of sent data, after which the kernel closes a connection
 /// (`TCP_USER_TIMEOUT`).
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -86,7 +91,7 @@
         ran: Execution::NotRun,
         message: format!("no connection: {message}"),
     };
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+    let stream = match timeout(CONNECT_TIMEOUT, open_stream(address)).await {
         Ok(connected) => connected.map_err(|error| not_sent(error.to_string()))?,
         Err(_) => return Err(not_sent("the connect timeout passed".to_owned())),
     };
@@ -113,6 +118,16 @@
     })
 }
 
+async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // An error is ignored: the limits on what is read hold without the option.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    socket.connect(address).await
+}
+
 impl Connection {
     /// Sends the request and waits for the head of its answer.
     ///
