fix(fleet): count each chunk of an answer against its limit

What callers saw: a request that may run once, at an endpoint that sends its body in chunks of one byte without end, got 504 at its deadline of 3 s instead of 502 soon.

Cause: the limit counted bytes on the wire only. 4 MiB in chunks of one byte are 700,000 frames, and a frame costs a wake-up of the reader and an entry in the list of what was read, whatever its length.

Ruled out: load (nothing else ran), the kernel's buffers (the other places close within 35 ms).

Change: a frame counts for 64 bytes more than its own. `AnswerBody` holds the body, its limit and its connection, so that a body cannot be read without either. Two tasks now take from a limit at the same time, so taking is one atomic step. The test also covers streams that may run once.

--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -335,11 +335,10 @@
         .map_err(|failure| failure.message)?;
     let mut request = stage_request(&endpoint.id, REPORT_PATH, endpoint.address, Vec::new());
     *request.method_mut() = Method::GET;
-    let answer = connection
+    let response = connection
         .send(request)
         .await
         .map_err(|failure| failure.message)?;
-    let (response, _connection) = answer.into_parts();
     match response.status() {
         StatusCode::OK => read_body(response.into_body())
             .await
@@ -437,11 +436,10 @@
         .await
         .map_err(|failure| broken(failure.message))?;
     let request = stage_request(&endpoint.id, RUN_PATH, endpoint.address, body);
-    let answer = connection
+    let response = connection
         .send(request)
         .await
         .map_err(|failure| broken(failure.message))?;
-    let (response, _connection) = answer.into_parts();
     let status = response.status();
     match classify_stage(status, response.headers()) {
         ResponseClass::Answer => {}
@@ -510,11 +508,11 @@
 ) -> Result<(), String> {
     let connection = connect(address).await.map_err(|failure| failure.message)?;
     let request = stage_request(endpoint, FREE_PATH, address, encode_free(handles));
-    let answer = connection
+    let response = connection
         .send(request)
         .await
         .map_err(|failure| failure.message)?;
-    match answer.response.status() {
+    match response.status() {
         StatusCode::OK => Ok(()),
         status => Err(format!("the endpoint answered {status}")),
     }
--- a/src/fleet/endpoint_client.rs
+++ b/src/fleet/endpoint_client.rs
@@ -3,13 +3,16 @@
 //! An endpoint may send bytes that belong to no request, or drop an idle connection; on a new
 //! connection neither can affect another request (`docs/platform.md`, "Connections").
 
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -28,6 +31,10 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum size of the body of an answer that is read as a whole, on the wire.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Number of bytes that a frame of a body counts for in addition to its own. Each one takes time
+/// and memory, however short it is, so that an answer in chunks of one byte would keep a VM busy
+/// until the deadline.
+const FRAME_COST_BYTES: usize = 64;
 /// Size of the kernel's receive buffer for a connection. Without a limit the kernel takes up to tens of
 /// megabytes from an endpoint that sends without end; an answer needs the bandwidth of its link
 /// times a few milliseconds.
@@ -45,32 +52,45 @@
     pub message: String,
 }
 
-/// An answer whose head was read and whose body was not. Dropping it closes the connection, which
-/// ends the endpoint's work.
-pub struct Answer {
-    /// The head, and the body to be read.
-    pub response: Response<Incoming>,
-    connection: AnswerConnection,
+/// The body of an answer, which is still to be read. Dropping it closes the connection, which ends
+/// the endpoint's work.
+pub struct AnswerBody {
+    body: Incoming,
+    limit: ReadLimit,
+    _connection: AbortOnDropHandle<()>,
 }
 
-impl Answer {
-    /// Splits the answer into the response and its connection, which stays open until it is
-    /// dropped.
-    pub fn into_parts(self) -> (Response<Incoming>, AnswerConnection) {
-        (self.response, self.connection)
+impl AnswerBody {
+    /// Allows that many further bytes, after which the answer breaks off. Bytes on the wire count,
+    /// and `FRAME_COST_BYTES` for each frame.
+    pub fn allow(&self, bytes: usize) {
+        self.limit.set(bytes);
     }
 }
 
-/// The connection on which the body of an answer arrives.
-pub struct AnswerConnection {
-    _task: AbortOnDropHandle<()>,
-    limit: ReadLimit,
-}
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Box<dyn Error + Send + Sync>;
 
-impl AnswerConnection {
-    /// Allows that many further bytes on the wire, after which the answer breaks off.
-    pub fn allow(&self, bytes: usize) {
-        self.limit.set(bytes);
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let this = self.get_mut();
+        let frame = ready!(Pin::new(&mut this.body).poll_frame(context));
+        Poll::Ready(frame.map(|frame| {
+            let frame = frame?;
+            this.limit.take(FRAME_COST_BYTES)?;
+            Ok(frame)
+        }))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
 
@@ -134,20 +154,21 @@
     /// # Errors
     ///
     /// Returns what happened. The request may have run.
-    pub async fn send(mut self, request: Request<Full<Bytes>>) -> Result<Answer, CallFailure> {
+    pub async fn send(
+        mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<AnswerBody>, CallFailure> {
         let sent = self.sender.send_request(request).await;
         let response = sent.map_err(|error| CallFailure {
             ran: Execution::MayHaveRun,
             message: format!("the call failed: {}", error_chain(&error)),
         })?;
         self.limit.set(MAX_ANSWER_BYTES);
-        Ok(Answer {
-            response,
-            connection: AnswerConnection {
-                _task: self.task,
-                limit: self.limit,
-            },
-        })
+        Ok(response.map(|body| AnswerBody {
+            body,
+            limit: self.limit,
+            _connection: self.task,
+        }))
     }
 }
 
@@ -156,7 +177,7 @@
 /// # Errors
 ///
 /// Fails when the body breaks off or is larger than `MAX_ANSWER_BYTES`.
-pub async fn read_body(body: Incoming) -> Result<Bytes, CallFailure> {
+pub async fn read_body(body: AnswerBody) -> Result<Bytes, CallFailure> {
     let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let whole = whole.map_err(|error| CallFailure {
         ran: Execution::MayHaveRun,
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -13,7 +13,7 @@
 
 use crate::clock;
 use crate::decisions::endpoint_choice::{AttemptEnd, EndpointRequest, Work};
-use crate::fleet::endpoint_client::{Answer, CallFailure, Connection, connect, read_body};
+use crate::fleet::endpoint_client::{CallFailure, Connection, connect, read_body};
 use crate::fleet::metric;
 use crate::fleet::model::{Endpoint, RouteKind};
 use crate::fleet::node::{MAX_SENDS, Node};
@@ -292,9 +292,7 @@
     request: Request<Full<Bytes>>,
     id: &str,
 ) -> Result<(ResponseClass, Reply), CallFailure> {
-    let answer: Answer = connection.send(request).await?;
-    let (response, _connection) = answer.into_parts();
-    let (head, body) = response.into_parts();
+    let (head, body) = connection.send(request).await?.into_parts();
     let class = classify(head.status, &head.headers, id);
     let body = if class == ResponseClass::Answer {
         read_body(body).await?
--- a/src/fleet/read_limit.rs
+++ b/src/fleet/read_limit.rs
@@ -30,13 +30,21 @@
         self.bytes_left.store(bytes, Ordering::Relaxed);
     }
 
-    fn take(&self, bytes: usize) -> io::Result<()> {
-        let left = self.bytes_left.load(Ordering::Relaxed);
-        let Some(left) = left.checked_sub(bytes) else {
-            return Err(io::Error::other("the answer is too large"));
-        };
-        self.bytes_left.store(left, Ordering::Relaxed);
-        Ok(())
+    /// Takes that many bytes off what may still be read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when fewer are left.
+    pub fn take(&self, bytes: usize) -> io::Result<()> {
+        // The connection and the reader of its answer take at the same time.
+        let taken = self
+            .bytes_left
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
+                left.checked_sub(bytes)
+            });
+        taken
+            .map(drop)
+            .map_err(|_| io::Error::other("the answer is too large"))
     }
 }
 
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::HeaderMap;
 use hyper::StatusCode;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use slog::{info, warn};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
@@ -21,7 +21,7 @@
 use crate::decisions::batching::ItemFailure;
 use crate::decisions::endpoint_choice::{AttemptEnd, StartedAttempt, Work};
 use crate::fleet::dispatcher::JobFailure;
-use crate::fleet::endpoint_client::{AnswerConnection, Connection, read_body};
+use crate::fleet::endpoint_client::{AnswerBody, Connection, read_body};
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::{MAX_SENDS, Node};
 use crate::fleet::plain::{
@@ -56,7 +56,8 @@
 /// does before it reads the prompt. The results are freed then: the memory that they use is what
 /// limits the stages under load.
 const INPUT_FETCH_ESTIMATE: Duration = Duration::from_millis(80);
-/// Maximum size of an event that is accepted from an engine, on the wire.
+/// Maximum size of an event that is accepted from an engine, on the wire. The first one may be as
+/// large as an answer that is read as a whole.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Serves a request until its first event. The body of the reply then relays the further events;
@@ -83,9 +84,8 @@
 /// An open stream of an engine.
 struct OpenStream {
     endpoint: EndpointName,
-    body: Incoming,
+    body: AnswerBody,
     blocks: BlockReader,
-    connection: AnswerConnection,
 }
 
 /// Outcome of reading the next event from an engine.
@@ -330,8 +330,7 @@
                 return OpenOutcome::Failed(failure.message);
             }
         };
-        let (response, connection) = answer.into_parts();
-        let (head, body) = response.into_parts();
+        let (head, body) = answer.into_parts();
         let status = head.status;
         match classify(status, &head.headers, &self.admitted.caller.id) {
             ResponseClass::Answer if status.is_success() => {}
@@ -355,7 +354,6 @@
             endpoint: endpoint.id.clone(),
             body,
             blocks: BlockReader::default(),
-            connection,
         });
         match self.read().await {
             ReadOutcome::Event(event) => {
@@ -381,7 +379,7 @@
         &mut self,
         status: StatusCode,
         headers: &HeaderMap,
-        body: Incoming,
+        body: AnswerBody,
     ) -> OpenOutcome {
         self.end_attempt(AttemptEnd::Error);
         let may_retry = status.is_server_error() && self.may_send_again();
@@ -426,7 +424,7 @@
                     _ => {}
                 }
                 self.last_event = Some(number);
-                open.connection.allow(MAX_EVENT_BYTES);
+                open.body.allow(MAX_EVENT_BYTES);
                 self.events += 1;
                 return ReadOutcome::Event(block);
             }
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -10,12 +10,20 @@
 use users_platform::{Fleet, eventually};
 
 /// Time within which a VM has to close a connection on which bytes without end come as fast as it
-/// reads: half of the deadline of the requests, so that the deadline is not what ends them.
+/// reads. No deadline of a request is earlier.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Upper bound of the bytes that an endpoint can hand to the system on one connection: the largest
 /// answer that a VM reads, and the buffers of the kernel on both sides.
 const MAX_BYTES: usize = 16 * 1024 * 1024;
 
+/// Where bytes without end come in the answer of any endpoint.
+const PLACES: [Endless; 4] = [
+    Endless::Head,
+    Endless::Interim,
+    Endless::Body,
+    Endless::Chunks,
+];
+
 /// Waits until each endless answer of an endpoint has ended, and checks how.
 async fn expect_closed_soon(endpoint: &Backend, place: Endless) {
     let closed = || async { !endpoint.endless_answers().is_empty() };
@@ -29,12 +37,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_is_answered_by_another_endpoint_than_one_that_answers_without_end() {
-    for place in [
-        Endless::Head,
-        Endless::Interim,
-        Endless::Body,
-        Endless::Chunks,
-    ] {
+    for place in PLACES {
         let fleet = Fleet::start(1).await;
         let endpoint = fleet.backends_of("plain").next().unwrap();
         endpoint.set_fault(Fault::Endless(place));
@@ -53,22 +56,19 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_may_run_once_fails_soon_on_an_answer_without_end() {
-    for place in [
-        Endless::Head,
-        Endless::Interim,
-        Endless::Body,
-        Endless::Chunks,
-    ] {
+    let routes = [("/pay/x", "plain"), ("/once-stream/x", "lm")];
+    let cases = PLACES.map(|place| routes.map(|route| (place, route)));
+    for (place, (path, service)) in cases.into_iter().flatten() {
         let fleet = Fleet::start(1).await;
-        for endpoint in fleet.backends_of("plain") {
+        for endpoint in fleet.backends_of(service) {
             endpoint.set_fault(Fault::Endless(place));
         }
         let vm = fleet.vms[0].caller_address();
-        let answer = request(vm, "/pay/x", "r-1", "key-1").await.unwrap();
-        expect_that!(answer.status, eq(502), "{place:?}");
-        expect_that!(fleet.runs_of("r-1"), eq(1), "{place:?}");
+        let answer = request(vm, path, "r-1", "key-1").await.unwrap();
+        expect_that!(answer.status, eq(502), "{path} {place:?}");
+        expect_that!(fleet.runs_of("r-1"), eq(1), "{path} {place:?}");
         let ran = |endpoint: &&Backend| endpoint.runs_of("r-1") > 0;
-        let endpoint = fleet.backends_of("plain").find(ran).unwrap();
+        let endpoint = fleet.backends_of(service).find(ran).unwrap();
         expect_closed_soon(endpoint, place).await;
     }
 }
@@ -76,15 +76,10 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_with_bytes_without_end_goes_on_at_another_engine() {
-    let places = [
-        Endless::Head,
-        Endless::Interim,
-        Endless::Body,
-        Endless::Chunks,
-        Endless::Lines,
-        Endless::Comments,
-    ];
-    for place in places {
+    for place in PLACES
+        .into_iter()
+        .chain([Endless::Lines, Endless::Comments])
+    {
         let fleet = Fleet::start(1).await;
         let engine = fleet.backends_of("lm").next().unwrap();
         engine.set_fault(Fault::Endless(place));
@@ -127,12 +122,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stage_call_with_bytes_without_end_is_closed_soon() {
-    for place in [
-        Endless::Head,
-        Endless::Interim,
-        Endless::Body,
-        Endless::Chunks,
-    ] {
+    for place in PLACES {
         let fleet = Fleet::start(1).await;
         let endpoint = fleet.backends_of("first").next().unwrap();
         endpoint.set_fault(Fault::Endless(place));
