fix(fleet): refuse a stream at once when no engine is left for it

What callers saw: a stream whose engines had all refused it got its answer only at its deadline, and while it waited, its VM answered nobody else: a request for another service got nothing for 2 s. With stages, they ran again and again for it (7 calls where 2 attempts were made, 7 for a stream whose engines had all left), until the retries of the stage were used up.

Cause: `open_first` and `resume` went on after "no engine" as after a failed attempt, with nothing in between that had changed or that waited. Without stages the loop never yields, and a VM serves all traffic on one thread.

Change: without an engine to which it can be sent the request ends: 503 with Retry-After 0.25 s if it has not run, 502 or a cut stream if it has. That is looked up before the stages run. Another attempt is made only after one that was sent, and those are counted (`MAX_SENDS`), so the loop ends.

--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -25,7 +25,8 @@
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::{MAX_SENDS, Node};
 use crate::fleet::plain::{
-    Attempts, MAX_FAILED_CONNECTIONS, MIN_ATTEMPT_TIME, build_request, next_connection, timed_out,
+    Attempts, MAX_FAILED_CONNECTIONS, MIN_ATTEMPT_TIME, build_request, choose, next_connection,
+    timed_out,
 };
 use crate::fleet::reply::{self, ReplyBody, relayed, whole_body};
 use crate::fleet::request::{AdmittedRequest, RequestEnd};
@@ -104,7 +105,8 @@
     Stream(HeaderMap, Bytes),
     /// The request has ended without a stream, and no other engine is tried.
     Reply(RequestEnd),
-    /// The attempt failed for the given reason; another engine may be tried.
+    /// The request was sent to an engine, which failed for the given reason. Another one may be
+    /// tried.
     Failed(String),
 }
 
@@ -191,12 +193,15 @@
 
     /// Runs the stages, sends the request to one engine and reads its first event.
     async fn try_open(&mut self) -> OpenOutcome {
+        if !self.has_engine() {
+            return OpenOutcome::Reply(self.failure("no engine".to_owned()));
+        }
         let mut results = match self.stages().await {
             Ok(results) => results,
             Err(ended) => return OpenOutcome::Reply(ended),
         };
         let Some((endpoint, connection)) = self.connect(&results).await else {
-            return OpenOutcome::Failed("no engine".to_owned());
+            return OpenOutcome::Reply(self.failure("no engine".to_owned()));
         };
         if self.attempts.sent > 0
             && !self
@@ -208,6 +213,13 @@
         self.send(&endpoint, connection, &mut results).await
     }
 
+    /// Returns whether an engine is left to which the request can be sent now. Without one, the
+    /// stages would run in vain.
+    fn has_engine(&self) -> bool {
+        let work = generation_work(&self.admitted, &self.node.settings.data_centre);
+        choose(&self.node, &self.admitted, &self.attempts, work).is_some()
+    }
+
     /// Runs the stages. Runs them once more if the result of a stage was gone before the next stage
     /// had read it.
     async fn stages(&mut self) -> Result<StageResults, RequestEnd> {
--- a/tests/fleet_vm_cases/streams.rs
+++ b/tests/fleet_vm_cases/streams.rs
@@ -1,15 +1,20 @@
 //! Guards streams: their stages, stage results and engines, also while VMs are killed.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use serde_json::json;
+use tokio::time::timeout;
 
 use crate::status;
 use crate::users_platform::backend::{Backend, EVENTS, Fault, Kind};
 use crate::users_platform::caller::request;
 use crate::users_platform::{DATA_CENTRES, Fleet, eventually};
 
+/// Time within which a request has an answer that no engine can serve: a third of its deadline, and
+/// longer than its stages and its attempts take.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Returns the numbers of the events in a stream's body.
 fn events(body: &str) -> Vec<u64> {
     body.lines()
@@ -22,6 +27,12 @@
     (0..EVENTS).collect()
 }
 
+/// Returns the number of calls that the endpoints of a stage service received.
+fn stage_runs(fleet: &Fleet, service: &str) -> usize {
+    let calls = fleet.backends_of(service).flat_map(Backend::received);
+    calls.filter(|call| call.path == "/api/stage-run").count()
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_runs_its_stages_and_frees_their_results() {
@@ -159,6 +170,75 @@
     }
 }
 
+/// Guards against a VM that tries to open a stream again and again, without a pause, once it has
+/// tried every engine: its traffic thread served nothing else until the deadline.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_no_engine_takes_is_refused_at_once() {
+    let fleet = Fleet::start(1).await;
+    let vm = fleet.vms[0].caller_address();
+    for backend in fleet.backends_of("lm") {
+        backend.set_fault(Fault::Full);
+    }
+    for path in ["/once-stream/x", "/stream/x"] {
+        let id = format!("s-{path}");
+        let (refused, served) = tokio::join!(
+            timeout(REFUSAL_TIMEOUT, request(vm, path, &id, "key-1")),
+            async {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                timeout(REFUSAL_TIMEOUT, request(vm, "/look/x", "other", "key-1")).await
+            }
+        );
+        expect_that!(refused.is_ok(), eq(true), "{path} waits");
+        expect_that!(served.is_ok(), eq(true), "{path} keeps others waiting");
+        let Ok(refused) = refused else { continue };
+        expect_that!(status(&refused), eq(503), "{path}");
+        expect_that!(refused.unwrap().retry_after_s, some(gt(0.0)), "{path}");
+        expect_that!(fleet.runs_of(&id), eq(0), "{path}");
+    }
+}
+
+/// Guards against stage work for a request that no engine can take.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_an_engine_runs_no_stage() {
+    let fleet = Fleet::start(1).await;
+    let vm = fleet.vms[0].caller_address();
+    for number in 0..fleet.backends.len() {
+        if fleet.backends[number].service == "lm" {
+            fleet.list_backend(number, "draining");
+        }
+    }
+    let refused = || async { status(&request(vm, "/once-stream/x", "s-0", "key-1").await) == 503 };
+    eventually("the VM knows that the engines leave", refused).await;
+    let started = Instant::now();
+    let answer = request(vm, "/stream/x", "s-1", "key-1").await;
+    expect_that!(status(&answer), eq(503));
+    expect_that!(started.elapsed(), lt(REFUSAL_TIMEOUT));
+    expect_that!(stage_runs(&fleet, "first"), eq(0));
+}
+
+/// Guards against stages that run again and again for a broken stream that no engine resumes.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_that_no_engine_resumes_is_cut_at_once() {
+    let fleet = Fleet::start(1).await;
+    let vm = fleet.vms[0].caller_address();
+    let [broken, full] = fleet.backends_of("lm").collect::<Vec<_>>()[..] else {
+        panic!("the fleet has two engines");
+    };
+    broken.set_fault(Fault::Truncate);
+    full.set_fault(Fault::Full);
+    let started = Instant::now();
+    let answer = request(vm, "/stream/x", "s-1", "key-1").await.unwrap();
+    expect_that!(started.elapsed(), lt(REFUSAL_TIMEOUT));
+    expect_that!(answer.status, eq(200));
+    expect_that!(answer.is_complete, eq(false));
+    expect_that!(events(&answer.body), eq(&vec![0, 1, 2]));
+    // Each of the two engines was tried once, with stages of its own.
+    expect_that!(stage_runs(&fleet, "first"), le(2));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_are_served_while_vms_that_batch_are_killed() {
