refactor(fleet): one function connects to an endpoint and sends

Three calls to stage endpoints connected and sent with the same mapping of errors. Behaviour is as it was; the tests of fleet_vm and endless_answers pass.

--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -20,7 +20,7 @@
     endpoint_address,
 };
 use crate::decisions::retry::RetryConfig;
-use crate::fleet::endpoint_client::{connect, read_body};
+use crate::fleet::endpoint_client::{call, read_body};
 use crate::fleet::model::{Endpoint, FleetView};
 use crate::platform::endpoint_call::{ResponseClass, classify_stage, stage_headers};
 use crate::platform::stage_call::{
@@ -330,13 +330,9 @@
 
 /// Reads the report of a stage endpoint.
 async fn read_report(endpoint: &Endpoint) -> Result<Bytes, String> {
-    let connection = connect(endpoint.address)
-        .await
-        .map_err(|failure| failure.message)?;
     let mut request = stage_request(&endpoint.id, REPORT_PATH, endpoint.address, Vec::new());
     *request.method_mut() = Method::GET;
-    let response = connection
-        .send(request)
+    let response = call(endpoint.address, request)
         .await
         .map_err(|failure| failure.message)?;
     match response.status() {
@@ -432,12 +428,8 @@
     let refused = |message: String| (BatchFailure::Refused, message);
     let broken = |message: String| (BatchFailure::Broken, message);
     let endpoint = &batch.endpoint;
-    let connection = connect(endpoint.address)
-        .await
-        .map_err(|failure| broken(failure.message))?;
     let request = stage_request(&endpoint.id, RUN_PATH, endpoint.address, body);
-    let response = connection
-        .send(request)
+    let response = call(endpoint.address, request)
         .await
         .map_err(|failure| broken(failure.message))?;
     let status = response.status();
@@ -506,10 +498,8 @@
     address: std::net::SocketAddr,
     handles: &[String],
 ) -> Result<(), String> {
-    let connection = connect(address).await.map_err(|failure| failure.message)?;
     let request = stage_request(endpoint, FREE_PATH, address, encode_free(handles));
-    let response = connection
-        .send(request)
+    let response = call(address, request)
         .await
         .map_err(|failure| failure.message)?;
     match response.status() {
--- a/src/fleet/endpoint_client.rs
+++ b/src/fleet/endpoint_client.rs
@@ -172,6 +172,18 @@
     }
 }
 
+/// Connects to an endpoint, sends the request and waits for the head of its answer.
+///
+/// # Errors
+///
+/// Returns what happened, and whether the request may have run.
+pub async fn call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<AnswerBody>, CallFailure> {
+    connect(address).await?.send(request).await
+}
+
 /// Reads the whole body of an answer.
 ///
 /// # Errors
