fix(fleet): bound the memory of all answers that are read at once

What callers would have seen: a VM whose endpoints answer with bytes without end is killed for its memory, and every request that it serves is lost. The platform gives it 260 MB.

Cause: each answer had its own limit of 4 MiB and there was none for all of them; besides, the HTTP library keeps up to 400 KiB to read into for each connection.

Change: `ReadMemory` counts what is held of all answers, up to 32 MiB. A connection may hold a quarter of what is free, so the largest break off first and small answers always find room; an answer that is alone may still have 4 MiB. The library's buffer is at most as large as a head may be.

--- a/src/fleet/endpoint_client.rs
+++ b/src/fleet/endpoint_client.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::fleet::read_limit::{LimitedStream, ReadLimit};
+use crate::fleet::read_limit::{LimitedStream, ReadLimit, ReadMemory};
 use crate::traffic::Execution;
 use crate::traffic::error_chain;
 
@@ -31,6 +31,9 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum size of the body of an answer that is read as a whole, on the wire.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Memory for the answers of all endpoints, as they are on the wire. A reader uses up to twice as
+/// much while its buffer grows.
+static ANSWER_MEMORY: ReadMemory = ReadMemory::new(32 * 1024 * 1024);
 /// Number of bytes that a frame of a body counts for in addition to its own. Each one takes time
 /// and memory, however short it is, so that an answer in chunks of one byte would keep a VM busy
 /// until the deadline.
@@ -123,9 +126,12 @@
         &stream,
         u32::try_from(ACKNOWLEDGEMENT_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
     );
-    let limit = ReadLimit::new(MAX_HEAD_BYTES);
+    let limit = ReadLimit::new(&ANSWER_MEMORY, MAX_HEAD_BYTES);
     let stream = LimitedStream::new(stream, limit.clone());
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
     let task = AbortOnDropHandle::new(tokio::spawn(async move {
         // The task that waits for the answer gets the error too.
--- a/tests/endless_answers.rs
+++ b/tests/endless_answers.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use googletest::prelude::*;
 use users_platform::backend::{Backend, EVENTS, Endless, Fault};
-use users_platform::caller::request;
+use users_platform::caller::{CallerAnswer, request};
 use users_platform::{Fleet, eventually};
 
 /// Time within which a VM has to close a connection on which bytes without end come as fast as it
@@ -16,6 +17,10 @@
 /// answer that a VM reads, and the buffers of the kernel on both sides.
 const MAX_BYTES: usize = 16 * 1024 * 1024;
 
+/// Upper bound of a VM's memory while many answers without end arrive at once: half of what the
+/// platform gives it (`docs/platform.md`, "Connections").
+const MAX_PEAK_BYTES: usize = 128 * 1024 * 1024;
+
 /// Where bytes without end come in the answer of any endpoint.
 const PLACES: [Endless; 4] = [
     Endless::Head,
@@ -134,3 +139,52 @@
         expect_that!(answer.status, eq(200), "{place:?}");
     }
 }
+
+/// Guards against a VM that is killed for its memory: each answer is within its limit, but many of
+/// them arrive at the same time.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn many_answers_without_end_at_once_fit_the_memory_of_a_vm() {
+    struct Case {
+        service: &'static str,
+        path: &'static str,
+        sound_path: &'static str,
+    }
+    let cases = [
+        Case {
+            service: "plain",
+            path: "/pay/x",
+            sound_path: "/once-stream/x",
+        },
+        Case {
+            service: "lm",
+            path: "/once-stream/x",
+            sound_path: "/pay/x",
+        },
+    ];
+    for (case, place) in cases
+        .iter()
+        .flat_map(|case| [(case, Endless::Body), (case, Endless::Chunks)])
+    {
+        let fleet = Fleet::start(1).await;
+        for endpoint in fleet.backends_of(case.service) {
+            endpoint.set_fault(Fault::Endless(place));
+        }
+        let vm = fleet.vms[0].caller_address();
+        let ids: Vec<String> = (0..100).map(|number| format!("r-{number}")).collect();
+        let send = |path| {
+            let requests = ids.iter().map(move |id| request(vm, path, id, "key-1"));
+            join_all(requests)
+        };
+        let (answers, sound_answers) = tokio::join!(send(case.path), send(case.sound_path));
+        let is_answered = |answer: &&Option<CallerAnswer>| answer.is_some();
+        let answered = answers.iter().filter(is_answered).count();
+        expect_that!(answered, eq(ids.len()), "{} {place:?}", case.path);
+        let is_complete = |answer: &&CallerAnswer| answer.status == 200 && answer.is_complete;
+        let sound_answers = sound_answers.iter().flatten();
+        let complete = sound_answers.filter(is_complete).count();
+        expect_that!(complete, eq(ids.len()), "{} {place:?}", case.sound_path);
+        let peak_bytes = fleet.vms[0].peak_memory_bytes();
+        expect_that!(peak_bytes, lt(MAX_PEAK_BYTES), "{} {place:?}", case.path);
+    }
+}
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -101,6 +101,17 @@
         self.child.is_some()
     }
 
+    /// Returns the largest memory that the process has used since its start.
+    pub fn peak_memory_bytes(&self) -> usize {
+        let pid = self.child.as_ref().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+        let peak_kib = status.lines().find_map(|line| {
+            let value = line.strip_prefix("VmHWM:")?.strip_suffix("kB")?;
+            value.trim().parse::<usize>().ok()
+        });
+        peak_kib.unwrap() * 1024
+    }
+
     /// Returns the address at which the VM accepts the requests of callers.
     pub fn caller_address(&self) -> SocketAddr {
         (self.ip, 8625).into()
