--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod dispatcher;
 pub mod endpoint_client;
+mod engine_stream;
 pub mod ingress;
 mod metric;
 pub mod model;
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -22,6 +22,7 @@
 use crate::decisions::endpoint_choice::{AttemptEnd, StartedAttempt, Work};
 use crate::fleet::dispatcher::JobFailure;
 use crate::fleet::endpoint_client::{AnswerBody, Connection, read_body};
+use crate::fleet::engine_stream::{EngineStream, ReadOutcome};
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::{MAX_SENDS, Node};
 use crate::fleet::plain::{
@@ -33,8 +34,7 @@
 use crate::fleet::stages::{StageResults, run_stages};
 use crate::platform::endpoint_call::{ResponseClass, classify, returned_headers};
 use crate::traffic::Execution;
-use crate::traffic::sse::{BlockReader, event_number};
-use crate::units::{DataCentreName, EndpointName};
+use crate::units::DataCentreName;
 
 /// Time after which a caller should retry, sent when no engine takes its request.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -57,10 +57,6 @@
 /// does before it reads the prompt. The results are freed then: the memory that they use is what
 /// limits the stages under load.
 const INPUT_FETCH_ESTIMATE: Duration = Duration::from_millis(80);
-/// Maximum size of an event that is accepted from an engine, on the wire. The first one may be as
-/// large as an answer that is read as a whole.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
-
 /// Serves a request until its first event. The body of the reply then relays the further events;
 /// it holds `active`, which marks the request as in progress, until the body is dropped.
 pub async fn serve<G: Send + 'static>(
@@ -82,23 +78,6 @@
     }
 }
 
-/// An open stream of an engine.
-struct OpenStream {
-    endpoint: EndpointName,
-    body: AnswerBody,
-    blocks: BlockReader,
-}
-
-/// Outcome of reading the next event from an engine.
-enum ReadOutcome {
-    /// The next event, as a whole.
-    Event(Bytes),
-    /// The stream has ended without an error.
-    Complete,
-    /// The stream broke off for the given reason.
-    Broken(String),
-}
-
 /// Outcome of opening a stream at one engine.
 enum OpenOutcome {
     /// The stream is open; holds the headers for the caller and the first event.
@@ -115,7 +94,7 @@
     node: Arc<Node>,
     admitted: Arc<AdmittedRequest>,
     attempts: Attempts,
-    open: Option<OpenStream>,
+    open: Option<EngineStream>,
     /// The attempt in progress, which the endpoint choice counts until it ends.
     started: Option<StartedAttempt>,
     /// Number of the last event that was read, or that the caller already had. A resumed stream
@@ -362,13 +341,9 @@
                 return OpenOutcome::Failed(format!("not an answer to this request: {status}"));
             }
         }
-        self.open = Some(OpenStream {
-            endpoint: endpoint.id.clone(),
-            body,
-            blocks: BlockReader::default(),
-        });
+        self.open = Some(EngineStream::new(endpoint.id.clone(), body));
         match self.read().await {
-            ReadOutcome::Event(event) => {
+            ReadOutcome::Event(_, event) => {
                 self.note_first_event();
                 OpenOutcome::Stream(returned_headers(&head.headers), event)
             }
@@ -416,45 +391,17 @@
         }
     }
 
-    /// Reads the next event from the open stream. Events with numbers that were read before are
-    /// skipped; a gap in the numbers breaks the stream.
+    /// Reads the next event from the open stream.
     async fn read(&mut self) -> ReadOutcome {
         let Some(open) = &mut self.open else {
             return ReadOutcome::Broken("no engine is open".to_owned());
         };
-        loop {
-            if let Some(block) = open.blocks.next_block() {
-                // Each event has a number, so this is no event.
-                let Some(number) = event_number(&block) else {
-                    return ReadOutcome::Broken("a block is no event".to_owned());
-                };
-                match self.last_event {
-                    Some(last) if number <= last => continue,
-                    Some(last) if number > last + 1 => {
-                        return ReadOutcome::Broken(format!("event {number} follows {last}"));
-                    }
-                    _ => {}
-                }
-                self.last_event = Some(number);
-                open.body.allow(MAX_EVENT_BYTES);
-                self.events += 1;
-                return ReadOutcome::Event(block);
-            }
-            match open.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        open.blocks.push(&data);
-                    }
-                }
-                Some(Err(error)) => {
-                    return ReadOutcome::Broken(format!("the stream broke off: {error}"));
-                }
-                None if open.blocks.buffered_bytes() > 0 => {
-                    return ReadOutcome::Broken("the stream ended within an event".to_owned());
-                }
-                None => return ReadOutcome::Complete,
-            }
+        let outcome = open.next_event(self.last_event).await;
+        if let ReadOutcome::Event(number, _) = &outcome {
+            self.last_event = Some(*number);
+            self.events += 1;
         }
+        outcome
     }
 
     /// Returns the next event for the caller. An error closes the connection to the caller.
@@ -476,7 +423,7 @@
             left
         };
         let reason = match timeout(limit, self.read()).await {
-            Ok(ReadOutcome::Event(event)) => return Some(Ok(event)),
+            Ok(ReadOutcome::Event(_, event)) => return Some(Ok(event)),
             Ok(ReadOutcome::Complete) => {
                 self.end_attempt(AttemptEnd::Answered(None));
                 self.log_end("complete");
