fix(fleet): say what ended a stream's request

A request that reached its deadline before its first event was also logged as 'the caller left', and callers were told that stages are overloaded when a stage had failed. Found by reading; the log line and the text now follow the cause. The time below which no further engine is tried has a name. The tests of fleet_vm pass.

--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -57,6 +57,9 @@
 /// does before it reads the prompt. The results are freed then: the memory that they use is what
 /// limits the stages under load.
 const INPUT_FETCH_ESTIMATE: Duration = Duration::from_millis(80);
+/// Minimum time left until the deadline for another engine to be worth trying.
+const MIN_STREAM_TIME: Duration = Duration::from_millis(50);
+
 /// Serves a request until its first event. The body of the reply then relays the further events;
 /// it holds `active`, which marks the request as in progress, until the body is dropped.
 pub async fn serve<G: Send + 'static>(
@@ -68,7 +71,10 @@
     let mut caller_stream = CallerStream::new(Arc::clone(&node), Arc::clone(&admitted));
     let opened = timeout(admitted.time_left(), caller_stream.open_first()).await;
     match opened {
-        Err(_) => timed_out(&caller_stream.attempts),
+        Err(_) => {
+            caller_stream.is_ended = true;
+            timed_out(&caller_stream.attempts)
+        }
         Ok(Err(ended)) => ended,
         Ok(Ok((headers, first))) => {
             let body = relay_body(caller_stream, first, active);
@@ -152,7 +158,7 @@
         is_allowed
             && self.attempts.sent < MAX_SENDS
             && self.attempts.failed_connections < MAX_FAILED_CONNECTIONS
-            && self.admitted.time_left() > Duration::from_millis(50)
+            && self.admitted.time_left() > MIN_STREAM_TIME
     }
 
     /// Returns the reply for a request that ended without a stream.
@@ -216,16 +222,14 @@
         if self.attempts.runs > 0 {
             return self.failure(reason);
         }
-        let retry_after = match failure {
-            JobFailure::Overloaded(wait) => {
-                wait.clamp(MIN_OVERLOAD_RETRY_AFTER, MAX_OVERLOAD_RETRY_AFTER)
-            }
-            _ => NOT_RUN_RETRY_AFTER,
+        let (text, retry_after) = match failure {
+            JobFailure::Overloaded(wait) => (
+                "the stages are overloaded",
+                wait.clamp(MIN_OVERLOAD_RETRY_AFTER, MAX_OVERLOAD_RETRY_AFTER),
+            ),
+            _ => ("a stage has no result", NOT_RUN_RETRY_AFTER),
         };
-        RequestEnd::new(
-            reply::not_run("the stages are overloaded", retry_after),
-            reason,
-        )
+        RequestEnd::new(reply::not_run(text, retry_after), reason)
     }
 
     /// Connects to an engine, if possible in the data centre that stores most of its inputs.
