fix(fleet): receive SIGHUP before the settings are read

What callers saw: nothing of a VM that was told of changed settings while it started. The signal ended it, and it stayed down until it was started again.

Cause: the handler for SIGHUP was installed by a task, after the settings were read and the listeners opened. Until then the signal has its default effect, which ends the process.

The test a_vm_that_is_starting_survives_the_signal_to_reload, in which a VM reads its settings from a pipe and gets the signal meanwhile, fails on the code before.

Change: the runtime and the handler come first. A signal during the start then leads to a reload.

--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -12,7 +12,7 @@
 use slog::{Level, Logger, error, info, warn};
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{interval, sleep};
 use tokio_util::sync::CancellationToken;
@@ -44,6 +44,13 @@
 /// Runs this VM with the settings file at `path` until a planned stop has ended. With `check_only`,
 /// only checks the settings.
 pub fn run_fleet_vm(path: &Path, check_only: bool) -> ExitCode {
+    let (runtime, hangup) = match runtime_with_hangup() {
+        Ok(started) => started,
+        Err(error) => {
+            eprintln!("{error:#}");
+            return ExitCode::from(EXIT_FAILURE);
+        }
+    };
     let settings = match read_settings(path) {
         Ok(settings) => settings,
         Err(error) => {
@@ -56,7 +63,7 @@
         return ExitCode::SUCCESS;
     }
     let (logger, _flush) = build_stdout_logger(Level::Info);
-    match serve(path.to_owned(), settings, &logger) {
+    match serve(&runtime, hangup, path.to_owned(), settings, &logger) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             error!(logger, "vm: {error:#}");
@@ -65,7 +72,13 @@
     }
 }
 
-fn serve(path: PathBuf, settings: FleetSettings, logger: &Logger) -> anyhow::Result<()> {
+fn serve(
+    runtime: &Runtime,
+    hangup: Signal,
+    path: PathBuf,
+    settings: FleetSettings,
+    logger: &Logger,
+) -> anyhow::Result<()> {
     let incarnation = Incarnation::of_start(SystemTime::now());
     let metrics = PrometheusBuilder::new()
         .install_recorder()
@@ -87,12 +100,11 @@
             .spawn(run)
             .context("cannot start the control thread")?
     };
-    let runtime = single_thread_runtime()?;
     let is_planned_stop = runtime.block_on(async {
         let node = Node::new(settings.clone(), logger.clone(), view_receiver, stopping);
         let closing = CancellationToken::new();
         start_listeners(&node, &closing, metrics)?;
-        tokio::spawn(reload_on_hangup(path, logger.clone(), reload));
+        tokio::spawn(reload_on_hangup(hangup, path, logger.clone(), reload));
         tokio::spawn(forget_endpoints(Arc::clone(&node)));
         info!(logger, "vm: started"; "vm" => %settings.vm, "incarnation" => %incarnation,
             "data_centre" => %settings.data_centre, "version" => env!("CARGO_PKG_VERSION"));
@@ -109,6 +121,17 @@
     control_result.map_err(|_| anyhow::anyhow!("the control thread panicked"))?
 }
 
+/// Creates the runtime for traffic, and receives SIGHUP from then on. Until a process receives it,
+/// the signal ends the process, so this comes before the settings are read.
+fn runtime_with_hangup() -> anyhow::Result<(Runtime, Signal)> {
+    let runtime = single_thread_runtime()?;
+    let hangup = {
+        let _context = runtime.enter();
+        signal(SignalKind::hangup()).context("cannot receive SIGHUP")?
+    };
+    Ok((runtime, hangup))
+}
+
 fn single_thread_runtime() -> anyhow::Result<Runtime> {
     let runtime = Builder::new_current_thread().enable_all().build();
     runtime.context("cannot start a runtime")
@@ -193,17 +216,11 @@
 /// Reads the settings file again at each SIGHUP, which the platform sends when it has changed.
 /// Invalid settings are logged and the former ones stay.
 async fn reload_on_hangup(
+    mut hangup: Signal,
     path: PathBuf,
     logger: Logger,
     reload: watch::Sender<Option<FleetSettings>>,
 ) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            error!(logger, "settings: cannot receive SIGHUP: {error}");
-            return;
-        }
-    };
     while hangup.recv().await.is_some() {
         match read_settings(&path) {
             Ok(settings) => {
--- a/tests/fleet_vm_cases/platform.rs
+++ b/tests/fleet_vm_cases/platform.rs
@@ -5,14 +5,17 @@
 use bytes::Bytes;
 use googletest::prelude::*;
 use primrosewalk::http::{Call, send};
+use rustix::fs::{CWD, Mode, mkfifoat};
 use rustix::process::Signal;
 use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::unix::pipe;
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::status;
 use crate::users_platform::backend::Kind;
 use crate::users_platform::caller::request;
-use crate::users_platform::store::Mode;
+use crate::users_platform::store;
 use crate::users_platform::{Fleet, eventually, within};
 
 /// Maximum time during which an endpoint may still get requests after the store lists it as
@@ -73,7 +76,7 @@
     let mut fleet = Fleet::start(3).await;
     fleet
         .store
-        .set_mode_for(fleet.vms[1].ip.into(), Mode::Silent);
+        .set_mode_for(fleet.vms[1].ip.into(), store::Mode::Silent);
     fleet.change_configuration(|configuration| {
         let routes = configuration["Routes"].as_array_mut().unwrap();
         let mut route = routes[0].clone();
@@ -159,7 +162,9 @@
 async fn service_goes_on_without_the_store() {
     let mut fleet = Fleet::start(3).await;
     let cut_off = fleet.vms[2].ip;
-    fleet.store.set_mode_for(cut_off.into(), Mode::Silent);
+    fleet
+        .store
+        .set_mode_for(cut_off.into(), store::Mode::Silent);
     fleet.vms[2].kill();
     fleet.vms[2].start();
     let vm = fleet.vms[2].caller_address();
@@ -167,8 +172,8 @@
         status(&request(vm, "/look/x", "r-1", "key-1").await) == 200
     })
     .await;
-    fleet.store.set_mode(Mode::Busy);
-    fleet.store.set_mode_for(cut_off.into(), Mode::Busy);
+    fleet.store.set_mode(store::Mode::Busy);
+    fleet.store.set_mode_for(cut_off.into(), store::Mode::Busy);
     for number in 0..10 {
         let vm = fleet.vms[number % 3].caller_address();
         let answer = request(vm, "/look/x", &format!("r-{number}"), "key-1").await;
@@ -180,8 +185,8 @@
         configuration["Routes"][0]["PathPrefix"] = json!("/new/")
     });
     fleet.store.compact();
-    fleet.store.set_mode(Mode::Up);
-    fleet.store.set_mode_for(cut_off.into(), Mode::Up);
+    fleet.store.set_mode(store::Mode::Up);
+    fleet.store.set_mode_for(cut_off.into(), store::Mode::Up);
     for vm in &fleet.vms {
         let vm = vm.caller_address();
         let applied = || async { status(&request(vm, "/new/x", "r", "key-1").await) == 200 };
@@ -269,6 +274,37 @@
     expect_that!(text, contains_substring("primrosewalk_request_seconds"));
 }
 
+/// Guards against a VM that is ended by the signal that its settings have changed while it reads them
+/// at its start.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_is_starting_survives_the_signal_to_reload() {
+    let mut fleet = Fleet::prepare(1).await;
+    let path = fleet.vms[0].settings.clone();
+    let settings = std::fs::read_to_string(&path).unwrap();
+    let changed_settings = path.with_extension("changed");
+    std::fs::rename(&path, &changed_settings).unwrap();
+    mkfifoat(CWD, &path, Mode::from_raw_mode(0o600)).unwrap();
+    fleet.vms[0].start();
+    // A pipe can be opened for writing once the VM has opened it to read its settings.
+    let mut sender = None;
+    eventually("the VM reads its settings", || {
+        sender = pipe::OpenOptions::new().open_sender(&path).ok();
+        std::future::ready(sender.is_some())
+    })
+    .await;
+    std::fs::rename(&changed_settings, &path).unwrap();
+    fleet.vms[0].signal(Signal::HUP);
+    let mut sender = sender.unwrap();
+    sender.write_all(settings.as_bytes()).await.unwrap();
+    drop(sender);
+    fleet.wait_until_ready().await;
+    eventually("the changed settings are read", || async {
+        fleet.vms[0].log().contains("settings: reloaded")
+    })
+    .await;
+}
+
 /// An idle VM makes at most 6 calls to the store in 6 s.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -46,7 +46,7 @@
     pub name: String,
     pub ip: Ipv4Addr,
     pub data_centre: String,
-    settings: PathBuf,
+    pub settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
 }
@@ -101,15 +101,27 @@
         self.child.is_some()
     }
 
+    /// Returns a field of the process's status in the proc file system.
+    fn process_status(&self, field: &str) -> Option<String> {
+        let pid = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let mut lines = status.lines();
+        let value = lines.find_map(|line| line.strip_prefix(field)?.strip_prefix(':'))?;
+        Some(value.trim().to_owned())
+    }
+
     /// Returns the largest memory that the process has used since its start.
     pub fn peak_memory_bytes(&self) -> usize {
-        let pid = self.child.as_ref().unwrap().id();
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-        let peak_kib = status.lines().find_map(|line| {
-            let value = line.strip_prefix("VmHWM:")?.strip_suffix("kB")?;
-            value.trim().parse::<usize>().ok()
-        });
-        peak_kib.unwrap() * 1024
+        let peak = self.process_status("VmHWM").unwrap();
+        let kib: usize = peak.strip_suffix(" kB").unwrap().parse().unwrap();
+        kib * 1024
+    }
+
+    /// Returns whether the process has a handler for a signal, which otherwise ends it.
+    pub fn handles(&self, signal: Signal) -> bool {
+        let mask = self.process_status("SigCgt").unwrap_or_default();
+        let mask = u64::from_str_radix(&mask, 16).unwrap_or_default();
+        mask >> (signal.as_raw() - 1) & 1 == 1
     }
 
     /// Returns the address at which the VM accepts the requests of callers.
