--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -10,10 +10,12 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio_util::task::AbortOnDropHandle;
 
+use super::silence::{Silence, SilentStream};
+
 /// Kind of service that an endpoint runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -138,6 +140,7 @@
     crash: Notify,
     /// Times at which the endpoint has crashed.
     crashes: Mutex<Vec<Instant>>,
+    silence: Silence,
 }
 
 /// Stand-in for one endpoint.
@@ -180,6 +183,7 @@
             extra_headers: Mutex::default(),
             crash: Notify::new(),
             crashes: Mutex::default(),
+            silence: Silence::default(),
         });
         let mut backend = Self {
             id: id.to_owned(),
@@ -256,6 +260,11 @@
         *self.state.fault.lock() = fault;
     }
 
+    /// Silences the endpoint on all its connections, open and new, for that long.
+    pub fn fall_silent(&self, duration: Duration) {
+        self.state.silence.begin(duration);
+    }
+
     /// Sets how long a request runs and, for streams, how long the pause after each event is.
     pub fn set_work_time(&self, work_time: Duration) {
         *self.state.work_time.lock() = work_time;
@@ -321,7 +330,10 @@
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { return };
                 let (state, id) = (Arc::clone(state), id.to_owned());
+                let stream = SilentStream::new(stream, state.silence.clone());
                 connections.spawn(async move {
+                    // The kernel has accepted the connection; the process takes it up when it goes on.
+                    state.silence.ended().await;
                     let _ = serve(stream, &state, &id, kind, address).await;
                 });
             }
@@ -339,7 +351,7 @@
 }
 
 /// Reads one request. Returns `None` if the connection ends or the request cannot be parsed.
-async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Received> {
+async fn read_request(stream: &mut SilentStream, buffer: &mut Vec<u8>) -> Option<Received> {
     let mut chunk = [0; 4096];
     let head_end = loop {
         if let Some(position) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
@@ -383,7 +395,7 @@
 
 /// Answers the requests of one connection until it ends or the fault closes it.
 async fn serve(
-    mut stream: TcpStream,
+    mut stream: SilentStream,
     state: &State,
     own_id: &str,
     kind: Kind,
@@ -475,8 +487,8 @@
 }
 
 /// Resets a connection, as when the process behind it dies.
-fn reset(stream: &TcpStream) -> std::io::Result<()> {
-    rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO))?;
+fn reset(stream: &SilentStream) -> std::io::Result<()> {
+    rustix::net::sockopt::set_socket_linger(&stream.stream, Some(Duration::ZERO))?;
     Ok(())
 }
 
@@ -509,7 +521,7 @@
 }
 
 async fn answer_plain(
-    stream: &mut TcpStream,
+    stream: &mut SilentStream,
     request: &Received,
     own_id: &str,
     fault: Fault,
@@ -552,7 +564,7 @@
 }
 
 async fn answer_stream(
-    stream: &mut TcpStream,
+    stream: &mut SilentStream,
     request: &Received,
     own_id: &str,
     fault: Fault,
@@ -614,7 +626,7 @@
 
 /// Sends the events of a stream without chunks, up to its end.
 async fn write_unframed_events(
-    stream: &mut TcpStream,
+    stream: &mut SilentStream,
     request: &Received,
     first: u64,
     end: UnframedEnd,
@@ -641,7 +653,7 @@
 
 /// Sends bytes without end until the caller closes the connection.
 async fn answer_endlessly(
-    stream: &mut TcpStream,
+    stream: &mut SilentStream,
     request: &Received,
     own_id: &str,
     kind: Kind,
@@ -683,7 +695,7 @@
 }
 
 async fn answer_stage(
-    stream: &mut TcpStream,
+    stream: &mut SilentStream,
     request: &Received,
     fault: Fault,
     state: &State,
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod silence;
 pub mod store;
 
 use std::fs::File;
