feat(fleet): metrics and log lines tell how a caller's request was lost

A stream that was cut off named its last timeout, not what kept it from going on at another engine, and a request whose connection ended before its answer left no line at all. So a silent engine, a broken one, a used-up retry budget, a missing engine or stage result, and a connection that this VM closed could not be told apart.

primrosewalk_streams_total counts streams by their end, the line "request: stream ended" names the obstacle, and primrosewalk_unanswered_requests_total with "request: its connection ended before an answer" shows requests that got none.

--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -15,6 +15,35 @@
     histogram!("primrosewalk_request_seconds", "outcome" => outcome).record(took.as_secs_f64());
 }
 
+/// Counts a caller's whole request whose connection ended before its answer.
+pub fn request_unanswered() {
+    counter!("primrosewalk_unanswered_requests_total").increment(1);
+}
+
+/// How a stream to a caller ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// All events were relayed.
+    Complete,
+    /// It was cut off at its deadline.
+    Deadline,
+    /// It was cut off because its engine was silent and no other one went on with it.
+    Silent,
+    /// It was cut off because its engine broke it off and no other one went on with it.
+    Broken,
+}
+
+/// Counts a stream by how it ended.
+pub fn stream_ended(end: StreamEnd) {
+    let end = match end {
+        StreamEnd::Complete => "complete",
+        StreamEnd::Deadline => "deadline",
+        StreamEnd::Silent => "silent",
+        StreamEnd::Broken => "broken",
+    };
+    counter!("primrosewalk_streams_total", "end" => end).increment(1);
+}
+
 /// Counts an attempt, which is a request sent to an endpoint, by how it ended.
 pub fn attempt_ended(end: AttemptEnd) {
     let end = match end {
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -15,7 +15,7 @@
 use crate::fleet::node::Node;
 use crate::fleet::reply::Reply;
 use crate::fleet::{metric, plain, stream};
-use crate::platform::caller::decode_caller;
+use crate::platform::caller::{CallerRequest, decode_caller};
 use crate::units::Time;
 
 /// Counts a request as under way until it is dropped.
@@ -28,6 +28,27 @@
     }
 }
 
+/// Reports a request whose connection ends while it is served: its caller has left, or this VM has closed
+/// the connection.
+struct UnansweredGuard {
+    node: Arc<Node>,
+    id: String,
+    arrived_at: Time,
+    is_answered: bool,
+}
+
+impl Drop for UnansweredGuard {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        metric::request_unanswered();
+        let took = clock::now().since(self.arrived_at);
+        info!(self.node.logger, "request: its connection ended before an answer"; "id" => &self.id,
+            "stopping" => self.node.is_stopping(), "took_ms" => took.as_millis() as u64);
+    }
+}
+
 /// Serves one request of a caller.
 pub async fn serve_request(node: Arc<Node>, request: Request<Incoming>) -> Reply {
     let active = node.active_requests.fetch_add(1, Ordering::Relaxed);
@@ -36,21 +57,41 @@
     let arrived_at = clock::now();
     let caller = decode_caller(request.headers());
     let id = caller.id.clone();
-    let admitted = match admit(&node, request, caller, arrived_at).await {
+    let mut unanswered = UnansweredGuard {
+        node: Arc::clone(&node),
+        id: id.clone(),
+        arrived_at,
+        is_answered: false,
+    };
+    let reply = answer(&node, request, caller, arrived_at, guard).await;
+    unanswered.is_answered = true;
+    reply
+}
+
+/// Admits and serves a request, and returns its answer.
+async fn answer(
+    node: &Arc<Node>,
+    request: Request<Incoming>,
+    caller: CallerRequest,
+    arrived_at: Time,
+    active: ActiveGuard,
+) -> Reply {
+    let id = caller.id.clone();
+    let admitted = match admit(node, request, caller, arrived_at).await {
         Ok(admitted) => Arc::new(admitted),
-        Err(ended) => return finish(&node, &id, None, arrived_at, ended),
+        Err(ended) => return finish(node, &id, None, arrived_at, ended),
     };
     let ended = match admitted.route.kind {
         RouteKind::Streaming => {
-            stream::serve(Arc::clone(&node), Arc::clone(&admitted), guard).await
+            stream::serve(Arc::clone(node), Arc::clone(&admitted), active).await
         }
         _ => {
-            let ended = plain::serve(&node, &admitted).await;
-            drop(guard);
+            let ended = plain::serve(node, &admitted).await;
+            drop(active);
             ended
         }
     };
-    finish(&node, &id, Some(&admitted), arrived_at, ended)
+    finish(node, &id, Some(&admitted), arrived_at, ended)
 }
 
 /// Records the metrics and the log line of a request and returns its answer.
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -29,6 +29,7 @@
 use crate::fleet::dispatcher::JobFailure;
 use crate::fleet::endpoint_client::{AnswerBody, Connection, read_body};
 use crate::fleet::engine_stream::{EngineStream, ReadOutcome};
+use crate::fleet::metric::{self, StreamEnd};
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::{MAX_SENDS, Node};
 use crate::fleet::reply::{self, ReplyBody, relayed, whole_body};
@@ -465,7 +466,7 @@
         // A timeout does not end a read that is ready at once.
         if left.is_zero() {
             self.end_attempt(AttemptEnd::Broken);
-            self.log_end("the deadline has passed");
+            self.log_end(StreamEnd::Deadline, "the deadline has passed");
             return Some(Err(io::Error::other("the deadline has passed")));
         }
         let may_resume = self.admitted.route.is_resumable && self.may_send_again();
@@ -474,44 +475,46 @@
         } else {
             left
         };
-        let reason = match timeout(limit, self.read()).await {
+        let (end, reason) = match timeout(limit, self.read()).await {
             Ok(ReadOutcome::Event(_, event)) => return Some(Ok(event)),
             Ok(ReadOutcome::Complete) => {
                 self.end_attempt(AttemptEnd::Answered(None));
                 if self.engine_events < START_EVENTS {
                     self.node.note_pass(&self.admitted);
                 }
-                self.log_end("complete");
+                self.log_end(StreamEnd::Complete, "complete");
                 return None;
             }
             Ok(ReadOutcome::Broken(reason)) => {
                 self.end_broken_attempt();
-                reason
+                (StreamEnd::Broken, reason)
             }
-            Err(_) => format!("no event in {limit:?}"),
+            Err(_) => (StreamEnd::Silent, format!("no event in {limit:?}")),
         };
         self.end_attempt(AttemptEnd::Broken);
-        if let Some(event) = self.resume(&reason).await {
-            return Some(Ok(event));
-        }
-        self.log_end(&reason);
+        let obstacle = match self.resume(&reason).await {
+            Ok(event) => return Some(Ok(event)),
+            Err(obstacle) => obstacle,
+        };
+        self.log_end(end, &format!("{reason}; {obstacle}"));
         Some(Err(io::Error::other(reason)))
     }
 
     /// Resumes the stream at another engine after the last event that was sent to the caller, and
-    /// returns the next event.
-    async fn resume(&mut self, reason: &str) -> Option<Bytes> {
+    /// returns the next event, or else why the stream cannot be resumed.
+    async fn resume(&mut self, reason: &str) -> Result<Bytes, String> {
         while self.admitted.route.is_resumable && self.may_send_again() {
             warn!(self.node.logger, "request: resuming a stream"; "id" => &self.admitted.caller.id,
                 "after_event" => self.last_event, "reason" => reason);
             let opened = timeout(self.admitted.time_left(), self.try_open()).await;
             match opened {
-                Ok(OpenOutcome::Stream(_, event)) => return Some(event),
+                Ok(OpenOutcome::Stream(_, event)) => return Ok(event),
                 Ok(OpenOutcome::Failed(_)) => {}
-                Ok(OpenOutcome::Reply(_)) | Err(_) => return None,
+                Ok(OpenOutcome::Reply(ended)) => return Err(ended.reason),
+                Err(_) => return Err("the deadline has passed".to_owned()),
             }
         }
-        None
+        Err("may not be sent again".to_owned())
     }
 
     fn end_attempt(&mut self, end: AttemptEnd) {
@@ -532,8 +535,9 @@
         }
     }
 
-    fn log_end(&mut self, reason: &str) {
+    fn log_end(&mut self, end: StreamEnd, reason: &str) {
         self.is_ended = true;
+        metric::stream_ended(end);
         let took = clock::now().since(self.admitted.arrived_at);
         info!(self.node.logger, "request: stream ended"; "id" => &self.admitted.caller.id,
             "events" => self.events, "reason" => reason, "took_ms" => took.as_millis() as u64);
