fix(fleet): a silent endpoint is given up only once the request can go on elsewhere

Callers lost requests while sound endpoints were silent for a second or two: streams were cut and others answered 502. A VM closed its connection to an endpoint that had sent nothing for 1.5 s (600 ms for idempotent requests) and only then asked whether another one was left, the retry limit allowed a retry and the stages had results. With many requests at silent endpoints the limit refuses most of them; a single one is lost when the other engine leaves.

Now the request stays at its endpoint while another one is prepared: limit, stages, connection and retry. An event that comes meanwhile goes on to the caller. The endpoint is given up when the request is sent to the other one, never at two at once; without another one it has until the deadline. A look at the retry limit comes before the stages, so that no stage runs in vain. Silence still counts as one failure of the endpoint for the choice of later requests.

--- a/src/decisions/endpoint_choice.rs
+++ b/src/decisions/endpoint_choice.rs
@@ -107,6 +107,8 @@
     pub endpoint: EndpointName,
     role: Role,
     prompt_tokens: u32,
+    /// Whether the endpoint was silent for long during the attempt.
+    is_silent: bool,
 }
 
 /// What this VM has observed of one endpoint.
@@ -213,6 +215,7 @@
             endpoint: endpoint.id.clone(),
             role,
             prompt_tokens,
+            is_silent: false,
         }
     }
 
@@ -225,6 +228,22 @@
         started.prompt_tokens = 0;
     }
 
+    /// Records that the endpoint of an attempt is silent, which counts as its failure. The attempt goes
+    /// on, and a success still counts as one.
+    pub fn note_silence(&mut self, now: Time, started: &mut StartedAttempt) {
+        if !std::mem::replace(&mut started.is_silent, true) {
+            self.record_failure(now, started);
+        }
+    }
+
+    fn record_failure(&mut self, now: Time, started: &StartedAttempt) {
+        let config = self.config;
+        if let Some(state) = self.states.get_mut(&started.endpoint) {
+            state.circuit.on_failure(now, started.role, &config.circuit);
+            state.failed_at = Some(now);
+        }
+    }
+
     /// Records the end of an attempt.
     pub fn finish(&mut self, now: Time, mut started: StartedAttempt, end: AttemptEnd) {
         self.on_prompt_read(&mut started);
@@ -244,12 +263,9 @@
                     state.observed_at = now;
                 }
             }
-            AttemptEnd::Error | AttemptEnd::Broken => {
-                state.circuit.on_failure(now, started.role, &config.circuit);
-                if end == AttemptEnd::Broken {
-                    state.failed_at = Some(now);
-                }
-            }
+            AttemptEnd::Broken if started.is_silent => {}
+            AttemptEnd::Broken => self.record_failure(now, &started),
+            AttemptEnd::Error => state.circuit.on_failure(now, started.role, &config.circuit),
             AttemptEnd::Full => {
                 state.full_until = now + FULL_PAUSE;
                 state.circuit.on_inconclusive(started.role);
--- a/src/decisions/retry_window.rs
+++ b/src/decisions/retry_window.rs
@@ -69,6 +69,15 @@
     /// Counts a retry, if attempt number `attempts` was not the last allowed one and the window
     /// allows it. Returns whether the retry may run.
     pub fn take(&mut self, now: Time, attempts: u32) -> bool {
+        let may_run = self.allows(now, attempts);
+        if may_run {
+            self.part(now).retries += 1;
+        }
+        may_run
+    }
+
+    /// Returns whether [`RetryWindow::take`] would allow a retry now.
+    pub fn allows(&mut self, now: Time, attempts: u32) -> bool {
         if attempts >= self.config.max_attempts {
             return false;
         }
@@ -80,11 +89,7 @@
         let retries: u32 = self.parts.iter().map(|part| part.retries).sum();
         let earned = f64::from(first_attempts) * self.config.ratio * USED_RATIO;
         let allowed = earned + self.config.reserve;
-        let may_run = f64::from(retries + 1) <= allowed;
-        if may_run {
-            self.part(now).retries += 1;
-        }
-        may_run
+        f64::from(retries + 1) <= allowed
     }
 
     /// Returns the current part, and drops those that lie before the window.
--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, StatusCode};
 use slog::info;
 use smallvec::SmallVec;
+use tokio::time::timeout;
 
 use crate::clock;
 use crate::decisions::endpoint_choice::{AttemptEnd, EndpointRequest, Work};
@@ -42,6 +43,38 @@
     pub runs: u32,
 }
 
+/// Pause between two tries to go on elsewhere with a request whose endpoint stays silent.
+pub const REPLACEMENT_PAUSE: Duration = Duration::from_millis(250);
+
+/// What has come of waiting for an endpoint.
+pub enum Awaited<T, R> {
+    /// What the endpoint has sent.
+    Output(T),
+    /// A replacement for the endpoint, which was silent until it was ready.
+    Replacement(R),
+}
+
+/// Waits for `output` of an endpoint. Once the endpoint has been silent for `patience`, also waits for
+/// `replacement`, which ends when the request can be sent to another endpoint.
+///
+/// A sound endpoint may be silent for a while. So it is given up only for another one, never because there is
+/// none, no retry is left or a stage has no result (`docs/platform.md`, "Retries").
+pub async fn await_or_replace<T, R>(
+    output: impl Future<Output = T>,
+    patience: Duration,
+    replacement: impl Future<Output = R>,
+) -> Awaited<T, R> {
+    let mut output = std::pin::pin!(output);
+    if let Ok(output) = timeout(patience, output.as_mut()).await {
+        return Awaited::Output(output);
+    }
+    tokio::select! {
+        biased;
+        output = output => Awaited::Output(output),
+        replacement = replacement => Awaited::Replacement(replacement),
+    }
+}
+
 /// Returns the reply for a request whose deadline has passed.
 pub fn timed_out(attempts: &Attempts) -> RequestEnd {
     if attempts.runs > 0 {
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -185,6 +185,16 @@
         self.with_retries(service, |retries| retries.take(clock::now(), sent))
     }
 
+    /// Returns whether [`Node::take_retry`] would allow a retry now.
+    pub fn allows_retry(&self, service: &ServiceName, sent: u32) -> bool {
+        self.with_retries(service, |retries| retries.allows(clock::now(), sent))
+    }
+
+    /// Records that the endpoint of an attempt in progress is silent, so that other requests avoid it.
+    pub fn note_silence(&self, started: &mut StartedAttempt) {
+        self.choice.lock().note_silence(clock::now(), started);
+    }
+
     /// Records how an attempt ended, for later choices of endpoints and for the metrics.
     pub fn end_attempt(&self, started: StartedAttempt, end: AttemptEnd) {
         metric::attempt_ended(end);
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -1,20 +1,19 @@
 //! Serves requests whose answer is one document, as against a stream of events.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use slog::info;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::clock;
-use crate::decisions::endpoint_choice::{AttemptEnd, Work};
+use crate::decisions::endpoint_choice::{AttemptEnd, StartedAttempt, Work};
 use crate::fleet::admission::{AdmittedRequest, RequestEnd};
 use crate::fleet::attempts::{
-    Attempts, MIN_ATTEMPT_TIME, NOT_RUN_RETRY_AFTER, build_request, next_connection,
-    refuse_quarantined, retry_after, timed_out,
+    Attempts, Awaited, MIN_ATTEMPT_TIME, NOT_RUN_RETRY_AFTER, REPLACEMENT_PAUSE, await_or_replace,
+    build_request, next_connection, refuse_quarantined, retry_after, timed_out,
 };
 use crate::fleet::crash_reports::check_engine;
 use crate::fleet::endpoint_client::{CallFailure, Connection, read_body};
@@ -24,9 +23,9 @@
 use crate::platform::endpoint_call::{ResponseClass, classify, returned_headers};
 use crate::traffic::Execution;
 
-/// Timeout of an attempt of an idempotent request that may be retried, as a multiple of the route's
-/// objective. The request is sent to another endpoint after it.
-const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 1.5;
+/// Time without an answer after which an idempotent request goes on at another endpoint if it can, as a
+/// multiple of the route's objective.
+const PATIENCE_OBJECTIVES: f64 = 1.5;
 
 /// Serves a request until its answer is complete or its deadline has passed.
 pub async fn serve(node: &Arc<Node>, admitted: &AdmittedRequest) -> RequestEnd {
@@ -41,28 +40,48 @@
     let is_idempotent = admitted.route.kind == RouteKind::Idempotent;
     let mut fallback: Option<Reply> = None;
     let mut last_reason = String::from("no endpoint");
-    while let Some((endpoint, connection)) =
-        next_connection(node, admitted, attempts, Work::Plain).await
-    {
-        if let Some(refusal) = refuse_quarantined(node, admitted, attempts) {
-            return refusal;
-        }
-        if attempts.sent > 0 && !node.take_retry(&admitted.service, attempts.sent) {
-            last_reason.push_str(", no repeat left");
-            break;
-        }
+    let mut replacement = None;
+    loop {
+        let prepared = match replacement.take() {
+            Some(offer) => Ok(offer),
+            None => prepare(node, admitted, attempts).await,
+        };
+        let (endpoint, connection) = match prepared {
+            Ok(offer) => offer,
+            Err(Obstacle::Refused(refusal)) => return refusal,
+            Err(Obstacle::NoEndpoint) => break,
+            Err(Obstacle::NoRetryLeft) => {
+                last_reason.push_str(", no repeat left");
+                break;
+            }
+        };
         node.note_trial(admitted);
         attempts.sent += 1;
         attempts.runs += 1;
         attempts.tried.push(endpoint.id.clone());
         let may_retry = is_idempotent && attempts.runs < admitted.route.max_attempts;
-        let limit = if may_retry {
-            let timeout_by_objective = admitted.route.objective.mul_f64(ATTEMPT_TIMEOUT_OBJECTIVES);
-            timeout_by_objective.min(admitted.time_left() / 2)
+        let mut guard = AttemptGuard::start(node, &endpoint);
+        let answer = attempt(node, admitted, &endpoint, connection);
+        let awaited = if may_retry {
+            let patience = admitted.route.objective.mul_f64(PATIENCE_OBJECTIVES);
+            let patience = patience.min(admitted.time_left() / 2);
+            let replacement = async {
+                guard.note_silence();
+                replacement_for_silent(node, admitted, attempts).await
+            };
+            await_or_replace(answer, patience, replacement).await
         } else {
-            admitted.time_left()
+            Awaited::Output(answer.await)
+        };
+        let (end, reason, outcome) = match awaited {
+            Awaited::Output(ended) => ended,
+            Awaited::Replacement(offer) => {
+                replacement = Some(offer);
+                let reason = "silent".to_owned();
+                (AttemptEnd::Broken, reason, AttemptOutcome::Unknown)
+            }
         };
-        let (reason, outcome) = attempt(node, admitted, &endpoint, connection, limit).await;
+        guard.finish(end);
         info!(node.logger, "request: attempt ended"; "id" => &admitted.caller.id,
             "endpoint" => %endpoint.id, "sent" => attempts.sent, "end" => &reason);
         last_reason = reason;
@@ -100,6 +119,52 @@
     }
 }
 
+/// Why a request cannot be sent to another endpoint now.
+enum Obstacle {
+    Refused(RequestEnd),
+    NoEndpoint,
+    NoRetryLeft,
+}
+
+/// Connects to the next endpoint, and takes a retry if the request was sent before. The request may be
+/// sent then.
+async fn prepare(
+    node: &Node,
+    admitted: &AdmittedRequest,
+    attempts: &mut Attempts,
+) -> Result<(Arc<Endpoint>, Connection), Obstacle> {
+    let is_retry = attempts.sent > 0;
+    if is_retry && !node.allows_retry(&admitted.service, attempts.sent) {
+        return Err(Obstacle::NoRetryLeft);
+    }
+    let offer = next_connection(node, admitted, attempts, Work::Plain).await;
+    let offer = offer.ok_or(Obstacle::NoEndpoint)?;
+    if let Some(refusal) = refuse_quarantined(node, admitted, attempts) {
+        return Err(Obstacle::Refused(refusal));
+    }
+    if is_retry && !node.take_retry(&admitted.service, attempts.sent) {
+        return Err(Obstacle::NoRetryLeft);
+    }
+    Ok(offer)
+}
+
+/// Waits until the request can be sent to another endpoint than the silent one that has it.
+async fn replacement_for_silent(
+    node: &Node,
+    admitted: &AdmittedRequest,
+    attempts: &mut Attempts,
+) -> (Arc<Endpoint>, Connection) {
+    loop {
+        if attempts.sent < MAX_SENDS
+            && admitted.time_left() >= MIN_ATTEMPT_TIME
+            && let Ok(offer) = prepare(node, admitted, attempts).await
+        {
+            return offer;
+        }
+        sleep(REPLACEMENT_PAUSE).await;
+    }
+}
+
 /// What one attempt means for the request.
 enum AttemptOutcome {
     /// The endpoint has answered, maybe with an error status.
@@ -110,36 +175,20 @@
     Unknown,
 }
 
-/// Sends a request to an endpoint and reads the answer. Returns the end of the attempt as text for
+/// Sends a request to an endpoint and reads the answer. Returns how the attempt ended, that as text for
 /// the log, and its outcome.
 async fn attempt(
     node: &Arc<Node>,
     admitted: &AdmittedRequest,
     endpoint: &Arc<Endpoint>,
     connection: Connection,
-    limit: Duration,
-) -> (String, AttemptOutcome) {
-    let started = node.choice.lock().start(clock::now(), endpoint, 0);
-    // The guard also ends the attempt when the caller leaves and this future is dropped.
-    let mut guard = AttemptGuard {
-        node,
-        started: Some(started),
-    };
+) -> (AttemptEnd, String, AttemptOutcome) {
     let sent_at = clock::now();
     let request = build_request(admitted, endpoint, None, None);
-    let answer = timeout(
-        limit,
-        whole_answer(node, endpoint, connection, request, &admitted.caller.id),
-    )
-    .await;
+    let answer = whole_answer(node, endpoint, connection, request, &admitted.caller.id).await;
     let took = clock::now().since(sent_at);
-    let (end, reason, outcome) = match answer {
-        Err(_) => (
-            AttemptEnd::Broken,
-            format!("no answer in {limit:?}"),
-            AttemptOutcome::Unknown,
-        ),
-        Ok(Err(failure)) => {
+    match answer {
+        Err(failure) => {
             let outcome = match failure.ran {
                 Execution::NotRun => AttemptOutcome::NotRun,
                 Execution::MayHaveRun => AttemptOutcome::Unknown,
@@ -147,7 +196,7 @@
             check_engine(node, admitted, endpoint);
             (AttemptEnd::Broken, failure.message, outcome)
         }
-        Ok(Ok((ResponseClass::Answer, reply))) => {
+        Ok((ResponseClass::Answer, reply)) => {
             node.note_pass(admitted);
             let status = reply.status();
             let end = if status.is_server_error() {
@@ -161,33 +210,46 @@
                 AttemptOutcome::Answer(reply),
             )
         }
-        Ok(Ok((ResponseClass::NotRun, reply))) => (
+        Ok((ResponseClass::NotRun, reply)) => (
             AttemptEnd::Full,
             format!("refused {}", reply.status()),
             AttemptOutcome::NotRun,
         ),
-        Ok(Ok((ResponseClass::OtherEndpoint, _))) => (
+        Ok((ResponseClass::OtherEndpoint, _)) => (
             AttemptEnd::Broken,
             "another endpoint has the address".to_owned(),
             AttemptOutcome::NotRun,
         ),
-        Ok(Ok((ResponseClass::Invalid, reply))) => (
+        Ok((ResponseClass::Invalid, reply)) => (
             AttemptEnd::Broken,
             format!("not an answer to this request: {}", reply.status()),
             AttemptOutcome::Unknown,
         ),
-    };
-    guard.finish(end);
-    (reason, outcome)
+    }
 }
 
-/// Records an attempt as inconclusive when it is dropped before [`AttemptGuard::finish`].
+/// Records an attempt as inconclusive when it is dropped before [`AttemptGuard::finish`], because the
+/// caller has left.
 struct AttemptGuard<'a> {
     node: &'a Node,
-    started: Option<crate::decisions::endpoint_choice::StartedAttempt>,
+    started: Option<StartedAttempt>,
 }
 
-impl AttemptGuard<'_> {
+impl<'a> AttemptGuard<'a> {
+    fn start(node: &'a Node, endpoint: &Endpoint) -> Self {
+        let started = node.choice.lock().start(clock::now(), endpoint, 0);
+        Self {
+            node,
+            started: Some(started),
+        }
+    }
+
+    fn note_silence(&mut self) {
+        if let Some(started) = &mut self.started {
+            self.node.note_silence(started);
+        }
+    }
+
     fn finish(&mut self, end: AttemptEnd) {
         if let Some(started) = self.started.take() {
             self.node.end_attempt(started, end);
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -11,8 +11,8 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::HeaderMap;
-use hyper::StatusCode;
 use hyper::body::Frame;
+use hyper::{Response, StatusCode};
 use slog::{info, warn};
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
@@ -22,12 +22,13 @@
 use crate::decisions::endpoint_choice::{AttemptEnd, StartedAttempt};
 use crate::fleet::admission::{AdmittedRequest, RequestEnd};
 use crate::fleet::attempts::{
-    Attempts, MAX_FAILED_CONNECTIONS, MIN_ATTEMPT_TIME, build_request, choose, generation_work,
-    next_connection, quarantined, refuse_quarantined, retry_after, timed_out,
+    Attempts, Awaited, MAX_FAILED_CONNECTIONS, MIN_ATTEMPT_TIME, REPLACEMENT_PAUSE,
+    await_or_replace, build_request, choose, generation_work, next_connection, quarantined,
+    refuse_quarantined, retry_after, timed_out,
 };
 use crate::fleet::crash_reports::check_engine;
 use crate::fleet::dispatcher::JobFailure;
-use crate::fleet::endpoint_client::{AnswerBody, Connection, read_body};
+use crate::fleet::endpoint_client::{AnswerBody, CallFailure, Connection, read_body};
 use crate::fleet::engine_stream::{EngineStream, ReadOutcome};
 use crate::fleet::metric::{self, StreamEnd};
 use crate::fleet::model::Endpoint;
@@ -44,14 +45,13 @@
 const MIN_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Maximum of the time after which a caller should retry, sent when the stages are overloaded.
 const MAX_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(2_000);
-/// Timeout for the first event of a resumable request at one engine, as a multiple of the route's
-/// objective. Another engine is tried after it.
-const FIRST_EVENT_TIMEOUT_OBJECTIVES: f64 = 1.5;
-/// Minimum timeout for the first event, since a long prompt takes long at any engine.
-const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Timeout for the next event within a resumable stream, after which it is resumed at another
-/// engine.
-const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a first event after which a resumable request goes on at another engine if it can, as a
+/// multiple of the route's objective.
+const FIRST_EVENT_PATIENCE_OBJECTIVES: f64 = 1.5;
+/// Minimum of that time, since a long prompt takes long at any engine.
+const MIN_FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time without an event after which a resumable stream goes on at another engine if it can.
+const NEXT_EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Time after the deadline at which a stream is cut off. An engine that stops work at the deadline
 /// has this time to report that in its stream.
 const DEADLINE_GRACE: Duration = Duration::from_millis(200);
@@ -113,6 +113,95 @@
     Failed(String),
 }
 
+/// An engine that is ready to get a request, with the results of the stages that it reads.
+struct Offer {
+    endpoint: Arc<Endpoint>,
+    connection: Connection,
+    results: StageResults,
+}
+
+/// What an engine has sent first for a request.
+enum Opening {
+    /// The first event, with its number, the headers for the caller and the rest of the stream.
+    Event(HeaderMap, EngineStream, u64, Bytes),
+    /// A complete stream without events.
+    Empty(StatusCode, HeaderMap),
+    /// An error status, with the body that belongs to it.
+    Error(StatusCode, HeaderMap, Result<Bytes, CallFailure>),
+    /// The engine has not run the request.
+    NotRun(AttemptEnd, String),
+    /// Not an answer to this request.
+    Invalid(StatusCode),
+    /// The connection or the answer broke off.
+    Broken(CallFailure),
+}
+
+/// Sends a request to an engine and reads its answer up to the first event. Frees the stage results once
+/// the engine has read them.
+async fn exchange(
+    node: Arc<Node>,
+    admitted: Arc<AdmittedRequest>,
+    offer: Offer,
+    last_event: Option<u64>,
+) -> Opening {
+    let Offer {
+        endpoint,
+        connection,
+        mut results,
+    } = offer;
+    let inputs = results.inputs();
+    let request = build_request(&admitted, &endpoint, inputs.as_deref(), last_event);
+    let opening = async {
+        match connection.send(request).await {
+            Ok(answer) => read_opening(&node, &admitted, &endpoint, answer, last_event).await,
+            Err(failure) => Opening::Broken(failure),
+        }
+    };
+    let mut opening = std::pin::pin!(opening);
+    tokio::select! {
+        opening = opening.as_mut() => opening,
+        () = sleep(INPUT_FETCH_ESTIMATE) => {
+            results.free();
+            opening.await
+        }
+    }
+}
+
+/// Checks the head of an engine's answer and reads the first event, or the body of an error.
+async fn read_opening(
+    node: &Node,
+    admitted: &AdmittedRequest,
+    endpoint: &Arc<Endpoint>,
+    answer: Response<AnswerBody>,
+    last_event: Option<u64>,
+) -> Opening {
+    let (head, body) = answer.into_parts();
+    let status = head.status;
+    node.notices.read(endpoint, status, &head.headers);
+    let headers = returned_headers(&head.headers);
+    match classify(status, &head.headers, &admitted.caller.id) {
+        ResponseClass::Answer if status.is_success() => {}
+        ResponseClass::Answer => return Opening::Error(status, headers, read_body(body).await),
+        ResponseClass::NotRun => {
+            return Opening::NotRun(AttemptEnd::Full, format!("the engine refused {status}"));
+        }
+        ResponseClass::OtherEndpoint => {
+            let reason = "another endpoint has the address".to_owned();
+            return Opening::NotRun(AttemptEnd::Broken, reason);
+        }
+        ResponseClass::Invalid => return Opening::Invalid(status),
+    }
+    let mut stream = EngineStream::new(Arc::clone(endpoint), body);
+    match stream.next_event(last_event).await {
+        ReadOutcome::Event(number, event) => Opening::Event(headers, stream, number, event),
+        ReadOutcome::Complete => Opening::Empty(status, headers),
+        ReadOutcome::Broken(message) => Opening::Broken(CallFailure {
+            ran: Execution::MayHaveRun,
+            message,
+        }),
+    }
+}
+
 /// The stream of one caller, with the engine stream that it is currently read from.
 struct CallerStream {
     node: Arc<Node>,
@@ -212,32 +301,63 @@
 
     /// Runs the stages, sends the request to one engine and reads its first event.
     async fn try_open(&mut self) -> OpenOutcome {
+        match self.prepare().await {
+            Ok(offer) => self.open(offer).await,
+            Err(ended) => OpenOutcome::Reply(ended),
+        }
+    }
+
+    /// Runs the stages, connects to an engine and takes a retry if the request was sent before. The
+    /// request may be sent then.
+    async fn prepare(&mut self) -> Result<Offer, RequestEnd> {
         if let Some(refusal) = refuse_quarantined(&self.node, &self.admitted, &self.attempts) {
-            return OpenOutcome::Reply(refusal);
+            return Err(refusal);
+        }
+        let (service, sent) = (&self.admitted.service, self.attempts.sent);
+        if sent > 0 && !self.node.allows_retry(service, sent) {
+            return Err(self.failure("no repeat left".to_owned()));
         }
         if !self.has_engine() {
-            return OpenOutcome::Reply(self.failure("no engine".to_owned()));
+            return Err(self.failure("no engine".to_owned()));
         }
-        let mut results = match self.stages().await {
-            Ok(results) => results,
-            Err(ended) => return OpenOutcome::Reply(ended),
-        };
+        let results = self.stages().await?;
         let Some((endpoint, connection)) = self.connect(&results).await else {
-            return OpenOutcome::Reply(self.failure("no engine".to_owned()));
+            return Err(self.failure("no engine".to_owned()));
         };
         // The connect and the stages take time, in which a part may have come under quarantine.
         if let Some(refusal) = refuse_quarantined(&self.node, &self.admitted, &self.attempts) {
-            return OpenOutcome::Reply(refusal);
+            return Err(refusal);
         }
-        if self.attempts.sent > 0
-            && !self
-                .node
-                .take_retry(&self.admitted.service, self.attempts.sent)
-        {
-            return OpenOutcome::Reply(self.failure("no repeat left".to_owned()));
+        if sent > 0 && !self.node.take_retry(&self.admitted.service, sent) {
+            return Err(self.failure("no repeat left".to_owned()));
+        }
+        Ok(Offer {
+            endpoint,
+            connection,
+            results,
+        })
+    }
+
+    /// Waits until the request can be sent to another engine than the silent one that has it.
+    async fn replacement_for_silent(&mut self) -> Offer {
+        let mut last_obstacle = String::new();
+        loop {
+            if self.admitted.route.is_resumable && self.may_send_again() {
+                if let Some(started) = &mut self.started {
+                    self.node.note_silence(started);
+                }
+                let obstacle = match self.prepare().await {
+                    Ok(offer) => return offer,
+                    Err(ended) => ended.reason,
+                };
+                if obstacle != last_obstacle {
+                    info!(self.node.logger, "request: waiting for a silent engine";
+                        "id" => &self.admitted.caller.id, "obstacle" => &obstacle);
+                    last_obstacle = obstacle;
+                }
+            }
+            sleep(REPLACEMENT_PAUSE).await;
         }
-        self.node.note_trial(&self.admitted);
-        self.send(&endpoint, connection, &mut results).await
     }
 
     /// Returns whether an engine is left to which the request can be sent now. Without one, the
@@ -285,176 +405,115 @@
         next_connection(&self.node, &self.admitted, &mut self.attempts, work).await
     }
 
-    /// Sends the request to an engine on an open connection and waits for its first event.
-    async fn send(
-        &mut self,
-        endpoint: &Arc<Endpoint>,
-        connection: Connection,
-        results: &mut StageResults,
-    ) -> OpenOutcome {
+    /// Sends the request to an engine and waits for its first event. An engine that is silent for long is
+    /// replaced if another one can be.
+    async fn open(&mut self, mut offer: Offer) -> OpenOutcome {
+        loop {
+            self.note_sent(&offer.endpoint);
+            let patience = self.admitted.route.objective;
+            let patience = patience.mul_f64(FIRST_EVENT_PATIENCE_OBJECTIVES);
+            let patience = patience.max(MIN_FIRST_EVENT_PATIENCE);
+            let (node, admitted) = (Arc::clone(&self.node), Arc::clone(&self.admitted));
+            let exchange = exchange(node, admitted, offer, self.last_event);
+            let awaited = await_or_replace(exchange, patience, self.replacement_for_silent()).await;
+            let replacement = match awaited {
+                Awaited::Output(opening) => {
+                    let outcome = self.finish_opening(opening);
+                    self.log_attempt(match &outcome {
+                        OpenOutcome::Stream(..) => "stream began",
+                        OpenOutcome::Reply(ended) => &ended.reason,
+                        OpenOutcome::Failed(reason) => reason,
+                    });
+                    return outcome;
+                }
+                Awaited::Replacement(replacement) => replacement,
+            };
+            self.log_attempt("silent, replaced");
+            self.end_attempt(AttemptEnd::Broken);
+            offer = replacement;
+        }
+    }
+
+    /// Records that the request is sent to an engine.
+    fn note_sent(&mut self, endpoint: &Arc<Endpoint>) {
+        self.node.note_trial(&self.admitted);
         self.engine = Some(Arc::clone(endpoint));
         self.engine_events = 0;
         self.attempts.sent += 1;
         self.attempts.runs += 1;
         self.attempts.tried.push(endpoint.id.clone());
         let prompt_tokens = self.admitted.caller.prompt_tokens;
-        let started = self
-            .node
-            .choice
-            .lock()
-            .start(clock::now(), endpoint, prompt_tokens);
-        self.started = Some(started);
-        let limit = if self.admitted.route.is_resumable
-            && self.attempts.runs < self.admitted.route.max_attempts
-        {
-            let timeout_by_objective = self
-                .admitted
-                .route
-                .objective
-                .mul_f64(FIRST_EVENT_TIMEOUT_OBJECTIVES);
-            timeout_by_objective
-                .max(MIN_FIRST_EVENT_TIMEOUT)
-                .min(self.admitted.time_left())
-        } else {
-            self.admitted.time_left()
-        };
-        let inputs = results.inputs();
-        let opened = {
-            let exchange = timeout(limit, self.exchange(endpoint, connection, inputs));
-            let mut exchange = std::pin::pin!(exchange);
-            tokio::select! {
-                opened = exchange.as_mut() => opened,
-                () = sleep(INPUT_FETCH_ESTIMATE) => {
-                    results.free();
-                    exchange.await
-                }
-            }
-        };
-        let opening = match opened {
-            Ok(opening) => opening,
-            Err(_) => {
-                self.end_attempt(AttemptEnd::Broken);
-                OpenOutcome::Failed(format!("no event in {limit:?}"))
-            }
-        };
-        let outcome = match &opening {
-            OpenOutcome::Stream(..) => "stream began",
-            OpenOutcome::Reply(ended) => &ended.reason,
-            OpenOutcome::Failed(reason) => reason,
-        };
+        let mut choice = self.node.choice.lock();
+        self.started = Some(choice.start(clock::now(), endpoint, prompt_tokens));
+    }
+
+    fn log_attempt(&self, outcome: &str) {
+        let engine = self.engine.as_ref();
         info!(self.node.logger, "request: attempt to open a stream ended";
             "id" => &self.admitted.caller.id,
-            "endpoint" => %endpoint.id, "data_centre" => %endpoint.data_centre,
+            "endpoint" => engine.map(|engine| engine.id.to_string()),
+            "data_centre" => engine.map(|engine| engine.data_centre.to_string()),
             "sent" => self.attempts.sent, "outcome" => outcome);
-        // The engine has read its inputs, or the attempt has failed and does not need them.
-        results.free();
-        opening
     }
 
-    /// Sends the request, checks the head of the answer and reads the first event.
-    async fn exchange(
-        &mut self,
-        endpoint: &Arc<Endpoint>,
-        connection: Connection,
-        inputs: Option<Vec<String>>,
-    ) -> OpenOutcome {
-        let request = build_request(&self.admitted, endpoint, inputs.as_deref(), self.last_event);
-        let answer = match connection.send(request).await {
-            Ok(answer) => answer,
-            Err(failure) => {
-                if failure.ran == Execution::NotRun {
-                    self.attempts.runs -= 1;
+    /// Records what an engine has sent for its answer, and decides whether another one may be tried.
+    fn finish_opening(&mut self, opening: Opening) -> OpenOutcome {
+        match opening {
+            Opening::Event(headers, stream, number, event) => {
+                self.open = Some(stream);
+                self.note_event(number);
+                let mut choice = self.node.choice.lock();
+                if let Some(started) = &mut self.started {
+                    // The engine generates events only once it has read the prompt.
+                    choice.on_prompt_read(started);
                 }
-                self.end_broken_attempt();
-                return OpenOutcome::Failed(failure.message);
+                OpenOutcome::Stream(headers, event)
             }
-        };
-        let (head, body) = answer.into_parts();
-        let status = head.status;
-        self.node.notices.read(endpoint, status, &head.headers);
-        match classify(status, &head.headers, &self.admitted.caller.id) {
-            ResponseClass::Answer if status.is_success() => {}
-            ResponseClass::Answer => return self.failed_answer(status, &head.headers, body).await,
-            ResponseClass::NotRun => {
-                self.attempts.runs -= 1;
-                self.end_attempt(AttemptEnd::Full);
-                return OpenOutcome::Failed(format!("the engine refused {status}"));
-            }
-            ResponseClass::OtherEndpoint => {
-                self.attempts.runs -= 1;
-                self.end_attempt(AttemptEnd::Broken);
-                return OpenOutcome::Failed("another endpoint has the address".to_owned());
-            }
-            ResponseClass::Invalid => {
-                self.end_attempt(AttemptEnd::Broken);
-                return OpenOutcome::Failed(format!("not an answer to this request: {status}"));
-            }
-        }
-        self.open = Some(EngineStream::new(Arc::clone(endpoint), body));
-        match self.read().await {
-            ReadOutcome::Event(_, event) => {
-                self.note_first_event();
-                OpenOutcome::Stream(returned_headers(&head.headers), event)
-            }
-            ReadOutcome::Complete => {
+            Opening::Empty(status, headers) => {
                 self.end_attempt(AttemptEnd::Answered(None));
-                let headers = returned_headers(&head.headers);
                 let reply = relayed(status, headers, whole_body(Bytes::new()));
                 OpenOutcome::Reply(RequestEnd::new(reply, "an empty stream"))
             }
-            ReadOutcome::Broken(reason) => {
-                self.end_broken_attempt();
+            Opening::Error(status, headers, body) => {
+                self.end_attempt(AttemptEnd::Error);
+                let reason = format!("the engine answered {status}");
+                let may_retry = status.is_server_error() && self.may_send_again();
+                match body {
+                    _ if may_retry => OpenOutcome::Failed(reason),
+                    Ok(body) => {
+                        let reply = relayed(status, headers, whole_body(body));
+                        OpenOutcome::Reply(RequestEnd::new(reply, reason))
+                    }
+                    Err(failure) => OpenOutcome::Failed(failure.message),
+                }
+            }
+            Opening::NotRun(end, reason) => {
+                self.attempts.runs -= 1;
+                self.end_attempt(end);
                 OpenOutcome::Failed(reason)
             }
-        }
-    }
-
-    /// Handles an answer of the engine with an error status: fails the attempt if another engine
-    /// may be tried, otherwise relays the answer.
-    async fn failed_answer(
-        &mut self,
-        status: StatusCode,
-        headers: &HeaderMap,
-        body: AnswerBody,
-    ) -> OpenOutcome {
-        self.end_attempt(AttemptEnd::Error);
-        let may_retry = status.is_server_error() && self.may_send_again();
-        match read_body(body).await {
-            _ if may_retry => OpenOutcome::Failed(format!("the engine answered {status}")),
-            Ok(body) => {
-                let reply = relayed(status, returned_headers(headers), whole_body(body));
-                OpenOutcome::Reply(RequestEnd::new(
-                    reply,
-                    format!("the engine answered {status}"),
-                ))
+            Opening::Invalid(status) => {
+                self.end_attempt(AttemptEnd::Broken);
+                OpenOutcome::Failed(format!("not an answer to this request: {status}"))
+            }
+            Opening::Broken(failure) => {
+                if failure.ran == Execution::NotRun {
+                    self.attempts.runs -= 1;
+                }
+                self.end_broken_attempt();
+                OpenOutcome::Failed(failure.message)
             }
-            Err(failure) => OpenOutcome::Failed(failure.message),
-        }
-    }
-
-    /// Records that the engine has read the prompt: it generates events only after that.
-    fn note_first_event(&mut self) {
-        let mut choice = self.node.choice.lock();
-        if let Some(started) = &mut self.started {
-            choice.on_prompt_read(started);
         }
     }
 
-    /// Reads the next event from the open stream.
-    async fn read(&mut self) -> ReadOutcome {
-        let Some(open) = &mut self.open else {
-            return ReadOutcome::Broken("no engine is open".to_owned());
-        };
-        let outcome = open.next_event(self.last_event).await;
-        if let ReadOutcome::Event(number, _) = &outcome {
-            self.last_event = Some(*number);
-            self.events += 1;
-            self.engine_events += 1;
-            if self.engine_events == START_EVENTS {
-                self.node.note_pass(&self.admitted);
-            }
+    /// Records an event that was read for the caller.
+    fn note_event(&mut self, number: u64) {
+        self.last_event = Some(number);
+        self.events += 1;
+        self.engine_events += 1;
+        if self.engine_events == START_EVENTS {
+            self.node.note_pass(&self.admitted);
         }
-        outcome
     }
 
     /// Returns the next event for the caller. An error closes the connection to the caller.
@@ -469,15 +528,18 @@
             self.log_end(StreamEnd::Deadline, "the deadline has passed");
             return Some(Err(io::Error::other("the deadline has passed")));
         }
-        let may_resume = self.admitted.route.is_resumable && self.may_send_again();
-        let limit = if may_resume {
-            NEXT_EVENT_TIMEOUT.min(left)
-        } else {
-            left
+        let Some(mut open) = self.open.take() else {
+            return Some(Err(io::Error::other("no engine is open")));
         };
-        let (end, reason) = match timeout(limit, self.read()).await {
-            Ok(ReadOutcome::Event(_, event)) => return Some(Ok(event)),
-            Ok(ReadOutcome::Complete) => {
+        let read = open.next_event(self.last_event);
+        let awaited = await_or_replace(read, NEXT_EVENT_PATIENCE, self.replacement_for_silent());
+        let (end, reason, replacement) = match timeout(left, awaited).await {
+            Ok(Awaited::Output(ReadOutcome::Event(number, event))) => {
+                self.open = Some(open);
+                self.note_event(number);
+                return Some(Ok(event));
+            }
+            Ok(Awaited::Output(ReadOutcome::Complete)) => {
                 self.end_attempt(AttemptEnd::Answered(None));
                 if self.engine_events < START_EVENTS {
                     self.node.note_pass(&self.admitted);
@@ -485,14 +547,25 @@
                 self.log_end(StreamEnd::Complete, "complete");
                 return None;
             }
-            Ok(ReadOutcome::Broken(reason)) => {
+            Ok(Awaited::Output(ReadOutcome::Broken(reason))) => {
                 self.end_broken_attempt();
-                (StreamEnd::Broken, reason)
+                (StreamEnd::Broken, reason, None)
+            }
+            Ok(Awaited::Replacement(offer)) => {
+                let reason = format!("no event in {NEXT_EVENT_PATIENCE:?}");
+                (StreamEnd::Silent, reason, Some(offer))
+            }
+            Err(_) => {
+                let reason = "no event until the deadline".to_owned();
+                self.end_attempt(AttemptEnd::Broken);
+                self.log_end(StreamEnd::Deadline, &reason);
+                return Some(Err(io::Error::other(reason)));
             }
-            Err(_) => (StreamEnd::Silent, format!("no event in {limit:?}")),
         };
+        // The engine must stop before another one goes on.
+        drop(open);
         self.end_attempt(AttemptEnd::Broken);
-        let obstacle = match self.resume(&reason).await {
+        let obstacle = match self.resume(&reason, replacement).await {
             Ok(event) => return Some(Ok(event)),
             Err(obstacle) => obstacle,
         };
@@ -500,13 +573,17 @@
         Some(Err(io::Error::other(reason)))
     }
 
-    /// Resumes the stream at another engine after the last event that was sent to the caller, and
-    /// returns the next event, or else why the stream cannot be resumed.
-    async fn resume(&mut self, reason: &str) -> Result<Bytes, String> {
-        while self.admitted.route.is_resumable && self.may_send_again() {
+    /// Resumes the stream at another engine after the last event that was sent to the caller, first at
+    /// that of `offer`. Returns the next event, or why the stream cannot be resumed.
+    async fn resume(&mut self, reason: &str, mut offer: Option<Offer>) -> Result<Bytes, String> {
+        while offer.is_some() || self.admitted.route.is_resumable && self.may_send_again() {
             warn!(self.node.logger, "request: resuming a stream"; "id" => &self.admitted.caller.id,
                 "after_event" => self.last_event, "reason" => reason);
-            let opened = timeout(self.admitted.time_left(), self.try_open()).await;
+            let time_left = self.admitted.time_left();
+            let opened = match offer.take() {
+                Some(offer) => timeout(time_left, self.open(offer)).await,
+                None => timeout(time_left, self.try_open()).await,
+            };
             match opened {
                 Ok(OpenOutcome::Stream(_, event)) => return Ok(event),
                 Ok(OpenOutcome::Failed(_)) => {}
@@ -546,7 +623,8 @@
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
-        let endpoint = self.open.as_ref().map(|open| open.endpoint.id.to_string());
+        let started = self.started.as_ref();
+        let endpoint = started.map(|started| started.endpoint.to_string());
         self.end_attempt(AttemptEnd::Inconclusive);
         if !self.is_ended {
             info!(self.node.logger, "request: the caller left"; "id" => &self.admitted.caller.id,
