fix(fleet): connections of callers follow the limits in force and close only between requests

What callers saw: a reused connection was closed although the newest configuration allowed its idle time; a head that a newer limit allows was refused with 431 on connections that were open before; a head that had begun was dropped without an answer, by the timeout and by a planned stop; a request behind a stream that ended during a planned stop was dropped.

Cause: the idle timeout and the size of a head were handed to the HTTP library once, at the accept. Its graceful close ends a connection whose next head is partly read, and drops requests behind an answer whose head did not announce the close.

Change: fleet/caller_connection.rs keeps the timeouts by the limits in force, closes only while nothing is in progress and after one more look at the socket, answers 408 to a head that stays incomplete (by HeaderTimeoutMs, which was not used before), and reads on for up to 1 s after its last answer, so that unread bytes do not reset it. A handler that panics leaves an answer (500) and a count; a stream whose relay panics is visibly broken.

--- a/src/fleet/ingress.rs
+++ b/src/fleet/ingress.rs
@@ -1,24 +1,21 @@
 //! Listeners of a VM for callers, the address directory, readiness checks and metrics.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
 use slog::warn;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use crate::fleet::caller_connection::{self, ConnectionContext, DEFAULT_LIMITS};
+use crate::fleet::model::CallerLimits;
 use crate::fleet::node::Node;
 use crate::fleet::reply::{Reply, text, whole_body};
 use crate::fleet::request::serve_request;
@@ -29,16 +26,6 @@
 
 /// Pause after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(50);
-/// Time that is added to the configured idle timeout before an idle connection is closed. Callers
-/// may use a connection until that timeout, and the close must not cross a request on its way.
-const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
-/// Idle timeout of connections while no configuration is known.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Maximum size of the headers while no configuration is known, and minimum size of the buffer for
-/// the head of a request.
-const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
-/// Size that is allowed for the request line and line ends in addition to the headers.
-const REQUEST_LINE_BYTES: usize = 8 * 1024;
 /// Maximum time for which callers may use the addresses of an answer. It is short so that callers
 /// soon stop using a dead VM.
 const MAX_ADDRESS_TTL: Duration = Duration::from_secs(2);
@@ -47,9 +34,6 @@
 const MIN_LOCAL_ADDRESSES: usize = 2;
 /// Maximum number of addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
-/// Time for which a connection without a request stays open during a planned stop. Its caller has
-/// connected because it has a request to send.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Length of the queue of connections that were not accepted yet. A full queue delays callers by
 /// seconds.
 const ACCEPT_BACKLOG: u32 = 1_024;
@@ -220,59 +204,21 @@
     closing: CancellationToken,
     handle: impl Fn(Arc<Node>, Request<Incoming>) -> F,
 ) where
-    F: Future<Output = Reply> + Send + 'static,
+    F: Future<Output = Reply>,
 {
-    // Small answers must not wait for the acknowledgement of earlier ones. An error is ignored,
-    // since answers are only slower without the option.
-    let _ = stream.set_nodelay(true);
-    let (idle_timeout, header_bytes) = {
-        let view = node.view();
-        let limits = view
-            .configuration
-            .as_ref()
-            .map(|configuration| configuration.limits);
-        (
-            limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
-                limits.idle_timeout + IDLE_TIMEOUT_MARGIN
-            }),
-            limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.max_header_bytes),
-        )
+    let context = ConnectionContext {
+        logger: node.logger.clone(),
+        limits: || caller_limits(&node),
+        stopping: node.stopping.clone(),
+        closing,
     };
-    let first_request = Notify::new();
-    let has_served = AtomicBool::new(false);
-    let service = service_fn(|request| {
-        has_served.store(true, Ordering::Relaxed);
-        first_request.notify_one();
-        let answer = handle(Arc::clone(&node), request);
-        let node = Arc::clone(&node);
-        async move {
-            let mut answer = answer.await;
-            if node.is_stopping() {
-                // The caller should send its next request to another VM.
-                let close = HeaderValue::from_static("close");
-                answer.headers_mut().insert(CONNECTION, close);
-            }
-            Ok::<_, Infallible>(answer)
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle_timeout)
-        .max_buf_size((header_bytes + REQUEST_LINE_BYTES).max(DEFAULT_HEADER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // When the caller closes the connection, dropping the future cancels its request.
-        _ = connection.as_mut() => return,
-        () = closing.cancelled() => {}
-    }
-    if !has_served.load(Ordering::Relaxed) {
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = first_request.notified() => {}
-            () = sleep(FIRST_REQUEST_TIMEOUT) => {}
-        }
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let handle = |request| handle(Arc::clone(&node), request);
+    caller_connection::serve_connection(stream, context, handle).await;
+}
+
+/// Returns the limits in force.
+fn caller_limits(node: &Node) -> CallerLimits {
+    let view = node.view.borrow();
+    let configuration = view.configuration.as_ref();
+    configuration.map_or(DEFAULT_LIMITS, |configuration| configuration.limits)
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod attempts;
+pub mod caller_connection;
 pub mod control;
 mod control_state;
 mod crash_reports;
--- /dev/null
+++ b/tests/caller_connections.rs
@@ -0,0 +1,343 @@
+//! Guards against requests that are lost with their connection: each request whose first byte a VM has
+//! read is answered or refused, whatever the connection, the configuration or the VM goes through.
+
+mod users_platform;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future::join_all;
+use googletest::prelude::*;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use users_platform::Fleet;
+
+/// Time within which an answer comes; the engines' work takes 3 s at most.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(4_500);
+
+/// What happens next on the connection of a case.
+enum Step {
+    /// The caller sends a request.
+    Request(&'static str),
+    /// The caller sends these bytes.
+    Bytes(&'static str),
+    /// The caller sends a request with a header of that many bytes.
+    HeaderBytes(usize),
+    /// The caller sends a request with that many headers.
+    Headers(usize),
+    PauseMs(u64),
+    /// The operator changes a limit, and the VM learns of it.
+    Limit(&'static str, u64),
+    /// The VM gets the signal for a planned stop.
+    Stop,
+    /// The caller reads an answer with one of these statuses, to its end.
+    Answer(&'static [u16]),
+    /// The VM closes the connection without a reset.
+    Closed,
+}
+
+use Step::{Answer, Bytes, Closed, HeaderBytes, Headers, Limit, PauseMs, Request, Stop};
+
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+}
+
+const LOOK: &str = "POST /look/x HTTP/1.1\r\nDeadline-Ms: 3000\r\nContent-Length: 2\r\n";
+const COMMON: &str = "Host: h.example\r\nRequest-Id: r-1\r\nAuthorization: Token key-1\r\n";
+
+/// At first the limits on idle time and on the head are 1 s, and connections close 1.5 s later.
+const CASES: &[Case] = &[
+    Case {
+        name: "the idle timeout is raised while a connection is idle",
+        steps: &[
+            Request(LOOK),
+            Answer(&[200]),
+            Limit("IdleTimeoutMs", 8_000),
+            PauseMs(3_500),
+            Request(LOOK),
+            Answer(&[200]),
+        ],
+    },
+    Case {
+        name: "the limit on headers is raised while a connection is open",
+        steps: &[
+            Request(LOOK),
+            Answer(&[200]),
+            Limit("MaxHeaderBytes", 40_000),
+            HeaderBytes(36_000),
+            Answer(&[200]),
+        ],
+    },
+    Case {
+        name: "the limit on headers is lowered while a connection is open",
+        steps: &[
+            Limit("MaxHeaderBytes", 40_000),
+            HeaderBytes(36_000),
+            Answer(&[200]),
+            Limit("MaxHeaderBytes", 16_000),
+            HeaderBytes(36_000),
+            Answer(&[431]),
+            Closed,
+        ],
+    },
+    Case {
+        name: "the head is far too large",
+        steps: &[HeaderBytes(300_000), Answer(&[431]), Closed],
+    },
+    Case {
+        name: "many headers",
+        steps: &[Headers(120), Answer(&[200, 431])],
+    },
+    Case {
+        name: "the head stays incomplete",
+        steps: &[Bytes("POST /look/x HTT"), Answer(&[408]), Closed],
+    },
+    Case {
+        name: "no request comes",
+        steps: &[Closed],
+    },
+    Case {
+        name: "the first part of a head comes before a planned stop closes the connection",
+        steps: &[
+            Request(LOOK),
+            Answer(&[200]),
+            Stop,
+            PauseMs(1_700),
+            Bytes("POST /look/x HTTP/1.1\r\nContent-Le"),
+            PauseMs(800),
+            Bytes("ngth: 2\r\nHost: h.example\r\nRequest-Id: r-2\r\n"),
+            Bytes("Authorization: Token key-1\r\n\r\n{}"),
+            Answer(&[200, 503]),
+            Closed,
+        ],
+    },
+    Case {
+        name: "a request follows a stream that ends after a planned stop has begun",
+        steps: &[
+            Request("POST /once-stream/x HTTP/1.1\r\nDeadline-Ms: 6000\r\nContent-Length: 2\r\n"),
+            PauseMs(600),
+            Stop,
+            PauseMs(600),
+            Request(LOOK),
+            Answer(&[200]),
+            Answer(&[200, 503]),
+            Closed,
+        ],
+    },
+    Case {
+        name: "requests are sent together",
+        steps: &[
+            Request(LOOK),
+            Request(LOOK),
+            Request(LOOK),
+            Answer(&[200]),
+            Answer(&[200]),
+            Answer(&[200]),
+        ],
+    },
+    Case {
+        name: "the caller asks for a close and sends more",
+        steps: &[
+            Request("POST /look/x HTTP/1.1\r\nConnection: close\r\nContent-Length: 2\r\n"),
+            Request(LOOK),
+            Answer(&[200]),
+            Closed,
+        ],
+    },
+    Case {
+        name: "the caller waits for leave to send the body",
+        steps: &[
+            Bytes("POST /look/x HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n"),
+            Bytes("Host: h.example\r\nRequest-Id: r-1\r\nAuthorization: Token key-1\r\n\r\n"),
+            Answer(&[100]),
+            Bytes("{}"),
+            Answer(&[200]),
+        ],
+    },
+    Case {
+        name: "a body in chunks with trailers",
+        steps: &[
+            Bytes("POST /look/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n"),
+            Bytes("Host: h.example\r\nRequest-Id: r-1\r\nAuthorization: Token key-1\r\n\r\n"),
+            Bytes("2\r\n{}\r\n0\r\nSum: 1\r\n\r\n"),
+            Answer(&[200]),
+            Request(LOOK),
+            Answer(&[200]),
+        ],
+    },
+    Case {
+        name: "HTTP/1.0",
+        steps: &[
+            Request("POST /look/x HTTP/1.0\r\nContent-Length: 2\r\n"),
+            Answer(&[200]),
+            Closed,
+        ],
+    },
+    Case {
+        name: "a line end after a body",
+        steps: &[
+            Request(LOOK),
+            Bytes("\r\n"),
+            Answer(&[200]),
+            Request(LOOK),
+            Answer(&[200]),
+        ],
+    },
+];
+
+/// Connection of a caller, with the bytes that were read beyond the last answer.
+struct Caller {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl Caller {
+    async fn connect(vm: SocketAddr) -> Self {
+        Self {
+            stream: TcpStream::connect(vm).await.unwrap(),
+            bytes: Vec::new(),
+        }
+    }
+
+    async fn read_more(&mut self) -> std::result::Result<(), String> {
+        match self.stream.read_buf(&mut self.bytes).await {
+            Ok(0) => Err("the connection was closed".to_owned()),
+            Ok(_) => Ok(()),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
+    async fn read_until(&mut self, mark: &str) -> std::result::Result<String, String> {
+        loop {
+            let found = self
+                .bytes
+                .windows(mark.len())
+                .position(|window| window == mark.as_bytes());
+            if let Some(position) = found {
+                let rest = self.bytes.split_off(position + mark.len());
+                let read = std::mem::replace(&mut self.bytes, rest);
+                return Ok(String::from_utf8_lossy(&read).into_owned());
+            }
+            self.read_more().await?;
+        }
+    }
+
+    /// Reads one answer, and returns its status.
+    async fn read_answer(&mut self) -> std::result::Result<u16, String> {
+        let head = self.read_until("\r\n\r\n").await?.to_ascii_lowercase();
+        if head.contains("transfer-encoding: chunked") {
+            self.read_until("\r\n0\r\n\r\n").await?;
+        }
+        let length = head.split("content-length: ").nth(1);
+        let length = length.and_then(|rest| rest.lines().next()?.parse().ok());
+        let length: usize = length.unwrap_or(0);
+        while self.bytes.len() < length {
+            self.read_more().await?;
+        }
+        self.bytes.drain(..length);
+        let status = head
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok());
+        status.ok_or(head)
+    }
+
+    async fn send(&mut self, text: &str) {
+        // If the VM has closed the connection, the next answer is missing.
+        let _ = self.stream.write_all(text.as_bytes()).await;
+    }
+}
+
+/// Runs the step, and returns what was wrong.
+async fn run_step(
+    fleet: &mut Fleet,
+    caller: &mut Caller,
+    step: &Step,
+) -> std::result::Result<(), String> {
+    let allowed = match step {
+        Request(head) => {
+            caller.send(&format!("{head}{COMMON}\r\n{{}}")).await;
+            return Ok(());
+        }
+        Bytes(text) => {
+            caller.send(text).await;
+            return Ok(());
+        }
+        HeaderBytes(bytes) => {
+            let value = "x".repeat(*bytes);
+            let text = format!("{LOOK}{COMMON}Other: {value}\r\n\r\n{{}}");
+            caller.send(&text).await;
+            return Ok(());
+        }
+        Headers(count) => {
+            let headers: String = (0..*count).map(|n| format!("Other-{n}: x\r\n")).collect();
+            caller
+                .send(&format!("{LOOK}{COMMON}{headers}\r\n{{}}"))
+                .await;
+            return Ok(());
+        }
+        PauseMs(pause) => {
+            sleep(Duration::from_millis(*pause)).await;
+            return Ok(());
+        }
+        Limit(name, value) => {
+            let change = |document: &mut Value| document["Limits"][*name] = json!(value);
+            fleet.change_configuration(change);
+            sleep(Duration::from_millis(500)).await;
+            return Ok(());
+        }
+        Stop => {
+            fleet.vms[0].signal(Signal::TERM);
+            return Ok(());
+        }
+        Closed => {
+            let closed = timeout(ANSWER_TIMEOUT, caller.read_more()).await;
+            let is_closed = closed == Ok(Err("the connection was closed".to_owned()));
+            return is_closed.then_some(()).ok_or(format!("{closed:?}"));
+        }
+        Answer(allowed) => allowed,
+    };
+    let status = timeout(ANSWER_TIMEOUT, caller.read_answer()).await;
+    let status = status.map_err(|_| "no answer in time".to_owned())??;
+    let is_allowed = allowed.contains(&status);
+    is_allowed.then_some(()).ok_or(format!("status {status}"))
+}
+
+async fn run_case(case: &Case) -> Option<String> {
+    let mut fleet = Fleet::prepare(1).await;
+    fleet.change_configuration(|document| {
+        document["Limits"]["IdleTimeoutMs"] = json!(1_000);
+        document["Limits"]["HeaderTimeoutMs"] = json!(1_000);
+    });
+    fleet.vms[0].start();
+    fleet.wait_until_ready().await;
+    for backend in fleet.backends_of("lm") {
+        backend.set_work_time(Duration::from_millis(350));
+    }
+    let mut caller = Caller::connect(fleet.vms[0].caller_address()).await;
+    for (number, step) in case.steps.iter().enumerate() {
+        if let Err(wrong) = run_step(&mut fleet, &mut caller, step).await {
+            return Some(format!("{}: step {number}: {wrong}", case.name));
+        }
+    }
+    None
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn each_request_that_a_vm_reads_is_answered_or_refused() {
+    let mut wrong = Vec::new();
+    for cases in CASES.chunks(6) {
+        wrong.extend(
+            join_all(cases.iter().map(run_case))
+                .await
+                .into_iter()
+                .flatten(),
+        );
+    }
+    expect_that!(wrong, is_empty());
+}
