fix(fleet): a refusal reaches a caller whose body is still on its way

Callers that write their whole request before they read got a reset in place of 404, 401, 400, 413 or 505: the VM refuses a request by its head, and closed the connection while the body was still coming. The kernel resets a connection that is closed with unread bytes, and the reset discards what the caller has not read yet.

Now it is read on until the caller closes it, nothing came for 1 s, or 5 s or 4 MiB are over. The refusal itself is still sent at once.

--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -52,9 +52,11 @@
 /// Time for which a connection without a request stays open during a planned stop. Its caller has
 /// connected because it has a request to send.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time for which bytes are still read after the write side was closed. A close with unread bytes
-/// resets the connection, and a reset discards the answer that the caller has not read yet.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time without a byte after which a connection ends whose write side was closed. A close with unread
+/// bytes resets the connection, and a reset discards the answer that the caller has not read yet.
+const LINGER_PAUSE: Duration = Duration::from_millis(1_000);
+/// Maximum time for which bytes are still read after the write side was closed.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of bytes that are still read after the write side was closed.
 const MAX_LINGER_BYTES: u64 = 4 * 1024 * 1024;
 /// Answer to a head that did not come to its end in time.
@@ -374,14 +376,15 @@
     close(stream).await;
 }
 
-/// Closes a connection in such a way that the caller can read the last answer.
+/// Closes a connection in such a way that the caller can read the last answer, also one that still sends
+/// the body of a refused request.
 async fn close(mut stream: TcpStream) {
     // The connection ends whether or not the caller is still there.
     let _ = stream.shutdown().await;
     let mut rest = stream.take(MAX_LINGER_BYTES);
-    let _ = timeout(
-        LINGER_TIMEOUT,
-        tokio::io::copy(&mut rest, &mut tokio::io::sink()),
-    )
-    .await;
+    let discard = async {
+        let mut buffer = vec![0; 4_096];
+        while let Ok(Ok(1..)) = timeout(LINGER_PAUSE, rest.read(&mut buffer)).await {}
+    };
+    let _ = timeout(LINGER_TIMEOUT, discard).await;
 }
--- a/tests/early_refusals.rs
+++ b/tests/early_refusals.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::future::join_all;
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -14,8 +15,9 @@
 
 /// Number of writes in which a body comes.
 const BODY_WRITES: usize = 8;
-/// Pause between two writes, so that each one arrives by itself.
-const WRITE_PAUSE: Duration = Duration::from_millis(15);
+/// Pauses between two writes, so that each one arrives by itself. With the longer one, the body takes
+/// seconds.
+const WRITE_PAUSES: [Duration; 2] = [Duration::from_millis(15), Duration::from_millis(300)];
 
 struct Case {
     name: &'static str,
@@ -60,7 +62,12 @@
 
 /// Sends a request whose body comes in several writes, and reads the answer only after the last one.
 /// Returns what the caller read.
-async fn write_then_read(vm: SocketAddr, case: &Case, is_chunked: bool) -> std::io::Result<String> {
+async fn write_then_read(
+    vm: SocketAddr,
+    case: &Case,
+    is_chunked: bool,
+    pause: Duration,
+) -> std::io::Result<String> {
     let mut stream = TcpStream::connect(vm).await?;
     let framing = match is_chunked {
         true => "Transfer-Encoding: chunked".to_owned(),
@@ -70,7 +77,7 @@
     stream.write_all(head.as_bytes()).await?;
     let data = "x".repeat(case.write_bytes);
     for _ in 0..BODY_WRITES {
-        sleep(WRITE_PAUSE).await;
+        sleep(pause).await;
         let text = match is_chunked {
             true => format!("{:x}\r\n{data}\r\n", data.len()),
             false => data.clone(),
@@ -80,7 +87,7 @@
     if is_chunked {
         stream.write_all(b"0\r\n\r\n").await?;
     }
-    sleep(WRITE_PAUSE).await;
+    sleep(pause).await;
     let mut bytes = vec![0; 4_096];
     let size = stream.read(&mut bytes).await?;
     Ok(String::from_utf8_lossy(&bytes[..size]).into_owned())
@@ -91,17 +98,21 @@
 async fn a_refusal_reaches_a_caller_that_writes_its_whole_body_first() {
     let fleet = Fleet::start(1).await;
     let vm = fleet.vms[0].caller_address();
-    for case in &CASES {
-        let is_http_1_0 = case.head.contains("HTTP/1.0");
-        for is_chunked in [false, true] {
-            if is_chunked && is_http_1_0 {
-                continue;
-            }
-            let answer = write_then_read(vm, case, is_chunked).await;
-            let name = format!("{}, chunked: {is_chunked}: {answer:?}", case.name);
-            let status = answer.unwrap_or_default();
-            let status = status.split(' ').nth(1);
-            expect_that!(status, some(eq(case.status)), "{name}");
-        }
-    }
+    let attempts = CASES.iter().flat_map(|case| {
+        let pauses = WRITE_PAUSES.into_iter();
+        pauses.flat_map(move |pause| [false, true].map(|is_chunked| (case, is_chunked, pause)))
+    });
+    let attempts =
+        attempts.filter(|(case, is_chunked, _)| !is_chunked || !case.head.contains("HTTP/1.0"));
+    let checks = attempts.map(|(case, is_chunked, pause)| async move {
+        let answer = write_then_read(vm, case, is_chunked, pause).await;
+        let name = format!(
+            "{}, chunked: {is_chunked}, {pause:?}: {answer:?}",
+            case.name
+        );
+        let status = answer.unwrap_or_default();
+        let status = status.split(' ').nth(1);
+        expect_that!(status, some(eq(case.status)), "{name}");
+    });
+    join_all(checks).await;
 }
