fix(fleet): a body that is slower than its deadline is refused at the deadline

What callers saw: a request whose body came slowly got its 408 after 10 s, long after the caller's deadline and the route's timeout, and so nobody read it.

Change: the timeout of the body ends at the deadline of the request. Beside it, tests in the test's own process for handlers and bodies that panic, requests that come as a connection is closed, and answers that are read late.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -26,7 +26,8 @@
 /// Time after the stop signal during which requests are still accepted, because callers may use the
 /// addresses of the directory for that long.
 const ACCEPT_TIME_AFTER_STOP: Duration = Duration::from_millis(2_600);
-/// Timeout for reading the whole body of a request, after which the request is refused.
+/// Timeout for reading the whole body of a request, after which the request is refused. It is shorter if
+/// the deadline of the request is sooner.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// An admitted request.
@@ -140,14 +141,16 @@
         let reply = reply::text(StatusCode::BAD_REQUEST, "the request has no id");
         return Err(RequestEnd::new(reply, "no id"));
     }
-    let body = read_caller_body(body, configuration.limits.max_body_bytes).await?;
+    let time_limit = caller
+        .deadline
+        .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let deadline = arrived_at + time_limit;
+    let body_timeout = BODY_TIMEOUT.min(deadline.since(clock::now()));
+    let body = read_caller_body(body, configuration.limits.max_body_bytes, body_timeout).await?;
     let Some(service) = pick_service(route, &caller.id) else {
         let reply = reply::not_run("the route has no service", NO_CONFIGURATION_RETRY_AFTER);
         return Err(RequestEnd::new(reply, "no service"));
     };
-    let time_limit = caller
-        .deadline
-        .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     Ok(AdmittedRequest {
         headers: head.headers,
         method: head.method,
@@ -159,7 +162,7 @@
         configuration_version: configuration.version,
         arrived_at,
         due: arrived_at + route.objective,
-        deadline: arrived_at + time_limit,
+        deadline,
         caller,
     })
 }
@@ -186,8 +189,12 @@
 }
 
 /// Reads the whole body of a request, up to `limit_bytes`.
-async fn read_caller_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, RequestEnd> {
-    let read = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit_bytes).collect()).await;
+async fn read_caller_body(
+    body: Incoming,
+    limit_bytes: usize,
+    time_limit: Duration,
+) -> Result<Bytes, RequestEnd> {
+    let read = tokio::time::timeout(time_limit, Limited::new(body, limit_bytes).collect()).await;
     match read {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -6,13 +6,23 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::StreamExt;
 use futures::future::join_all;
 use googletest::prelude::*;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use hyper::{Request as HyperRequest, StatusCode};
+use primrosewalk::fleet::caller_connection::{ConnectionContext, DEFAULT_LIMITS, serve_connection};
+use primrosewalk::fleet::model::CallerLimits;
+use primrosewalk::fleet::reply::{Reply, text, whole_body};
 use rustix::process::Signal;
 use serde_json::{Value, json};
+use slog::{Logger, o};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
 use users_platform::Fleet;
 
 /// Time within which an answer comes; the engines' work takes 3 s at most.
@@ -35,11 +45,15 @@
     Stop,
     /// The caller reads an answer with one of these statuses, to its end.
     Answer(&'static [u16]),
+    /// The same, within that many milliseconds.
+    AnswerWithinMs(u64, &'static [u16]),
     /// The VM closes the connection without a reset.
     Closed,
 }
 
-use Step::{Answer, Bytes, Closed, HeaderBytes, Headers, Limit, PauseMs, Request, Stop};
+use Step::{
+    Answer, AnswerWithinMs, Bytes, Closed, HeaderBytes, Headers, Limit, PauseMs, Request, Stop,
+};
 
 struct Case {
     name: &'static str,
@@ -100,6 +114,13 @@
         name: "no request comes",
         steps: &[Closed],
     },
+    Case {
+        name: "the body comes slower than the deadline allows",
+        steps: &[
+            Request("POST /look/x HTTP/1.1\r\nDeadline-Ms: 500\r\nContent-Length: 10\r\n"),
+            AnswerWithinMs(900, &[408]),
+        ],
+    },
     Case {
         name: "the first part of a head comes before a planned stop closes the connection",
         steps: &[
@@ -258,7 +279,7 @@
     caller: &mut Caller,
     step: &Step,
 ) -> std::result::Result<(), String> {
-    let allowed = match step {
+    let (limit, allowed) = match step {
         Request(head) => {
             caller.send(&format!("{head}{COMMON}\r\n{{}}")).await;
             return Ok(());
@@ -299,9 +320,10 @@
             let is_closed = closed == Ok(Err("the connection was closed".to_owned()));
             return is_closed.then_some(()).ok_or(format!("{closed:?}"));
         }
-        Answer(allowed) => allowed,
+        Answer(allowed) => (ANSWER_TIMEOUT, allowed),
+        AnswerWithinMs(limit, allowed) => (Duration::from_millis(*limit), allowed),
     };
-    let status = timeout(ANSWER_TIMEOUT, caller.read_answer()).await;
+    let status = timeout(limit, caller.read_answer()).await;
     let status = status.map_err(|_| "no answer in time".to_owned())??;
     let is_allowed = allowed.contains(&status);
     is_allowed.then_some(()).ok_or(format!("status {status}"))
@@ -341,3 +363,112 @@
     }
     expect_that!(wrong, is_empty());
 }
+
+/// A connection that is served in the test's own process, on the thread that the caller runs on.
+struct LocalCase {
+    name: &'static str,
+    handler: fn() -> Reply,
+    /// Whether the caller has had an answer on the connection before.
+    is_reused: bool,
+    /// Holds up the thread that serves the connection, before the request is sent.
+    hold_up: fn(&CancellationToken),
+    /// Time until the caller reads the answer.
+    read_after: Duration,
+    /// Checks what the caller read until the connection was closed.
+    is_right: fn(&str) -> bool,
+}
+
+const LARGE_ANSWER_BYTES: usize = 8_000_000;
+/// Longer than an idle timeout of no time and what is added to it.
+const LONGER_THAN_IDLE: Duration = Duration::from_millis(1_800);
+
+const LOCAL_CASES: &[LocalCase] = &[
+    LocalCase {
+        name: "the handler panics",
+        handler: || panic!("test"),
+        is_reused: false,
+        hold_up: |_| {},
+        read_after: Duration::ZERO,
+        is_right: |read| read.starts_with("HTTP/1.1 500 "),
+    },
+    LocalCase {
+        name: "the body of an answer panics",
+        handler: || {
+            let frames = futures::stream::iter(0..2).map(|number| match number {
+                0 => Ok(Frame::data("part".into())),
+                _ => panic!("test"),
+            });
+            Reply::new(StreamBody::new(frames).boxed_unsync())
+        },
+        is_reused: false,
+        hold_up: |_| {},
+        read_after: Duration::ZERO,
+        is_right: |read| !read.ends_with("0\r\n\r\n"),
+    },
+    LocalCase {
+        name: "the request comes as a planned stop closes the connection",
+        handler: || text(StatusCode::OK, "done"),
+        is_reused: true,
+        hold_up: CancellationToken::cancel,
+        read_after: Duration::ZERO,
+        is_right: |read| read.starts_with("HTTP/1.1 200 "),
+    },
+    LocalCase {
+        name: "the request comes in time, and the VM runs on after the idle timeout",
+        handler: || text(StatusCode::OK, "done"),
+        is_reused: true,
+        hold_up: |_| std::thread::sleep(LONGER_THAN_IDLE),
+        read_after: Duration::ZERO,
+        is_right: |read| read.starts_with("HTTP/1.1 200 "),
+    },
+    LocalCase {
+        name: "the answer is read later than the idle timeout",
+        handler: || Reply::new(whole_body(vec![b'x'; LARGE_ANSWER_BYTES])),
+        is_reused: false,
+        hold_up: |_| {},
+        read_after: LONGER_THAN_IDLE,
+        is_right: |read| read.len() > LARGE_ANSWER_BYTES,
+    },
+];
+
+async fn run_local_case(case: &LocalCase) -> std::io::Result<String> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let mut caller = Caller::connect(listener.local_addr()?).await;
+    let (stream, _) = listener.accept().await?;
+    let closing = CancellationToken::new();
+    let (_stop, stopping) = watch::channel(false);
+    let context = ConnectionContext {
+        logger: Logger::root(slog::Discard, o!()),
+        limits: || CallerLimits {
+            idle_timeout: Duration::ZERO,
+            ..DEFAULT_LIMITS
+        },
+        stopping,
+        closing: closing.clone(),
+    };
+    let handler = case.handler;
+    let handle = move |_: HyperRequest<_>| async move { handler() };
+    tokio::spawn(serve_connection(stream, context, handle));
+    if case.is_reused {
+        caller.send(&format!("{LOOK}{COMMON}\r\n{{}}")).await;
+        expect_that!(caller.read_answer().await, ok(eq(&200)), "{}", case.name);
+    }
+    (case.hold_up)(&closing);
+    let request = format!("{LOOK}Connection: close\r\n{COMMON}\r\n{{}}");
+    caller.stream.try_write(request.as_bytes())?;
+    sleep(case.read_after).await;
+    let mut bytes = Vec::new();
+    // A broken answer may end with a reset.
+    let _ = caller.stream.read_to_end(&mut bytes).await;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_request_on_a_connection_that_is_disturbed_is_answered_or_visibly_broken() {
+    for case in LOCAL_CASES {
+        let read = run_local_case(case).await.unwrap();
+        let start: String = read.chars().take(200).collect();
+        expect_that!((case.is_right)(&read), eq(true), "{}: {start}", case.name);
+    }
+}
