fix(stages): a call to a silent stage endpoint is not given up

Callers got 503 "a stage has no result" (and a stream that was being resumed was cut) when stage endpoints were silent for longer than 0.9 s: the call was closed, and without a retry left its jobs failed, although the endpoint would have answered. A close doesn't drop a call that is being worked on, so its results also took memory until they lapsed.

An overdue call now goes on until the deadline of its items. Its items are queued again as well once they may be retried and another endpoint takes calls; the first result of an item counts, the other one is freed. The endpoint's circuit opens when the call is overdue and closes with its late answer. A call that panics now fails its batch; before, its jobs waited until the deadline and its slot stayed taken.

--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -101,6 +101,8 @@
     job: JobId,
     item: QueuedItem,
     result_bytes: u64,
+    /// Whether the item was queued again while its call goes on.
+    is_resent: bool,
 }
 
 /// A job that has not ended.
@@ -145,6 +147,8 @@
     /// Result memory that is reserved for the results of the call.
     reserved_bytes: u64,
     role: Role,
+    /// Whether the call has no answer after its timeout. It no longer takes a slot then.
+    is_overdue: bool,
 }
 
 /// Queue of items and state of the endpoints of one service.
@@ -366,6 +370,7 @@
             nominal_ms,
             reserved_bytes,
             role,
+            is_overdue: false,
         };
         self.running.insert(id, call);
         Some(Batch {
@@ -379,6 +384,46 @@
         })
     }
 
+    /// Queues the items of a call again that has no answer after its timeout, as far as they may be
+    /// retried and another endpoint takes calls. The call itself goes on, because a sound endpoint may
+    /// be silent for a while and then answer; whichever result of an item comes first is used. Returns
+    /// whether all items that are still needed were queued again.
+    pub fn resend_overdue(&mut self, now: Time, id: u64, usable: &[Arc<Endpoint>]) -> bool {
+        // Taken out so that the items can be queued while the call is changed.
+        let Some(mut call) = self.running.remove(&id) else {
+            return true;
+        };
+        if !call.is_overdue {
+            self.record_call_outcome(now, &call, &Err(BatchFailure::Broken));
+            self.separate_jobs(&call.items);
+            call.is_overdue = true;
+        }
+        let takes_calls = |endpoint: &Arc<Endpoint>| {
+            let state = self.endpoints.get(&endpoint.id);
+            endpoint.id != call.endpoint && state.is_none_or(|state| state.circuit.allows(now))
+        };
+        let has_other = usable.iter().any(takes_calls);
+        let mut retried: Option<(JobId, bool)> = None;
+        let mut is_done = true;
+        for sent in &mut call.items {
+            if sent.is_resent || !self.is_needed(*sent) {
+                continue;
+            }
+            // The items of a job that are overdue together are one retry of the job.
+            let may_retry = match retried {
+                Some((job, may_retry)) if job == sent.job => {
+                    may_retry && sent.item.attempts < MAX_ITEM_ATTEMPTS
+                }
+                _ => has_other && self.may_retry(now, *sent, true),
+            };
+            retried = Some((sent.job, may_retry));
+            sent.is_resent = may_retry && self.queue_again(*sent);
+            is_done &= sent.is_resent;
+        }
+        self.running.insert(id, call);
+        is_done
+    }
+
     /// Records the outcome of a call. Returns the jobs that ended with it, and the results that
     /// nobody waits for, such as those of jobs that ended before.
     pub fn finish(
@@ -390,9 +435,15 @@
         let Some(call) = self.running.remove(&id) else {
             return (Vec::new(), Vec::new());
         };
-        self.record_call_outcome(now, &call, &outcome);
-        if outcome == Err(BatchFailure::Broken) {
-            self.separate_jobs(&call.items);
+        if !call.is_overdue {
+            self.record_call_outcome(now, &call, &outcome);
+            if outcome == Err(BatchFailure::Broken) {
+                self.separate_jobs(&call.items);
+            }
+        } else if outcome.is_ok() {
+            // The time says how long the endpoint was silent, not how fast it is.
+            let state = self.endpoints.entry(call.endpoint.clone()).or_default();
+            state.circuit.on_success();
         }
         let outcomes = outcome.unwrap_or_else(|_| vec![Err(ItemFailure::Failed); call.items.len()]);
         let mut ends = Vec::new();
@@ -521,6 +572,13 @@
         }
         *result = Some(handle);
         state.missing_results -= 1;
+        let queued_before = state.queued.len();
+        state.queued.retain(|item| item.index != sent.item.index);
+        let unneeded = queued_before - state.queued.len();
+        if unneeded > 0 {
+            let is_last = state.queued.is_empty();
+            self.queue.remove(&state.job, unneeded, is_last);
+        }
         if state.missing_results > 0 {
             return Ok(None);
         }
@@ -545,7 +603,7 @@
     }
 
     /// Queues an item again if another attempt can succeed and is allowed; otherwise fails the job of
-    /// the item. `is_first` says that no other item of the job failed in the same call before.
+    /// the item, unless another call may still bring its result. `is_first` says that no other item of the job failed in the same call before.
     fn retry_or_fail(
         &mut self,
         now: Time,
@@ -553,24 +611,58 @@
         failure: ItemFailure,
         is_first: bool,
     ) -> Option<JobEnd> {
-        let deadline = self.jobs.get(&sent.job)?.job.deadline;
+        if !self.is_needed(sent) {
+            return None;
+        }
+        let can_succeed = matches!(failure, ItemFailure::Failed | ItemFailure::NoRoom);
+        let may_retry = can_succeed && !sent.is_resent && self.may_retry(now, sent, is_first);
+        if (may_retry && self.queue_again(sent)) || self.is_pending(sent) {
+            return None;
+        }
+        self.fail_job(sent.job, failure)
+    }
+
+    /// Returns whether the job of an item still waits for the result of the item.
+    fn is_needed(&self, sent: SentItem) -> bool {
+        let job = self.jobs.get(&sent.job);
+        job.is_some_and(|state| state.results[sent.item.index as usize].is_none())
+    }
+
+    /// Returns whether an item waits for a call or is part of one.
+    fn is_pending(&self, sent: SentItem) -> bool {
+        let is_queued = self.jobs.get(&sent.job).is_some_and(|state| {
+            let mut queued = state.queued.iter();
+            queued.any(|item| item.index == sent.item.index)
+        });
+        let mut running = self.running.values().flat_map(|call| &call.items);
+        is_queued
+            || running.any(|other| other.job == sent.job && other.item.index == sent.item.index)
+    }
+
+    /// Returns whether an item may be sent once more. `is_first` says that no other item of its job was
+    /// retried for the same call before; the retry is counted then.
+    fn may_retry(&mut self, now: Time, sent: SentItem, is_first: bool) -> bool {
         let min_call_time = Duration::from_secs_f64(self.nominal_ms(1) / 1_000.0);
-        let can_succeed = matches!(failure, ItemFailure::Failed | ItemFailure::NoRoom)
-            && now + min_call_time <= deadline;
-        let is_allowed = match is_first {
-            true => self.retries.take(now, sent.item.attempts),
-            false => sent.item.attempts < MAX_ITEM_ATTEMPTS,
+        let job = self.jobs.get(&sent.job);
+        let has_time = job.is_some_and(|state| now + min_call_time <= state.job.deadline);
+        has_time
+            && match is_first {
+                true => self.retries.take(now, sent.item.attempts),
+                false => sent.item.attempts < MAX_ITEM_ATTEMPTS,
+            }
+    }
+
+    /// Queues an item for another attempt. Returns whether its job still exists.
+    fn queue_again(&mut self, sent: SentItem) -> bool {
+        let Some(state) = self.jobs.get_mut(&sent.job) else {
+            return false;
         };
-        if !can_succeed || !is_allowed {
-            return self.fail_job(sent.job, failure);
-        }
-        let state = self.jobs.get_mut(&sent.job)?;
         state.queued.push(QueuedItem {
             attempts: sent.item.attempts + 1,
             ..sent.item
         });
         self.queue.add(&state.job, state.is_started, 1);
-        None
+        true
     }
 
     /// Ends a job with a failure; returns nothing if the job has already ended.
--- a/src/decisions/batching/job.rs
+++ b/src/decisions/batching/job.rs
@@ -101,7 +101,9 @@
     pub endpoint: Arc<Endpoint>,
     /// Items of the call with their deadlines.
     pub items: Vec<(ItemSpec, Time)>,
-    /// Timeout after which the call counts as lost.
+    /// Time after which the items also run elsewhere if they can ([`Batcher::resend_overdue`]).
+    ///
+    /// [`Batcher::resend_overdue`]: crate::decisions::batching::Batcher::resend_overdue
     pub timeout: Duration,
     /// Inputs that nothing reads any more once the endpoint has fetched the inputs of this call.
     pub last_inputs: Vec<Arc<[String]>>,
--- a/src/decisions/batching/selection.rs
+++ b/src/decisions/batching/selection.rs
@@ -163,6 +163,7 @@
             job: id,
             item,
             result_bytes: state.job.result_bytes,
+            is_resent: false,
         });
         selected.extend(sent);
         state
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -2,11 +2,14 @@
 //! for each group, and the calls to endpoints that the batchers decide on.
 
 use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
 use parking_lot::Mutex;
@@ -48,6 +51,8 @@
 const DISAGREEING_OWNERS: usize = 2;
 /// Estimate of the time that an endpoint takes to fetch the inputs of a call.
 const INPUT_FETCH_ESTIMATE: Duration = Duration::from_millis(120);
+/// Interval between two attempts to send the items of a call elsewhere that has no answer in time.
+const RESEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a queue forgets results that have expired and endpoints that are gone.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -450,24 +455,28 @@
     let started = clock::now();
     let count = batch.items.len();
     let outcome = {
-        let call = timeout(batch.timeout, call_batch(&dispatcher, &batch));
-        let mut call = std::pin::pin!(call);
+        let deadlines = batch.items.iter().map(|(_, deadline)| *deadline);
+        let time_left = deadlines.max().unwrap_or(started).since(started);
+        let call = AssertUnwindSafe(call_batch(&dispatcher, &batch)).catch_unwind();
+        let aside = async {
+            tokio::join!(
+                free_last_inputs(&dispatcher, &batch),
+                resend_overdue(&dispatcher, &group, &queue, &batch)
+            );
+            std::future::pending::<Infallible>().await
+        };
         tokio::select! {
-            outcome = call.as_mut() => outcome,
-            () = sleep(INPUT_FETCH_ESTIMATE) => {
-                let handles = batch.last_inputs.iter().flat_map(|inputs| inputs.iter().cloned());
-                // The send fails only when the VM stops; the results then expire by themselves.
-                let _ = dispatcher.unused_inputs.send(handles.collect());
-                call.await
-            }
+            outcome = timeout(time_left, call) => outcome,
+            never = aside => match never {},
         }
     };
-    let outcome = outcome.unwrap_or_else(|_| {
-        Err((
-            BatchFailure::Broken,
-            format!("no answer to the batch in {:?}", batch.timeout),
-        ))
-    });
+    let broken = |message: String| Err((BatchFailure::Broken, message));
+    let outcome = match outcome {
+        Ok(Ok(outcome)) => outcome,
+        // Without an outcome, the jobs would wait until the deadline and the slot would stay taken.
+        Ok(Err(_)) => broken("the call panicked".to_owned()),
+        Err(_) => broken("no answer to the batch until the deadline".to_owned()),
+    };
     let took_ms = clock::now().since(started).as_millis() as u64;
     match &outcome {
         Ok(items) => {
@@ -499,6 +508,43 @@
     queue.wake.notify_one();
 }
 
+/// Frees the inputs that only the items of a batch read, once the endpoint has fetched them.
+async fn free_last_inputs(dispatcher: &BatchDispatcher, batch: &Batch) {
+    sleep(INPUT_FETCH_ESTIMATE).await;
+    let handles = batch.last_inputs.iter().flat_map(|inputs| inputs.iter());
+    // The send fails only when the VM stops; the results then expire by themselves.
+    let _ = dispatcher.unused_inputs.send(handles.cloned().collect());
+}
+
+/// Lets the items of a batch run at other endpoints as well while its own one is silent for longer than
+/// a call takes.
+async fn resend_overdue(
+    dispatcher: &BatchDispatcher,
+    group: &GroupId,
+    queue: &GroupQueue,
+    batch: &Batch,
+) {
+    sleep(batch.timeout).await;
+    info!(dispatcher.logger, "stages: a batch is overdue"; "group" => %group,
+        "endpoint" => %batch.endpoint.id, "items" => batch.items.len());
+    loop {
+        let view = Arc::clone(&dispatcher.view.borrow());
+        let group = view.stage_groups.get(group);
+        let open = dispatcher
+            .notices
+            .open(group.map_or(&[][..], |group| &group.usable));
+        let is_done = queue
+            .batcher
+            .lock()
+            .resend_overdue(clock::now(), batch.id, &open);
+        queue.wake.notify_one();
+        if is_done {
+            return;
+        }
+        sleep(RESEND_INTERVAL).await;
+    }
+}
+
 /// Sends the results of ended jobs to the requests that wait for them, and frees those that no
 /// request reads.
 fn end_jobs(dispatcher: &BatchDispatcher, queue: &GroupQueue, ends: Vec<JobEnd>) {
--- a/tests/fleet_rules/batching.rs
+++ b/tests/fleet_rules/batching.rs
@@ -608,3 +608,74 @@
     }
     expect_that!(replay.ends[&7].1.is_err(), eq(true));
 }
+
+/// Load pattern: an endpoint is silent beyond the timeout of its call and then goes on. The call is never
+/// given up; its item also runs elsewhere if it may, and the first result ends the job once.
+#[gtest]
+fn an_overdue_call_goes_on_beside_its_retry() {
+    type Outcome = std::result::Result<(), BatchFailure>;
+    struct Case {
+        name: &'static str,
+        endpoints: usize,
+        reserve: f64,
+        /// Outcome of the retry, if it ends before the overdue call.
+        retry: Option<Outcome>,
+        overdue: Outcome,
+        is_resent: bool,
+        /// Whether the job succeeds, and the number of results that nothing reads.
+        end: (bool, usize),
+    }
+    const BROKEN: Outcome = Err(BatchFailure::Broken);
+    let case = |name, endpoints, reserve, retry, overdue, is_resent, end| Case {
+        name,
+        endpoints,
+        reserve,
+        retry,
+        overdue,
+        is_resent,
+        end,
+    };
+    let cases = [
+        case("no other endpoint", 1, 10.0, None, Ok(()), false, (true, 0)),
+        case("no retry left", 3, 0.0, None, Ok(()), false, (true, 0)),
+        case("late answer first", 3, 1.0, None, Ok(()), true, (true, 1)),
+        case("retry first", 3, 1.0, Some(Ok(())), Ok(()), true, (true, 1)),
+        case("retry broke", 3, 1.0, Some(BROKEN), Ok(()), true, (true, 0)),
+        case("both broke", 3, 1.0, Some(BROKEN), BROKEN, true, (false, 0)),
+        case("none answered", 1, 0.0, None, BROKEN, false, (false, 0)),
+    ];
+    for case in cases {
+        let retries = RetryWindowConfig {
+            ratio: 0.0,
+            reserve: case.reserve,
+            ..RETRIES
+        };
+        let endpoints = &three_endpoints()[..case.endpoints];
+        let mut batcher = Batcher::new(BatchingConfig::default(), LIMITS, retries);
+        batcher.push(at(0), endpoints.len(), job(1, 0, 1)).unwrap();
+        answer_for_memory(&mut batcher, endpoints);
+        let silent = batcher.next_batch(at(0), endpoints).unwrap();
+        let is_resent = batcher.resend_overdue(at(900), silent.id, endpoints);
+        expect_that!(is_resent, eq(case.is_resent), "{}", case.name);
+        let retry = batcher.next_batch(at(900), endpoints);
+        expect_that!(retry.is_some(), eq(case.is_resent), "{}", case.name);
+        let mut calls = vec![(silent.id, case.overdue)];
+        if let Some(retry) = retry {
+            expect_that!(retry.endpoint.id, not(eq(&silent.endpoint.id)));
+            // A retry without an outcome of its own succeeds after the overdue call.
+            let place = usize::from(case.retry.is_none());
+            calls.insert(place, (retry.id, case.retry.unwrap_or(Ok(()))));
+        }
+        let (mut ends, mut unused) = (Vec::new(), 0);
+        for (time_ms, (id, outcome)) in (1_500..).zip(calls) {
+            let results = outcome.map(|()| vec![Ok(format!("10.0.0.1:1/{id}"))]);
+            let (ended, unused_results) = batcher.finish(at(time_ms), id, results);
+            ends.extend(ended.into_iter().map(|end| end.results.is_ok()));
+            unused += unused_results.len();
+        }
+        expect_that!(ends, eq(&[case.end.0]), "{}", case.name);
+        expect_that!(unused, eq(case.end.1), "{}", case.name);
+        expect_that!(batcher.waiting(), eq(0), "{}", case.name);
+        expect_that!(batcher.expire(at(99_000)), is_empty(), "{}", case.name);
+    }
+}
