--- a/tests/silent_engines.rs
+++ b/tests/silent_engines.rs
@@ -22,11 +22,11 @@
 /// Why a request cannot go on at another endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Obstacle {
-    NoRetryLeft,
-    /// The other engine leaves.
-    NoEngine,
+    /// More requests are silent than may be retried.
+    RetryLimit,
+    OtherEngineLeaves,
     /// The stages would have to run again, and their endpoints leave.
-    NoStageResult,
+    StageLeaves,
 }
 
 /// When the endpoints fall silent.
@@ -55,17 +55,17 @@
 }
 
 const CASES: [Case; 7] = [
-    stream_case(Moment::BeforeTheAnswer, Obstacle::NoRetryLeft),
-    stream_case(Moment::BeforeTheAnswer, Obstacle::NoEngine),
-    stream_case(Moment::BeforeTheAnswer, Obstacle::NoStageResult),
-    stream_case(Moment::WithinTheAnswer, Obstacle::NoRetryLeft),
-    stream_case(Moment::WithinTheAnswer, Obstacle::NoEngine),
-    stream_case(Moment::WithinTheAnswer, Obstacle::NoStageResult),
+    stream_case(Moment::BeforeTheAnswer, Obstacle::RetryLimit),
+    stream_case(Moment::BeforeTheAnswer, Obstacle::OtherEngineLeaves),
+    stream_case(Moment::BeforeTheAnswer, Obstacle::StageLeaves),
+    stream_case(Moment::WithinTheAnswer, Obstacle::RetryLimit),
+    stream_case(Moment::WithinTheAnswer, Obstacle::OtherEngineLeaves),
+    stream_case(Moment::WithinTheAnswer, Obstacle::StageLeaves),
     Case {
         path: "/look/x",
         service: "plain",
         moment: Moment::BeforeTheAnswer,
-        obstacle: Obstacle::NoRetryLeft,
+        obstacle: Obstacle::RetryLimit,
         silence: Duration::from_millis(1_600),
     },
 ];
@@ -102,13 +102,13 @@
         backend.set_work_time(Duration::from_millis(150));
     }
     let count = match case.obstacle {
-        Obstacle::NoRetryLeft => MANY_REQUESTS,
-        Obstacle::NoEngine => {
+        Obstacle::RetryLimit => MANY_REQUESTS,
+        Obstacle::OtherEngineLeaves => {
             drain(&fleet, "lm", 1);
             sleep(Duration::from_secs(1)).await;
             1
         }
-        Obstacle::NoStageResult => 1,
+        Obstacle::StageLeaves => 1,
     };
     if case.moment == Moment::BeforeTheAnswer {
         silence(&fleet, case);
@@ -127,7 +127,7 @@
         if case.moment == Moment::WithinTheAnswer {
             silence(&fleet, case);
         }
-        if case.obstacle == Obstacle::NoStageResult {
+        if case.obstacle == Obstacle::StageLeaves {
             drain(&fleet, "first", 0);
         }
     };
