--- a/src/decisions/endpoint_choice.rs
+++ b/src/decisions/endpoint_choice.rs
@@ -263,7 +263,7 @@
                     state.observed_at = now;
                 }
             }
-            AttemptEnd::Broken if started.is_silent => {}
+            AttemptEnd::Broken | AttemptEnd::Error if started.is_silent => {}
             AttemptEnd::Broken => self.record_failure(now, &started),
             AttemptEnd::Error => state.circuit.on_failure(now, started.role, &config.circuit),
             AttemptEnd::Full => {
--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -27,6 +27,9 @@
 pub const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Minimum time left until the deadline for another attempt to be worth starting.
 pub const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
+/// Pause after the first failure to replace a silent endpoint; it doubles with each further one, since
+/// each may have run stages in vain.
+const REPLACEMENT_PAUSE: Duration = Duration::from_millis(250);
 /// Maximum number of failed connections for one request. None of them counts as a retry.
 pub const MAX_FAILED_CONNECTIONS: u32 = 4;
 
@@ -43,10 +46,7 @@
     pub runs: u32,
 }
 
-/// Pause between two tries to go on elsewhere with a request whose endpoint stays silent.
-pub const REPLACEMENT_PAUSE: Duration = Duration::from_millis(250);
-
-/// What has come of waiting for an endpoint.
+/// Outcome of waiting for an endpoint.
 pub enum Awaited<T, R> {
     /// What the endpoint has sent.
     Output(T),
@@ -54,18 +54,18 @@
     Replacement(R),
 }
 
-/// Waits for `output` of an endpoint. Once the endpoint has been silent for `patience`, also waits for
+/// Waits for `output` of an endpoint. Once the endpoint has been silent for `silence_timeout`, also waits for
 /// `replacement`, which ends when the request can be sent to another endpoint.
 ///
 /// A sound endpoint may be silent for a while. So it is given up only for another one, never because there is
 /// none, no retry is left or a stage has no result (`docs/platform.md`, "Retries").
 pub async fn await_or_replace<T, R>(
     output: impl Future<Output = T>,
-    patience: Duration,
+    silence_timeout: Duration,
     replacement: impl Future<Output = R>,
 ) -> Awaited<T, R> {
     let mut output = std::pin::pin!(output);
-    if let Ok(output) = timeout(patience, output.as_mut()).await {
+    if let Ok(output) = timeout(silence_timeout, output.as_mut()).await {
         return Awaited::Output(output);
     }
     tokio::select! {
@@ -75,6 +75,11 @@
     }
 }
 
+/// Pauses between the tries to replace a silent endpoint.
+pub fn replacement_pauses() -> impl Iterator<Item = Duration> {
+    std::iter::successors(Some(REPLACEMENT_PAUSE), |pause| Some(*pause * 2))
+}
+
 /// Returns the reply for a request whose deadline has passed.
 pub fn timed_out(attempts: &Attempts) -> RequestEnd {
     if attempts.runs > 0 {
--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -117,10 +117,13 @@
 
     fn note_write(&self, is_blocked: bool) {
         let mut state = self.state.lock();
-        state.is_write_blocked = is_blocked;
+        let was_blocked = std::mem::replace(&mut state.is_write_blocked, is_blocked);
         if !is_blocked {
             state.last_written_at = Some(Instant::now());
         }
+        if was_blocked && !is_blocked {
+            self.changed.notify_one();
+        }
     }
 
     /// Returns the time at which the connection is to be closed; `None` while a request is in progress.
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -1,5 +1,6 @@
 //! Serves requests whose answer is one document, as against a stream of events.
 
+use std::future::pending;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -12,8 +13,8 @@
 use crate::decisions::endpoint_choice::{AttemptEnd, StartedAttempt, Work};
 use crate::fleet::admission::{AdmittedRequest, RequestEnd};
 use crate::fleet::attempts::{
-    Attempts, Awaited, MIN_ATTEMPT_TIME, NOT_RUN_RETRY_AFTER, REPLACEMENT_PAUSE, await_or_replace,
-    build_request, next_connection, refuse_quarantined, retry_after, timed_out,
+    Attempts, Awaited, MIN_ATTEMPT_TIME, NOT_RUN_RETRY_AFTER, await_or_replace, build_request,
+    next_connection, refuse_quarantined, replacement_pauses, retry_after, timed_out,
 };
 use crate::fleet::crash_reports::check_engine;
 use crate::fleet::endpoint_client::{CallFailure, Connection, read_body};
@@ -25,20 +26,30 @@
 
 /// Time without an answer after which an idempotent request goes on at another endpoint if it can, as a
 /// multiple of the route's objective.
-const PATIENCE_OBJECTIVES: f64 = 1.5;
+const SILENCE_TIMEOUT_OBJECTIVES: f64 = 1.5;
 
 /// Serves a request until its answer is complete or its deadline has passed.
 pub async fn serve(node: &Arc<Node>, admitted: &AdmittedRequest) -> RequestEnd {
     node.note_request(&admitted.service);
     let mut attempts = Attempts::default();
-    let served = timeout(admitted.time_left(), run(node, admitted, &mut attempts)).await;
-    served.unwrap_or_else(|_| timed_out(&attempts))
+    let mut fallback = None;
+    let run = run(node, admitted, &mut attempts, &mut fallback);
+    let served = timeout(admitted.time_left(), run).await;
+    served.unwrap_or_else(|_| match fallback {
+        Some(reply) => RequestEnd::new(reply, "error of the endpoint; no other answered in time"),
+        None => timed_out(&attempts),
+    })
 }
 
 /// Sends a request to one endpoint after the other until one answers or no other may be tried.
-async fn run(node: &Arc<Node>, admitted: &AdmittedRequest, attempts: &mut Attempts) -> RequestEnd {
+/// `fallback` receives the error of an endpoint, which is relayed if no other one answers.
+async fn run(
+    node: &Arc<Node>,
+    admitted: &AdmittedRequest,
+    attempts: &mut Attempts,
+    fallback: &mut Option<Reply>,
+) -> RequestEnd {
     let is_idempotent = admitted.route.kind == RouteKind::Idempotent;
-    let mut fallback: Option<Reply> = None;
     let mut last_reason = String::from("no endpoint");
     let mut replacement = None;
     loop {
@@ -60,16 +71,16 @@
         attempts.runs += 1;
         attempts.tried.push(endpoint.id.clone());
         let may_retry = is_idempotent && attempts.runs < admitted.route.max_attempts;
-        let mut guard = AttemptGuard::start(node, &endpoint);
+        let mut guard = AttemptGuard::start(node, admitted, &endpoint);
         let answer = attempt(node, admitted, &endpoint, connection);
         let awaited = if may_retry {
-            let patience = admitted.route.objective.mul_f64(PATIENCE_OBJECTIVES);
-            let patience = patience.min(admitted.time_left() / 2);
+            let silence_timeout = admitted.route.objective.mul_f64(SILENCE_TIMEOUT_OBJECTIVES);
+            let silence_timeout = silence_timeout.min(admitted.time_left() / 2);
             let replacement = async {
                 guard.note_silence();
                 replacement_for_silent(node, admitted, attempts).await
             };
-            await_or_replace(answer, patience, replacement).await
+            await_or_replace(answer, silence_timeout, replacement).await
         } else {
             Awaited::Output(answer.await)
         };
@@ -87,7 +98,7 @@
         last_reason = reason;
         match outcome {
             AttemptOutcome::Answer(reply) if reply.status().is_server_error() && may_retry => {
-                fallback = Some(reply);
+                *fallback = Some(reply);
             }
             AttemptOutcome::Answer(reply) => return RequestEnd::new(reply, last_reason),
             AttemptOutcome::NotRun => attempts.runs -= 1,
@@ -99,11 +110,10 @@
         }
     }
     if fallback.is_none() && admitted.time_left() < MIN_ATTEMPT_TIME {
-        // The timeout of the last attempt ends at the deadline of the request, so it can pass just
-        // before the timeout of `serve` does.
+        // The last attempt failed just before the deadline.
         return timed_out(attempts);
     }
-    match fallback {
+    match fallback.take() {
         Some(reply) => RequestEnd::new(reply, format!("error of the endpoint; {last_reason}")),
         None if attempts.runs > 0 => RequestEnd::new(
             reply::text(StatusCode::BAD_GATEWAY, "the endpoint failed"),
@@ -154,15 +164,16 @@
     admitted: &AdmittedRequest,
     attempts: &mut Attempts,
 ) -> (Arc<Endpoint>, Connection) {
-    loop {
-        if attempts.sent < MAX_SENDS
-            && admitted.time_left() >= MIN_ATTEMPT_TIME
-            && let Ok(offer) = prepare(node, admitted, attempts).await
-        {
+    if attempts.sent >= MAX_SENDS {
+        return pending().await;
+    }
+    for pause in replacement_pauses() {
+        if let Ok(offer) = prepare(node, admitted, attempts).await {
             return offer;
         }
-        sleep(REPLACEMENT_PAUSE).await;
+        sleep(pause).await;
     }
+    pending().await
 }
 
 /// What one attempt means for the request.
@@ -228,18 +239,20 @@
     }
 }
 
-/// Records an attempt as inconclusive when it is dropped before [`AttemptGuard::finish`], because the
-/// caller has left.
+/// Ends an attempt that is dropped before [`AttemptGuard::finish`]: its endpoint was silent until the
+/// deadline, or the caller has left.
 struct AttemptGuard<'a> {
     node: &'a Node,
+    admitted: &'a AdmittedRequest,
     started: Option<StartedAttempt>,
 }
 
 impl<'a> AttemptGuard<'a> {
-    fn start(node: &'a Node, endpoint: &Endpoint) -> Self {
+    fn start(node: &'a Node, admitted: &'a AdmittedRequest, endpoint: &Endpoint) -> Self {
         let started = node.choice.lock().start(clock::now(), endpoint, 0);
         Self {
             node,
+            admitted,
             started: Some(started),
         }
     }
@@ -259,7 +272,15 @@
 
 impl Drop for AttemptGuard<'_> {
     fn drop(&mut self) {
-        self.finish(AttemptEnd::Inconclusive);
+        let Some(started) = &self.started else { return };
+        let end = if self.admitted.time_left().is_zero() {
+            info!(self.node.logger, "request: attempt ended"; "id" => &self.admitted.caller.id,
+                "endpoint" => %started.endpoint, "end" => "no answer until the deadline");
+            AttemptEnd::Broken
+        } else {
+            AttemptEnd::Inconclusive
+        };
+        self.finish(end);
     }
 }
 
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -6,7 +6,8 @@
 use std::sync::atomic::Ordering;
 
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use slog::info;
 
 use crate::clock;
@@ -77,9 +78,17 @@
     active: ActiveGuard,
 ) -> Reply {
     let id = caller.id.clone();
+    let has_body = !request.body().is_end_stream();
     let admitted = match admit(node, request, caller, arrived_at).await {
         Ok(admitted) => Arc::new(admitted),
-        Err(ended) => return finish(node, &id, None, arrived_at, ended),
+        Err(mut ended) => {
+            if has_body {
+                // The rest of the body may still be on its way, and no request can follow it here.
+                let close = HeaderValue::from_static("close");
+                ended.reply.headers_mut().insert(CONNECTION, close);
+            }
+            return finish(node, &id, None, arrived_at, ended);
+        }
     };
     let ended = match admitted.route.kind {
         RouteKind::Streaming => {
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -3,6 +3,7 @@
 //! Only whole events are relayed to the caller. If the route is resumable, a stream that breaks off
 //! is resumed at another engine within the same answer to the caller.
 
+use std::future::pending;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,9 +23,9 @@
 use crate::decisions::endpoint_choice::{AttemptEnd, StartedAttempt};
 use crate::fleet::admission::{AdmittedRequest, RequestEnd};
 use crate::fleet::attempts::{
-    Attempts, Awaited, MAX_FAILED_CONNECTIONS, MIN_ATTEMPT_TIME, REPLACEMENT_PAUSE,
-    await_or_replace, build_request, choose, generation_work, next_connection, quarantined,
-    refuse_quarantined, retry_after, timed_out,
+    Attempts, Awaited, MAX_FAILED_CONNECTIONS, MIN_ATTEMPT_TIME, await_or_replace, build_request,
+    choose, generation_work, next_connection, quarantined, refuse_quarantined, replacement_pauses,
+    retry_after, timed_out,
 };
 use crate::fleet::crash_reports::check_engine;
 use crate::fleet::dispatcher::JobFailure;
@@ -47,11 +48,11 @@
 const MAX_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(2_000);
 /// Time without a first event after which a resumable request goes on at another engine if it can, as a
 /// multiple of the route's objective.
-const FIRST_EVENT_PATIENCE_OBJECTIVES: f64 = 1.5;
+const FIRST_EVENT_TIMEOUT_OBJECTIVES: f64 = 1.5;
 /// Minimum of that time, since a long prompt takes long at any engine.
-const MIN_FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
+const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time without an event after which a resumable stream goes on at another engine if it can.
-const NEXT_EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
+const NEXT_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after the deadline at which a stream is cut off. An engine that stops work at the deadline
 /// has this time to report that in its stream.
 const DEADLINE_GRACE: Duration = Duration::from_millis(200);
@@ -90,6 +91,7 @@
             caller_stream.refuse_for(part)
         }
         Err(None) => {
+            caller_stream.end_attempt(AttemptEnd::Broken);
             caller_stream.is_ended = true;
             timed_out(&caller_stream.attempts)
         }
@@ -114,7 +116,7 @@
 }
 
 /// An engine that is ready to get a request, with the results of the stages that it reads.
-struct Offer {
+struct PreparedAttempt {
     endpoint: Arc<Endpoint>,
     connection: Connection,
     results: StageResults,
@@ -141,10 +143,10 @@
 async fn exchange(
     node: Arc<Node>,
     admitted: Arc<AdmittedRequest>,
-    offer: Offer,
+    offer: PreparedAttempt,
     last_event: Option<u64>,
 ) -> Opening {
-    let Offer {
+    let PreparedAttempt {
         endpoint,
         connection,
         mut results,
@@ -309,7 +311,7 @@
 
     /// Runs the stages, connects to an engine and takes a retry if the request was sent before. The
     /// request may be sent then.
-    async fn prepare(&mut self) -> Result<Offer, RequestEnd> {
+    async fn prepare(&mut self) -> Result<PreparedAttempt, RequestEnd> {
         if let Some(refusal) = refuse_quarantined(&self.node, &self.admitted, &self.attempts) {
             return Err(refusal);
         }
@@ -331,7 +333,7 @@
         if sent > 0 && !self.node.take_retry(&self.admitted.service, sent) {
             return Err(self.failure("no repeat left".to_owned()));
         }
-        Ok(Offer {
+        Ok(PreparedAttempt {
             endpoint,
             connection,
             results,
@@ -339,25 +341,26 @@
     }
 
     /// Waits until the request can be sent to another engine than the silent one that has it.
-    async fn replacement_for_silent(&mut self) -> Offer {
-        let mut last_obstacle = String::new();
-        loop {
-            if self.admitted.route.is_resumable && self.may_send_again() {
-                if let Some(started) = &mut self.started {
-                    self.node.note_silence(started);
-                }
-                let obstacle = match self.prepare().await {
-                    Ok(offer) => return offer,
-                    Err(ended) => ended.reason,
-                };
-                if obstacle != last_obstacle {
-                    info!(self.node.logger, "request: waiting for a silent engine";
-                        "id" => &self.admitted.caller.id, "obstacle" => &obstacle);
-                    last_obstacle = obstacle;
-                }
+    async fn replacement_for_silent(&mut self) -> PreparedAttempt {
+        if !self.admitted.route.is_resumable {
+            return pending().await;
+        }
+        for pause in replacement_pauses() {
+            if !self.may_send_again() {
+                return pending().await;
+            }
+            if let Some(started) = &mut self.started {
+                self.node.note_silence(started);
             }
-            sleep(REPLACEMENT_PAUSE).await;
+            let obstacle = match self.prepare().await {
+                Ok(attempt) => return attempt,
+                Err(ended) => ended.reason,
+            };
+            info!(self.node.logger, "request: waiting for a silent engine";
+                "id" => &self.admitted.caller.id, "obstacle" => &obstacle);
+            sleep(pause).await;
         }
+        pending().await
     }
 
     /// Returns whether an engine is left to which the request can be sent now. Without one, the
@@ -407,15 +410,16 @@
 
     /// Sends the request to an engine and waits for its first event. An engine that is silent for long is
     /// replaced if another one can be.
-    async fn open(&mut self, mut offer: Offer) -> OpenOutcome {
+    async fn open(&mut self, mut offer: PreparedAttempt) -> OpenOutcome {
         loop {
             self.note_sent(&offer.endpoint);
-            let patience = self.admitted.route.objective;
-            let patience = patience.mul_f64(FIRST_EVENT_PATIENCE_OBJECTIVES);
-            let patience = patience.max(MIN_FIRST_EVENT_PATIENCE);
+            let silence_timeout = self.admitted.route.objective;
+            let silence_timeout = silence_timeout.mul_f64(FIRST_EVENT_TIMEOUT_OBJECTIVES);
+            let silence_timeout = silence_timeout.max(MIN_FIRST_EVENT_TIMEOUT);
             let (node, admitted) = (Arc::clone(&self.node), Arc::clone(&self.admitted));
             let exchange = exchange(node, admitted, offer, self.last_event);
-            let awaited = await_or_replace(exchange, patience, self.replacement_for_silent()).await;
+            let awaited =
+                await_or_replace(exchange, silence_timeout, self.replacement_for_silent()).await;
             let replacement = match awaited {
                 Awaited::Output(opening) => {
                     let outcome = self.finish_opening(opening);
@@ -532,7 +536,7 @@
             return Some(Err(io::Error::other("no engine is open")));
         };
         let read = open.next_event(self.last_event);
-        let awaited = await_or_replace(read, NEXT_EVENT_PATIENCE, self.replacement_for_silent());
+        let awaited = await_or_replace(read, NEXT_EVENT_TIMEOUT, self.replacement_for_silent());
         let (end, reason, replacement) = match timeout(left, awaited).await {
             Ok(Awaited::Output(ReadOutcome::Event(number, event))) => {
                 self.open = Some(open);
@@ -552,7 +556,7 @@
                 (StreamEnd::Broken, reason, None)
             }
             Ok(Awaited::Replacement(offer)) => {
-                let reason = format!("no event in {NEXT_EVENT_PATIENCE:?}");
+                let reason = format!("no event in {NEXT_EVENT_TIMEOUT:?}");
                 (StreamEnd::Silent, reason, Some(offer))
             }
             Err(_) => {
@@ -575,7 +579,11 @@
 
     /// Resumes the stream at another engine after the last event that was sent to the caller, first at
     /// that of `offer`. Returns the next event, or why the stream cannot be resumed.
-    async fn resume(&mut self, reason: &str, mut offer: Option<Offer>) -> Result<Bytes, String> {
+    async fn resume(
+        &mut self,
+        reason: &str,
+        mut offer: Option<PreparedAttempt>,
+    ) -> Result<Bytes, String> {
         while offer.is_some() || self.admitted.route.is_resumable && self.may_send_again() {
             warn!(self.node.logger, "request: resuming a stream"; "id" => &self.admitted.caller.id,
                 "after_event" => self.last_event, "reason" => reason);
@@ -588,7 +596,10 @@
                 Ok(OpenOutcome::Stream(_, event)) => return Ok(event),
                 Ok(OpenOutcome::Failed(_)) => {}
                 Ok(OpenOutcome::Reply(ended)) => return Err(ended.reason),
-                Err(_) => return Err("the deadline has passed".to_owned()),
+                Err(_) => {
+                    self.end_attempt(AttemptEnd::Broken);
+                    return Err("the deadline has passed".to_owned());
+                }
             }
         }
         Err("may not be sent again".to_owned())
