fix(fleet): a planned stop accepts all connections before its listener closes

The VM took itself for idle while callers came: it looked for open connections each 50 ms, and after 2.6 s each request is refused in less than that. So it closed its listener under load, 3.3 s after the signal. And the close resets the connections that wait in the kernel; the runtime accepts only those of which it knew when it last asked the kernel.

The VM now counts the connections that callers make, and listens until none has come for 0.4 s. A listener that closes first drops SYN packets by a socket filter, accepts for 0.1 s, in which handshakes under way end, and then accepts until the kernel has none left. socket2, which tokio uses already, sets the filter. What remains: a handshake that takes longer than 0.1 s, and at a listener that closes under load a caller's connect waits for its second SYN packet (1 s) until it is refused.

--- a/src/fleet/ingress.rs
+++ b/src/fleet/ingress.rs
@@ -14,9 +14,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
 use slog::warn;
+use socket2::{SockFilter, SockRef};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::fleet::node::Node;
@@ -54,6 +55,18 @@
 /// seconds.
 const ACCEPT_BACKLOG: u32 = 1_024;
 
+/// Time for which a closing listener still accepts the connections whose handshake had begun: a round
+/// trip between distant data centres.
+const HANDSHAKE_PERIOD: Duration = Duration::from_millis(100);
+/// Packet filter that drops SYN packets and passes all others: loads the flags of the TCP header, tests
+/// SYN, and returns how many bytes of the packet to keep.
+const DROP_SYN_FILTER: [SockFilter; 4] = [
+    SockFilter::new(0x30, 0, 0, 13),
+    SockFilter::new(0x45, 0, 1, 0x02),
+    SockFilter::new(0x06, 0, 0, 0),
+    SockFilter::new(0x06, 0, 0, u32::MAX),
+];
+
 /// How far a planned stop has got, for the listeners.
 #[derive(Debug, Clone, Default)]
 pub struct Closing {
@@ -77,8 +90,14 @@
 
 /// Serves requests of callers.
 pub async fn serve_callers(node: Arc<Node>, listener: TcpListener, closing: Closing) {
-    let handle = |node, request| serve_request(node, request);
-    accept(node, listener, closing, handle).await;
+    let handle = |node: Arc<Node>, request| serve_request(node, request);
+    let counting = Arc::clone(&node);
+    let count = move || {
+        counting
+            .accepted_connections
+            .fetch_add(1, Ordering::Relaxed);
+    };
+    accept(node, listener, closing, count, handle).await;
 }
 
 /// Serves the address directory, which tells callers which VMs to use.
@@ -89,7 +108,7 @@
         }
         address_answer(&node, request.uri().query().unwrap_or_default())
     };
-    accept(node, listener, closing, handle).await;
+    accept(node, listener, closing, || {}, handle).await;
 }
 
 /// Serves the readiness check, which says whether this VM takes requests.
@@ -106,7 +125,7 @@
         }
         text(StatusCode::OK, "ready")
     };
-    accept(node, listener, closing, handle).await;
+    accept(node, listener, closing, || {}, handle).await;
 }
 
 /// Serves the metrics in the text format of Prometheus.
@@ -123,7 +142,7 @@
             text(StatusCode::OK, &metrics.render())
         }
     };
-    accept(node, listener, closing, handle).await;
+    accept(node, listener, closing, || {}, handle).await;
 }
 
 /// Returns the answer of the address directory for a query.
@@ -160,32 +179,47 @@
         .collect()
 }
 
-/// Accepts connections and serves each one in its own task. Connections that wait to be accepted when
-/// the listener closes are still served.
+/// Accepts connections until the planned stop closes the listener, and serves each one in its own task.
+/// `count` is called for each.
+///
+/// A connection that waits in the kernel when its listener closes is reset, although its caller may have
+/// sent a whole request. So new handshakes are stopped first: those that have begun get the time to end,
+/// and all connections are accepted before the close.
 async fn accept<F>(
     node: Arc<Node>,
     listener: TcpListener,
     closing: Closing,
+    count: impl Fn(),
     handle: impl Fn(Arc<Node>, Request<Incoming>) -> F + Clone + Send + Sync + 'static,
 ) where
     F: Future<Output = Reply> + Send + 'static,
 {
+    let serve = |stream| {
+        count();
+        let connection = OpenConnection::new(&node);
+        let closing = closing.connections.clone();
+        let served = serve_connection(Arc::clone(&node), stream, closing, handle.clone());
+        tokio::spawn(async move {
+            served.await;
+            drop(connection);
+        });
+    };
+    let mut close_at = None;
     loop {
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = closing.listeners.cancelled() => return,
+            () = closing.listeners.cancelled(), if close_at.is_none() => {
+                if let Err(error) = SockRef::from(&listener).attach_filter(&DROP_SYN_FILTER) {
+                    warn!(node.logger, "callers: new handshakes cannot be stopped: {error}");
+                }
+                close_at = Some(Instant::now() + HANDSHAKE_PERIOD);
+                continue;
+            }
+            () = sleep_until(close_at.unwrap_or_else(Instant::now)), if close_at.is_some() => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let closing = closing.connections.clone();
-                let connection = OpenConnection::new(&node);
-                let served = serve_connection(Arc::clone(&node), stream, closing, handle.clone());
-                tokio::spawn(async move {
-                    served.await;
-                    drop(connection);
-                });
-            }
+            Ok((stream, _)) => serve(stream),
             Err(error) => {
                 warn!(
                     node.logger,
@@ -195,6 +229,17 @@
             }
         }
     }
+    // The runtime may not know yet of connections that have come since it last asked the kernel.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        if stream.set_nonblocking(true).is_ok()
+            && let Ok(stream) = TcpStream::from_std(stream)
+        {
+            serve(stream);
+        }
+    }
 }
 
 /// Counts a connection as open until it is dropped.
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -65,6 +65,8 @@
     /// Number of open connections to this VM's listeners for callers, the directory, readiness checks
     /// and metrics.
     pub open_connections: AtomicUsize,
+    /// Number of connections that the listener for callers has accepted since the start.
+    pub accepted_connections: AtomicUsize,
     /// Time at which the planned stop began; `None` before.
     pub stop_began_at: Mutex<Option<Time>>,
 }
@@ -149,6 +151,7 @@
             stage_times: Mutex::default(),
             active_requests: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
+            accepted_connections: AtomicUsize::new(0),
             stop_began_at: Mutex::default(),
         })
     }
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -14,7 +14,8 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{interval, sleep};
+use tokio::time::{interval, sleep, timeout};
+use tokio_util::task::TaskTracker;
 
 use crate::clock;
 use crate::fleet::control::{Publications, run_control};
@@ -40,8 +41,11 @@
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// Time before that at which no further connections are accepted, so that the last ones can be answered.
 const LAST_ACCEPT_MARGIN: Duration = Duration::from_millis(1_500);
-/// Number of checks in a row that find no open work before a VM stops early.
+/// Number of checks in a row that find no open work and no new connection before a VM stops early.
 const IDLE_CHECKS: u32 = 8;
+/// Number of checks in a row that find no open work before the process exits once its listeners are
+/// closed. The last answers to other VMs are written between two of them.
+const EXIT_IDLE_CHECKS: u32 = 2;
 /// Interval of the check whether all requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the observations of endpoints that may no longer be used are
@@ -140,13 +144,13 @@
         tokio::spawn(metric::measure_thread("traffic"));
         tokio::spawn(aggregate_samples(metrics.clone(), AGGREGATION_PERIOD));
         let closing = Closing::default();
-        start_listeners(&node, &closing, metrics)?;
+        let accepting = start_listeners(&node, &closing, metrics)?;
         tokio::spawn(reload_on_hangup(hangup, path, logger.clone(), reload));
         tokio::spawn(forget_endpoints(Arc::clone(&node)));
         info!(logger, "vm: started"; "vm" => %settings.vm, "incarnation" => %incarnation,
             "data_centre" => %settings.data_centre, "version" => env!("CARGO_PKG_VERSION"));
         tokio::select! {
-            stopped = wait_for_stop(&node, &closing, &stop) => stopped.map(|()| true),
+            stopped = wait_for_stop(&node, &closing, &accepting, &stop) => stopped.map(|()| true),
             _ = control_ended => Ok(false),
         }
     })?;
@@ -174,11 +178,13 @@
     runtime.context("cannot start a runtime")
 }
 
+/// Binds and serves all listeners. The tasks of the result accept connections until the planned stop
+/// has closed their listeners.
 fn start_listeners(
     node: &Arc<Node>,
     closing: &Closing,
     metrics: PrometheusHandle,
-) -> anyhow::Result<()> {
+) -> anyhow::Result<TaskTracker> {
     let settings = &node.settings;
     let listen = |address: std::net::SocketAddr, whom: &str| -> anyhow::Result<TcpListener> {
         ingress::bind(address).with_context(|| format!("cannot listen for {whom} on {address}"))
@@ -188,34 +194,37 @@
     let readiness = listen(settings.readiness_address, "readiness")?;
     let peers = listen((settings.ip, settings.peer_port).into(), "other VMs")?;
     let metrics_listener = listen((settings.ip, settings.metrics_port).into(), "metrics")?;
-    tokio::spawn(ingress::serve_callers(
+    let accepting = TaskTracker::new();
+    accepting.spawn(ingress::serve_callers(
         Arc::clone(node),
         callers,
         closing.clone(),
     ));
-    tokio::spawn(ingress::serve_directory(
+    accepting.spawn(ingress::serve_directory(
         Arc::clone(node),
         directory,
         closing.clone(),
     ));
-    tokio::spawn(ingress::serve_readiness(
+    accepting.spawn(ingress::serve_readiness(
         Arc::clone(node),
         readiness,
         closing.clone(),
     ));
     let serve_metrics =
         ingress::serve_metrics(Arc::clone(node), metrics_listener, closing.clone(), metrics);
-    tokio::spawn(serve_metrics);
+    accepting.spawn(serve_metrics);
     let handler_node = Arc::clone(node);
     let handle = move |body| serve_peer_call(Arc::clone(&handler_node), body);
     tokio::spawn(serve_peers(peers, node.logger.clone(), handle));
-    Ok(())
+    accepting.close();
+    Ok(accepting)
 }
 
 /// Waits for the signal to stop, and then until all requests have ended or the time is over.
 async fn wait_for_stop(
     node: &Node,
     closing: &Closing,
+    accepting: &TaskTracker,
     stop: &watch::Sender<bool>,
 ) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot receive signals")?;
@@ -232,10 +241,14 @@
     closing.connections.cancel();
     let limit = node.settings.grace.saturating_sub(KILL_MARGIN);
     let last_accept = limit.saturating_sub(LAST_ACCEPT_MARGIN);
-    // Several idle checks in a row, so that a connection that is just being made is noticed.
     wait_until_idle(node, began + last_accept, IDLE_CHECKS).await;
+    info!(node.logger, "vm: closing the listeners"; "open" => open_work(node),
+        "accepted" => node.accepted_connections.load(Ordering::Relaxed));
     closing.listeners.cancel();
-    if wait_until_idle(node, began + limit, 1).await {
+    // Accepting fails for as long as descriptors run out, which must not hold up the process.
+    let time_left = (began + limit).since(clock::now());
+    let _ = timeout(time_left, accepting.wait()).await;
+    if wait_until_idle(node, began + limit, EXIT_IDLE_CHECKS).await {
         return Ok(());
     }
     warn!(node.logger, "vm: the time to stop is over, open requests are cut off";
@@ -250,16 +263,17 @@
     requests.max(node.open_connections.load(Ordering::Relaxed))
 }
 
-/// Waits until there was no open work at `checks` checks in a row. Returns whether that came before
-/// `until`.
+/// Waits until `checks` checks in a row found no open work and no connection accepted in between, since
+/// short requests begin and end between two checks. Returns whether that came before `until`.
 async fn wait_until_idle(node: &Node, until: Time, checks: u32) -> bool {
     let mut idle_checks = 0;
+    let mut accepted_before = node.accepted_connections.load(Ordering::Relaxed);
     while clock::now() < until {
         sleep(DRAIN_CHECK_INTERVAL).await;
-        idle_checks = match open_work(node) {
-            0 => idle_checks + 1,
-            _ => 0,
-        };
+        let accepted = node.accepted_connections.load(Ordering::Relaxed);
+        let is_idle = open_work(node) == 0 && accepted == accepted_before;
+        accepted_before = accepted;
+        idle_checks = if is_idle { idle_checks + 1 } else { 0 };
         if idle_checks >= checks {
             return true;
         }
