--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -62,9 +62,13 @@
     pub stage_times: Mutex<StageTimes>,
     /// Number of callers' requests in progress.
     pub active_requests: AtomicUsize,
+    /// Number of stage jobs in progress for other VMs.
+    pub active_peer_jobs: AtomicUsize,
     /// Number of open connections to this VM's listeners for callers, the directory, readiness checks
     /// and metrics.
     pub open_connections: AtomicUsize,
+    /// Number of connections that the listener for callers has accepted since the start.
+    pub accepted_connections: AtomicUsize,
     /// Time at which the planned stop began; `None` before.
     pub stop_began_at: Mutex<Option<Time>>,
 }
@@ -148,7 +152,9 @@
             cold_ranks: Mutex::default(),
             stage_times: Mutex::default(),
             active_requests: AtomicUsize::new(0),
+            active_peer_jobs: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
+            accepted_connections: AtomicUsize::new(0),
             stop_began_at: Mutex::default(),
         })
     }
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -14,7 +14,8 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{interval, sleep};
+use tokio::time::{interval, sleep, timeout};
+use tokio_util::task::TaskTracker;
 
 use crate::clock;
 use crate::fleet::control::{Publications, run_control};
@@ -40,8 +41,11 @@
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// Time before that at which no further connections are accepted, so that the last ones can be answered.
 const LAST_ACCEPT_MARGIN: Duration = Duration::from_millis(1_500);
-/// Number of checks in a row that find no open work before a VM stops early.
+/// Number of checks in a row that find no open work and no new connection before a VM stops early.
 const IDLE_CHECKS: u32 = 8;
+/// Number of checks in a row that find no open work before the process exits once its listeners are
+/// closed. The last answers to other VMs are written between two of them.
+const EXIT_IDLE_CHECKS: u32 = 2;
 /// Interval of the check whether all requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the observations of endpoints that may no longer be used are
@@ -136,26 +140,35 @@
             subscriptions,
             unused_inputs,
         );
+        // Before the listeners are bound, so that no signal ends a process that has connections.
+        let mut stop_signals = StopSignals::new()?;
         stage_jobs::start_tasks(&node, unused);
         tokio::spawn(metric::measure_thread("traffic"));
         tokio::spawn(aggregate_samples(metrics.clone(), AGGREGATION_PERIOD));
         let closing = Closing::default();
-        start_listeners(&node, &closing, metrics)?;
+        let accepting = start_listeners(&node, &closing, metrics)?;
         tokio::spawn(reload_on_hangup(hangup, path, logger.clone(), reload));
         tokio::spawn(forget_endpoints(Arc::clone(&node)));
         info!(logger, "vm: started"; "vm" => %settings.vm, "incarnation" => %incarnation,
             "data_centre" => %settings.data_centre, "version" => env!("CARGO_PKG_VERSION"));
-        tokio::select! {
-            stopped = wait_for_stop(&node, &closing, &stop) => stopped.map(|()| true),
-            _ = control_ended => Ok(false),
-        }
+        let is_planned_stop = tokio::select! {
+            () = stop_signals.recv() => true,
+            _ = control_ended => {
+                // Gossip has ended with the control thread, so that other VMs find this one dead.
+                error!(logger, "vm: the control thread ended, stopping");
+                false
+            }
+        };
+        drain(&node, &closing, &accepting, &stop).await;
+        anyhow::Ok(is_planned_stop)
     })?;
     if is_planned_stop {
         info!(logger, "vm: stopped");
         return Ok(());
     }
     let control_result = control.join();
-    control_result.map_err(|_| anyhow::anyhow!("the control thread panicked"))?
+    control_result.map_err(|_| anyhow::anyhow!("the control thread panicked"))??;
+    anyhow::bail!("the control thread ended")
 }
 
 /// Creates the runtime for traffic, and receives SIGHUP from then on. Until a process receives it,
@@ -174,11 +187,13 @@
     runtime.context("cannot start a runtime")
 }
 
+/// Binds and serves all listeners. The tasks of the result accept connections until the planned stop
+/// has closed their listeners.
 fn start_listeners(
     node: &Arc<Node>,
     closing: &Closing,
     metrics: PrometheusHandle,
-) -> anyhow::Result<()> {
+) -> anyhow::Result<TaskTracker> {
     let settings = &node.settings;
     let listen = |address: std::net::SocketAddr, whom: &str| -> anyhow::Result<TcpListener> {
         ingress::bind(address).with_context(|| format!("cannot listen for {whom} on {address}"))
@@ -188,42 +203,62 @@
     let readiness = listen(settings.readiness_address, "readiness")?;
     let peers = listen((settings.ip, settings.peer_port).into(), "other VMs")?;
     let metrics_listener = listen((settings.ip, settings.metrics_port).into(), "metrics")?;
-    tokio::spawn(ingress::serve_callers(
+    let accepting = TaskTracker::new();
+    accepting.spawn(ingress::serve_callers(
         Arc::clone(node),
         callers,
         closing.clone(),
     ));
-    tokio::spawn(ingress::serve_directory(
+    accepting.spawn(ingress::serve_directory(
         Arc::clone(node),
         directory,
         closing.clone(),
     ));
-    tokio::spawn(ingress::serve_readiness(
+    accepting.spawn(ingress::serve_readiness(
         Arc::clone(node),
         readiness,
         closing.clone(),
     ));
     let serve_metrics =
         ingress::serve_metrics(Arc::clone(node), metrics_listener, closing.clone(), metrics);
-    tokio::spawn(serve_metrics);
+    accepting.spawn(serve_metrics);
     let handler_node = Arc::clone(node);
     let handle = move |body| serve_peer_call(Arc::clone(&handler_node), body);
     tokio::spawn(serve_peers(peers, node.logger.clone(), handle));
-    Ok(())
+    accepting.close();
+    Ok(accepting)
 }
 
-/// Waits for the signal to stop, and then until all requests have ended or the time is over.
-async fn wait_for_stop(
+/// The signals that ask for a planned stop.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Receives the signals from now on; before, each ends the process. Later ones have no effect.
+    fn new() -> anyhow::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).context("cannot receive SIGTERM")?,
+            interrupt: signal(SignalKind::interrupt()).context("cannot receive SIGINT")?,
+        })
+    }
+
+    async fn recv(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Stops taking requests, and waits until all of them have ended or the time of a planned stop is over.
+async fn drain(
     node: &Node,
     closing: &Closing,
+    accepting: &TaskTracker,
     stop: &watch::Sender<bool>,
-) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("cannot receive signals")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("cannot receive signals")?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+) {
     let began = clock::now();
     *node.stop_began_at.lock() = Some(began);
     stop.send_replace(true);
@@ -232,34 +267,40 @@
     closing.connections.cancel();
     let limit = node.settings.grace.saturating_sub(KILL_MARGIN);
     let last_accept = limit.saturating_sub(LAST_ACCEPT_MARGIN);
-    // Several idle checks in a row, so that a connection that is just being made is noticed.
     wait_until_idle(node, began + last_accept, IDLE_CHECKS).await;
+    info!(node.logger, "vm: closing the listeners"; "open" => open_work(node),
+        "accepted" => node.accepted_connections.load(Ordering::Relaxed));
     closing.listeners.cancel();
-    if wait_until_idle(node, began + limit, 1).await {
-        return Ok(());
+    // Accepting fails for as long as descriptors run out, which must not hold up the process.
+    let time_left = (began + limit).since(clock::now());
+    let _ = timeout(time_left, accepting.wait()).await;
+    if wait_until_idle(node, began + limit, EXIT_IDLE_CHECKS).await {
+        return;
     }
     warn!(node.logger, "vm: the time to stop is over, open requests are cut off";
         "requests" => open_work(node));
-    Ok(())
 }
 
-/// Returns the number of requests in progress, or that of open connections if it is higher: an answer
-/// that is not sent yet, or a request that has just been sent, has only a connection.
+/// Returns the number of other VMs' stage jobs in progress, and of callers' requests, or of their open
+/// connections if there are more: an answer that is not sent yet, or a request that has just been sent,
+/// has only a connection.
 fn open_work(node: &Node) -> usize {
     let requests = node.active_requests.load(Ordering::Relaxed);
-    requests.max(node.open_connections.load(Ordering::Relaxed))
+    let connections = node.open_connections.load(Ordering::Relaxed);
+    requests.max(connections) + node.active_peer_jobs.load(Ordering::Relaxed)
 }
 
-/// Waits until there was no open work at `checks` checks in a row. Returns whether that came before
-/// `until`.
+/// Waits until `checks` checks in a row found no open work and no connection accepted in between, since
+/// short requests begin and end between two checks. Returns whether that came before `until`.
 async fn wait_until_idle(node: &Node, until: Time, checks: u32) -> bool {
     let mut idle_checks = 0;
+    let mut accepted_before = node.accepted_connections.load(Ordering::Relaxed);
     while clock::now() < until {
         sleep(DRAIN_CHECK_INTERVAL).await;
-        idle_checks = match open_work(node) {
-            0 => idle_checks + 1,
-            _ => 0,
-        };
+        let accepted = node.accepted_connections.load(Ordering::Relaxed);
+        let is_idle = open_work(node) == 0 && accepted == accepted_before;
+        accepted_before = accepted;
+        idle_checks = if is_idle { idle_checks + 1 } else { 0 };
         if idle_checks >= checks {
             return true;
         }
