test(soak): planned work and silent endpoints must lose no request

Callers saw whole requests end with neither an answer nor a refusal while nothing but planned work went on and endpoints were silent for a second or two. The random soak excused each lost answer, since any of its faults may explain one, so it could not see that.

Runs of their own now have only planned steps: silence of one endpoint, of a service or of all for 0.3 to 2.2 s, alone and in series, beside configurations that change limits, SIGHUP, planned stops, drained endpoints and evacuations. Each request that a VM has read must end with a complete answer, or with a refusal that names a time. Silence must not count as a crash, draining endpoints get nothing after DrainMs, and repeats stay within the platform's bound. Callers also write bodies in parts, keep idle connections and send bursts of streams. The random soak silences endpoints too, by a random sequence of its own, so that listed seeds keep their steps.

--- a/tests/fleet_soak/main.rs
+++ b/tests/fleet_soak/main.rs
@@ -5,15 +5,18 @@
 //! restarts of VMs, outages of the store for all VMs or for one, faults, restarts and departures of
 //! endpoints, new configurations, evacuations, and a loopback proxy that delays, cuts or silences
 //! the connections between VMs and one endpoint, endpoints that say that they leave, refuse with a time or
-//! announce neither length nor chunks, and requests that crash the engines that answer them. Half of the callers keep their connections open
-//! until a VM closes them. The guarantees of the system are checked from what callers and endpoints
-//! see, and each VM that runs has to answer. `SOAK_SEED` is the first seed, `SOAK_RUNS` the number of seeds, `SOAK_SECONDS` the time
+//! announce neither length nor chunks, and requests that crash the engines that answer them, and endpoints that are silent for a while. Half of the
+//! callers keep their connections open until a VM closes them. The guarantees of the system are checked from what callers and endpoints
+//! see, and each VM that runs has to answer. Runs without unplanned faults (`planned`) have seeds of their own.
+//! `SOAK_SEED` is the first seed, `SOAK_RUNS` the number of seeds, `SOAK_SECONDS` the time
 //! during which faults occur for each seed and `SOAK_VMS` the number of VMs. `SOAK_SEEDS.txt` beside
 //! this file lists the seeds that have ever failed.
 
+mod callers;
 mod crashing;
 mod liveness;
 mod observations;
+mod planned;
 mod steps;
 #[path = "../users_platform/mod.rs"]
 mod users_platform;
@@ -24,12 +27,14 @@
 use std::time::{Duration, Instant};
 
 use crashing::{add_engines, check_crashing_requests, send_crashing_requests};
+use futures::stream::{self, StreamExt as _};
 use liveness::{VmStates, check_liveness};
 use observations::Observations;
 use parking_lot::Mutex;
+use planned::soak_planned;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use steps::{Step, apply, draw_answers, draw_series};
+use steps::{Step, apply, draw_answers, draw_series, draw_silence};
 use users_platform::backend::Fault;
 use users_platform::caller::{KeptConnection, request};
 use users_platform::store::Mode;
@@ -45,6 +50,10 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Upper bound of the time between two faults.
 const MAX_FAULT_GAP_MS: u64 = 900;
+/// Upper bound of the time between two silences of endpoints.
+const MAX_SILENCE_GAP_MS: u64 = 4_000;
+/// Number of seeds that run at the same time, each with a fleet of its own.
+const SIDE_BY_SIDE: usize = 3;
 /// Timeout for requests to be served again after all faults have ended.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -175,8 +184,15 @@
 async fn soak(seed: u64, vm_count: usize, fault_duration: Duration) -> Vec<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut answers_rng = ChaCha8Rng::seed_from_u64(!seed);
+    // Differs from the sequences above, which listed seeds have failed with.
+    let mut silence_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
     let mut fleet = Fleet::start_proxied(vm_count).await;
     let engines = add_engines(&mut fleet).await;
+    let services: Vec<String> = fleet
+        .backends
+        .iter()
+        .map(|backend| backend.service.clone())
+        .collect();
     let directory_servers: Vec<SocketAddr> =
         fleet.vms.iter().map(|vm| (vm.ip, 8620).into()).collect();
     let callers: Vec<SocketAddr> = fleet.vms.iter().map(|vm| vm.caller_address()).collect();
@@ -211,7 +227,7 @@
         Arc::clone(&stop),
     ));
     let started = Instant::now();
-    let mut next_answers = started;
+    let (mut next_answers, mut next_silence) = (started, started);
     let mut steps = Vec::new();
     let mut scheduled: Vec<(Instant, Step)> = Vec::new();
     let mut next_draw = started;
@@ -233,6 +249,15 @@
             }
             next_answers = now + Duration::from_millis(answers_rng.random_range(0..1_500));
         }
+        if now >= next_silence {
+            let mut at = now;
+            for (step, pause) in draw_silence(&mut silence_rng, &services) {
+                scheduled.push((at, step));
+                at += pause;
+            }
+            let gap_ms = silence_rng.random_range(0..MAX_SILENCE_GAP_MS);
+            next_silence = now + Duration::from_millis(gap_ms);
+        }
         scheduled.sort_by_key(|(at, _)| *at);
         let due = scheduled.partition_point(|(at, _)| *at <= now);
         for (_, step) in scheduled.drain(..due) {
@@ -280,45 +305,65 @@
     let violations = observations.violations.lock().clone();
     if !violations.is_empty() {
         println!("seed {seed}: violations: {violations:#?}\nfaults: {steps:#?}");
-        if let Ok(folder) = std::env::var("SOAK_LOGS") {
-            for vm in &fleet.vms {
-                let _ = std::fs::write(format!("{folder}/{seed}-{}.log", vm.name), vm.log());
-            }
-        }
+        keep_logs(&fleet, &seed.to_string());
     }
     violations
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn promises_hold_under_random_faults() {
+/// Writes the logs of all VMs to the folder that `SOAK_LOGS` names, if it does.
+fn keep_logs(fleet: &Fleet, run: &str) {
+    if let Ok(folder) = std::env::var("SOAK_LOGS") {
+        for vm in &fleet.vms {
+            let _ = std::fs::write(format!("{folder}/{run}-{}.log", vm.name), vm.log());
+        }
+    }
+}
+
+/// Runs all seeds, up to [`SIDE_BY_SIDE`] at a time, and checks that none violates a guarantee.
+async fn run_seeds<F: Future<Output = Vec<String>>>(
+    seeds_of_ci: impl IntoIterator<Item = u64>,
+    soak: impl Fn(u64, usize, Duration) -> F,
+) {
     let number_from_env = |name: &str, default: u64| -> u64 {
         let text = std::env::var(name).ok();
         text.and_then(|text| text.parse().ok()).unwrap_or(default)
     };
-    let seed_list = include_str!("SOAK_SEEDS.txt");
-    let listed_seeds = seed_list
-        .lines()
-        .filter_map(|line| line.split_whitespace().next()?.parse().ok());
     let seeds: Vec<u64> = match std::env::var("SOAK_SEED") {
         Ok(_) => {
             let first = number_from_env("SOAK_SEED", 1);
             (first..first + number_from_env("SOAK_RUNS", 1)).collect()
         }
-        Err(_) => listed_seeds.chain(1..=4).collect(),
+        Err(_) => seeds_of_ci.into_iter().collect(),
     };
-    let fault_duration = Duration::from_secs(number_from_env("SOAK_SECONDS", 8));
+    let duration = Duration::from_secs(number_from_env("SOAK_SECONDS", 8));
     let vm_count = number_from_env("SOAK_VMS", DEFAULT_VM_COUNT as u64) as usize;
-    let mut all_violations = Vec::new();
-    for seed in seeds {
-        let violations = soak(seed, vm_count, fault_duration).await;
-        all_violations.extend(
-            violations
-                .into_iter()
-                .map(|violation| format!("seed {seed}: {violation}")),
-        );
-    }
+    let runs = seeds.into_iter().map(|seed| {
+        let run = soak(seed, vm_count, duration);
+        async move {
+            let violations = run.await.into_iter();
+            let named = violations.map(|violation| format!("seed {seed}: {violation}"));
+            named.collect::<Vec<_>>()
+        }
+    });
+    let runs = stream::iter(runs).buffer_unordered(SIDE_BY_SIDE);
+    let violations = runs.collect::<Vec<_>>().await.concat();
     assert!(
-        all_violations.is_empty(),
-        "guarantees were violated: {all_violations:#?}"
+        violations.is_empty(),
+        "guarantees were violated: {violations:#?}"
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_under_random_faults() {
+    let seed_list = include_str!("SOAK_SEEDS.txt");
+    let listed_seeds = seed_list
+        .lines()
+        .filter_map(|line| line.split_whitespace().next()?.parse().ok());
+    run_seeds(listed_seeds.chain(1..=4), soak).await;
+}
+
+/// Guards against requests that end with neither an answer nor a refusal although nothing failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_work_and_silence_lose_no_request() {
+    run_seeds(1..=3, soak_planned).await;
+}
--- a/tests/fleet_soak/steps.rs
+++ b/tests/fleet_soak/steps.rs
@@ -59,6 +59,10 @@
     Renew(usize),
     /// The endpoint refuses with a time (`true`), or no longer.
     RefuseWithTime(usize, bool),
+    /// The endpoint is silent for that long.
+    Silence(usize, Duration),
+    /// Publishes a configuration with the other one of two sets of limits.
+    ChangeLimits,
 }
 
 /// Draws the next step of the fault series.
@@ -146,6 +150,48 @@
     steps.into_iter().map(|step| (step, pause)).collect()
 }
 
+/// Draws the silence of one endpoint, of all endpoints of a service or of all, at once or one after the
+/// other, with the pause after each step. Has a random sequence of its own, like [`draw_answers`].
+pub fn draw_silence(rng: &mut ChaCha8Rng, services: &[String]) -> Vec<(Step, Duration)> {
+    let duration = Duration::from_millis(rng.random_range(300..2_200));
+    let pause = Duration::from_millis(match rng.random_bool(0.6) {
+        true => 0,
+        false => rng.random_range(50..600),
+    });
+    let first = rng.random_range(0..services.len());
+    let kind = rng.random_range(0..4);
+    let is_chosen = |endpoint: &usize| match kind {
+        0 => *endpoint == first,
+        1 => services[*endpoint] == services[first],
+        2 => endpoint % 2 == first % 2,
+        _ => true,
+    };
+    let endpoints = (0..services.len()).filter(is_chosen);
+    endpoints
+        .map(|endpoint| (Step::Silence(endpoint, duration), pause))
+        .collect()
+}
+
+/// Draws planned work, with the pause after each step: configurations, reloads, stops of VMs, drained
+/// endpoints and evacuations, alone or in series.
+pub fn draw_planned(rng: &mut ChaCha8Rng, vm_count: usize) -> Vec<(Step, Duration)> {
+    let pause = Duration::from_millis(rng.random_range(100..1_200));
+    let vm = rng.random_range(0..vm_count);
+    let endpoint = rng.random_range(0..ENDPOINT_COUNT + DIRECT_ENGINE_COUNT);
+    let data_centre = rng.random_range(0..DATA_CENTRES.len());
+    let steps = match rng.random_range(0..8) {
+        0 => vec![Step::Stop(vm)],
+        1 => vec![Step::Stop(vm), Step::Stop((vm + 1) % vm_count)],
+        2 => vec![Step::Reload(vm), Step::ChangeLimits],
+        3 => vec![Step::ChangeLimits, Step::Stop(vm), Step::ChangeLimits],
+        4 => vec![Step::ChangeLimits; 3],
+        5 => vec![Step::Drain(endpoint), Step::List(endpoint)],
+        6 => vec![Step::Evacuate(data_centre), Step::TakeBack(data_centre)],
+        _ => (0..vm_count.min(8)).map(Step::Reload).collect(),
+    };
+    steps.into_iter().map(|step| (step, pause)).collect()
+}
+
 /// Draws steps that follow each other, with the pause after each: mostly a single one, otherwise the
 /// same kind of step at several VMs or endpoints. The next draw does not wait for their end.
 pub fn draw_series(rng: &mut ChaCha8Rng, vm_count: usize) -> Vec<(Step, Duration)> {
@@ -251,6 +297,18 @@
                 backend.set_fault(Fault::Full);
             }
         }
+        Step::Silence(endpoint, duration) => fleet.backends[endpoint].fall_silent(duration),
+        Step::ChangeLimits => fleet.change_configuration(|configuration| {
+            let is_low = configuration["Limits"]["IdleTimeoutMs"] == json!(1_000);
+            let [idle_ms, header_bytes, look_ms, stream_ms] = match is_low {
+                true => [15_000, 16_384, 3_000, 8_000],
+                false => [1_000, 32_768, 2_900, 7_000],
+            };
+            configuration["Limits"]["IdleTimeoutMs"] = json!(idle_ms);
+            configuration["Limits"]["MaxHeaderBytes"] = json!(header_bytes);
+            configuration["Routes"][0]["TimeoutMs"] = json!(look_ms);
+            configuration["Routes"][2]["TimeoutMs"] = json!(stream_ms);
+        }),
         Step::Configure => fleet.change_configuration(|configuration| {
             configuration["Routes"][0]["TimeoutMs"] = json!(2_900);
         }),
--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -111,6 +111,9 @@
     /// Whether the endpoint accepted the request to run it; set when the run begins.
     pub has_run: bool,
     pub at: Instant,
+    /// Time at which its connection was accepted. An endpoint that was silent reads a request long after
+    /// it was sent.
+    pub connected_at: Instant,
 }
 
 impl Received {
@@ -390,6 +393,7 @@
         body,
         has_run: false,
         at: Instant::now(),
+        connected_at: stream.connected_at,
     })
 }
 
--- a/tests/users_platform/caller.rs
+++ b/tests/users_platform/caller.rs
@@ -74,7 +74,8 @@
     read_answer(send(&call).await.ok()?).await
 }
 
-async fn read_answer(answer: Response<Incoming>) -> Option<CallerAnswer> {
+/// Reads the rest of an answer. It is not complete if the connection ends before the body does.
+pub async fn read_answer(answer: Response<Incoming>) -> Option<CallerAnswer> {
     let status = answer.status().as_u16();
     let header = |name: &str| answer.headers().get(name)?.to_str().ok().map(str::to_owned);
     let is_signed = header("response-signature").is_some();
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -12,7 +12,7 @@
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -97,6 +97,13 @@
         false
     }
 
+    /// Returns how the process ended, once it has exited by itself.
+    pub fn exited(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().unwrap()?;
+        self.child = None;
+        Some(status)
+    }
+
     /// Returns whether the test has started the process and has neither killed it nor seen it exit.
     pub fn is_running(&self) -> bool {
         self.child.is_some()
--- a/tests/users_platform/silence.rs
+++ b/tests/users_platform/silence.rs
@@ -39,6 +39,8 @@
 /// A connection of an endpoint that may fall silent.
 pub struct SilentStream {
     pub stream: TcpStream,
+    /// Time at which the kernel's connection was accepted.
+    pub connected_at: std::time::Instant,
     silence: Silence,
     wake: Pin<Box<Sleep>>,
 }
@@ -47,6 +49,7 @@
     pub fn new(stream: TcpStream, silence: Silence) -> Self {
         Self {
             stream,
+            connected_at: std::time::Instant::now(),
             silence,
             wake: Box::pin(sleep_until(Instant::now())),
         }
