fix(stages): the inputs of a silent stage endpoint are not freed before it has read them

Callers got 503 "the stages are overloaded" after a stage endpoint that reads results of another stage had been silent: an endpoint fetches its inputs at the turn of the call, but they were freed 120 ms after the call was sent. All items of the call, and those that ran elsewhere meanwhile, ended with "gone", and without a retry left the stages were not run again.

Inputs are now freed once the call that reads them last has succeeded. Stand-ins for stage endpoints answer "gone" for inputs that were freed.

Not measured: what it costs that inputs take memory for a call's time.

--- a/src/decisions/batching/job.rs
+++ b/src/decisions/batching/job.rs
@@ -105,7 +105,7 @@
     ///
     /// [`Batcher::resend_overdue`]: crate::decisions::batching::Batcher::resend_overdue
     pub timeout: Duration,
-    /// Inputs that nothing reads any more once the endpoint has fetched the inputs of this call.
+    /// Inputs that nothing reads any more once this call has succeeded.
     pub last_inputs: Vec<Arc<[String]>>,
     /// How long the jobs waited whose first items are in this call.
     pub waits: SmallVec<[Duration; 8]>,
--- a/src/decisions/batching/selection.rs
+++ b/src/decisions/batching/selection.rs
@@ -15,8 +15,8 @@
 
 impl Batcher {
     /// Returns the inputs of those jobs of the selected items that have no item left in the queue
-    /// and are the last to read their inputs. Endpoints fetch the inputs when a call begins, so the
-    /// inputs can be freed then; the memory that they use limits the preceding stage.
+    /// and are the last to read their inputs. They can be freed once the call has succeeded; the memory
+    /// that they use limits the preceding stage.
     pub(super) fn last_inputs(&self, selected: &[SentItem]) -> Vec<Arc<[String]>> {
         let mut jobs: SmallVec<[JobId; 8]> = selected.iter().map(|item| item.job).collect();
         jobs.sort();
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -50,8 +50,6 @@
 /// Number of VMs that may run queues of a service beside the owners of its groups, because they
 /// disagree on who owns them.
 const DISAGREEING_OWNERS: usize = 2;
-/// Estimate of the time that an endpoint takes to fetch the inputs of a call.
-const INPUT_FETCH_ESTIMATE: Duration = Duration::from_millis(120);
 /// Interval between two attempts to send the items of a call elsewhere that has no answer in time.
 const RESEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a queue forgets results that have expired and endpoints that are gone.
@@ -459,16 +457,13 @@
         let deadlines = batch.items.iter().map(|(_, deadline)| *deadline);
         let time_left = deadlines.max().unwrap_or(started).since(started);
         let call = AssertUnwindSafe(call_batch(&dispatcher, &batch)).catch_unwind();
-        let aside = async {
-            tokio::join!(
-                free_last_inputs(&dispatcher, &batch),
-                resend_overdue(&dispatcher, &group, &queue, &batch)
-            );
+        let resend = async {
+            resend_overdue(&dispatcher, &group, &queue, &batch).await;
             std::future::pending::<Infallible>().await
         };
         tokio::select! {
             outcome = timeout(time_left, call) => outcome,
-            never = aside => match never {},
+            never = resend => match never {},
         }
     };
     let broken = |message: String| Err((BatchFailure::Broken, message));
@@ -502,6 +497,13 @@
                 "failure" => format!("{failure:?}"), "error" => message);
         }
     }
+    if outcome.is_ok() {
+        // Not sooner: an endpoint fetches the inputs at the turn of the call, which a silence delays, and
+        // another endpoint needs them if the call fails. The send fails only when the VM stops; the
+        // results then expire by themselves.
+        let handles = batch.last_inputs.iter().flat_map(|inputs| inputs.iter());
+        let _ = dispatcher.unused_inputs.send(handles.cloned().collect());
+    }
     let outcome = outcome.map_err(|(failure, _)| failure);
     let (ends, orphans) = queue.batcher.lock().finish(clock::now(), batch.id, outcome);
     dispatcher.free(orphans);
@@ -509,14 +511,6 @@
     queue.wake.notify_one();
 }
 
-/// Frees the inputs that only the items of a batch read, once the endpoint has fetched them.
-async fn free_last_inputs(dispatcher: &BatchDispatcher, batch: &Batch) {
-    sleep(INPUT_FETCH_ESTIMATE).await;
-    let handles = batch.last_inputs.iter().flat_map(|inputs| inputs.iter());
-    // The send fails only when the VM stops; the results then expire by themselves.
-    let _ = dispatcher.unused_inputs.send(handles.cloned().collect());
-}
-
 /// Lets the items of a batch run at other endpoints as well while its own one is silent for longer than
 /// a call takes.
 async fn resend_overdue(
--- a/tests/silent_stages.rs
+++ b/tests/silent_stages.rs
@@ -24,7 +24,7 @@
     silence: Duration,
 }
 
-const CASES: [Case; 4] = [
+const CASES: [Case; 5] = [
     Case {
         name: "the only endpoint of a stage",
         service: "first",
@@ -49,6 +49,14 @@
         requests: 60,
         silence: Duration::from_millis(2_200),
     },
+    Case {
+        name: "all endpoints of a later stage, under more jobs than may be retried",
+        service: "second",
+        added: 5,
+        silent: 6,
+        requests: 60,
+        silence: Duration::from_millis(2_200),
+    },
     Case {
         name: "one of two endpoints",
         service: "first",
--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -1,10 +1,10 @@
 //! Stand-ins for endpoints: plain services, model engines and stage services, with the faults of
 //! real ones. They write HTTP directly to the socket, so that they can also break the protocol.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, LazyLock, Weak};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -143,6 +143,19 @@
     silence: Silence,
 }
 
+/// The endpoints of this process by their listed addresses, so that an endpoint can see whether its inputs
+/// are still stored at another one.
+static ENDPOINTS: LazyLock<Mutex<HashMap<SocketAddr, Weak<State>>>> = LazyLock::new(Mutex::default);
+
+/// Returns whether the endpoint that made a result still stores it.
+fn is_stored(handle: &str) -> bool {
+    let address = handle.split('/').next().unwrap_or_default().parse();
+    let maker = address
+        .ok()
+        .and_then(|address| ENDPOINTS.lock().get(&address)?.upgrade());
+    maker.is_some_and(|maker| maker.results.lock().contains(handle))
+}
+
 /// Stand-in for one endpoint.
 pub struct Backend {
     pub id: String,
@@ -185,6 +198,9 @@
             crashes: Mutex::default(),
             silence: Silence::default(),
         });
+        let mut endpoints = ENDPOINTS.lock();
+        endpoints.insert(listed_address, Arc::downgrade(&state));
+        drop(endpoints);
         let mut backend = Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -702,9 +718,14 @@
     address: SocketAddr,
 ) -> std::io::Result<()> {
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-    let items = body["Entries"].as_array().map_or(0, Vec::len);
-    let entries: Vec<Value> = (0..items)
-        .map(|_| {
+    let items = body["Entries"].as_array().cloned().unwrap_or_default();
+    let entries: Vec<Value> = items
+        .iter()
+        .map(|item| {
+            let mut inputs = item["Inputs"].as_array().into_iter().flatten();
+            if !inputs.all(|input| is_stored(input.as_str().unwrap_or_default())) {
+                return json!({ "Reason": "gone" });
+            }
             let number = state.results_made.fetch_add(1, Ordering::Relaxed);
             let handle = format!("{address}/{number:x}");
             state.results.lock().insert(handle.clone());
