fix(stages): inputs are kept while another call of their job goes on

The end of a job now names its inputs as unused, no longer a call. The test of the last call that reads inputs is replaced by one that is stricter: it ends the calls in the other order, and expects the inputs with the last result only.

--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -356,7 +356,6 @@
                     (!items.is_empty()).then_some((endpoint, items))
                 })?;
         let waits = self.start_jobs(now, &items);
-        let last_inputs = self.last_inputs(&items);
         let nominal_ms = self.nominal_ms(items.len());
         let reserved_bytes = items.iter().map(|item| item.result_bytes).sum();
         let state = self.endpoints.entry(endpoint.id.clone()).or_default();
@@ -386,7 +385,6 @@
             endpoint,
             items: specs,
             timeout: Duration::from_secs_f64(timeout_ms / 1_000.0).max(self.config.min_timeout),
-            last_inputs,
             waits,
             used_bytes,
         })
@@ -592,11 +590,18 @@
         if state.missing_results > 0 {
             return Ok(None);
         }
-        let state = self.jobs.remove(&sent.job);
-        Ok(state.map(|state| JobEnd {
+        let Some(state) = self.jobs.remove(&sent.job) else {
+            return Ok(None);
+        };
+        let unused_inputs = match state.job.input {
+            ItemInput::Handles(handles) if state.job.reads_inputs_last => Some(handles),
+            _ => None,
+        };
+        Ok(Some(JobEnd {
             id: state.job.id,
             results: Ok(state.results.into_iter().flatten().collect()),
             orphans: Vec::new(),
+            unused_inputs,
         }))
     }
 
@@ -709,6 +714,7 @@
             id,
             results: Err(failure),
             orphans: self.remove_job(id)?,
+            unused_inputs: None,
         })
     }
 
--- a/src/decisions/batching/job.rs
+++ b/src/decisions/batching/job.rs
@@ -90,6 +90,9 @@
     pub results: Result<Vec<String>, ItemFailure>,
     /// Handles of results that exist although the job failed; nothing reads them.
     pub orphans: Vec<String>,
+    /// Inputs that nothing reads any more, now that all items of the job have results. Endpoints fetch
+    /// inputs at the turn of a call, which a silence delays, so they are kept until then.
+    pub unused_inputs: Option<Arc<[String]>>,
 }
 
 /// A call that is to be made to an endpoint.
@@ -105,8 +108,6 @@
     ///
     /// [`Batcher::resend_overdue`]: crate::decisions::batching::Batcher::resend_overdue
     pub timeout: Duration,
-    /// Inputs that nothing reads any more once this call has succeeded.
-    pub last_inputs: Vec<Arc<[String]>>,
     /// How long the jobs waited whose first items are in this call.
     pub waits: SmallVec<[Duration; 8]>,
     /// Result memory at the endpoint that is used or reserved, including the results of this call.
--- a/src/decisions/batching/selection.rs
+++ b/src/decisions/batching/selection.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::decisions::batching::endpoint::{EndpointState, ResultMemory};
-use crate::decisions::batching::{Batcher, ItemInput, Job, JobId, SentItem};
+use crate::decisions::batching::{Batcher, JobId, SentItem};
 use crate::fleet::model::Endpoint;
 use crate::units::Time;
 
@@ -14,27 +14,6 @@
 const SLOWNESS_STEPS: f64 = 4.0;
 
 impl Batcher {
-    /// Returns the inputs of those jobs of the selected items that have no item left in the queue
-    /// and are the last to read their inputs. They can be freed once the call has succeeded; the memory
-    /// that they use limits the preceding stage.
-    pub(super) fn last_inputs(&self, selected: &[SentItem]) -> Vec<Arc<[String]>> {
-        let mut jobs: SmallVec<[JobId; 8]> = selected.iter().map(|item| item.job).collect();
-        jobs.sort();
-        jobs.dedup();
-        let input = |job: JobId| {
-            let state = self.jobs.get(&job)?;
-            match &state.job {
-                Job {
-                    reads_inputs_last: true,
-                    input: ItemInput::Handles(handles),
-                    ..
-                } if state.queued.is_empty() => Some(Arc::clone(handles)),
-                _ => None,
-            }
-        };
-        jobs.into_iter().filter_map(input).collect()
-    }
-
     /// Returns the jobs with queued items in the order in which they run.
     fn job_order(&self, now: Time) -> impl Iterator<Item = JobId> {
         // Batches are full while items wait, so the time of a full batch is used.
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -497,13 +497,6 @@
                 "failure" => format!("{failure:?}"), "error" => message);
         }
     }
-    if outcome.is_ok() {
-        // Not sooner: an endpoint fetches the inputs at the turn of the call, which a silence delays, and
-        // another endpoint needs them if the call fails. The send fails only when the VM stops; the
-        // results then expire by themselves.
-        let handles = batch.last_inputs.iter().flat_map(|inputs| inputs.iter());
-        let _ = dispatcher.unused_inputs.send(handles.cloned().collect());
-    }
     let outcome = outcome.map_err(|(failure, _)| failure);
     let (ends, orphans) = queue.batcher.lock().finish(clock::now(), batch.id, outcome);
     dispatcher.free(orphans);
@@ -545,6 +538,10 @@
 fn end_jobs(dispatcher: &BatchDispatcher, queue: &GroupQueue, ends: Vec<JobEnd>) {
     for end in ends {
         dispatcher.free(end.orphans);
+        if let Some(inputs) = end.unused_inputs {
+            // The send fails only when the VM stops; the results then expire by themselves.
+            let _ = dispatcher.unused_inputs.send(inputs.to_vec());
+        }
         let Some(result_sender) = queue.result_senders.lock().remove(&end.id) else {
             continue;
         };
--- a/tests/fleet_rules/batching.rs
+++ b/tests/fleet_rules/batching.rs
@@ -399,7 +399,7 @@
 
 /// The call that carries the last items of a job names the job's inputs, so that they can be freed.
 #[gtest]
-fn inputs_are_named_with_the_last_call_that_reads_them() {
+fn inputs_are_named_with_the_last_result_of_the_items_that_read_them() {
     let endpoints = three_endpoints();
     let mut batcher = batcher();
     let mut reading = job(1, 0, 10);
@@ -409,10 +409,18 @@
     answer_for_memory(&mut batcher, &endpoints);
     let first = batcher.next_batch(at(0), &endpoints).unwrap();
     expect_that!(first.items.len(), eq(8));
-    expect_that!(first.last_inputs, is_empty());
     // The remaining items may run at another endpoint once they would be late at the first one.
     let last = batcher.next_batch(at(600), &endpoints).unwrap();
-    expect_that!(last.last_inputs.len(), eq(1));
+    // The first call goes on, so its endpoint may still have to fetch the inputs.
+    let results = |batch: &Batch| {
+        let handle = |number| Ok(format!("127.0.0.1:1/{}-{number}", batch.id));
+        Ok((0..batch.items.len()).map(handle).collect())
+    };
+    let (ends, _) = batcher.finish(at(900), last.id, results(&last));
+    expect_that!(ends, is_empty());
+    let (ends, _) = batcher.finish(at(1_000), first.id, results(&first));
+    let inputs = ends[0].unused_inputs.as_deref();
+    expect_that!(inputs, some(eq(&["127.0.0.1:1/a".to_owned()])));
 }
 
 #[gtest]
