--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -198,9 +198,9 @@
             crashes: Mutex::default(),
             silence: Silence::default(),
         });
-        let mut endpoints = ENDPOINTS.lock();
-        endpoints.insert(listed_address, Arc::downgrade(&state));
-        drop(endpoints);
+        ENDPOINTS
+            .lock()
+            .insert(listed_address, Arc::downgrade(&state));
         let mut backend = Self {
             id: id.to_owned(),
             service: service.to_owned(),
