--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -35,6 +35,7 @@
 use crate::platform::stage_call::{
     FREE_PATH, REPORT_PATH, RUN_PATH, decode_free_bytes, decode_run, encode_free, encode_run,
 };
+use crate::traffic::Execution;
 use crate::units::{DataCentreName, EndpointName, ServiceName};
 
 /// Maximum interval between two rounds of a queue that has waiting items, while all endpoints are
@@ -49,8 +50,6 @@
 /// Number of VMs that may run queues of a service beside the owners of its groups, because they
 /// disagree on who owns them.
 const DISAGREEING_OWNERS: usize = 2;
-/// Estimate of the time that an endpoint takes to fetch the inputs of a call.
-const INPUT_FETCH_ESTIMATE: Duration = Duration::from_millis(120);
 /// Interval between two attempts to send the items of a call elsewhere that has no answer in time.
 const RESEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a queue forgets results that have expired and endpoints that are gone.
@@ -458,16 +457,13 @@
         let deadlines = batch.items.iter().map(|(_, deadline)| *deadline);
         let time_left = deadlines.max().unwrap_or(started).since(started);
         let call = AssertUnwindSafe(call_batch(&dispatcher, &batch)).catch_unwind();
-        let aside = async {
-            tokio::join!(
-                free_last_inputs(&dispatcher, &batch),
-                resend_overdue(&dispatcher, &group, &queue, &batch)
-            );
+        let resend = async {
+            resend_overdue(&dispatcher, &group, &queue, &batch).await;
             std::future::pending::<Infallible>().await
         };
         tokio::select! {
             outcome = timeout(time_left, call) => outcome,
-            never = aside => match never {},
+            never = resend => match never {},
         }
     };
     let broken = |message: String| Err((BatchFailure::Broken, message));
@@ -508,14 +504,6 @@
     queue.wake.notify_one();
 }
 
-/// Frees the inputs that only the items of a batch read, once the endpoint has fetched them.
-async fn free_last_inputs(dispatcher: &BatchDispatcher, batch: &Batch) {
-    sleep(INPUT_FETCH_ESTIMATE).await;
-    let handles = batch.last_inputs.iter().flat_map(|inputs| inputs.iter());
-    // The send fails only when the VM stops; the results then expire by themselves.
-    let _ = dispatcher.unused_inputs.send(handles.cloned().collect());
-}
-
 /// Lets the items of a batch run at other endpoints as well while its own one is silent for longer than
 /// a call takes.
 async fn resend_overdue(
@@ -550,6 +538,10 @@
 fn end_jobs(dispatcher: &BatchDispatcher, queue: &GroupQueue, ends: Vec<JobEnd>) {
     for end in ends {
         dispatcher.free(end.orphans);
+        if let Some(inputs) = end.unused_inputs {
+            // The send fails only when the VM stops; the results then expire by themselves.
+            let _ = dispatcher.unused_inputs.send(inputs.to_vec());
+        }
         let Some(result_sender) = queue.result_senders.lock().remove(&end.id) else {
             continue;
         };
@@ -573,9 +565,13 @@
     let broken = |message: String| (BatchFailure::Broken, message);
     let endpoint = &batch.endpoint;
     let request = stage_request(&endpoint.id, RUN_PATH, endpoint.address, body);
-    let response = call(endpoint.address, request)
-        .await
-        .map_err(|failure| broken(failure.message))?;
+    let response = call(endpoint.address, request).await.map_err(|failure| {
+        let kind = match failure.ran {
+            Execution::NotRun => BatchFailure::NotSent,
+            Execution::MayHaveRun => BatchFailure::Broken,
+        };
+        (kind, failure.message)
+    })?;
     let status = response.status();
     dispatcher
         .notices
