fix(fleet): signals and the end of the control thread begin a planned stop at any time

A VM whose control thread ended exited at once and cut off all requests. Signals to stop that came between the binding of the listeners and the start of the handlers ended the process.

The end of the control thread now drains the VM like a signal to stop, and the process then exits with a failure, also when the thread ended without an error. The handlers of SIGTERM and SIGINT are installed before the listeners are bound.

--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -140,6 +140,8 @@
             subscriptions,
             unused_inputs,
         );
+        // Before the listeners are bound, so that no signal ends a process that has connections.
+        let mut stop_signals = StopSignals::new()?;
         stage_jobs::start_tasks(&node, unused);
         tokio::spawn(metric::measure_thread("traffic"));
         tokio::spawn(aggregate_samples(metrics.clone(), AGGREGATION_PERIOD));
@@ -149,17 +151,24 @@
         tokio::spawn(forget_endpoints(Arc::clone(&node)));
         info!(logger, "vm: started"; "vm" => %settings.vm, "incarnation" => %incarnation,
             "data_centre" => %settings.data_centre, "version" => env!("CARGO_PKG_VERSION"));
-        tokio::select! {
-            stopped = wait_for_stop(&node, &closing, &accepting, &stop) => stopped.map(|()| true),
-            _ = control_ended => Ok(false),
-        }
+        let is_planned_stop = tokio::select! {
+            () = stop_signals.recv() => true,
+            _ = control_ended => {
+                // Gossip has ended with the control thread, so that other VMs find this one dead.
+                error!(logger, "vm: the control thread ended, stopping");
+                false
+            }
+        };
+        drain(&node, &closing, &accepting, &stop).await;
+        anyhow::Ok(is_planned_stop)
     })?;
     if is_planned_stop {
         info!(logger, "vm: stopped");
         return Ok(());
     }
     let control_result = control.join();
-    control_result.map_err(|_| anyhow::anyhow!("the control thread panicked"))?
+    control_result.map_err(|_| anyhow::anyhow!("the control thread panicked"))??;
+    anyhow::bail!("the control thread ended")
 }
 
 /// Creates the runtime for traffic, and receives SIGHUP from then on. Until a process receives it,
@@ -220,19 +229,36 @@
     Ok(accepting)
 }
 
-/// Waits for the signal to stop, and then until all requests have ended or the time is over.
-async fn wait_for_stop(
+/// The signals that ask for a planned stop.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Receives the signals from now on; before, each ends the process. Later ones have no effect.
+    fn new() -> anyhow::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).context("cannot receive SIGTERM")?,
+            interrupt: signal(SignalKind::interrupt()).context("cannot receive SIGINT")?,
+        })
+    }
+
+    async fn recv(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Stops taking requests, and waits until all of them have ended or the time of a planned stop is over.
+async fn drain(
     node: &Node,
     closing: &Closing,
     accepting: &TaskTracker,
     stop: &watch::Sender<bool>,
-) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("cannot receive signals")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("cannot receive signals")?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+) {
     let began = clock::now();
     *node.stop_began_at.lock() = Some(began);
     stop.send_replace(true);
@@ -249,11 +275,10 @@
     let time_left = (began + limit).since(clock::now());
     let _ = timeout(time_left, accepting.wait()).await;
     if wait_until_idle(node, began + limit, EXIT_IDLE_CHECKS).await {
-        return Ok(());
+        return;
     }
     warn!(node.logger, "vm: the time to stop is over, open requests are cut off";
         "requests" => open_work(node));
-    Ok(())
 }
 
 /// Returns the number of requests in progress, or that of open connections if it is higher: an answer
