fix(fleet): a planned stop waits for the stage jobs of other VMs

A stopping VM without callers exited although stage jobs of other VMs ran in its queues. Their items ran a second time, at the cost of time and of the retries of their service.

Stage jobs of other VMs now count as open work, within the time of the stop.

--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -62,6 +62,8 @@
     pub stage_times: Mutex<StageTimes>,
     /// Number of callers' requests in progress.
     pub active_requests: AtomicUsize,
+    /// Number of stage jobs in progress for other VMs.
+    pub active_peer_jobs: AtomicUsize,
     /// Number of open connections to this VM's listeners for callers, the directory, readiness checks
     /// and metrics.
     pub open_connections: AtomicUsize,
@@ -150,6 +152,7 @@
             cold_ranks: Mutex::default(),
             stage_times: Mutex::default(),
             active_requests: AtomicUsize::new(0),
+            active_peer_jobs: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             accepted_connections: AtomicUsize::new(0),
             stop_began_at: Mutex::default(),
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -281,11 +281,13 @@
         "requests" => open_work(node));
 }
 
-/// Returns the number of requests in progress, or that of open connections if it is higher: an answer
-/// that is not sent yet, or a request that has just been sent, has only a connection.
+/// Returns the number of other VMs' stage jobs in progress, and of callers' requests, or of their open
+/// connections if there are more: an answer that is not sent yet, or a request that has just been sent,
+/// has only a connection.
 fn open_work(node: &Node) -> usize {
     let requests = node.active_requests.load(Ordering::Relaxed);
-    requests.max(node.open_connections.load(Ordering::Relaxed))
+    let connections = node.open_connections.load(Ordering::Relaxed);
+    requests.max(connections) + node.active_peer_jobs.load(Ordering::Relaxed)
 }
 
 /// Waits until `checks` checks in a row found no open work and no connection accepted in between, since
--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use slog::{info, warn};
@@ -149,9 +150,26 @@
     }
 }
 
+/// Counts a stage job of another VM as in progress until it is dropped, so that a planned stop waits.
+struct ActivePeerJob(Arc<Node>);
+
+impl ActivePeerJob {
+    fn new(node: &Arc<Node>) -> Self {
+        node.active_peer_jobs.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(node))
+    }
+}
+
+impl Drop for ActivePeerJob {
+    fn drop(&mut self) {
+        self.0.active_peer_jobs.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Runs a stage job for another VM. A job without a group comes from an earlier build, which sends
 /// all jobs of a service to one VM; it is sent on to the owner of its group.
 async fn serve_job(node: &Arc<Node>, wire: StageJob) -> Body {
+    let _active = ActivePeerJob::new(node);
     let service = wire.service.clone();
     let group: Option<GroupId> = wire.group.as_ref().and_then(|group| group.parse().ok());
     let may_move = wire.may_move;
