--- /dev/null
+++ b/tests/planned_stop.rs
@@ -0,0 +1,352 @@
+//! Guards against requests that a planned stop or a reload ends with neither an answer nor a refusal.
+
+mod users_platform;
+
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use googletest::prelude::*;
+use primrosewalk::platform::stage_call::RUN_PATH;
+use rustix::process::Signal;
+
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use users_platform::backend::EVENTS;
+use users_platform::caller::{CallerAnswer, request, request_with};
+use users_platform::store::Mode;
+use users_platform::{Fleet, eventually};
+
+/// Port of gossip in the settings of the fixture.
+const GOSSIP_PORT: u16 = 7_740;
+
+/// Something that happens while requests run at the first VM.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Signal(Signal),
+    ChangeConfiguration,
+    Evacuate,
+    /// All endpoints of these services are silent for that long.
+    Silence(&'static [&'static str], Duration),
+    /// Writes a settings file that cannot be read.
+    BreakSettings,
+    /// Writes a settings file without the first seed.
+    ChangeSettings,
+    Wait(Duration),
+}
+
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+}
+
+const TERM: Step = Step::Signal(Signal::TERM);
+const HUP: Step = Step::Signal(Signal::HUP);
+const PAUSE: Step = Step::Wait(Duration::from_millis(150));
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+const CASES: &[Case] = &[
+    Case {
+        name: "signals in series",
+        steps: &[TERM, TERM, HUP, PAUSE, Step::Signal(Signal::INT), HUP, TERM],
+    },
+    Case {
+        name: "reloads in series",
+        steps: &[HUP, HUP, PAUSE, Step::ChangeSettings, HUP, PAUSE, HUP],
+    },
+    Case {
+        name: "invalid settings",
+        steps: &[Step::BreakSettings, HUP, PAUSE, HUP, PAUSE, TERM, HUP],
+    },
+    Case {
+        name: "settings that change without a signal",
+        steps: &[Step::ChangeSettings, PAUSE, Step::BreakSettings, PAUSE],
+    },
+    Case {
+        name: "a stop beside a changed configuration",
+        steps: &[
+            Step::ChangeConfiguration,
+            TERM,
+            PAUSE,
+            Step::ChangeConfiguration,
+        ],
+    },
+    Case {
+        name: "a stop beside an evacuation",
+        steps: &[TERM, Step::Evacuate],
+    },
+    Case {
+        name: "a stop beside silent endpoints",
+        steps: &[Step::Silence(&["plain", "lm"], SILENCE), TERM],
+    },
+    Case {
+        name: "a stop beside silent stage endpoints",
+        steps: &[TERM, Step::Silence(&["first", "second"], SILENCE)],
+    },
+];
+
+fn carry_out(step: Step, fleet: &mut Fleet) {
+    let settings = fleet.vms[0].settings.clone();
+    match step {
+        Step::Signal(signal) => fleet.vms[0].signal(signal),
+        Step::ChangeConfiguration => fleet.change_configuration(|configuration| {
+            configuration["Routes"][0]["TargetLatencyMs"] = json!(500);
+        }),
+        Step::Evacuate => fleet.store.put("op/evacuate/a", &json!({})),
+        Step::Silence(services, duration) => {
+            for service in services {
+                let backends = fleet.backends_of(service);
+                backends.for_each(|backend| backend.fall_silent(duration));
+            }
+        }
+        Step::BreakSettings => std::fs::write(settings, "vm = ").unwrap(),
+        Step::ChangeSettings => {
+            let text = std::fs::read_to_string(&settings).unwrap();
+            let seed = text.find("seeds = [\"").unwrap() + "seeds = [".len();
+            let end = seed + text[seed..].find(',').unwrap() + 1;
+            std::fs::write(settings, [&text[..seed], &text[end..]].concat()).unwrap();
+        }
+        Step::Wait(_) => {}
+    }
+}
+
+fn is_whole(answer: &CallerAnswer, path: &str, id: &str) -> bool {
+    let expected = match path.contains("stream") {
+        true => (0..EVENTS)
+            .map(|event| format!("id: {event}\ndata: piece {event} of {id}\n\n"))
+            .collect(),
+        false => format!("answer to {id}"),
+    };
+    answer.status == 200 && answer.is_complete && answer.body == expected
+}
+
+/// Requests that run at the first VM while something happens to it are answered whole.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_in_flight_are_answered_whole() {
+    let cases = CASES.iter().map(|case| async move {
+        let mut fleet = Fleet::start(3).await;
+        for backend in &fleet.backends {
+            backend.set_work_time(Duration::from_millis(100));
+        }
+        let vm = fleet.vms[0].caller_address();
+        let mut running = JoinSet::new();
+        for number in 0..16 {
+            let path = ["/look/x", "/pay/x", "/stream/x", "/once-stream/x"][number % 4];
+            running.spawn(async move {
+                let id = format!("r-{number}");
+                let answer = request(vm, path, &id, "key-1").await;
+                (path, id, answer)
+            });
+        }
+        sleep(Duration::from_millis(50)).await;
+        for step in case.steps {
+            carry_out(*step, &mut fleet);
+            if let Step::Wait(duration) = step {
+                sleep(*duration).await;
+            }
+        }
+        while let Some(ended) = running.join_next().await {
+            let (path, id, answer) = ended.unwrap();
+            let is_whole = answer
+                .as_ref()
+                .is_some_and(|answer| is_whole(answer, path, &id));
+            expect_that!(is_whole, eq(true), "{}: {path} {id}: {answer:?}", case.name);
+        }
+        if case
+            .steps
+            .iter()
+            .any(|step| matches!(step, Step::Signal(Signal::TERM)))
+        {
+            let has_stopped = fleet.vms[0].wait_for_exit().await;
+            expect_that!(has_stopped, eq(true), "{}", case.name);
+        } else {
+            let answer = request(vm, "/pay/x", "r-last", "key-1").await;
+            let is_whole = answer.is_some_and(|answer| is_whole(&answer, "/pay/x", "r-last"));
+            expect_that!(is_whole, eq(true), "{}: after the reload", case.name);
+        }
+    });
+    join_all(cases).await;
+}
+
+/// Opens a connection and sends a whole request. `None` if the VM accepts no connections.
+async fn send_request(vm: SocketAddr, id: &str) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(vm).await.ok()?;
+    let head = format!(
+        "POST /look/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\n\
+         Authorization: Token key-1\r\nDeadline-Ms: 3000\r\nConnection: close\r\n\
+         Content-Length: 2\r\n\r\n{{}}"
+    );
+    stream.write_all(head.as_bytes()).await.ok()?;
+    Some(stream)
+}
+
+/// Returns the answer up to the end of the connection, or why it was lost.
+async fn read_to_end(mut stream: TcpStream) -> std::io::Result<String> {
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// The VM is suspended about when it closes its listeners, and callers connect meanwhile: the kernel has
+/// taken their connections and requests, so that closing the listener would reset them. There are more
+/// of them than the runtime accepts in one turn.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_wait_as_the_listener_closes_are_answered() {
+    let rounds = (0..10).map(|round| async move {
+        let mut fleet = Fleet::start(1).await;
+        let vm = fleet.vms[0].caller_address();
+        fleet.vms[0].signal(Signal::TERM);
+        // An idle VM makes its last check 2.6 s after the signal, or somewhat later on a busy machine.
+        sleep(Duration::from_millis(2_550 + 10 * round)).await;
+        fleet.vms[0].signal(Signal::STOP);
+        let sent = (0..200).map(|number| async move {
+            let id = format!("r-{number}");
+            let sent = send_request(vm, &id);
+            // A VM that has closed its listener refuses connections, or drops their first packets.
+            tokio::time::timeout(Duration::from_millis(800), sent).await
+        });
+        let sent = join_all(sent).await;
+        fleet.vms[0].signal(Signal::CONT);
+        let waiting = sent.into_iter().filter_map(|sent| sent.ok().flatten());
+        for answer in join_all(waiting.map(read_to_end)).await {
+            expect_that!(answer, ok(starts_with("HTTP/1.1 ")), "round {round}");
+        }
+        expect_that!(fleet.vms[0].wait_for_exit().await, eq(true));
+    });
+    join_all(rounds).await;
+}
+
+/// Callers that go on using the VM are refused and not cut, although each refusal takes less time than
+/// lies between two checks for open work. An idle VM ends early.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_vm_listens_while_callers_come_and_ends_early_without() {
+    let mut fleet = Fleet::start(2).await;
+    let vm = fleet.vms[0].caller_address();
+    let started = Instant::now();
+    fleet.vms[0].signal(Signal::TERM);
+    while started.elapsed() < Duration::from_millis(4_500) {
+        let stream = send_request(vm, "r-1").await;
+        let Some(stream) = stream else {
+            panic!("the VM closed its listener after {:?}", started.elapsed());
+        };
+        expect_that!(read_to_end(stream).await, ok(starts_with("HTTP/1.1 ")));
+        sleep(Duration::from_millis(20)).await;
+    }
+    expect_that!(fleet.vms[0].wait_for_exit().await, eq(true));
+    // Idle checks, handshakes and exit take 0.6 s after the last caller.
+    expect_that!(started.elapsed(), lt(Duration::from_millis(6_000)));
+}
+
+/// Without a control thread a VM learns nothing any more, but what it has accepted it answers, and it
+/// exits with a failure.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_whose_control_thread_ends_answers_what_it_has_accepted() {
+    let mut fleet = Fleet::prepare(1).await;
+    let vm = &mut fleet.vms[0];
+    let taken_port = UdpSocket::bind((vm.ip, GOSSIP_PORT)).unwrap();
+    vm.start();
+    eventually("the VM listens", || async {
+        TcpStream::connect(vm.caller_address()).await.is_ok()
+    })
+    .await;
+    // The bind of the port fails as soon as the thread has started.
+    sleep(Duration::from_millis(300)).await;
+    let stream = send_request(vm.caller_address(), "r-1").await;
+    let answer = read_to_end(stream.expect("the VM still listens")).await;
+    expect_that!(answer, ok(starts_with("HTTP/1.1 503")));
+    expect_that!(vm.wait_for_exit().await, eq(false));
+    expect_that!(vm.is_running(), eq(false));
+    drop(taken_port);
+}
+
+/// Signals that come as soon as the VM accepts connections begin a planned stop.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_listens_handles_the_signals_to_stop() {
+    let mut fleet = Fleet::prepare(1).await;
+    for _ in 0..20 {
+        let vm = &mut fleet.vms[0];
+        vm.start();
+        while TcpStream::connect(vm.caller_address()).await.is_err() {}
+        let handled = [Signal::TERM, Signal::INT, Signal::HUP].map(|signal| vm.handles(signal));
+        expect_that!(handled, eq([true; 3]));
+        vm.kill();
+    }
+}
+
+/// A VM that knows no configuration yet refuses what it is sent until it has stopped.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_before_the_first_configuration_refuses_all_requests() {
+    let mut fleet = Fleet::prepare(1).await;
+    fleet.store.set_mode(Mode::Silent);
+    let vm = &mut fleet.vms[0];
+    vm.start();
+    while TcpStream::connect(vm.caller_address()).await.is_err() {}
+    vm.signal(Signal::TERM);
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_millis(2_000) {
+        let stream = send_request(vm.caller_address(), "r-1").await;
+        let answer = read_to_end(stream.expect("the VM still listens")).await;
+        expect_that!(answer, ok(starts_with("HTTP/1.1 503")));
+        sleep(Duration::from_millis(50)).await;
+    }
+    expect_that!(vm.wait_for_exit().await, eq(true));
+}
+
+/// An answer that its caller has not read yet arrives although the process has ended meanwhile.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_in_the_send_buffer_outlives_the_process() {
+    const ANSWER_BYTES: usize = 150_000;
+    let mut fleet = Fleet::start(1).await;
+    let plain = fleet.backends_of("plain");
+    plain.for_each(|backend| backend.set_padding(ANSWER_BYTES));
+    let vm = &mut fleet.vms[0];
+    let stream = send_request(vm.caller_address(), "r-1").await.unwrap();
+    vm.signal(Signal::TERM);
+    expect_that!(vm.wait_for_exit().await, eq(true));
+    let answer = read_to_end(stream).await.unwrap();
+    expect_that!(answer.len(), gt(ANSWER_BYTES));
+}
+
+/// A stopping VM ends the stage jobs of other VMs before its process ends: a second run of their items
+/// takes the time and the retries of their requests.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_waits_for_the_stage_jobs_of_other_vms() {
+    // One of the two VMs owns the queue.
+    let cases = [0, 1].map(|stopped: usize| async move {
+        let mut fleet = Fleet::prepare(2).await;
+        fleet.change_configuration(|configuration| {
+            configuration["Services"][2]["Pieces"]["CallMs"] = json!(2_000.0);
+        });
+        fleet.vms.iter_mut().for_each(users_platform::Vm::start);
+        fleet.wait_until_ready().await;
+        let first = || fleet.backends_of("first");
+        first().for_each(|backend| backend.fall_silent(Duration::from_millis(3_500)));
+        let vm = fleet.vms[1 - stopped].caller_address();
+        let sent = request_with(vm, "/stream/x", "r-1", "key-1", &[], "{}".into(), 8_000);
+        let running = tokio::spawn(sent);
+        sleep(Duration::from_millis(150)).await;
+        fleet.vms[stopped].signal(Signal::TERM);
+        let answer = running.await.unwrap().unwrap();
+        expect_that!(
+            is_whole(&answer, "/stream/x", "r-1"),
+            eq(true),
+            "{answer:?}"
+        );
+        let calls = first().flat_map(|backend| backend.received());
+        let runs = calls.filter(|call| call.path == RUN_PATH).count();
+        expect_that!(runs, eq(1), "the VM {stopped} stops");
+        expect_that!(fleet.vms[stopped].wait_for_exit().await, eq(true));
+    });
+    join_all(cases).await;
+}
