fix(fleet): a stream whose engine is silent after its last event is complete

The end without an event of a resumed stream now completes it. An engine that announces neither length nor chunks and ends without an event still counts as broken.

--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -108,6 +108,8 @@
 enum OpenOutcome {
     /// The stream is open; holds the headers for the caller and the first event.
     Stream(HeaderMap, Bytes),
+    /// The engine has ended the stream without an event; holds the status and the headers for the caller.
+    Empty(StatusCode, HeaderMap),
     /// The request has ended without a stream, and no other engine is tried.
     Reply(RequestEnd),
     /// The request was sent to an engine, which failed for the given reason. Another one may be
@@ -251,6 +253,11 @@
         loop {
             let reason = match self.try_open().await {
                 OpenOutcome::Stream(headers, first) => return Ok((headers, first)),
+                OpenOutcome::Empty(status, headers) => {
+                    self.is_ended = true;
+                    let reply = relayed(status, headers, whole_body(Bytes::new()));
+                    return Err(RequestEnd::new(reply, "an empty stream"));
+                }
                 OpenOutcome::Reply(ended) => {
                     self.is_ended = true;
                     return Err(ended);
@@ -425,6 +432,7 @@
                     let outcome = self.finish_opening(opening);
                     self.log_attempt(match &outcome {
                         OpenOutcome::Stream(..) => "stream began",
+                        OpenOutcome::Empty(..) => "an empty stream",
                         OpenOutcome::Reply(ended) => &ended.reason,
                         OpenOutcome::Failed(reason) => reason,
                     });
@@ -475,8 +483,7 @@
             }
             Opening::Empty(status, headers) => {
                 self.end_attempt(AttemptEnd::Answered(None));
-                let reply = relayed(status, headers, whole_body(Bytes::new()));
-                OpenOutcome::Reply(RequestEnd::new(reply, "an empty stream"))
+                OpenOutcome::Empty(status, headers)
             }
             Opening::Error(status, headers, body) => {
                 self.end_attempt(AttemptEnd::Error);
@@ -570,7 +577,11 @@
         drop(open);
         self.end_attempt(AttemptEnd::Broken);
         let obstacle = match self.resume(&reason, replacement).await {
-            Ok(event) => return Some(Ok(event)),
+            Ok(Some(event)) => return Some(Ok(event)),
+            Ok(None) => {
+                self.log_end(StreamEnd::Complete, "complete after its last event");
+                return None;
+            }
             Err(obstacle) => obstacle,
         };
         self.log_end(end, &format!("{reason}; {obstacle}"));
@@ -578,22 +589,24 @@
     }
 
     /// Resumes the stream at another engine after the last event that was sent to the caller, first at
-    /// that of `offer`. Returns the next event, or why the stream cannot be resumed.
+    /// that of `prepared`. Returns the next event, or `None` if none follows: the engine before had only not
+    /// ended the stream yet. Otherwise returns why the stream cannot be resumed.
     async fn resume(
         &mut self,
         reason: &str,
-        mut offer: Option<PreparedAttempt>,
-    ) -> Result<Bytes, String> {
-        while offer.is_some() || self.admitted.route.is_resumable && self.may_send_again() {
+        mut prepared: Option<PreparedAttempt>,
+    ) -> Result<Option<Bytes>, String> {
+        while prepared.is_some() || self.admitted.route.is_resumable && self.may_send_again() {
             warn!(self.node.logger, "request: resuming a stream"; "id" => &self.admitted.caller.id,
                 "after_event" => self.last_event, "reason" => reason);
             let time_left = self.admitted.time_left();
-            let opened = match offer.take() {
-                Some(offer) => timeout(time_left, self.open(offer)).await,
+            let opened = match prepared.take() {
+                Some(attempt) => timeout(time_left, self.open(attempt)).await,
                 None => timeout(time_left, self.try_open()).await,
             };
             match opened {
-                Ok(OpenOutcome::Stream(_, event)) => return Ok(event),
+                Ok(OpenOutcome::Stream(_, event)) => return Ok(Some(event)),
+                Ok(OpenOutcome::Empty(..)) => return Ok(None),
                 Ok(OpenOutcome::Failed(_)) => {}
                 Ok(OpenOutcome::Reply(ended)) => return Err(ended.reason),
                 Err(_) => {
