--- a/tests/silent_stages.rs
+++ b/tests/silent_stages.rs
@@ -79,6 +79,9 @@
     let warm_up = request(vm, "/stream/x", "warm-up", "key-1").await;
     expect_that!(warm_up.is_some_and(|answer| answer.is_complete), eq(true));
     let backends: Vec<&Backend> = fleet.backends_of(case.service).collect();
+    if case.service == "lm" {
+        backends.iter().for_each(|engine| engine.require_inputs());
+    }
     for backend in backends.iter().take(case.silent) {
         backend.fall_silent(case.silence);
     }
@@ -116,3 +119,20 @@
         expect_that!(lost, is_empty(), "{}: {} lost", case.name, lost.len());
     }
 }
+
+/// Guards against stage results that are freed before a silent engine has read them: it refuses the request
+/// then.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stage_results_are_kept_until_a_silent_engine_has_read_them() {
+    let case = Case {
+        name: "all engines",
+        service: "lm",
+        added: 0,
+        silent: 2,
+        requests: 40,
+        silence: Duration::from_millis(1_200),
+    };
+    let lost = run(&case).await;
+    expect_that!(lost, is_empty(), "{}: {} lost", case.name, lost.len());
+}
--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, LazyLock, Weak};
 use std::time::{Duration, Instant};
 
@@ -144,6 +144,8 @@
     /// Times at which the endpoint has crashed.
     crashes: Mutex<Vec<Instant>>,
     silence: Silence,
+    /// Whether requests are refused whose stage results are freed.
+    requires_inputs: AtomicBool,
 }
 
 /// The endpoints of this process by their listed addresses, so that an endpoint can see whether its inputs
@@ -200,6 +202,7 @@
             crash: Notify::new(),
             crashes: Mutex::default(),
             silence: Silence::default(),
+            requires_inputs: AtomicBool::new(false),
         });
         ENDPOINTS
             .lock()
@@ -279,6 +282,11 @@
         *self.state.fault.lock() = fault;
     }
 
+    /// Makes a model engine refuse requests whose stage results are freed when it reads them.
+    pub fn require_inputs(&self) {
+        self.state.requires_inputs.store(true, Ordering::Relaxed);
+    }
+
     /// Silences the endpoint on all its connections, open and new, for that long.
     pub fn fall_silent(&self, duration: Duration) {
         self.state.silence.begin(duration);
@@ -360,6 +368,12 @@
     }
 }
 
+/// Returns whether the stage results that a request names still exist.
+fn has_inputs(request: &Received) -> bool {
+    let inputs = request.header("inputs").unwrap_or_default();
+    inputs.split(',').all(|input| is_stored(input.trim()))
+}
+
 /// Returns whether a request has one of these parts in its prompt, not counting the last part.
 fn has_part(request: &Received, parts: &[String]) -> bool {
     let prompt = request.header("prefix-hash").unwrap_or_default();
@@ -432,6 +446,9 @@
             Fault::Full => Some("503 Service Unavailable\r\nNot-Executed: 1"),
             Fault::Other => Some("421 Misdirected Request\r\nInstance-Id: other"),
             _ if expected_id != own_id => Some("421 Misdirected Request\r\nInstance-Id: other"),
+            _ if state.requires_inputs.load(Ordering::Relaxed) && !has_inputs(&request) => {
+                Some("409 Conflict\r\nNot-Executed: 1")
+            }
             _ => None,
         };
         if let Some(refusal) = refusal {
