--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -618,7 +618,8 @@
     }
 
     /// Queues an item again if another attempt can succeed and is allowed; otherwise fails the job of
-    /// the item, unless another call may still bring its result. `is_first` says that no other item of the job failed in the same call before.
+    /// the item, unless another call may still bring its result. `is_first` says that no other item of the
+    /// job failed in the same call before.
     fn retry_or_fail(
         &mut self,
         now: Time,
--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -1,7 +1,7 @@
 //! Serves one connection of a caller, from its accept to its close.
 //!
-//! A request of which a byte was read gets an answer or a refusal; `docs/platform.md`, "Connections of
-//! callers" says when a connection is closed.
+//! A request that was read is answered or refused; `docs/platform.md`, "Connections of callers" says when
+//! a connection is closed.
 
 use std::any::Any;
 use std::convert::Infallible;
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -54,11 +54,11 @@
     let mut replacement = None;
     loop {
         let prepared = match replacement.take() {
-            Some(offer) => Ok(offer),
+            Some(connected) => Ok(connected),
             None => prepare(node, admitted, attempts).await,
         };
         let (endpoint, connection) = match prepared {
-            Ok(offer) => offer,
+            Ok(connected) => connected,
             Err(Obstacle::Refused(refusal)) => return refusal,
             Err(Obstacle::NoEndpoint) => break,
             Err(Obstacle::NoRetryLeft) => {
@@ -86,8 +86,8 @@
         };
         let (end, reason, outcome) = match awaited {
             Awaited::Output(ended) => ended,
-            Awaited::Replacement(offer) => {
-                replacement = Some(offer);
+            Awaited::Replacement(connected) => {
+                replacement = Some(connected);
                 let reason = "silent".to_owned();
                 (AttemptEnd::Broken, reason, AttemptOutcome::Unknown)
             }
@@ -147,15 +147,15 @@
     if is_retry && !node.allows_retry(&admitted.service, attempts.sent) {
         return Err(Obstacle::NoRetryLeft);
     }
-    let offer = next_connection(node, admitted, attempts, Work::Plain).await;
-    let offer = offer.ok_or(Obstacle::NoEndpoint)?;
+    let connected = next_connection(node, admitted, attempts, Work::Plain).await;
+    let connected = connected.ok_or(Obstacle::NoEndpoint)?;
     if let Some(refusal) = refuse_quarantined(node, admitted, attempts) {
         return Err(Obstacle::Refused(refusal));
     }
     if is_retry && !node.take_retry(&admitted.service, attempts.sent) {
         return Err(Obstacle::NoRetryLeft);
     }
-    Ok(offer)
+    Ok(connected)
 }
 
 /// Waits until the request can be sent to another endpoint than the silent one that has it.
@@ -168,8 +168,8 @@
         return pending().await;
     }
     for pause in replacement_pauses() {
-        if let Ok(offer) = prepare(node, admitted, attempts).await {
-            return offer;
+        if let Ok(connected) = prepare(node, admitted, attempts).await {
+            return connected;
         }
         sleep(pause).await;
     }
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -145,14 +145,14 @@
 async fn exchange(
     node: Arc<Node>,
     admitted: Arc<AdmittedRequest>,
-    offer: PreparedAttempt,
+    attempt: PreparedAttempt,
     last_event: Option<u64>,
 ) -> Opening {
     let PreparedAttempt {
         endpoint,
         connection,
         mut results,
-    } = offer;
+    } = attempt;
     let inputs = results.inputs();
     let request = build_request(&admitted, &endpoint, inputs.as_deref(), last_event);
     let opening = async {
@@ -311,7 +311,7 @@
     /// Runs the stages, sends the request to one engine and reads its first event.
     async fn try_open(&mut self) -> OpenOutcome {
         match self.prepare().await {
-            Ok(offer) => self.open(offer).await,
+            Ok(attempt) => self.open(attempt).await,
             Err(ended) => OpenOutcome::Reply(ended),
         }
     }
@@ -417,14 +417,14 @@
 
     /// Sends the request to an engine and waits for its first event. An engine that is silent for long is
     /// replaced if another one can be.
-    async fn open(&mut self, mut offer: PreparedAttempt) -> OpenOutcome {
+    async fn open(&mut self, mut attempt: PreparedAttempt) -> OpenOutcome {
         loop {
-            self.note_sent(&offer.endpoint);
+            self.note_sent(&attempt.endpoint);
             let silence_timeout = self.admitted.route.objective;
             let silence_timeout = silence_timeout.mul_f64(FIRST_EVENT_TIMEOUT_OBJECTIVES);
             let silence_timeout = silence_timeout.max(MIN_FIRST_EVENT_TIMEOUT);
             let (node, admitted) = (Arc::clone(&self.node), Arc::clone(&self.admitted));
-            let exchange = exchange(node, admitted, offer, self.last_event);
+            let exchange = exchange(node, admitted, attempt, self.last_event);
             let awaited =
                 await_or_replace(exchange, silence_timeout, self.replacement_for_silent()).await;
             let replacement = match awaited {
@@ -442,7 +442,7 @@
             };
             self.log_attempt("silent, replaced");
             self.end_attempt(AttemptEnd::Broken);
-            offer = replacement;
+            attempt = replacement;
         }
     }
 
@@ -562,9 +562,9 @@
                 self.end_broken_attempt();
                 (StreamEnd::Broken, reason, None)
             }
-            Ok(Awaited::Replacement(offer)) => {
+            Ok(Awaited::Replacement(attempt)) => {
                 let reason = format!("no event in {NEXT_EVENT_TIMEOUT:?}");
-                (StreamEnd::Silent, reason, Some(offer))
+                (StreamEnd::Silent, reason, Some(attempt))
             }
             Err(_) => {
                 let reason = "no event until the deadline".to_owned();
--- a/tests/fleet_soak/main.rs
+++ b/tests/fleet_soak/main.rs
@@ -2,12 +2,14 @@
 //! pause.
 //!
 //! Each seed gives faults, alone or in series that overlap: kills, pauses, planned stops and
-//! restarts of VMs, outages of the store for all VMs or for one, faults, restarts and departures of
-//! endpoints, new configurations, evacuations, and a loopback proxy that delays, cuts or silences
-//! the connections between VMs and one endpoint, endpoints that say that they leave, refuse with a time or
-//! announce neither length nor chunks, and requests that crash the engines that answer them, and endpoints that are silent for a while. Half of the
-//! callers keep their connections open until a VM closes them. The guarantees of the system are checked from what callers and endpoints
-//! see, and each VM that runs has to answer. Runs without unplanned faults (`planned`) have seeds of their own.
+//! restarts of VMs, outages of the store for all VMs or for one, faults, restarts, departures and
+//! silence of endpoints, new configurations, evacuations, and a loopback proxy that delays, cuts or
+//! silences the connections between VMs and one endpoint. Endpoints say that they leave, refuse with
+//! a time, or announce neither length nor chunks, and some requests crash the engines that answer
+//! them. Half of the callers keep their connections open until a VM closes them. The guarantees of
+//! the system are checked from what callers and endpoints see, and each VM that runs has to answer.
+//! Runs without unplanned faults (`planned`) have seeds of their own.
+//!
 //! `SOAK_SEED` is the first seed, `SOAK_RUNS` the number of seeds, `SOAK_SECONDS` the time
 //! during which faults occur for each seed and `SOAK_VMS` the number of VMs. `SOAK_SEEDS.txt` beside
 //! this file lists the seeds that have ever failed.
--- a/tests/fleet_soak/planned.rs
+++ b/tests/fleet_soak/planned.rs
@@ -1,5 +1,5 @@
-//! Runs without unplanned faults: planned work and silence of endpoints only (`docs/platform.md`). Nothing then excuses a lost
-//! request, so each one that a VM has read must end with its complete answer or a refusal.
+//! Runs without unplanned faults: planned work and silence of endpoints only. Nothing then excuses a
+//! lost request, so each one that a VM has read must end with its complete answer or a refusal.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
