--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,145 +1,164 @@
-//! Many users come at once, and their requests have bodies as large as the configuration allows. The memory
-//! of a VM must stay within its limit: the platform kills a process that exceeds it, and with it all that
-//! the VM serves.
+//! One engine of three was replaced and is cold. A VM freezes for less than a second while requests arrive
+//! at a steady rate. It then reads what has come meanwhile together, and must not send the cold engine more
+//! than the rule allows: the two warm ones can take the requests.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use standins::{
-    Call, Engine, Ledger, Net, Record, Store, Vm, Work, count, finish, now_ms, with_trouble,
+    Call, Engine, Ledger, Net, Record, SIGCONT, SIGSTOP, Store, Vm, Work, count, finish, now_ms,
+    with_trouble,
 };
 
 const ZONES: [&str; 3] = ["amman-a", "amman-b", "amman-c"];
-/// `MaxBodyBytes`, and the size of each body.
-const BODY_BYTES: usize = 4_194_304;
-/// `MemoryMb` of a machine.
-const MEMORY_KB: u64 = 260_000;
-/// Usual requests a second, in turn to all VMs. Each lasts five seconds.
-const RATE: f64 = 18.0;
-/// What a burst multiplies the rate by: the largest `x` of the kind `burst` in the site file.
-const BURST_X: f64 = 2.6;
-const RUN: Duration = Duration::from_secs(56);
-/// A burst begins each so many seconds, and lasts for the `for_s` of a burst in the site file.
-const BURST_EVERY_S: f64 = 17.0;
-const BURST_FOR_S: f64 = 6.0;
-/// Number of ends of processes on one machine, and of such machines, that break the rule.
-const ENDS: u32 = 3;
-const MACHINES: usize = 2;
+/// Requests a second to each VM, the same from the first to the last second.
+const RATE: u32 = 50;
+const RUN: Duration = Duration::from_secs(9);
+/// The new engine starts then, and the first VM freezes a second later.
+const START_AT: Duration = Duration::from_secs(4);
+const FREEZE_AFTER: Duration = Duration::from_millis(1_000);
+const FREEZE_FOR: Duration = Duration::from_millis(800);
+/// `ColdStartS` and `ColdPerS` of the service, `ColdOverage` and `ColdSlack` of the rules.
+const COLD: Duration = Duration::from_secs(3);
+const COLD_PER_S: f64 = 12.0;
+const MOST_PER_S: f64 = COLD_PER_S * 1.5 + 5.0;
+
+fn configuration() -> String {
+    format!(
+        r#"{{"Version":1,"Routes":[{{"Name":"lookup","Host":"h.example","PathPrefix":"/lookup/","RouteKind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":300,"Priority":2,"Service":"dispatch","MaxAttempts":2,"Stages":[],"Public":false,"Sticky":false,"Resumable":false}}],"Services":[{{"Name":"dispatch","HealthPath":"/healthz","MaxConnections":360,"Protocol":"h1","Tls":false,"ColdStartS":{:.1},"ColdPerS":{COLD_PER_S:.1}}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},"Tenants":[{{"Name":"bozi300","ApiKeys":["key-bozi"],"Priority":1}}]}}"#,
+        COLD.as_secs_f64()
+    )
+}
+
+fn engine(net: Net, host: u8, incarnation: u32, cold: Duration) -> Engine {
+    Engine {
+        id: format!("i-{host}-{incarnation}"),
+        service: "dispatch",
+        address: net.address(host, incarnation as u16),
+        zone: ZONES[usize::from(host) - 10],
+        slots: 64,
+        cold,
+        born: now_ms(),
+        work: Work::Plain(Duration::from_millis(60)),
+    }
+}
 
 fn main() {
     let record = Record::open();
     let (net, ledger) = (Net::find(), Ledger::default());
     let store = Store::start(net.address(1, 0), &record);
-    for (host, zone) in (10..).zip(ZONES) {
-        let engine = Engine {
-            id: format!("i-{host}"),
-            service: "palm-lm",
-            address: net.address(host, 0),
-            zone,
-            slots: 64,
-            cold: Duration::ZERO,
-            born: now_ms(),
-            work: Work::Stream {
-                events: 20,
-                pause: Duration::from_millis(250),
-                reads_inputs: false,
-            },
-        };
-        engine.start(&store, &ledger, &record);
+    let engines = [10, 11, 12].map(|host| engine(net, host, 1, Duration::ZERO));
+    for engine in &engines {
+        engine.clone().start(&store, &ledger, &record);
     }
-    let route = r#"{"Name":"plan","Host":"h.example","PathPrefix":"/plan/","RouteKind":"streaming","TimeoutMs":20000,"TargetLatencyMs":1900,"Priority":2,"Service":"palm-lm","MaxAttempts":2,"Stages":[],"Public":false,"Sticky":true,"Resumable":true,"GapTargetMs":500}"#;
-    let service = r#"{"Name":"palm-lm","HealthPath":"/healthz","MaxConnections":360,"Protocol":"h1","Tls":false,"ColdStartS":0.0,"ColdPerS":0.0}"#;
-    let limits = format!(
-        r#"{{"MaxHeaderBytes":16384,"MaxBodyBytes":{BODY_BYTES},"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#
-    );
-    store.put(
-        "op/config",
-        &format!(
-            r#"{{"Version":1,"Routes":[{route}],"Services":[{service}],"Limits":{limits},"Tenants":[{{"Name":"bozi300","ApiKeys":["key-bozi"],"Priority":1}}]}}"#
-        ),
-    );
-    let start = |host, zone| Vm::start(net, host, zone, &[20, 21, 22], &store, &record);
+    store.put("op/config", &configuration());
     let vms: Vec<Vm> = (20..)
         .zip(ZONES)
-        .map(|(host, zone)| start(host, zone))
+        .map(|(host, zone)| Vm::start(net, host, zone, &[20, 21, 22], &store, &record))
         .collect();
     vms.iter().for_each(|vm| vm.wait_until_ready(&record));
-    let addresses: Vec<_> = vms.iter().map(Vm::callers).collect();
-
-    // The platform: it kills a process that exceeds its memory, and starts it again.
-    let is_over = Arc::new(AtomicBool::new(false));
-    let platform = {
-        let (record, is_over, store) = (record.clone(), Arc::clone(&is_over), store.clone());
-        thread::spawn(move || {
-            let mut vms = vms;
-            let mut kills = [0; ZONES.len()];
-            while !is_over.load(Ordering::SeqCst) {
-                for (index, zone) in ZONES.iter().enumerate() {
-                    let memory = vms[index].memory_kb("VmRSS").unwrap_or(0);
-                    if memory > MEMORY_KB {
-                        kills[index] += 1;
-                        record.note(&format!(
-                            "platform: {} has {memory} kB and is killed",
-                            vms[index].name
-                        ));
-                        vms[index].wait_for_exit(Duration::ZERO, &record);
-                        vms[index] =
-                            Vm::start(net, 20 + index as u8, zone, &[20, 21, 22], &store, &record);
-                    }
-                }
-                thread::sleep(Duration::from_millis(2));
-            }
-            kills
-        })
-    };
 
+    let sent: Arc<Mutex<Vec<Instant>>> = Arc::default();
     let statuses: Arc<Mutex<Vec<String>>> = Arc::default();
     let mut clients = Vec::new();
     let began = Instant::now();
-    let mut due = 5.0;
-    while due < RUN.as_secs_f64() {
-        thread::sleep(
-            (began + Duration::from_secs_f64(due)).saturating_duration_since(Instant::now()),
-        );
-        // The first burst begins after five seconds of the usual rate.
-        let is_burst = with_trouble() && (due - 10.0).rem_euclid(BURST_EVERY_S) < BURST_FOR_S;
-        due += 1.0 / (RATE * if is_burst { BURST_X } else { 1.0 });
-        let number = clients.len();
-        let call = Call {
-            method: "POST",
-            path: "/plan/x".to_owned(),
-            id: format!("r{number}"),
-            key: Some("key-bozi".to_owned()),
-            deadline: Duration::from_secs(20),
-            headers: format!(
-                "Model: m\r\nToken-Usage: 600,80\r\nPrefix-Hash: a1:400,{number:x}:200\r\n"
-            ),
-            body: vec![b'x'; BODY_BYTES],
+    let mut new_engine_at = None;
+    let (mut frozen_at, mut woken_at) = (None::<Instant>, None::<Instant>);
+    for number in 0..RUN.as_secs() as u32 * RATE * vms.len() as u32 {
+        let due = began + Duration::from_secs(1) * number / (RATE * vms.len() as u32);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        if new_engine_at.is_none() && began.elapsed() >= START_AT {
+            // The engine before drains; the new one has another port.
+            store.put("servers/i-10-1", &engines[0].entry("draining"));
+            new_engine_at = Some(Instant::now());
+            engine(net, 10, 2, COLD).start(&store, &ledger, &record);
+        }
+        let Some(new_engine_at) = new_engine_at else {
+            clients.push(send(number, &vms, &sent, &statuses));
+            continue;
         };
-        let (to, statuses) = (addresses[number % addresses.len()], Arc::clone(&statuses));
-        clients.push(thread::spawn(move || {
-            let answer = call.send(to);
-            let status = format!("{:?}", answer.status);
-            statuses.lock().unwrap().push(status);
-        }));
+        if with_trouble() && frozen_at.is_none() && new_engine_at.elapsed() >= FREEZE_AFTER {
+            frozen_at = Some(Instant::now());
+            record.note("the first VM freezes");
+            vms[0].signal(SIGSTOP);
+        }
+        if woken_at.is_none() && frozen_at.is_some_and(|at| at.elapsed() >= FREEZE_FOR) {
+            woken_at = Some(Instant::now());
+            vms[0].signal(SIGCONT);
+            record.note("the first VM wakes");
+        }
+        clients.push(send(number, &vms, &sent, &statuses));
     }
-    record.note(&format!("clients: {} requests were sent", clients.len()));
     clients
         .into_iter()
         .for_each(|client| client.join().unwrap());
-    is_over.store(true, Ordering::SeqCst);
-    let kills = platform.join().unwrap();
     record.note(&format!(
         "answers: {}",
         count(statuses.lock().unwrap().iter().cloned())
     ));
 
-    let affected = kills.iter().filter(|ended| **ended >= ENDS).count();
+    // The most requests that were sent and arrived inside one second of the engine's cold time.
+    let sent = sent.lock().unwrap();
+    let cold_until = new_engine_at.unwrap() + COLD;
+    let arrivals: Vec<(Instant, Instant)> = ledger
+        .arrivals()
+        .iter()
+        .filter(|arrival| arrival.engine == "i-10-2" && arrival.at < cold_until)
+        .map(|arrival| {
+            (
+                sent[arrival.request[1..].parse::<usize>().unwrap()],
+                arrival.at,
+            )
+        })
+        .collect();
+    let inside = |from: Instant| {
+        arrivals
+            .iter()
+            .filter(|(sent, at)| *sent >= from && *at < from + Duration::from_secs(1))
+            .count()
+    };
+    let most = arrivals
+        .iter()
+        .map(|(sent, _)| inside(*sent))
+        .max()
+        .unwrap_or(0);
+    record.note(&format!(
+        "the cold engine got {} requests in its first {COLD:?}",
+        arrivals.len()
+    ));
     finish(
         &record,
-        affected >= MACHINES,
-        &format!("the processes of the VMs exceeded {MEMORY_KB} kB {kills:?} times"),
+        most as f64 > MOST_PER_S,
+        &format!(
+            "the cold engine got {most} requests that were sent and arrived inside one second; at most {MOST_PER_S} are allowed"
+        ),
     );
 }
+
+/// Sends a request to one of the VMs in turn, each on its own connection.
+fn send(
+    number: u32,
+    vms: &[Vm],
+    sent: &Arc<Mutex<Vec<Instant>>>,
+    statuses: &Arc<Mutex<Vec<String>>>,
+) -> thread::JoinHandle<()> {
+    let call = Call {
+        method: "GET",
+        path: "/lookup/x".to_owned(),
+        id: format!("r{number}"),
+        key: Some("key-bozi".to_owned()),
+        deadline: Duration::from_secs(3),
+        ..Call::default()
+    };
+    let to = vms[number as usize % vms.len()].callers();
+    let statuses = Arc::clone(statuses);
+    sent.lock().unwrap().push(Instant::now());
+    thread::spawn(move || {
+        let answer = call.send(to);
+        statuses
+            .lock()
+            .unwrap()
+            .push(format!("{:?}", answer.status));
+    })
+}
--- a/review/standins/lib.rs
+++ b/review/standins/lib.rs
@@ -7,6 +7,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -22,8 +23,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, signal: u64) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 /// Returns whether the case is to run with its disruption.
 pub fn with_trouble() -> bool {
     std::env::var("TROUBLE").as_deref() != Ok("0")
@@ -757,14 +762,22 @@
         std::fs::write(&path, settings).expect("the settings cannot be written");
         let log =
             File::create(folder().join(format!("{name}.log"))).expect("the log cannot be written");
-        let child = Command::new("target/release/primrosewalkd")
+        let mut command = Command::new("target/release/primrosewalkd");
+        command
             .env_clear()
             .env("PRIMROSEWALK_BOOT", &path)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .expect("the daemon cannot be started");
+            .stderr(log);
+        // SAFETY: prctl only sets an attribute of the new process. It ends with the case, whatever ends
+        // that.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, 9);
+                Ok(())
+            });
+        }
+        let child = command.spawn().expect("the daemon cannot be started");
         let pid = child.id() as i32;
         RUNNING.lock().unwrap().push(pid);
         record.note(&format!("{name} started"));
