--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -77,8 +77,9 @@
         };
         let to = vms[number as usize % vms.len()].callers();
         let statuses = Arc::clone(&statuses);
+        let record = record.clone();
         clients.push(thread::spawn(move || {
-            let answer = call.send(to);
+            let answer = call.send_recorded(to, &record);
             statuses
                 .lock()
                 .unwrap()
--- a/review/standins/lib.rs
+++ b/review/standins/lib.rs
@@ -907,6 +907,18 @@
         }
     }
 
+    /// Like [`Call::send`], and records what was sent and answered.
+    pub fn send_recorded(&self, to: SocketAddr, record: &Record) -> Answer {
+        let answer = self.send(to);
+        record.note(&format!(
+            "client: {} was sent to {to} at {:.3}, answered {:?}",
+            self.id,
+            record.seconds(answer.sent_at),
+            answer.status
+        ));
+        answer
+    }
+
     /// Sends the request on an open connection.
     pub fn send_on(&self, mut stream: TcpStream) -> Answer {
         let _ = stream.set_nodelay(true);
