fix(admission): a configuration whose last key is withdrawn admits no request

Cause: the decoder kept only the table of keys, so that a configuration without organisations, which asks for no key, and one whose organisations have no keys both gave an empty table, and admission took it for the first.

Evidence: the newest version stands in the line of each request that ran, and requests with a key that never was ran too, so the check was off, not late.

Change: `api_keys` is `None` only without the list of organisations; an empty list is a table without keys.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -168,19 +168,17 @@
 }
 
 /// Returns the organisation of the API key. A request without a known API key is refused unless the
-/// route is public or the configuration has no API keys.
+/// route is public or requests need no key.
 fn check_api_key(
     configuration: &Configuration,
     route: &Route,
     caller: &CallerRequest,
 ) -> Result<Option<Arc<Organisation>>, RequestEnd> {
-    if configuration.api_keys.is_empty() {
+    let Some(api_keys) = &configuration.api_keys else {
         return Ok(None);
-    }
+    };
     let api_key = caller.api_key.as_deref();
-    let organisation = api_key
-        .and_then(|api_key| configuration.api_keys.get(api_key))
-        .cloned();
+    let organisation = api_key.and_then(|api_key| api_keys.get(api_key)).cloned();
     if organisation.is_none() && !route.is_public {
         let reply = reply::text(StatusCode::UNAUTHORIZED, "the key is not known");
         return Err(RequestEnd::new(reply, "unknown key"));
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -130,8 +130,9 @@
     pub routes: HashMap<String, Vec<Arc<Route>>>,
     /// Services by name.
     pub services: HashMap<ServiceName, Service>,
-    /// Organisations by API key; empty when requests need no key.
-    pub api_keys: HashMap<String, Arc<Organisation>>,
+    /// Organisations by API key. `None` if requests need no key; an empty table admits none but those on
+    /// public routes.
+    pub api_keys: Option<HashMap<String, Arc<Organisation>>>,
     /// Bounds on callers.
     pub limits: CallerLimits,
     /// The document as it was published, which is passed on to VMs that cannot reach the platform.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -6,7 +6,7 @@
 
 use anyhow::Context as _;
 use bytes::Bytes;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 
 use crate::fleet::model::{
     BatchLimits, CallerLimits, Configuration, Organisation, Route, RouteKind, RouteStage, Service,
@@ -25,8 +25,16 @@
     routes: Vec<WireRoute>,
     services: Vec<WireService>,
     limits: WireLimits,
-    #[serde(default)]
-    tenants: Vec<WireTenant>,
+    /// `None` only without the field: an empty list means that no key is valid.
+    #[serde(default, deserialize_with = "list_of_tenants")]
+    tenants: Option<Vec<WireTenant>>,
+}
+
+/// Decodes a list that must not be null, which would turn the check of keys off.
+fn list_of_tenants<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<Vec<WireTenant>>, D::Error> {
+    Vec::deserialize(deserializer).map(Some)
 }
 
 #[derive(Deserialize)]
@@ -145,16 +153,6 @@
     for routes in routes.values_mut() {
         routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
     }
-    let mut api_keys = HashMap::new();
-    for tenant in decoded.tenants {
-        let organisation = Arc::new(Organisation {
-            name: tenant.name,
-            priority: tenant.priority,
-        });
-        for key in tenant.api_keys {
-            api_keys.insert(key, Arc::clone(&organisation));
-        }
-    }
     let limits = CallerLimits {
         max_header_bytes: decoded.limits.max_header_bytes,
         max_body_bytes: decoded.limits.max_body_bytes,
@@ -168,12 +166,26 @@
         services: services
             .map(|service| (service.name.clone(), service))
             .collect(),
-        api_keys,
+        api_keys: decoded.tenants.map(index_api_keys),
         limits,
         document,
     })
 }
 
+fn index_api_keys(tenants: Vec<WireTenant>) -> HashMap<String, Arc<Organisation>> {
+    let mut api_keys = HashMap::new();
+    for tenant in tenants {
+        let organisation = Arc::new(Organisation {
+            name: tenant.name,
+            priority: tenant.priority,
+        });
+        for key in tenant.api_keys {
+            api_keys.insert(key, Arc::clone(&organisation));
+        }
+    }
+    api_keys
+}
+
 fn decode_route(route: WireRoute) -> Route {
     let mut targets: smallvec::SmallVec<[(ServiceName, u32); 2]> = route
         .split
--- a/tests/fleet_vm_cases/platform.rs
+++ b/tests/fleet_vm_cases/platform.rs
@@ -7,14 +7,14 @@
 use primrosewalk::http::{Call, send};
 use rustix::fs::{CWD, Mode, mkfifoat};
 use rustix::process::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
 use tokio::net::unix::pipe;
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::status;
 use crate::users_platform::backend::{Backend, Fault, Kind};
-use crate::users_platform::caller::request;
+use crate::users_platform::caller::{request, request_with};
 use crate::users_platform::store;
 use crate::users_platform::{Fleet, eventually, within};
 
@@ -45,6 +45,107 @@
     }
 }
 
+/// Guards against requests that run without a key once the operator has withdrawn the last key: a list of
+/// organisations without keys was taken for a configuration that asks for none.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_valid_key_only_requests_of_public_routes_run() {
+    struct Case {
+        /// The organisations of the configuration; `None` leaves the list out.
+        organisations: Option<Value>,
+        /// Status of a request with a key that was valid at first.
+        with_key: u16,
+        /// Status of requests with a key that never was, with an empty one and without one.
+        without_key: u16,
+    }
+    let mut cases = vec![
+        Case {
+            organisations: Some(json!([{ "Name": "org-1", "ApiKeys": ["key-1"] },
+                { "Name": "org-2", "ApiKeys": [] }])),
+            with_key: 200,
+            without_key: 401,
+        },
+        Case {
+            organisations: Some(json!([{ "Name": "org-1", "ApiKeys": [] },
+                { "Name": "org-2", "ApiKeys": [] }])),
+            with_key: 401,
+            without_key: 401,
+        },
+        Case {
+            organisations: Some(json!([{ "Name": "org-1" }])),
+            with_key: 401,
+            without_key: 401,
+        },
+        Case {
+            organisations: Some(json!([])),
+            with_key: 401,
+            without_key: 401,
+        },
+        Case {
+            organisations: None,
+            with_key: 200,
+            without_key: 200,
+        },
+    ];
+    // The last key goes again after the list was left out.
+    cases.push(Case {
+        organisations: Some(json!([{ "Name": "org-1", "ApiKeys": [] }])),
+        with_key: 401,
+        without_key: 401,
+    });
+    let mut fleet = Fleet::start(3).await;
+    // The last VM learns of all changes from the others.
+    let cut_off = fleet.vms[2].ip;
+    fleet
+        .store
+        .set_mode_for(cut_off.into(), store::Mode::Silent);
+    fleet.change_configuration(|configuration| {
+        let routes = configuration["Routes"].as_array_mut().unwrap();
+        let mut route = routes[0].clone();
+        route["PathPrefix"] = json!("/public/");
+        route["Public"] = json!(true);
+        routes.push(route);
+    });
+    for (number, case) in cases.into_iter().enumerate() {
+        let marker = format!("/case-{number}/");
+        fleet.change_configuration(|configuration| {
+            let mut route = configuration["Routes"][4].clone();
+            route["PathPrefix"] = json!(marker);
+            configuration["Routes"].as_array_mut().unwrap().push(route);
+            let document = configuration.as_object_mut().unwrap();
+            match case.organisations {
+                Some(organisations) => document.insert("Tenants".to_owned(), organisations),
+                None => document.remove("Tenants"),
+            };
+        });
+        for vm in &fleet.vms {
+            let address = vm.caller_address();
+            let is_applied = || async {
+                let answer = request(address, &marker, &format!("m-{number}"), "key-1").await;
+                status(&answer) == 200
+            };
+            within("the change is in force", 2 * MAX_APPLY_DELAY, is_applied).await;
+            for path in ["/look/x", "/pay/x", "/stream/x", "/public/x"] {
+                let keys = [
+                    ("Token key-1", case.with_key),
+                    ("Token key-that-never-was", case.without_key),
+                    ("Token ", case.without_key),
+                    ("", case.without_key),
+                ];
+                for (key_number, (key, expected)) in keys.into_iter().enumerate() {
+                    let expected = if path == "/public/x" { 200 } else { expected };
+                    let id = format!("r-{number}-{}-{path}-{key_number}", vm.name);
+                    let headers = [("authorization", key)];
+                    let body = Bytes::from_static(b"{}");
+                    let answer = request_with(address, path, &id, "", &headers, body, 6_000).await;
+                    expect_that!(status(&answer), eq(expected), "{id}");
+                    expect_that!(fleet.runs_of(&id), eq(usize::from(expected == 200)), "{id}");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against a return of the store that is noticed seconds late: while it is cut off, the opening
 /// packets of a call are lost, and the next one is sent only after a long pause.
 #[gtest]
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -87,12 +87,50 @@
     expect_that!(route.may_retry(), eq(true));
     expect_that!(route.targets.len(), eq(2));
     expect_that!(route.stages[1].after.as_slice(), eq(&[0]));
-    expect_that!(decoded.api_keys["k2"].name.as_str(), eq("org"));
-    expect_that!(decoded.api_keys["k1"].priority, some(eq(1)));
+    let api_keys = decoded.api_keys.as_ref().unwrap();
+    expect_that!(api_keys["k2"].name.as_str(), eq("org"));
+    expect_that!(api_keys["k1"].priority, some(eq(1)));
     let limits = decoded.services[&"s3".parse().unwrap()].batching.unwrap();
     expect_that!(limits.result_memory_bytes, eq(18_000_000));
 }
 
+/// Guards against an empty list of organisations that is taken for none, which would turn the check of
+/// keys off.
+#[gtest]
+fn only_a_configuration_without_the_list_of_organisations_asks_for_no_key() {
+    struct Case {
+        /// The end of the document, in place of a list with one organisation.
+        end: &'static str,
+        /// Number of valid keys; `None` if requests need no key.
+        keys: Option<usize>,
+    }
+    let cases = [
+        Case {
+            end: "}",
+            keys: None,
+        },
+        Case {
+            end: r#","Tenants":[]}"#,
+            keys: Some(0),
+        },
+        Case {
+            end: r#","Tenants":[{"Name":"org"}]}"#,
+            keys: Some(0),
+        },
+        Case {
+            end: r#","Tenants":[{"Name":"org","ApiKeys":[]},{"Name":"other","ApiKeys":["k3"]}]}"#,
+            keys: Some(1),
+        },
+    ];
+    let (start, _) = CONFIGURATION.split_once(",\n \"Tenants\"").unwrap();
+    let decode = |end: &str| decode_configuration(Bytes::from(format!("{start}{end}")));
+    for case in cases {
+        let keys = decode(case.end).unwrap().api_keys.map(|keys| keys.len());
+        expect_that!(keys, eq(case.keys), "{}", case.end);
+    }
+    expect_that!(decode(r#","Tenants":null}"#).is_err(), eq(true));
+}
+
 #[gtest]
 fn a_valid_entry_is_decoded_and_a_broken_one_refused() {
     let endpoint = decode_endpoint("i-1", ENTRY.as_bytes(), Time::from_millis(1_000)).unwrap();
