fix(fleet): a planned stop answers the requests that wait for too long

Cause: only the task that waits for the end of the stop knew when it ends. Requests were bounded by their deadlines, which are later, so those that waited for a stage, a body or a silent endpoint were cut off as the process ended.

Change: `PlannedStop` holds the times of a stop. New stage jobs have its end as their deadline; a job that waits is given up when the rest of its request takes longer than the stop lasts; whatever is left 0.25 s before the exit is refused (503, not run) or, if it may have run, answered 502.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod ownership_keys;
 pub mod placement;
+pub mod planned_stop;
 pub mod quarantine;
 pub mod quota;
 pub mod rendezvous;
--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -23,9 +23,6 @@
 /// Time after which a caller should retry, sent when this VM stops. It is short because another VM
 /// takes the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
-/// Time after the stop signal during which requests are still accepted, because callers may use the
-/// addresses of the directory for that long.
-const ACCEPT_TIME_AFTER_STOP: Duration = Duration::from_millis(2_600);
 /// Timeout for reading the whole body of a request, after which the request is refused. It is shorter if
 /// the deadline of the request is sooner.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -92,6 +89,16 @@
             reason: reason.into(),
         }
     }
+
+    /// Ends a request that cannot be answered before this VM stops. `runs` is the number of times that it has
+    /// run or may have run.
+    pub fn vm_stops(runs: u32) -> Self {
+        let reply = match runs {
+            0 => reply::not_run("this VM stops", STOPPING_RETRY_AFTER),
+            _ => reply::text(StatusCode::BAD_GATEWAY, "this VM stops"),
+        };
+        Self::new(reply, "the VM stops")
+    }
 }
 
 /// Checks a request, reads its body and finds its route and service.
@@ -101,13 +108,9 @@
     caller: CallerRequest,
     arrived_at: Time,
 ) -> Result<AdmittedRequest, RequestEnd> {
-    let is_too_late = |node: &Node| {
-        let began = *node.stop_began_at.lock();
-        began.is_some_and(|began| arrived_at.since(began) > ACCEPT_TIME_AFTER_STOP)
-    };
-    if is_too_late(node) {
-        let reply = reply::not_run("this VM stops", STOPPING_RETRY_AFTER);
-        return Err(RequestEnd::new(reply, "the VM stops"));
+    let planned_stop = *node.planned_stop.lock();
+    if planned_stop.is_some_and(|planned_stop| !planned_stop.accepts(arrived_at)) {
+        return Err(RequestEnd::vm_stops(0));
     }
     let Some(configuration) = node.view().configuration.clone() else {
         let reply = reply::not_run(
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -1,17 +1,21 @@
 //! State that all tasks of a VM's traffic thread share.
 
 use std::collections::{BTreeMap, HashMap};
+use std::future::pending;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
 
 use crate::clock;
 use crate::decisions::endpoint_choice::{
     AttemptEnd, ChoiceConfig, EndpointChoice, StartedAttempt, cold_share,
 };
+use crate::decisions::planned_stop::PlannedStop;
 use crate::decisions::rendezvous::rendezvous_order;
 use crate::decisions::retry_window::{RetryWindow, RetryWindowConfig};
 use crate::decisions::stage_times::StageTimes;
@@ -25,7 +29,7 @@
 use crate::fleet::store_feed::StoreFeed;
 use crate::fleet::supervise::supervise;
 use crate::fleet::view::FleetView;
-use crate::units::{EndpointName, ServiceName, Time, VmId};
+use crate::units::{EndpointName, ServiceName, VmId};
 
 /// Maximum number of times that one request is sent to endpoints, the first included, whatever its
 /// route allows.
@@ -69,8 +73,8 @@
     pub open_connections: AtomicUsize,
     /// Number of connections that the listener for callers has accepted since the start.
     pub accepted_connections: AtomicUsize,
-    /// Time at which the planned stop began; `None` before.
-    pub stop_began_at: Mutex<Option<Time>>,
+    /// The times of the planned stop; `None` before it begins.
+    pub planned_stop: Mutex<Option<PlannedStop>>,
 }
 
 /// Positions of this VM in the rendezvous orders of endpoints. Each is computed once for a set of
@@ -155,7 +159,7 @@
             active_peer_jobs: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             accepted_connections: AtomicUsize::new(0),
-            stop_began_at: Mutex::default(),
+            planned_stop: Mutex::default(),
         })
     }
 
@@ -180,6 +184,20 @@
         *self.stopping.borrow()
     }
 
+    /// Waits until a request that takes `remaining` for the rest of its way can no longer be answered before the
+    /// planned stop ends. Waits forever without one.
+    pub async fn stop_leaves_less_than(&self, remaining: Duration) {
+        let mut stopping = self.stopping.clone();
+        if stopping.wait_for(|stopping| *stopping).await.is_err() {
+            return pending().await;
+        }
+        let planned_stop = *self.planned_stop.lock();
+        let Some(planned_stop) = planned_stop else {
+            return pending().await;
+        };
+        sleep((planned_stop.answer_by() - remaining).since(clock::now())).await;
+    }
+
     /// Records the first attempt of a request to a service, which allows a part of a retry.
     pub fn note_request(&self, service: &ServiceName) {
         self.with_retries(service, |retries| retries.on_first_attempt(clock::now()));
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -2,6 +2,7 @@
 
 use std::future::pending;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -34,10 +35,15 @@
     let mut attempts = Attempts::default();
     let mut fallback = None;
     let run = run(node, admitted, &mut attempts, &mut fallback);
-    let served = timeout(admitted.time_left(), run).await;
-    served.unwrap_or_else(|_| match fallback {
+    let ended = tokio::select! {
+        biased;
+        served = timeout(admitted.time_left(), run) => served.ok(),
+        () = node.stop_leaves_less_than(Duration::ZERO) => None,
+    };
+    ended.unwrap_or_else(|| match fallback {
         Some(reply) => RequestEnd::new(reply, "error of the endpoint; no other answered in time"),
-        None => timed_out(&attempts),
+        None if admitted.time_left().is_zero() => timed_out(&attempts),
+        None => RequestEnd::vm_stops(attempts.runs),
     })
 }
 
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hyper::Request;
 use hyper::body::{Body, Incoming};
@@ -79,7 +80,12 @@
 ) -> Reply {
     let id = caller.id.clone();
     let has_body = !request.body().is_end_stream();
-    let admitted = match admit(node, request, caller, arrived_at).await {
+    let admission = tokio::select! {
+        biased;
+        admission = admit(node, request, caller, arrived_at) => admission,
+        () = node.stop_leaves_less_than(Duration::ZERO) => Err(RequestEnd::vm_stops(0)),
+    };
+    let admitted = match admission {
         Ok(admitted) => Arc::new(admitted),
         Err(mut ended) => {
             if has_body {
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -18,6 +18,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::clock;
+use crate::decisions::planned_stop::PlannedStop;
 use crate::fleet::control::{Publications, run_control};
 use crate::fleet::crash_reports::CrashBoard;
 use crate::fleet::ingress::{self, Closing};
@@ -37,10 +38,6 @@
 /// Time from the signal to stop until idle connections of callers close. Callers look up addresses
 /// every two seconds, so that by then they know that this VM leaves.
 const LEAVE_NOTICE_PERIOD: Duration = Duration::from_millis(2_200);
-/// Time that is left until the platform kills the process when the process ends in any case.
-const KILL_MARGIN: Duration = Duration::from_millis(300);
-/// Time before that at which no further connections are accepted, so that the last ones can be answered.
-const LAST_ACCEPT_MARGIN: Duration = Duration::from_millis(1_500);
 /// Number of checks in a row that find no open work and no new connection before a VM stops early.
 const IDLE_CHECKS: u32 = 8;
 /// Number of checks in a row that find no open work before the process exits once its listeners are
@@ -259,25 +256,23 @@
     accepting: &TaskTracker,
     stop: &watch::Sender<bool>,
 ) {
-    let began = clock::now();
-    *node.stop_began_at.lock() = Some(began);
+    let planned_stop = PlannedStop::new(clock::now(), node.settings.grace);
+    *node.planned_stop.lock() = Some(planned_stop);
     stop.send_replace(true);
     info!(node.logger, "vm: planned stop begins"; "requests" => open_work(node));
     sleep(LEAVE_NOTICE_PERIOD).await;
     closing.connections.cancel();
-    let limit = node.settings.grace.saturating_sub(KILL_MARGIN);
-    let last_accept = limit.saturating_sub(LAST_ACCEPT_MARGIN);
-    wait_until_idle(node, began + last_accept, IDLE_CHECKS).await;
+    wait_until_idle(node, planned_stop.last_accept_at(), IDLE_CHECKS).await;
     info!(node.logger, "vm: closing the listeners"; "open" => open_work(node),
         "accepted" => node.accepted_connections.load(Ordering::Relaxed));
     closing.listeners.cancel();
     // Accepting fails for as long as descriptors run out, which must not hold up the process.
-    let time_left = (began + limit).since(clock::now());
+    let time_left = planned_stop.exit_at.since(clock::now());
     let _ = timeout(time_left, accepting.wait()).await;
-    if wait_until_idle(node, began + limit, EXIT_IDLE_CHECKS).await {
+    if wait_until_idle(node, planned_stop.exit_at, EXIT_IDLE_CHECKS).await {
         return;
     }
-    warn!(node.logger, "vm: the time to stop is over, open requests are cut off";
+    warn!(node.logger, "vm: the time to stop is over, open streams are cut off";
         "requests" => open_work(node));
 }
 
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -82,6 +82,15 @@
     }
 }
 
+/// Why the stages of a request have no results.
+#[derive(Debug)]
+pub enum StageFailure {
+    /// The job of a stage failed.
+    Job(JobFailure),
+    /// The results would come too late for an answer before this VM stops.
+    VmStops,
+}
+
 /// Runs all stages of a request and starts each at the time that [`start_times`] gives.
 ///
 /// # Errors
@@ -91,7 +100,7 @@
     node: &Arc<Node>,
     admitted: &Arc<AdmittedRequest>,
     is_retry: bool,
-) -> Result<StageResults, JobFailure> {
+) -> Result<StageResults, StageFailure> {
     let route = &admitted.route;
     let count = route.stages.len();
     let mut results = StageResults {
@@ -201,7 +210,7 @@
     stage: usize,
     input: ItemInput,
     is_retry: bool,
-) -> (usize, Result<Vec<String>, JobFailure>) {
+) -> (usize, Result<Vec<String>, StageFailure>) {
     let items = item_count(admitted, stage);
     let view = node.view();
     let now = clock::now();
@@ -221,7 +230,11 @@
         .map(|limits| limits.result_ttl)
         .min();
     let inputs_expire_at = inputs_ttl.map(|ttl| now + ttl.mul_f64(INPUTS_TTL_FRACTION));
-    let deadline = admitted.deadline - min_remaining;
+    let planned_stop = *node.planned_stop.lock();
+    let answer_by = planned_stop.map_or(admitted.deadline, |planned_stop| {
+        planned_stop.answer_by().min(admitted.deadline)
+    });
+    let deadline = answer_by - min_remaining;
     let due = admitted.due - expected_remaining;
     let is_read_by_engine = route_stage.after.is_empty() && !has_followers(&admitted.route, stage);
     let job = Job {
@@ -240,7 +253,11 @@
         reads_inputs_last: reads_inputs_last(&admitted.route, stage),
     };
     let started = now;
-    let outcome = run_job(node, &route_stage.service, job).await;
+    let outcome = tokio::select! {
+        biased;
+        outcome = run_job(node, &route_stage.service, job) => outcome.map_err(StageFailure::Job),
+        () = node.stop_leaves_less_than(min_remaining) => Err(StageFailure::VmStops),
+    };
     let ended = clock::now();
     let took = ended.since(started);
     // Late items wait behind the others, so their time says nothing about the time of an item that
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -35,7 +35,7 @@
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::{MAX_SENDS, Node};
 use crate::fleet::reply::{self, ReplyBody, relayed, whole_body};
-use crate::fleet::stages::{StageResults, run_stages};
+use crate::fleet::stages::{StageFailure, StageResults, run_stages};
 use crate::platform::endpoint_call::{ResponseClass, classify, returned_headers};
 use crate::traffic::Execution;
 use crate::units::PartId;
@@ -81,20 +81,13 @@
         tokio::select! {
             // A request that is to be refused must not be begun.
             biased;
-            part = part_wait => Err(Some(part)),
-            opened = opening => opened.map_err(|_| None),
+            part = part_wait => Err(Interruption::Quarantine(part)),
+            opened = opening => opened.map_err(|_| Interruption::Deadline),
+            () = node.stop_leaves_less_than(Duration::ZERO) => Err(Interruption::VmStops),
         }
     };
     match opened {
-        Err(Some(part)) => {
-            caller_stream.is_ended = true;
-            caller_stream.refuse_for(part)
-        }
-        Err(None) => {
-            caller_stream.end_attempt(AttemptEnd::Broken);
-            caller_stream.is_ended = true;
-            timed_out(&caller_stream.attempts)
-        }
+        Err(interruption) => caller_stream.interrupt(interruption),
         Ok(Err(ended)) => ended,
         Ok(Ok((headers, first))) => {
             let body = relay_body(caller_stream, first, active);
@@ -104,6 +97,16 @@
     }
 }
 
+/// Why a request ends while its stream is being opened.
+enum Interruption {
+    /// A part of the prompt has come under quarantine.
+    Quarantine(PartId),
+    /// The deadline of the request has passed.
+    Deadline,
+    /// This VM stops.
+    VmStops,
+}
+
 /// Outcome of opening a stream at one engine.
 enum OpenOutcome {
     /// The stream is open; holds the headers for the caller and the first event.
@@ -271,6 +274,19 @@
         }
     }
 
+    /// Ends the request before its stream is open.
+    fn interrupt(&mut self, interruption: Interruption) -> RequestEnd {
+        self.is_ended = true;
+        match interruption {
+            Interruption::Quarantine(part) => self.refuse_for(part),
+            Interruption::Deadline => {
+                self.end_attempt(AttemptEnd::Broken);
+                timed_out(&self.attempts)
+            }
+            Interruption::VmStops => RequestEnd::vm_stops(self.attempts.runs),
+        }
+    }
+
     /// Returns the refusal for a part of the prompt that has come under quarantine.
     fn refuse_for(&self, part: PartId) -> RequestEnd {
         let duration = self.node.quarantined_part(&self.admitted);
@@ -382,14 +398,21 @@
     async fn stages(&mut self) -> Result<StageResults, RequestEnd> {
         let is_retry = std::mem::replace(&mut self.stages_ran, true);
         let mut outcome = run_stages(&self.node, &self.admitted, is_retry).await;
-        if matches!(outcome, Err(JobFailure::Item(ItemFailure::InputGone))) {
+        if matches!(
+            outcome,
+            Err(StageFailure::Job(JobFailure::Item(ItemFailure::InputGone)))
+        ) {
             outcome = run_stages(&self.node, &self.admitted, true).await;
         }
         outcome.map_err(|failure| self.stage_failure(failure))
     }
 
     /// Returns the reply for a request whose stages have no results.
-    fn stage_failure(&self, failure: JobFailure) -> RequestEnd {
+    fn stage_failure(&self, failure: StageFailure) -> RequestEnd {
+        let failure = match failure {
+            StageFailure::Job(failure) => failure,
+            StageFailure::VmStops => return RequestEnd::vm_stops(self.attempts.runs),
+        };
         let reason = format!("stages: {failure:?}");
         if self.attempts.runs > 0 {
             return self.failure(reason);
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
-use users_platform::backend::EVENTS;
+use users_platform::backend::{EVENTS, Fault};
 use users_platform::caller::{CallerAnswer, request, request_with};
 use users_platform::store::Mode;
 use users_platform::{Fleet, eventually};
@@ -172,6 +172,155 @@
     join_all(cases).await;
 }
 
+/// What requests wait for while their VM stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Obstacle {
+    /// The endpoint of the first stage runs one request in 1.5 s.
+    SlowStage,
+    /// Endpoints of a service run requests and never answer.
+    Hang(&'static str),
+}
+
+struct WaitingCase {
+    obstacle: Obstacle,
+    path: &'static str,
+    /// Number of requests that are sent at once.
+    requests: usize,
+    /// Minimum number of requests that are answered whole: those that have the time for it.
+    min_whole: usize,
+    /// Status of the others.
+    refused_with: u16,
+}
+
+const WAITING_CASES: &[WaitingCase] = &[
+    WaitingCase {
+        obstacle: Obstacle::SlowStage,
+        path: "/stream/x",
+        requests: 12,
+        min_whole: 3,
+        refused_with: 503,
+    },
+    WaitingCase {
+        obstacle: Obstacle::Hang("lm"),
+        path: "/stream/x",
+        requests: 4,
+        min_whole: 0,
+        refused_with: 502,
+    },
+    WaitingCase {
+        obstacle: Obstacle::Hang("lm"),
+        path: "/once-stream/x",
+        requests: 4,
+        min_whole: 0,
+        refused_with: 502,
+    },
+    WaitingCase {
+        obstacle: Obstacle::Hang("plain"),
+        path: "/look/x",
+        requests: 4,
+        min_whole: 0,
+        refused_with: 502,
+    },
+    WaitingCase {
+        obstacle: Obstacle::Hang("plain"),
+        path: "/pay/x",
+        requests: 4,
+        min_whole: 0,
+        refused_with: 502,
+    },
+];
+
+/// Guards against connections that end without an answer because their requests still waited for a stage or
+/// an endpoint when the process of a stopping VM ended.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_wait_when_a_vm_stops_are_answered_or_refused() {
+    const DEADLINE_MS: u64 = 20_000;
+    // One of the two VMs owns the queue of the stage.
+    let stopped = WAITING_CASES.iter().flat_map(|case| [(case, 0), (case, 1)]);
+    let cases = stopped.map(|(case, stopped)| async move {
+        let mut fleet = Fleet::prepare(2).await;
+        fleet.change_configuration(|configuration| {
+            for route in configuration["Routes"].as_array_mut().unwrap() {
+                route["TimeoutMs"] = json!(DEADLINE_MS);
+            }
+            if case.obstacle == Obstacle::SlowStage {
+                let pieces = &mut configuration["Services"][2]["Pieces"];
+                (pieces["CallMs"], pieces["Batch"]) = (json!(1_500.0), json!(2));
+            }
+        });
+        match case.obstacle {
+            Obstacle::SlowStage => fleet
+                .backends_of("first")
+                .for_each(|backend| backend.set_work_time(Duration::from_millis(1_500))),
+            Obstacle::Hang(service) => fleet
+                .backends_of(service)
+                .for_each(|backend| backend.set_fault(Fault::Hang)),
+        }
+        fleet.vms.iter_mut().for_each(users_platform::Vm::start);
+        fleet.wait_until_ready().await;
+        let vm = fleet.vms[stopped].caller_address();
+        let started = Instant::now();
+        let mut running = JoinSet::new();
+        for number in 0..case.requests {
+            running.spawn(async move {
+                let id = format!("r-{number}");
+                let body = "{}".into();
+                let answer =
+                    request_with(vm, case.path, &id, "key-1", &[], body, DEADLINE_MS).await;
+                (id, answer)
+            });
+        }
+        sleep(Duration::from_millis(200)).await;
+        fleet.vms[stopped].signal(Signal::TERM);
+        let mut whole = 0;
+        while let Some(ended) = running.join_next().await {
+            let (id, answer) = ended.unwrap();
+            let context = format!("{:?}, VM {stopped}: {id}: {answer:?}", case.obstacle);
+            let Some(answer) = answer else {
+                add_failure!("{context}");
+                continue;
+            };
+            if is_whole(&answer, case.path, &id) {
+                whole += 1;
+                continue;
+            }
+            expect_that!(answer.status, eq(case.refused_with), "{context}");
+            expect_that!(answer.is_complete, eq(true), "{context}");
+            if answer.status == 503 {
+                expect_that!(answer.retry_after_s, some(lt(0.1)), "{context}");
+                expect_that!(fleet.runs_of(&id), eq(0), "{context}");
+            }
+        }
+        expect_that!(whole, ge(case.min_whole), "{:?}", case.obstacle);
+        expect_that!(fleet.vms[stopped].wait_for_exit().await, eq(true));
+        expect_that!(started.elapsed(), lt(Duration::from_secs(10)));
+    });
+    join_all(cases).await;
+}
+
+/// A body that comes too slowly for an answer before the VM stops is refused, not cut off.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_body_is_not_whole_when_a_vm_stops_is_refused() {
+    let mut fleet = Fleet::prepare(1).await;
+    fleet.change_configuration(|configuration| {
+        configuration["Routes"][0]["TimeoutMs"] = json!(20_000);
+    });
+    fleet.vms[0].start();
+    fleet.wait_until_ready().await;
+    let mut stream = TcpStream::connect(fleet.vms[0].caller_address())
+        .await
+        .unwrap();
+    let head = "POST /look/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n\
+        Authorization: Token key-1\r\nContent-Length: 100\r\n\r\n{";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    fleet.vms[0].signal(Signal::TERM);
+    expect_that!(read_to_end(stream).await, ok(starts_with("HTTP/1.1 503")));
+    expect_that!(fleet.vms[0].wait_for_exit().await, eq(true));
+}
+
 /// Opens a connection and sends a whole request. `None` if the VM accepts no connections.
 async fn send_request(vm: SocketAddr, id: &str) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(vm).await.ok()?;
