fix(traffic): requests that outlast a planned stop are answered before its limit

Callers saw: on the product's own edge, requests in progress at the limit of a planned stop (`--drain-limit-ms`) lost their connections without an answer, whether they had run or still waited for a slot.

Only the task that waits for the end of the stop knew its limit; a request was bounded by its deadline alone, which may be later.

Change: 0.5 s before the limit, requests in progress are interrupted as at their deadline: `stopping`, not run or unknown. The same holds for requests that are relayed to the owner of their id.

Requests that are relayed have no test of their own.

--- a/src/traffic/forward.rs
+++ b/src/traffic/forward.rs
@@ -61,6 +61,7 @@
             let refusal = Refusal::unknown(code, "the key no longer holds").with_id(id);
             return http_body::refusal(&refusal);
         }
+        () = traffic.drain_limit_nears() => return refuse_unknown("this VM stops"),
     };
     match response {
         Ok(Ok(response)) => relay_answer(traffic, id, caller, response).await,
@@ -154,6 +155,9 @@
             code = api_key::authorisation_lost(&traffic, &caller) => {
                 Refusal::unknown(code, "the key no longer holds")
             }
+            () = traffic.drain_limit_nears() => {
+                Refusal::unknown(RefusalCode::Stopping, "this VM stops")
+            }
         };
         // The empty line ends an event of which only a part arrived.
         let mut bytes = b"\n\n".to_vec();
--- a/src/traffic/run.rs
+++ b/src/traffic/run.rs
@@ -45,6 +45,8 @@
     /// The API key was withdrawn or can no longer be confirmed; the code says which.
     ApiKeyInvalid(RefusalCode),
     DeadlinePassed,
+    /// The planned stop of this VM nears its limit.
+    VmStops,
 }
 
 /// State of one request while it runs.
@@ -171,6 +173,7 @@
             code = api_key::authorisation_lost(&run.traffic, &run.caller) => Interrupt::ApiKeyInvalid(code),
             () = run.messages.closed() => Interrupt::CallerGone,
             () = tokio::time::sleep(run.remaining()) => Interrupt::DeadlinePassed,
+            () = run.traffic.drain_limit_nears() => Interrupt::VmStops,
         };
         run.interrupt(reason);
         tokio::time::sleep(INTERRUPT_REPLY_TIMEOUT).await;
@@ -267,6 +270,7 @@
                 *code,
                 "this VM has no recent confirmation of the configuration",
             ),
+            Some(Interrupt::VmStops) => self.refusal(RefusalCode::Stopping, "this VM stops"),
             Some(Interrupt::DeadlinePassed) | None => {
                 self.refusal(RefusalCode::DeadlinePassed, "the deadline passed")
             }
@@ -280,6 +284,7 @@
             Interrupt::CallerGone => "the caller left",
             Interrupt::ApiKeyInvalid(code) => code.as_str(),
             Interrupt::DeadlinePassed => "the deadline passed",
+            Interrupt::VmStops => "this VM stops",
         };
         info!(self.traffic.context.logger,
             "once: starting no further stages or attempts: {reason}";
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -1,11 +1,13 @@
 //! State that all connections and requests of the traffic side share.
 
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::future::pending;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
 use crate::blackboard::{Catalogue, ControlCommand, Snapshot};
@@ -24,6 +26,10 @@
 /// notice one. They must notice a withdrawn API key within a few seconds.
 const SNAPSHOT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time before the limit of a planned stop at which requests in progress are ended, so that their callers can
+/// still be answered.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(500);
+
 /// Requests of one organisation since the daemon started.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct OrganisationCounts {
@@ -52,6 +58,8 @@
     pub api_key_checks: watch::Receiver<u64>,
     /// Turns true when a planned stop begins.
     pub stop: watch::Receiver<bool>,
+    /// Time at which the first request in progress noticed the planned stop.
+    stop_noticed_at: OnceLock<Time>,
     /// Time at which this VM's data centre was first seen out of service while other VMs could
     /// serve; `None` otherwise.
     pub data_centre_out_since: watch::Receiver<Option<Time>>,
@@ -98,6 +106,7 @@
             config,
             commands,
             stop,
+            stop_noticed_at: OnceLock::new(),
             api_key_checks: signals.api_key_checks,
             data_centre_out_since: signals.data_centre_out_since,
         }
@@ -108,6 +117,18 @@
         *self.stop.borrow() || self.context.snapshot.load().stopping
     }
 
+    /// Waits until a planned stop is so close to its limit that requests in progress have to be ended, since
+    /// their callers would lose their connections without an answer.
+    pub async fn drain_limit_nears(&self) {
+        let mut stop = self.stop.clone();
+        if stop.wait_for(|stopping| *stopping).await.is_err() {
+            return pending().await;
+        }
+        let began_at = *self.stop_noticed_at.get_or_init(clock::now);
+        let limit = self.config.drain_limit.saturating_sub(LAST_ANSWER_MARGIN);
+        sleep((began_at + limit).since(clock::now())).await;
+    }
+
     /// Returns whether new work is refused: during a planned stop, or once this VM's data
     /// centre has been out of service for `data_centre_out_grace` while VMs elsewhere could
     /// serve (P3).
--- a/tests/traffic_cases/withdrawal.rs
+++ b/tests/traffic_cases/withdrawal.rs
@@ -87,6 +87,55 @@
     expect_that!(ended.is_ok_and(|joined| joined.is_ok()), eq(true));
 }
 
+/// Guards against callers that lose their connections at the limit of a planned stop: a request that waits for
+/// a slot is refused as not run, and one whose stage is in flight as unknown, before the limit.
+#[gtest]
+#[tokio::test]
+async fn requests_that_outlast_a_planned_stop_are_refused_before_its_limit() {
+    const DRAIN_LIMIT: Duration = Duration::from_millis(1_500);
+    struct Case {
+        pipeline: &'static str,
+        step: Step,
+        granted_slots: u32,
+        refusal: &'static str,
+    }
+    let cases = [
+        Case {
+            pipeline: "simple",
+            step: Step::Wait("{}"),
+            granted_slots: 0,
+            refusal: "503 stopping not_run",
+        },
+        Case {
+            pipeline: "simple",
+            step: Step::Wait("{}"),
+            granted_slots: 4,
+            refusal: "503 stopping unknown",
+        },
+    ];
+    for case in cases {
+        let endpoint = FakeEndpoint::start(&[case.step]).await;
+        let mut setup = Setup::new(vec![("first", endpoint)]);
+        setup.granted_slots = case.granted_slots;
+        setup.config.drain_limit = DRAIN_LIMIT;
+        let vm = Vm::start(setup).await;
+        let stop = vm.stop.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            let _ = stop.send(true);
+        });
+        let reply = run(&vm, case.pipeline, &[], "{}");
+        let reply = tokio::time::timeout(Duration::from_millis(200) + DRAIN_LIMIT, reply).await;
+        let refusal = reply.map(|reply| reply.refusal());
+        expect_that!(
+            refusal,
+            ok(eq(case.refusal)),
+            "{} slots",
+            case.granted_slots
+        );
+    }
+}
+
 /// A VM in a data centre in the state `out` must refuse new work and name the address of a VM in
 /// another data centre (P3).
 #[gtest]
