fix(store): a cut watch is no outage, and the end of an outage is noticed at once

Cause: outages were timed by watches. A sound store may cut a watch, and a watch that waits shows nothing for up to 2 s. Entries that are removed shortly after an outage are kept for 2.3 s, so a wrong outage or a late end kept those of endpoints that had left.

Change: a watch that ends without an answer is followed by a check, a call that is answered without a wait; only a failed check or listing is an outage, and until a check is answered no watch is made. The outage counts from the start of a silent watch. A relay says for how long the store has answered it, and answers listeners without word at once. The time for which entries are kept, and its reason, are unchanged.

--- a/src/decisions/store_view.rs
+++ b/src/decisions/store_view.rs
@@ -112,7 +112,10 @@
 /// A time in which this VM's calls to the store fail.
 #[derive(Debug)]
 struct Outage {
+    /// When the store last may have answered: the outage is no longer than from here.
     since: Time,
+    /// When this VM noticed that the store does not answer.
+    noticed_at: Time,
     /// Newest revision that any VM has reached.
     newest_revision: u64,
     /// When a new revision showed that the store answers other VMs, so that live endpoints can
@@ -133,7 +136,7 @@
     /// `None` while the store answers.
     outage: Option<Outage>,
     /// When the last outage ended in which entries may have expired: when the store answered this
-    /// VM again, or other VMs before.
+    /// VM again, or another VM before.
     returned_at: Option<Time>,
 }
 
@@ -146,11 +149,16 @@
         }
     }
 
-    /// Records that a call to the store failed. Returns whether it is the first of an outage.
-    pub fn on_call_failed(&mut self, now: Time) -> bool {
+    /// Records that the store does not answer, and has not done so since `since` at the earliest. Returns whether
+    /// that was unknown.
+    ///
+    /// A watch that fails says little: it may be cut by a sound store. Only a call that is answered without a
+    /// wait shows an outage and its end.
+    pub fn on_unreachable(&mut self, now: Time, since: Time) -> bool {
         let is_first = self.outage.is_none();
         self.outage.get_or_insert(Outage {
-            since: now,
+            since,
+            noticed_at: now,
             newest_revision: self.revision,
             served_others_at: None,
         });
@@ -167,17 +175,19 @@
             return;
         }
         outage.newest_revision = revision;
-        if now.since(outage.since) >= report_delay {
+        if now.since(outage.noticed_at) >= report_delay {
             outage.served_others_at.get_or_insert(now);
         }
     }
 
-    /// Records that the store answered. Returns the length of the outage that this ends, if any.
-    pub fn on_answer(&mut self, now: Time) -> Option<Duration> {
+    /// Records that the store answers, and has done so since `since` at the latest: a relay may have had its
+    /// answers for longer than its listener. Returns the length of the outage that this ends, if any.
+    pub fn on_answer(&mut self, now: Time, since: Time) -> Option<Duration> {
         let outage = self.outage.take()?;
         let length = now.since(outage.since);
         if length >= self.config.min_expiry_outage {
-            self.returned_at = Some(outage.served_others_at.unwrap_or(now));
+            let returned_at = outage.served_others_at.unwrap_or(now);
+            self.returned_at = Some(returned_at.min(since));
         }
         Some(length)
     }
--- a/src/fleet/peer_state.rs
+++ b/src/fleet/peer_state.rs
@@ -99,5 +99,6 @@
             .unwrap_or_default(),
         evacuated: snapshot.evacuated.clone(),
         endpoints: snapshot.endpoints.iter().map(encode_entry).collect(),
+        answering_ms: 0,
     }
 }
--- a/src/fleet/store_feed.rs
+++ b/src/fleet/store_feed.rs
@@ -10,7 +10,7 @@
 use crate::decisions::change_log::{ChangeLog, LoggedChange};
 use crate::fleet::peer_state::encode_state;
 use crate::fleet::view::FleetView;
-use crate::fleet::wire::{Body, StoreNews, WireStoreItem};
+use crate::fleet::wire::{Body, FleetState, ListenToStore, StoreNews, WireStoreItem};
 use crate::platform::store::{StoreItem, StoreKey};
 use crate::units::Time;
 
@@ -28,6 +28,8 @@
     /// When the store last answered this VM; `None` while this VM does not watch the store or cannot
     /// reach it.
     pub answered_at: Option<Time>,
+    /// Since when the store has answered this VM without a break.
+    pub answering_since: Option<Time>,
 }
 
 impl StoreFeed {
@@ -36,15 +38,22 @@
         self.answered_at
             .is_some_and(|at| now.since(at) < MAX_ANSWER_AGE)
     }
+
+    fn answering_ms(&self) -> u64 {
+        let since = self.answering_since;
+        since.map_or(0, |since| clock::now().since(since).as_millis() as u64)
+    }
 }
 
 /// Answers a listener that has all changes up to revision `after`: as soon as there are later ones,
-/// after [`HOLD_TIME`], or as soon as this VM has lost the store.
+/// after [`HOLD_TIME`], or as soon as this VM has lost the store. A listener that has no word of the store is
+/// answered at once, so that it learns in time that the store is back.
 pub async fn answer_listener(
     mut feed: watch::Receiver<Arc<StoreFeed>>,
     view: watch::Receiver<Arc<FleetView>>,
-    after: u64,
+    call: ListenToStore,
 ) -> Body {
+    let after = call.after;
     let wait = async {
         loop {
             let current = Arc::clone(&feed.borrow_and_update());
@@ -54,8 +63,13 @@
             }
         }
     };
+    let hold_time = if call.at_once {
+        Duration::ZERO
+    } else {
+        HOLD_TIME
+    };
     // The timeout ends a wait in which nothing changed.
-    let _ = timeout(HOLD_TIME, wait).await;
+    let _ = timeout(hold_time, wait).await;
     let feed = Arc::clone(&feed.borrow());
     if !feed.is_current() {
         return Body::StoreNews(StoreNews::default());
@@ -65,9 +79,13 @@
             is_current: true,
             revision: feed.changes.revision(),
             changes: changes.map(|change| encode_item(change)).collect(),
+            answering_ms: feed.answering_ms(),
         }),
         // The view was published before the feed, so it has at least the feed's revision.
-        None => Body::State(encode_state(clock::now(), &view.borrow().store)),
+        None => Body::State(FleetState {
+            answering_ms: feed.answering_ms(),
+            ..encode_state(clock::now(), &view.borrow().store)
+        }),
     }
 }
 
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -27,7 +27,7 @@
 use crate::platform::store::{
     ENDPOINTS_PREFIX, OPERATOR_PREFIX, StoreClient, StoreItem, StoreKey, WatchOutcome,
 };
-use crate::units::VmId;
+use crate::units::{Time, VmId};
 
 /// Time that a watch of the store waits for changes. A watch whose connection no longer delivers
 /// changes is detected when another VM reports a newer revision ([`MAX_WATCH_LAG`]), and otherwise
@@ -67,6 +67,8 @@
     let mut follower = Follower {
         source: StoreSource::default(),
         changes: ChangeLog::default(),
+        answering_since: None,
+        unanswered_since: None,
         control,
     };
     let mut pause = INITIAL_RETRY_PAUSE;
@@ -80,19 +82,29 @@
                 "through" => format!("{source:?}"));
         }
         let outcome = match source {
-            Source::Store => follower.list_or_watch_once().await,
-            Source::Relay(ip) => follower.listen_once(ip).await,
+            Source::Store => follower.ask_store().await,
+            Source::Relay(ip) => {
+                let listened = follower.listen_once(ip).await;
+                listened.map(|()| Progress::Followed)
+            }
             Source::Nobody(until) => {
                 sleep(until.since(clock::now())).await;
                 continue;
             }
         };
-        let Err(error) = outcome else {
-            follower.source.on_answer();
-            pause = INITIAL_RETRY_PAUSE;
-            continue;
-        };
-        follower.on_failure(source, &error);
+        match outcome {
+            Ok(Progress::Followed) => {
+                follower.source.on_answer();
+                pause = INITIAL_RETRY_PAUSE;
+                continue;
+            }
+            Ok(Progress::Checked) => {
+                follower.source.on_answer();
+                continue;
+            }
+            Ok(Progress::Unanswered) => {}
+            Err(error) => follower.on_failure(source, &error),
+        }
         if source == Source::Store {
             sleep(pause.mul_f64(rng.random_range(0.5..1.0))).await;
             pause = (pause * 2).min(MAX_RETRY_PAUSE);
@@ -138,11 +150,26 @@
     live.map(|vm| (vm.name.clone(), vm.clone())).collect()
 }
 
+/// Outcome of one call to a source.
+enum Progress {
+    /// A watch or a relay answered.
+    Followed,
+    /// The store answered a call without a wait.
+    Checked,
+    /// A watch ended without an answer, which a sound store may do. The next call shows whether it answers.
+    Unanswered,
+}
+
 /// Follows the store for one VM.
 struct Follower {
     control: Arc<Control>,
     source: StoreSource,
     changes: ChangeLog<StoreItem>,
+    /// Since when the store has answered this VM without a break; `None` while it does not, or another source is
+    /// used.
+    answering_since: Option<Time>,
+    /// When the store last may have answered, if the last watch ended without an answer.
+    unanswered_since: Option<Time>,
 }
 
 impl Follower {
@@ -151,6 +178,7 @@
         let vms = live_vms(&self.control);
         let source = self.source.choose(clock::now(), &self.control.own_vm, &vms);
         if source != Source::Store {
+            self.answering_since = None;
             self.publish_feed(false);
         }
         source
@@ -161,8 +189,10 @@
         match source {
             Source::Store => {
                 self.source.on_store_failed(now);
+                self.answering_since = None;
+                let since = self.unanswered_since.take().unwrap_or(now);
                 let mut store = control.store.lock();
-                if store.on_call_failed(now) {
+                if store.on_unreachable(now, since) {
                     warn!(control.logger, "store: cannot be reached";
                         "error" => format!("{error:#}"), "revision" => store.revision);
                 }
@@ -188,11 +218,15 @@
         feed.send_replace(Arc::new(StoreFeed {
             changes: self.changes.clone(),
             answered_at,
+            answering_since: self.answering_since,
         }));
     }
 
-    /// Makes one listing or one watch of the store.
-    async fn list_or_watch_once(&mut self) -> anyhow::Result<()> {
+    /// Makes one call to the store: a listing, a watch, or a check if it is not known that the store answers.
+    ///
+    /// While a watch waits, nothing shows whether the store is there. So no watch is made until a check has been
+    /// answered, and a watch that ends without an answer is followed by a check.
+    async fn ask_store(&mut self) -> anyhow::Result<Progress> {
         let client = {
             let settings = self.control.settings.lock();
             StoreClient {
@@ -202,36 +236,73 @@
         };
         let after = self.control.store.lock().revision;
         if after == 0 {
-            return self.list(client).await;
+            self.list(client).await?;
+            return Ok(Progress::Checked);
+        }
+        if self.answering_since.is_none() || self.unanswered_since.is_some() {
+            metric::store_called("check");
+            let outcome = client.check("", after).await?;
+            self.apply_outcome(client, after, outcome).await?;
+            return Ok(Progress::Checked);
         }
+        let began_at = clock::now();
         metric::store_called("watch");
-        match client.watch("", after, WATCH_WAIT).await? {
+        match client.watch("", after, WATCH_WAIT).await {
+            Ok(outcome) => {
+                self.apply_outcome(client, after, outcome).await?;
+                Ok(Progress::Followed)
+            }
+            Err(error) => {
+                let now = clock::now();
+                let was_silent = now.since(began_at) > WATCH_WAIT;
+                self.unanswered_since = Some(if was_silent { began_at } else { now });
+                info!(self.control.logger, "store: a watch ended without an answer";
+                    "error" => format!("{error:#}"), "after" => after);
+                Ok(Progress::Unanswered)
+            }
+        }
+    }
+
+    /// Applies the answer to a watch or a check after revision `after`.
+    async fn apply_outcome(
+        &mut self,
+        client: StoreClient,
+        after: u64,
+        outcome: WatchOutcome,
+    ) -> anyhow::Result<()> {
+        self.note_answer();
+        let answer = match outcome {
+            WatchOutcome::Changes(answer) => answer,
             WatchOutcome::HistoryLost => {
                 info!(self.control.logger,
                     "store: the history after the revision is gone, listing again"; "after" => after);
-                note_store_answer(&self.control);
-                self.list(client).await
-            }
-            WatchOutcome::Changes(answer) => {
-                note_store_answer(&self.control);
-                let logged = answer.items.iter().cloned().map(logged);
-                self.changes.extend(after, answer.revision, logged);
-                let is_any_newer = apply_changes(&self.control, answer.items, answer.revision);
-                self.publish_feed(true);
-                if is_any_newer {
-                    sleep(CHANGES_PAUSE).await;
-                }
-                Ok(())
+                return self.list(client).await;
             }
+        };
+        let logged = answer.items.iter().cloned().map(logged);
+        self.changes.extend(after, answer.revision, logged);
+        let is_any_newer = apply_changes(&self.control, answer.items, answer.revision);
+        self.publish_feed(true);
+        if is_any_newer {
+            sleep(CHANGES_PAUSE).await;
         }
+        Ok(())
+    }
+
+    /// Notes that the store has answered this VM.
+    fn note_answer(&mut self) {
+        let now = clock::now();
+        self.answering_since.get_or_insert(now);
+        self.unanswered_since = None;
+        note_store_answer(&self.control, now);
     }
 
     async fn list(&mut self, client: StoreClient) -> anyhow::Result<()> {
         metric::store_called("list");
         let operator = client.list(OPERATOR_PREFIX).await?;
         let endpoints = client.list(ENDPOINTS_PREFIX).await?;
+        self.note_answer();
         let control = &self.control;
-        note_store_answer(control);
         // The watch starts at the lower revision, so that it reports the changes that were made
         // between the two listings.
         let revision = operator.revision.min(endpoints.revision);
@@ -253,20 +324,26 @@
     /// Listens to a relay until it has changes or says that there are none.
     async fn listen_once(&mut self, ip: Ipv4Addr) -> anyhow::Result<()> {
         let control = &self.control;
-        let after = control.store.lock().revision;
-        let call = Body::ListenToStore(ListenToStore { after });
+        let call = {
+            let store = control.store.lock();
+            ListenToStore {
+                after: store.revision,
+                at_once: store.is_unreachable(),
+            }
+        };
+        let call = Body::ListenToStore(call);
         metric::store_called("relay");
         let answer = timeout(LISTEN_TIMEOUT, control.peers.call(ip, call)).await;
         match answer.context("the relay did not answer in time")?? {
             Body::StoreNews(news) if news.is_current => {
-                note_store_answer(control);
+                note_store_answer(control, answering_since(news.answering_ms));
                 let items = news.changes.into_iter().map(decode_item);
                 apply_changes(control, items, news.revision);
                 Ok(())
             }
             Body::StoreNews(_) => bail!("the relay does not reach the store"),
             Body::State(state) => {
-                note_store_answer(control);
+                note_store_answer(control, answering_since(state.answering_ms));
                 apply_state(control, ip, state);
                 Ok(())
             }
@@ -310,9 +387,15 @@
     }
 }
 
-/// Notes that the store answered, and logs the end of an outage.
-fn note_store_answer(control: &Control) {
-    if let Some(outage) = control.store.lock().on_answer(clock::now()) {
+/// Returns since when the store has answered a relay that says for how long it has.
+fn answering_since(answering_ms: u64) -> Time {
+    clock::now() - Duration::from_millis(answering_ms)
+}
+
+/// Notes that the store answers, and has done so since `since` at the latest. Logs the end of an outage.
+fn note_store_answer(control: &Control, since: Time) {
+    let outage = control.store.lock().on_answer(clock::now(), since);
+    if let Some(outage) = outage {
         info!(control.logger, "store: answers again"; "outage_ms" => outage.as_millis() as u64);
     }
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -303,6 +303,10 @@
     /// Revision up to which the sender has all changes.
     #[prost(uint64, tag = "1")]
     pub after: u64,
+    /// Whether the answer must not wait for changes: the sender has no word of the store, and needs to know
+    /// whether it is back.
+    #[prost(bool, tag = "2")]
+    pub at_once: bool,
 }
 
 /// Changes of the platform's store.
@@ -318,6 +322,10 @@
     /// The changes, in order.
     #[prost(message, repeated, tag = "3")]
     pub changes: Vec<WireStoreItem>,
+    /// Time for which the store has answered the sender without a break, in milliseconds; 0 from earlier
+    /// builds.
+    #[prost(uint64, tag = "4")]
+    pub answering_ms: u64,
 }
 
 /// A change of an item of the platform's store.
@@ -353,6 +361,9 @@
     /// All listed endpoints.
     #[prost(message, repeated, tag = "4")]
     pub endpoints: Vec<WireEndpoint>,
+    /// In the answer to a listener, as in [`StoreNews`]; otherwise 0.
+    #[prost(uint64, tag = "5")]
+    pub answering_ms: u64,
 }
 
 /// An endpoint on the wire between VMs.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -20,6 +20,10 @@
 const EVACUATION_PREFIX: &str = "op/evacuate/";
 /// Timeout of one page of a listing: a healthy store answers within milliseconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Timeout of a call for the changes so far. A store that is slow answers within some hundred milliseconds.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Wait that such a call asks for: the shortest one of a watch.
+const CHECK_WAIT: Duration = Duration::from_millis(1);
 /// Time that a watch may take beyond the wait that it asks for, before it times out.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
@@ -154,10 +158,30 @@
         prefix: &str,
         after: u64,
         wait: Duration,
+    ) -> anyhow::Result<WatchOutcome> {
+        self.changes(prefix, after, wait, wait + WATCH_SLACK).await
+    }
+
+    /// Returns the changes after revision `after` that the store has now. Unlike a watch, which may be cut and
+    /// says nothing while it waits, this shows at once whether the store answers.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`StoreClient::watch`].
+    pub async fn check(&self, prefix: &str, after: u64) -> anyhow::Result<WatchOutcome> {
+        self.changes(prefix, after, CHECK_WAIT, CHECK_TIMEOUT).await
+    }
+
+    async fn changes(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+        max_time: Duration,
     ) -> anyhow::Result<WatchOutcome> {
         let wait_ms = wait.as_millis();
         let path = format!("/api/kv-watch?PathPrefix={prefix}&After={after}&WaitMs={wait_ms}");
-        let (status, body) = self.get(&path, wait + WATCH_SLACK).await?;
+        let (status, body) = self.get(&path, max_time).await?;
         match status {
             StatusCode::OK => {}
             StatusCode::GONE => return Ok(WatchOutcome::HistoryLost),
--- a/tests/fleet_rules/store_view.rs
+++ b/tests/fleet_rules/store_view.rs
@@ -129,8 +129,8 @@
     let mut view = view();
     let listing = vec![entry("e-1", 1, Some(&one)), entry("e-2", 2, Some(&two))];
     view.apply_listing(at(0), listing, 2);
-    view.on_call_failed(at(1_000));
-    view.on_answer(at(6_000));
+    view.on_unreachable(at(1_000), at(1_000));
+    view.on_answer(at(6_000), at(6_000));
     view.apply_listing(at(6_000), Vec::new(), 9);
     expect_that!(usable_endpoints(&view), elements_are![eq("e-1"), eq("e-2")]);
     view.apply(at(7_000), entry("e-1", 10, Some(&one)));
@@ -155,8 +155,8 @@
     let one = endpoint("e-1", "a");
     let mut view = view();
     view.apply(at(0), entry("e-1", 1, Some(&one)));
-    view.on_call_failed(at(100));
-    view.on_answer(at(500));
+    view.on_unreachable(at(100), at(100));
+    view.on_answer(at(500), at(500));
     view.apply(at(600), entry("e-1", 2, None));
     expect_that!(usable_endpoints(&view), is_empty());
 }
@@ -170,9 +170,9 @@
     let (mut returning, mut steady) = (view(), view());
     returning.apply_listing(at(0), listing.clone(), 2);
     steady.apply_listing(at(0), listing, 2);
-    returning.on_call_failed(at(1_000));
+    returning.on_unreachable(at(1_000), at(1_000));
     steady.apply(at(8_500), entry("e-1", 5, None));
-    returning.on_answer(at(9_000));
+    returning.on_answer(at(9_000), at(9_000));
     let changes = [entry("e-1", 5, None), entry("e-2", 6, Some(&two))];
     returning.apply_changes(at(9_000), changes, 6);
     send_state(9_500, &returning, &mut steady);
@@ -206,9 +206,9 @@
     let (mut first, mut second) = (view(), view());
     for view in [&mut first, &mut second] {
         view.apply_listing(at(0), vec![entry("e-1", 1, Some(&one))], 1);
-        view.on_call_failed(at(1_000));
+        view.on_unreachable(at(1_000), at(1_000));
     }
-    first.on_answer(at(6_000));
+    first.on_answer(at(6_000), at(6_000));
     first.apply_changes(at(6_000), [entry("e-1", 4, None)], 4);
     send_state(6_500, &first, &mut second);
     expect_that!(usable_endpoints(&second), elements_are![eq("e-1")]);
@@ -225,8 +225,8 @@
     for view in [&mut returning, &mut steady] {
         view.apply_listing(at(0), vec![entry("e-1", 1, Some(&one))], 1);
     }
-    returning.on_call_failed(at(1_000));
-    returning.on_answer(at(6_000));
+    returning.on_unreachable(at(1_000), at(1_000));
+    returning.on_answer(at(6_000), at(6_000));
     returning.apply_changes(at(6_000), [entry("e-1", 4, None)], 4);
     send_state(6_500, &returning, &mut steady);
     expect_that!(usable_endpoints(&steady), is_empty());
@@ -299,11 +299,11 @@
         let mut view = view();
         let listing = vec![entry("e-1", 1, Some(&endpoint("e-1", "a")))];
         view.apply_listing(at(0), listing, 1);
-        view.on_call_failed(at(1_000));
+        view.on_unreachable(at(1_000), at(1_000));
         for (now_ms, revision) in case.reports {
             view.on_peer_revision(at(*now_ms), *revision);
         }
-        view.on_answer(at(9_000));
+        view.on_answer(at(9_000), at(9_000));
         view.apply_changes(at(9_000), [entry("e-1", 10, None)], 10);
         for now_ms in [9_000, 11_099, 11_100, 11_299, 11_300] {
             view.expire(at(now_ms));
@@ -317,3 +317,63 @@
         }
     }
 }
+
+/// Guards against a return of the store that a VM notices late, since it learns of it from a relay: removed
+/// entries are kept from the time at which the store answered the relay.
+#[gtest]
+fn the_return_of_the_store_counts_from_the_first_answer_to_a_relay() {
+    struct Case {
+        name: &'static str,
+        /// Time at which the store last may have answered this VM; it notices the outage at 3,000 ms.
+        silent_since_ms: u64,
+        /// Time since which the store has answered the relay whose word arrives at 6,000 ms.
+        answering_since_ms: u64,
+        /// Time until which an entry that was removed by then is kept.
+        kept_until_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "the relay has just got an answer",
+            silent_since_ms: 3_000,
+            answering_since_ms: 6_000,
+            kept_until_ms: 8_300,
+        },
+        Case {
+            name: "the relay has had answers for a second",
+            silent_since_ms: 3_000,
+            answering_since_ms: 5_000,
+            kept_until_ms: 7_300,
+        },
+        Case {
+            name: "the relay never lost the store",
+            silent_since_ms: 3_000,
+            answering_since_ms: 0,
+            kept_until_ms: 6_000,
+        },
+        Case {
+            name: "the silence began before it was noticed",
+            silent_since_ms: 300,
+            answering_since_ms: 6_000,
+            kept_until_ms: 8_300,
+        },
+    ];
+    for case in cases {
+        let mut view = view();
+        let listing = vec![entry("e-1", 1, Some(&endpoint("e-1", "a")))];
+        view.apply_listing(at(0), listing, 1);
+        view.on_unreachable(at(3_000), at(case.silent_since_ms));
+        let length = view.on_answer(at(6_000), at(case.answering_since_ms));
+        expect_that!(length, some(eq(at(6_000).since(at(case.silent_since_ms)))));
+        view.apply_changes(at(6_000), [entry("e-1", 10, None)], 10);
+        for now_ms in [6_000, 7_299, 7_300, 8_299, 8_300] {
+            view.expire(at(now_ms));
+            let is_kept = !usable_endpoints(&view).is_empty();
+            expect_that!(
+                is_kept,
+                eq(now_ms < case.kept_until_ms),
+                "{}, {now_ms}",
+                case.name
+            );
+        }
+    }
+}
--- a/tests/fleet_vm_cases/platform.rs
+++ b/tests/fleet_vm_cases/platform.rs
@@ -230,6 +230,134 @@
     .await;
 }
 
+/// What happens to the store before an endpoint's entry is removed.
+#[derive(Debug, Clone, Copy)]
+enum StoreStep {
+    CutWatches,
+    Mode(store::Mode),
+    WaitMs(u64),
+}
+
+/// Guards against requests to endpoints that left: a cut watch was taken for an outage of the store, and the end
+/// of an outage was noticed only when a watch had waited, so that removed entries were kept for too long.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removed_endpoint_gets_nothing_while_the_store_is_sound() {
+    use StoreStep::{CutWatches, Mode, WaitMs};
+    struct Case {
+        name: &'static str,
+        steps: &'static [StoreStep],
+    }
+    let cases = [
+        Case {
+            name: "a cut",
+            steps: &[CutWatches, WaitMs(1_500)],
+        },
+        Case {
+            name: "a cut at the same moment",
+            steps: &[WaitMs(1_100), CutWatches],
+        },
+        Case {
+            name: "cuts in series",
+            steps: &[
+                CutWatches,
+                WaitMs(400),
+                CutWatches,
+                WaitMs(400),
+                CutWatches,
+                WaitMs(1_200),
+            ],
+        },
+        Case {
+            name: "a silent store is back for as long as its return may be noticed",
+            steps: &[
+                Mode(store::Mode::Silent),
+                WaitMs(5_200),
+                Mode(store::Mode::Up),
+                WaitMs(3_050),
+            ],
+        },
+        Case {
+            name: "a busy store is back for as long",
+            steps: &[
+                Mode(store::Mode::Busy),
+                WaitMs(4_000),
+                Mode(store::Mode::Up),
+                WaitMs(3_050),
+            ],
+        },
+        Case {
+            name: "a cut soon after an outage",
+            steps: &[
+                Mode(store::Mode::Silent),
+                WaitMs(4_000),
+                Mode(store::Mode::Up),
+                WaitMs(1_900),
+                CutWatches,
+                WaitMs(1_150),
+            ],
+        },
+    ];
+    let cases = cases.map(|Case { name, steps }| async move {
+        let fleet = Fleet::start(2).await;
+        for step in steps {
+            match step {
+                CutWatches => fleet.store.cut_watches(),
+                Mode(mode) => fleet.store.set_mode(*mode),
+                WaitMs(ms) => tokio::time::sleep(Duration::from_millis(*ms)).await,
+            }
+        }
+        let leaving = &fleet.backends[0];
+        fleet.store.delete(&format!("servers/{}", leaving.id));
+        tokio::time::sleep(MAX_DRAIN_DELAY).await;
+        let received_before = leaving.received().len();
+        for number in 0..40 {
+            let vm = fleet.vms[number % 2].caller_address();
+            let answer = request(vm, "/look/x", &format!("r-{number}"), "key-1").await;
+            expect_that!(status(&answer), eq(200), "{name}");
+        }
+        expect_that!(leaving.received().len(), eq(received_before), "{name}");
+    });
+    futures::future::join_all(cases).await;
+}
+
+/// Guards against sound endpoints that are dropped after an outage of the store, in which their entries
+/// lapsed: they register again within two seconds.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_that_register_again_after_an_outage_serve_all_the_while() {
+    let cases = [store::Mode::Silent, store::Mode::Busy].map(|mode| async move {
+        let fleet = Fleet::start(2).await;
+        fleet.store.set_mode(mode);
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
+        for backend in &fleet.backends {
+            fleet.store.delete(&format!("servers/{}", backend.id));
+        }
+        fleet.store.set_mode(store::Mode::Up);
+        let returned = Instant::now();
+        let mut number = 0;
+        let mut are_listed = false;
+        while returned.elapsed() < Duration::from_millis(3_500) {
+            if !are_listed && returned.elapsed() >= Duration::from_millis(1_800) {
+                (0..fleet.backends.len()).for_each(|backend| fleet.list_backend(backend, "ready"));
+                are_listed = true;
+            }
+            let vm = fleet.vms[number % 2].caller_address();
+            let path = ["/look/x", "/pay/x", "/stream/x"][number % 3];
+            let answer = request(vm, path, &format!("r-{number}"), "key-1").await;
+            expect_that!(
+                status(&answer),
+                eq(200),
+                "{mode:?} {:?}",
+                returned.elapsed()
+            );
+            number += 1;
+            tokio::time::sleep(Duration::from_millis(40)).await;
+        }
+    });
+    futures::future::join_all(cases).await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn unreadable_entries_harm_no_other() {
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -168,6 +168,7 @@
             configuration: self.bytes(),
             evacuated: self.texts(),
             endpoints: (0..endpoints).map(|_| endpoint(self)).collect(),
+            answering_ms: self.number(),
         }
     }
 
@@ -183,6 +184,7 @@
             is_current: self.0.random(),
             revision: self.number(),
             changes: (0..changes).map(|_| change(self)).collect(),
+            answering_ms: self.number(),
         }
     }
 
--- a/tests/store_relays.rs
+++ b/tests/store_relays.rs
@@ -133,6 +133,38 @@
     }
 }
 
+/// Guards against a cut watch that is taken for the loss of the store: the relays would say so to all listeners,
+/// which turn to the store itself, and removed endpoints would stay in use.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_watches_of_all_relays_are_no_loss_of_the_store() {
+    let fleet = Fleet::start(VMS).await;
+    // Until now the VMs may still have learned which of them are relays.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let reports = |vm: &users_platform::Vm| {
+        let log = vm.log();
+        let lines = ["store: cannot be reached", "a relay has no word of it"];
+        lines.map(|line| log.matches(line).count())
+    };
+    let before: Vec<_> = fleet.vms.iter().map(reports).collect();
+    for _ in 0..3 {
+        fleet.store.cut_watches();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    let after: Vec<_> = fleet.vms.iter().map(reports).collect();
+    expect_that!(after, eq(&before));
+    let leaving = &fleet.backends[0];
+    fleet.store.delete(&format!("servers/{}", leaving.id));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let received_before = leaving.received().len();
+    for vm in &fleet.vms {
+        let id = format!("r-{}", vm.name);
+        let answer = request(vm.caller_address(), "/look/x", &id, "key-1").await;
+        expect_that!(answer.map(|answer| answer.status), some(eq(200)), "{id}");
+    }
+    expect_that!(leaving.received().len(), eq(received_before));
+}
+
 /// A fleet that starts for the first time lists the store at its relays only.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/users_platform/store.rs
+++ b/tests/users_platform/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's key-value store, with items, revisions, watches and outages.
 
 use std::collections::{BTreeMap, HashMap};
-use std::convert::Infallible;
+use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,6 +41,8 @@
     /// Modes that replace `mode` for single callers.
     modes_by_caller: HashMap<IpAddr, Mode>,
     call_count: u64,
+    /// Number of times that the waiting watches were cut.
+    watch_cuts: u64,
 }
 
 /// Store of one test.
@@ -61,6 +63,7 @@
             mode: Mode::Up,
             modes_by_caller: HashMap::new(),
             call_count: 0,
+            watch_cuts: 0,
         }));
         let changed = Arc::new(Notify::new());
         let (served_state, served_changed) = (Arc::clone(&state), Arc::clone(&changed));
@@ -122,6 +125,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Closes the connections of all waiting watches without an answer, as the platform may do at any time.
+    pub fn cut_watches(&self) {
+        self.state.lock().watch_cuts += 1;
+        self.changed.notify_waiters();
+    }
+
     /// Drops the history, so that a watch from an older revision is answered with 410.
     pub fn compact(&self) {
         self.state.lock().history.clear();
@@ -133,7 +142,8 @@
     }
 }
 
-type Answer = Result<Response<Full<Bytes>>, Infallible>;
+/// An error closes the connection without an answer.
+type Answer = io::Result<Response<Full<Bytes>>>;
 
 fn json_answer(value: &Value) -> Response<Full<Bytes>> {
     Response::new(Full::new(Bytes::from(value.to_string())))
@@ -182,15 +192,8 @@
         "/api/kv-watch" => {
             let wait_ms = query.get("WaitMs").and_then(|text| text.parse().ok());
             let wait = Duration::from_millis(wait_ms.unwrap_or(0));
-            Ok(watch(
-                &state,
-                &changed,
-                from,
-                &prefix,
-                after.parse().unwrap_or(0),
-                wait,
-            )
-            .await)
+            let after = after.parse().unwrap_or(0);
+            watch(&state, &changed, from, &prefix, after, wait).await
         }
         _ => Ok(empty_answer(StatusCode::NOT_FOUND)),
     }
@@ -224,8 +227,9 @@
     prefix: &str,
     after: u64,
     wait: Duration,
-) -> Response<Full<Bytes>> {
+) -> Answer {
     let deadline = tokio::time::Instant::now() + wait;
+    let cuts = state.lock().watch_cuts;
     loop {
         let notified = changed.notified();
         // A watch that is open when its caller's mode becomes silent gets no answer either.
@@ -239,8 +243,11 @@
                 .history
                 .first()
                 .map_or(state.revision + 1, |(revision, ..)| *revision);
+            if state.watch_cuts != cuts {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
             if after + 1 < first_revision && after < state.revision {
-                return empty_answer(StatusCode::GONE);
+                return Ok(empty_answer(StatusCode::GONE));
             }
             let events: Vec<Value> = state
                 .history
@@ -253,8 +260,8 @@
                 .collect();
             let is_past_deadline = tokio::time::Instant::now() >= deadline;
             if !events.is_empty() || is_past_deadline || state.mode != Mode::Up {
-                return json_answer(&json!({ "events": events,
-                    "StoreRevision": state.revision }));
+                return Ok(json_answer(&json!({ "events": events,
+                    "StoreRevision": state.revision })));
             }
         }
         let _ = tokio::time::timeout_at(deadline, notified).await;
