fix(store): listeners keep entries that lapsed in an outage

Callers saw: in fleets with relays, after an outage of the store in which entries had lapsed, most VMs answered 503 until the endpoints had registered again, up to two seconds later.

A VM found an outage by its own failed calls only; a listener makes none, and took the removals that a relay passed on after the outage for endpoints that had left.

Change: a relay that has asked the store in vain says so, and that begins an outage for its listener. It ends with the first relay that has word, and counts from when the store answered that relay; one that never lost it ends it as if it had not been. A relay that has only just started says nothing. Relays vouch for 4 s in place of 3 s, so that they know by then.

--- a/src/fleet/store_feed.rs
+++ b/src/fleet/store_feed.rs
@@ -16,9 +16,9 @@
 
 /// Time for which a listener waits for changes before it is told that there are none.
 pub const HOLD_TIME: Duration = Duration::from_millis(1_000);
-/// Time since the store's last answer after which this VM no longer vouches for what it knows. A
-/// watch of the store is answered more often.
-const MAX_ANSWER_AGE: Duration = Duration::from_millis(3_000);
+/// Time since the store's last answer after which this VM no longer vouches for what it knows. A silent watch and
+/// the check after it have timed out by then, so that this VM knows whether it has lost the store.
+pub const MAX_ANSWER_AGE: Duration = Duration::from_millis(4_000);
 
 /// What this VM has learned from the store itself, for other VMs.
 #[derive(Debug, Default)]
@@ -30,6 +30,8 @@
     pub answered_at: Option<Time>,
     /// Since when the store has answered this VM without a break.
     pub answering_since: Option<Time>,
+    /// Whether the store does not answer this VM.
+    pub has_lost_store: bool,
 }
 
 impl StoreFeed {
@@ -72,7 +74,10 @@
     let _ = timeout(hold_time, wait).await;
     let feed = Arc::clone(&feed.borrow());
     if !feed.is_current() {
-        return Body::StoreNews(StoreNews::default());
+        return Body::StoreNews(StoreNews {
+            has_lost_store: feed.has_lost_store,
+            ..StoreNews::default()
+        });
     }
     match feed.changes.since(after) {
         Some(changes) => Body::StoreNews(StoreNews {
@@ -80,6 +85,7 @@
             revision: feed.changes.revision(),
             changes: changes.map(|change| encode_item(change)).collect(),
             answering_ms: feed.answering_ms(),
+            has_lost_store: false,
         }),
         // The view was published before the feed, so it has at least the feed's revision.
         None => Body::State(FleetState {
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context as _, bail};
+use anyhow::{Context as _, anyhow, bail};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::{error, info, warn};
@@ -20,7 +20,7 @@
 use crate::fleet::metric;
 use crate::fleet::model::{Endpoint, FleetVm};
 use crate::fleet::peer_state::decode_state;
-use crate::fleet::store_feed::{HOLD_TIME, StoreFeed, decode_item, logged};
+use crate::fleet::store_feed::{HOLD_TIME, MAX_ANSWER_AGE, StoreFeed, decode_item, logged};
 use crate::fleet::wire::{Body, Empty, FleetState, ListenToStore};
 use crate::platform::configuration::decode_configuration;
 use crate::platform::endpoint_entry::decode_endpoint;
@@ -68,7 +68,9 @@
         source: StoreSource::default(),
         changes: ChangeLog::default(),
         answering_since: None,
+        may_watch: false,
         unanswered_since: None,
+        last_word_at: None,
         control,
     };
     let mut pause = INITIAL_RETRY_PAUSE;
@@ -165,11 +167,14 @@
     control: Arc<Control>,
     source: StoreSource,
     changes: ChangeLog<StoreItem>,
-    /// Since when the store has answered this VM without a break; `None` while it does not, or another source is
-    /// used.
+    /// Since when the store has answered this VM or its relays without a break; `None` while it does not.
     answering_since: Option<Time>,
+    /// Whether the store has answered the last call of this VM, and no other source was used since.
+    may_watch: bool,
     /// When the store last may have answered, if the last watch ended without an answer.
     unanswered_since: Option<Time>,
+    /// When the store or a relay last answered.
+    last_word_at: Option<Time>,
 }
 
 impl Follower {
@@ -178,47 +183,60 @@
         let vms = live_vms(&self.control);
         let source = self.source.choose(clock::now(), &self.control.own_vm, &vms);
         if source != Source::Store {
-            self.answering_since = None;
+            self.may_watch = false;
             self.publish_feed(false);
         }
         source
     }
 
     fn on_failure(&mut self, source: Source, error: &anyhow::Error) {
-        let (control, now) = (&self.control, clock::now());
+        let now = clock::now();
         match source {
             Source::Store => {
                 self.source.on_store_failed(now);
-                self.answering_since = None;
-                let since = self.unanswered_since.take().unwrap_or(now);
-                let mut store = control.store.lock();
-                if store.on_unreachable(now, since) {
-                    warn!(control.logger, "store: cannot be reached";
-                        "error" => format!("{error:#}"), "revision" => store.revision);
-                }
-                drop(store);
+                self.may_watch = false;
+                let since = self.unanswered_since.take().or(self.last_word_at);
+                self.note_unreachable(since, error);
                 self.publish_feed(false);
             }
             Source::Nobody(_) => {}
             Source::Relay(ip) => {
                 self.source.on_relay_failed(now, ip);
-                info!(control.logger, "store: a relay has no word of it"; "vm" => %ip,
+                info!(self.control.logger, "store: a relay has no word of it"; "vm" => %ip,
                     "error" => format!("{error:#}"));
             }
         }
     }
 
+    /// Notes that the store does not answer this VM, or a relay that it listens to, and has not done so since
+    /// `since` at the earliest.
+    fn note_unreachable(&mut self, since: Option<Time>, error: &anyhow::Error) {
+        self.answering_since = None;
+        let now = clock::now();
+        let mut store = self.control.store.lock();
+        if store.on_unreachable(now, since.unwrap_or(now)) {
+            warn!(self.control.logger, "store: cannot be reached";
+                "error" => format!("{error:#}"), "revision" => store.revision);
+        }
+    }
+
     /// Publishes the changes for listeners; `is_current` says that the store has just answered.
     fn publish_feed(&self, is_current: bool) {
         let feed = &self.control.feed;
         let answered_at = is_current.then(clock::now);
-        if answered_at.is_none() && feed.borrow().answered_at.is_none() {
+        let has_lost_store = self.control.store.lock().is_unreachable();
+        let is_known = {
+            let known = feed.borrow();
+            known.answered_at.is_none() && known.has_lost_store == has_lost_store
+        };
+        if answered_at.is_none() && is_known {
             return;
         }
         feed.send_replace(Arc::new(StoreFeed {
             changes: self.changes.clone(),
             answered_at,
             answering_since: self.answering_since,
+            has_lost_store,
         }));
     }
 
@@ -239,7 +257,7 @@
             self.list(client).await?;
             return Ok(Progress::Checked);
         }
-        if self.answering_since.is_none() || self.unanswered_since.is_some() {
+        if !self.may_watch || self.unanswered_since.is_some() {
             metric::store_called("check");
             let outcome = client.check("", after).await?;
             self.apply_outcome(client, after, outcome).await?;
@@ -291,10 +309,21 @@
 
     /// Notes that the store has answered this VM.
     fn note_answer(&mut self) {
-        let now = clock::now();
-        self.answering_since.get_or_insert(now);
+        self.may_watch = true;
         self.unanswered_since = None;
-        note_store_answer(&self.control, now);
+        self.note_word(clock::now());
+    }
+
+    /// Notes that the store answers this VM or a relay, and has done so since `since` at the latest.
+    fn note_word(&mut self, since: Time) {
+        let now = clock::now();
+        self.last_word_at = Some(now);
+        let known = self.answering_since.unwrap_or(since);
+        self.answering_since = Some(known.min(since));
+        let outage = self.control.store.lock().on_answer(now, since);
+        if let Some(outage) = outage {
+            info!(self.control.logger, "store: answers again"; "outage_ms" => outage.as_millis() as u64);
+        }
     }
 
     async fn list(&mut self, client: StoreClient) -> anyhow::Result<()> {
@@ -336,15 +365,23 @@
         let answer = timeout(LISTEN_TIMEOUT, control.peers.call(ip, call)).await;
         match answer.context("the relay did not answer in time")?? {
             Body::StoreNews(news) if news.is_current => {
-                note_store_answer(control, answering_since(news.answering_ms));
+                self.note_word(answering_since(news.answering_ms));
                 let items = news.changes.into_iter().map(decode_item);
-                apply_changes(control, items, news.revision);
+                apply_changes(&self.control, items, news.revision);
                 Ok(())
             }
-            Body::StoreNews(_) => bail!("the relay does not reach the store"),
+            Body::StoreNews(news) => {
+                let error = anyhow!("the relay does not reach the store");
+                if news.has_lost_store {
+                    // A relay vouches for some time for what it has learned before.
+                    let since = self.last_word_at.map(|at| at - MAX_ANSWER_AGE);
+                    self.note_unreachable(since, &error);
+                }
+                Err(error)
+            }
             Body::State(state) => {
-                note_store_answer(control, answering_since(state.answering_ms));
-                apply_state(control, ip, state);
+                self.note_word(answering_since(state.answering_ms));
+                apply_state(&self.control, ip, state);
                 Ok(())
             }
             _ => bail!("the relay sent an answer of the wrong type"),
@@ -392,14 +429,6 @@
     clock::now() - Duration::from_millis(answering_ms)
 }
 
-/// Notes that the store answers, and has done so since `since` at the latest. Logs the end of an outage.
-fn note_store_answer(control: &Control, since: Time) {
-    let outage = control.store.lock().on_answer(clock::now(), since);
-    if let Some(outage) = outage {
-        info!(control.logger, "store: answers again"; "outage_ms" => outage.as_millis() as u64);
-    }
-}
-
 /// Decodes an item of the store. Returns `None` for items that this system ignores, and for a
 /// removed or invalid configuration, which leaves the former one in force.
 fn decode_change(control: &Control, item: StoreItem) -> Option<StoreChange> {
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -312,8 +312,8 @@
 /// Changes of the platform's store.
 #[derive(Clone, PartialEq, Message)]
 pub struct StoreNews {
-    /// Whether the sender watches the store and has had an answer from it lately. If not, nothing
-    /// else is set.
+    /// Whether the sender watches the store and has had an answer from it lately. If not, only
+    /// `has_lost_store` is set.
     #[prost(bool, tag = "1")]
     pub is_current: bool,
     /// Revision up to which the message has all changes after the one that was asked for.
@@ -326,6 +326,10 @@
     /// builds.
     #[prost(uint64, tag = "4")]
     pub answering_ms: u64,
+    /// Whether the sender has asked the store and got no answer. A relay that has only just started has no word of
+    /// the store either, but that says nothing about the store.
+    #[prost(bool, tag = "5")]
+    pub has_lost_store: bool,
 }
 
 /// A change of an item of the platform's store.
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -185,6 +185,7 @@
             revision: self.number(),
             changes: (0..changes).map(|_| change(self)).collect(),
             answering_ms: self.number(),
+            has_lost_store: self.0.random(),
         }
     }
 
--- a/tests/store_relays.rs
+++ b/tests/store_relays.rs
@@ -165,6 +165,42 @@
     expect_that!(leaving.received().len(), eq(received_before));
 }
 
+/// Guards against sound endpoints that listeners drop after an outage of the store, in which entries lapsed:
+/// a listener makes no call to the store itself, and learns of the outage from its relays.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn listeners_keep_endpoints_that_register_again_after_an_outage() {
+    let cases = [Mode::Busy, Mode::Silent].map(|mode| async move {
+        let fleet = Fleet::start(VMS).await;
+        fleet.store.set_mode(mode);
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
+        for backend in &fleet.backends {
+            fleet.store.delete(&format!("servers/{}", backend.id));
+        }
+        fleet.store.set_mode(Mode::Up);
+        let returned = Instant::now();
+        let mut are_listed = false;
+        let mut number = 0;
+        while returned.elapsed() < Duration::from_millis(3_000) {
+            if !are_listed && returned.elapsed() >= Duration::from_millis(1_500) {
+                (0..fleet.backends.len()).for_each(|backend| fleet.list_backend(backend, "ready"));
+                are_listed = true;
+            }
+            let vm = &fleet.vms[number % VMS];
+            let id = format!("r-{number}");
+            let answer = request(vm.caller_address(), "/look/x", &id, "key-1").await;
+            let status = answer.map(|answer| answer.status);
+            let after = returned.elapsed();
+            expect_that!(status, some(eq(200)), "{mode:?}, {}, {after:?}", vm.name);
+            number += 1;
+            tokio::time::sleep(Duration::from_millis(15)).await;
+        }
+    });
+    for case in cases {
+        case.await;
+    }
+}
+
 /// A fleet that starts for the first time lists the store at its relays only.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
