fix(fleet): a stopping VM hands its queues of stage jobs over

Callers saw: when the VM that owned the queue of a stage was stopped under load, requests at other VMs were refused 503 ("the stages are overloaded") although they had time left and nothing of them had run (11 of 60 in the test).

Cause: as for the requests of the stopping VM itself, its queues were expected to empty before the stop ends. Jobs that still waited lost their connection with the process; the VMs that had sent them could not know that they had not begun, and sent them again as retries, for which the limit is low.

Change: as a stop begins, the owner ends the jobs that have not begun and turns new ones away with "stopping"; they go to the next owner, not as retries. Its own requests send their jobs to other owners first.

Measured: jobs_that_wait_at_a_stopping_owner_go_to_the_next_one fails before (11 of 60 requests where the owner stops, none where it does not) and passes now, with all of planned_stop.

--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -222,6 +222,16 @@
         ids.into_iter().filter_map(evict).collect()
     }
 
+    /// Ends the jobs of which no item has been sent, so that another owner of the group can run them.
+    pub fn evict_unstarted(&mut self) -> Vec<JobEnd> {
+        let jobs = self.jobs.iter();
+        let unstarted = jobs.filter(|(_, job)| !job.is_started);
+        let ids: Vec<JobId> = unstarted.map(|(id, _)| *id).collect();
+        let may_have_run = false;
+        let evict = |id| self.fail_job(id, ItemFailure::NoEndpoint { may_have_run });
+        ids.into_iter().filter_map(evict).collect()
+    }
+
     /// Returns the number of endpoints that work: those without an open circuit.
     pub fn working_endpoints(&self, now: Time, usable: &[Arc<Endpoint>]) -> usize {
         let works = |endpoint: &&Arc<Endpoint>| {
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -225,6 +225,15 @@
         result.map_err(JobFailure::Item)
     }
 
+    /// Ends the jobs that have not begun as if their groups had no endpoint, since this VM stops.
+    pub fn hand_over(&self) {
+        let queues: Vec<_> = self.queues.lock().values().cloned().collect();
+        for queue in queues {
+            let evicted = queue.batcher.lock().evict_unstarted();
+            end_jobs(self, &queue, evicted);
+        }
+    }
+
     /// Records the load that the owner of another group reports.
     pub fn record_load(&self, group: GroupId, load: GroupLoad) {
         self.loads.lock().record(clock::now(), group, load);
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -259,6 +259,7 @@
     let planned_stop = PlannedStop::new(clock::now(), node.settings.grace);
     *node.planned_stop.lock() = Some(planned_stop);
     stop.send_replace(true);
+    node.dispatcher.hand_over();
     info!(node.logger, "vm: planned stop begins"; "requests" => open_work(node));
     sleep(LEAVE_NOTICE_PERIOD).await;
     closing.connections.cancel();
--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -97,13 +97,21 @@
     let owners = view.stage_groups.get(group).map(|group| &*group.owners);
     let owners = owners.unwrap_or_default().iter();
     let reachable = owners.filter(|vm| !node.peers.is_avoided(vm.ip));
+    let was_stopping = node.is_stopping();
     for vm in reachable.take(MAX_OWNERS_TRIED) {
         if vm.name == node.settings.vm {
+            if was_stopping {
+                continue;
+            }
             break;
         }
         let call = Body::StageJob(encode_job(group, job, may_move, clock::now()));
         match node.peers.call(vm.ip, call).await {
             Ok(Body::Results(results)) => return Ok(results.handles),
+            Ok(Body::JobFailed(failed)) if failed.is_stopping => {
+                info!(node.logger, "stages: the owner stops, trying the next VM";
+                    "id" => &*job.request, "group" => %group, "stopping_vm" => %vm.name);
+            }
             Ok(Body::JobFailed(failed)) => return Err(decode_failure(&failed)),
             Ok(_) => {
                 warn!(node.logger, "stages: a VM sent an answer of the wrong type"; "vm" => %vm.name)
@@ -117,7 +125,12 @@
             }
         }
     }
-    node.dispatcher.run(group, job.clone(), may_move).await
+    let outcome = node.dispatcher.run(group, job.clone(), may_move).await;
+    if !was_stopping && node.is_stopping() && outcome == Err(JobFailure::NO_ENDPOINT) {
+        // The job has been handed over. There is no further round, since this VM is stopping now.
+        return Box::pin(run_at_owner(node, &node.view(), group, job, may_move)).await;
+    }
+    outcome
 }
 
 /// Serves a call of another VM. Returns no answer for a message that needs none or is not a call.
@@ -170,6 +183,16 @@
 /// all jobs of a service to one VM; it is sent on to the owner of its group.
 async fn serve_job(node: &Arc<Node>, wire: StageJob) -> Body {
     let _active = ActivePeerJob::new(node);
+    let stopping = || {
+        Body::JobFailed(JobFailed {
+            is_stopping: true,
+            // For earlier builds, which look no further.
+            ..failed_job(JobFailure::NO_ENDPOINT)
+        })
+    };
+    if node.is_stopping() {
+        return stopping();
+    }
     let service = wire.service.clone();
     let group: Option<GroupId> = wire.group.as_ref().and_then(|group| group.parse().ok());
     let may_move = wire.may_move;
@@ -181,7 +204,8 @@
     };
     match outcome {
         Ok(handles) => Body::Results(Handles { handles, service }),
-        Err(failure) => encode_failure(failure),
+        Err(JobFailure::NO_ENDPOINT) if node.is_stopping() => stopping(),
+        Err(failure) => Body::JobFailed(failed_job(failure)),
     }
 }
 
@@ -329,7 +353,7 @@
     }
 }
 
-fn encode_failure(failure: JobFailure) -> Body {
+fn failed_job(failure: JobFailure) -> JobFailed {
     let mut failed = JobFailed::default();
     failed.reason = match failure {
         JobFailure::Overloaded(wait) => {
@@ -349,7 +373,7 @@
             6
         }
     };
-    Body::JobFailed(failed)
+    failed
 }
 
 fn decode_failure(failed: &JobFailed) -> JobFailure {
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -295,6 +295,9 @@
     /// Whether items of the job may have run; only for the reason 1.
     #[prost(bool, tag = "4")]
     pub may_have_run: bool,
+    /// Whether the sender stops and has run no item of the job, which is for the next owner of the group.
+    #[prost(bool, tag = "5")]
+    pub is_stopping: bool,
 }
 
 /// Asks for changes of the platform's store.
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -299,6 +299,52 @@
     join_all(cases).await;
 }
 
+/// Guards against requests that a planned stop of another VM costs their place: jobs that wait in the queue of a
+/// stopping owner have not run, and go to the next owner without a retry.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_that_wait_at_a_stopping_owner_go_to_the_next_one() {
+    const REQUESTS: usize = 60;
+    const DEADLINE_MS: u64 = 40_000;
+    // One of the two VMs owns the queue of the stage.
+    let cases = [0, 1].map(|stopped: usize| async move {
+        let mut fleet = Fleet::prepare(2).await;
+        fleet.change_configuration(|configuration| {
+            for route in configuration["Routes"].as_array_mut().unwrap() {
+                route["TimeoutMs"] = json!(DEADLINE_MS);
+            }
+            configuration["Services"][2]["Pieces"]["CallMs"] = json!(1_000.0);
+        });
+        fleet
+            .backends_of("first")
+            .for_each(|backend| backend.set_work_time(Duration::from_millis(1_000)));
+        fleet.vms.iter_mut().for_each(users_platform::Vm::start);
+        fleet.wait_until_ready().await;
+        let vm = fleet.vms[1 - stopped].caller_address();
+        let mut running = JoinSet::new();
+        for number in 0..REQUESTS {
+            running.spawn(async move {
+                let id = format!("r-{number}");
+                let body = "{}".into();
+                let answer =
+                    request_with(vm, "/stream/x", &id, "key-1", &[], body, DEADLINE_MS).await;
+                (id, answer)
+            });
+        }
+        sleep(Duration::from_millis(500)).await;
+        fleet.vms[stopped].signal(Signal::TERM);
+        while let Some(ended) = running.join_next().await {
+            let (id, answer) = ended.unwrap();
+            let is_whole = answer
+                .as_ref()
+                .is_some_and(|answer| is_whole(answer, "/stream/x", &id));
+            expect_that!(is_whole, eq(true), "VM {stopped} stops: {id}: {answer:?}");
+        }
+        expect_that!(fleet.vms[stopped].wait_for_exit().await, eq(true));
+    });
+    join_all(cases).await;
+}
+
 /// A body that comes too slowly for an answer before the VM stops is refused, not cut off.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
