fix(fleet): a stopping VM no longer refuses new requests by the length of a queue

Jobs that can be on time go before late ones, so the length says little about them.

Change: stage jobs keep the deadline of their request; the wait for them is still bounded by the stop, as tested.

--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -230,11 +230,7 @@
         .map(|limits| limits.result_ttl)
         .min();
     let inputs_expire_at = inputs_ttl.map(|ttl| now + ttl.mul_f64(INPUTS_TTL_FRACTION));
-    let planned_stop = *node.planned_stop.lock();
-    let answer_by = planned_stop.map_or(admitted.deadline, |planned_stop| {
-        planned_stop.answer_by().min(admitted.deadline)
-    });
-    let deadline = answer_by - min_remaining;
+    let deadline = admitted.deadline - min_remaining;
     let due = admitted.due - expected_remaining;
     let is_read_by_engine = route_stage.after.is_empty() && !has_followers(&admitted.route, stage);
     let job = Job {
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -410,10 +410,6 @@
     /// Returns the reply for a request whose stages have no results.
     fn stage_failure(&self, failure: StageFailure) -> RequestEnd {
         let failure = match failure {
-            // Another VM may have more time for the same queue.
-            StageFailure::Job(JobFailure::Overloaded(_)) if self.node.is_stopping() => {
-                return RequestEnd::vm_stops(self.attempts.runs);
-            }
             StageFailure::VmStops => return RequestEnd::vm_stops(self.attempts.runs),
             StageFailure::Job(failure) => failure,
         };
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -299,6 +299,53 @@
     join_all(cases).await;
 }
 
+/// Guards against requests that a stopping VM refuses although it can answer them: those that can be on time go
+/// before late ones, so a long queue does not mean that a new request waits.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_vm_answers_new_requests_that_go_before_late_ones() {
+    const LATE_REQUESTS: usize = 70;
+    const DEADLINE_MS: u64 = 40_000;
+    // One of the two VMs owns the queue of the stage.
+    let cases = [0, 1].map(|stopped: usize| async move {
+        let mut fleet = Fleet::prepare(2).await;
+        fleet.change_configuration(|configuration| {
+            for route in configuration["Routes"].as_array_mut().unwrap() {
+                route["TimeoutMs"] = json!(DEADLINE_MS);
+                route["TargetLatencyMs"] = json!(3_500);
+            }
+            configuration["Services"][2]["Pieces"]["CallMs"] = json!(800.0);
+        });
+        fleet
+            .backends_of("first")
+            .for_each(|backend| backend.set_work_time(Duration::from_millis(800)));
+        fleet.vms.iter_mut().for_each(users_platform::Vm::start);
+        fleet.wait_until_ready().await;
+        let send = |vm: usize, id: String| {
+            let vm = fleet.vms[vm].caller_address();
+            tokio::spawn(async move {
+                let body = "{}".into();
+                let answer =
+                    request_with(vm, "/stream/x", &id, "key-1", &[], body, DEADLINE_MS).await;
+                answer.is_some_and(|answer| is_whole(&answer, "/stream/x", &id))
+            })
+        };
+        let late: Vec<_> = (0..LATE_REQUESTS)
+            .map(|number| send(1 - stopped, format!("late-{number}")))
+            .collect();
+        sleep(Duration::from_millis(4_000)).await;
+        fleet.vms[stopped].signal(Signal::TERM);
+        sleep(Duration::from_millis(300)).await;
+        let new = join_all((0..3).map(|number| send(stopped, format!("new-{number}")))).await;
+        for is_whole in new {
+            expect_that!(is_whole.unwrap(), eq(true), "the VM {stopped} stops");
+        }
+        late.iter().for_each(tokio::task::JoinHandle::abort);
+        expect_that!(fleet.vms[stopped].wait_for_exit().await, eq(true));
+    });
+    join_all(cases).await;
+}
+
 /// Guards against requests that a planned stop of another VM costs their place: jobs that wait in the queue of a
 /// stopping owner have not run, and go to the next owner without a retry.
 #[gtest]
