feat(fleet): count whole requests that end without an answer by cause

Callers saw requests end without an answer or a refusal. The lines did not name what such a request waited for or that this VM had closed its connection, and streams that were cut at the end of a planned stop had none.

Requests that end without a whole answer are now logged and counted with their cause (caller_left, own_close, planned_stop, deadline, endpoint) and with what they waited for; so are the closes of callers' connections by this VM, and cancelled stage jobs. At the end of a planned stop the open connections end 20 ms before the process, so that their requests are logged. No decision changes otherwise.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -14,6 +14,7 @@
 use crate::fleet::model::{Configuration, Organisation, Route, RouteKind};
 use crate::fleet::node::Node;
 use crate::fleet::reply::{self, Reply};
+use crate::fleet::request_progress::Progress;
 use crate::platform::caller::CallerRequest;
 use crate::units::{ServiceName, Time};
 
@@ -53,6 +54,8 @@
     pub due: Time,
     /// Time until which the request gets its final answer at the latest.
     pub deadline: Time,
+    /// What the request waits for.
+    pub progress: Arc<Progress>,
 }
 
 impl AdmittedRequest {
@@ -107,6 +110,7 @@
     request: Request<Incoming>,
     caller: CallerRequest,
     arrived_at: Time,
+    progress: Arc<Progress>,
 ) -> Result<AdmittedRequest, RequestEnd> {
     let planned_stop = *node.planned_stop.lock();
     if planned_stop.is_some_and(|planned_stop| !planned_stop.accepts(arrived_at)) {
@@ -167,6 +171,7 @@
         due: arrived_at + route.objective,
         deadline,
         caller,
+        progress,
     })
 }
 
--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -21,7 +21,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use slog::{Logger, error};
+use slog::{Logger, error, info};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
@@ -31,6 +31,7 @@
 use crate::fleet::metric;
 use crate::fleet::model::CallerLimits;
 use crate::fleet::reply::{Reply, ReplyBody, text};
+use crate::fleet::request_progress::{LossCause, Wait};
 
 /// Time that is added to the configured timeouts. Callers may use all of the time, and a close must not
 /// cross a request on its way.
@@ -77,6 +78,8 @@
     pub stopping: watch::Receiver<bool>,
     /// Once it is cancelled, connections close as soon as no request is in progress.
     pub closing: CancellationToken,
+    /// Once it is cancelled, connections end with their requests in progress.
+    pub cut_off: CancellationToken,
 }
 
 /// What is under way on a connection.
@@ -129,6 +132,12 @@
         }
     }
 
+    /// Returns for how long no byte of an answer was written.
+    fn idle_time(&self, opened_at: Instant) -> Duration {
+        let last_written_at = self.state.lock().last_written_at;
+        last_written_at.unwrap_or(opened_at).elapsed()
+    }
+
     /// Returns the time at which the connection is to be closed; `None` while a request is in progress.
     fn close_at(
         &self,
@@ -357,6 +366,7 @@
         tokio::select! {
             biased;
             _ = &mut connection => break false,
+            () = context.cut_off.cancelled() => return,
             () = activity.changed.notified() => {}
             () = context.closing.cancelled(), if closing_at.is_none() => {
                 closing_at = Some(Instant::now());
@@ -376,16 +386,35 @@
     };
     let parts = connection.into_parts();
     let mut stream = parts.io.into_inner().stream;
-    if is_timed_out && is_head(&parts.read_buf) {
+    if !is_timed_out {
+        close(stream).await;
+        return;
+    }
+    let caller = stream.peer_addr().map(|address| address.to_string()).ok();
+    let reason = match (is_head(&parts.read_buf), closing_at) {
+        (true, _) => "head",
+        (false, Some(_)) => "stop",
+        (false, None) => "idle",
+    };
+    metric::connection_closed(reason);
+    let (logger, idle) = (&context.logger, activity.idle_time(opened_at));
+    info!(logger, "connection: closed by this VM"; "caller" => &caller, "reason" => reason,
+        "idle_ms" => idle.as_millis() as u64);
+    if reason == "head" {
         // If the write fails, the caller has closed the connection.
         let _ = stream.write_all(HEAD_TIMEOUT_ANSWER).await;
     }
-    close(stream).await;
+    let discarded_bytes = close(stream).await;
+    if reason != "head" && discarded_bytes > 0 {
+        metric::request_unanswered(LossCause::OwnClose, Wait::Body);
+        info!(logger, "request: its connection was closed while it was on its way"; "caller" => &caller,
+            "cause" => %LossCause::OwnClose, "bytes" => discarded_bytes);
+    }
 }
 
 /// Closes a connection in such a way that the caller can read the last answer, also one that still sends
-/// the body of a refused request.
-async fn close(mut stream: TcpStream) {
+/// the body of a refused request. Returns the number of bytes that came meanwhile.
+async fn close(mut stream: TcpStream) -> u64 {
     // The connection ends whether or not the caller is still there.
     let _ = stream.shutdown().await;
     let mut rest = stream.take(MAX_LINGER_BYTES);
@@ -394,4 +423,5 @@
         while let Ok(Ok(1..)) = timeout(LINGER_PAUSE, rest.read(&mut buffer)).await {}
     };
     let _ = timeout(LINGER_TIMEOUT, discard).await;
+    MAX_LINGER_BYTES - rest.limit()
 }
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -36,7 +36,7 @@
     FREE_PATH, REPORT_PATH, RUN_PATH, decode_free_bytes, decode_run, encode_free, encode_run,
 };
 use crate::traffic::Execution;
-use crate::units::{DataCentreName, EndpointName, ServiceName};
+use crate::units::{DataCentreName, EndpointName, ServiceName, Time};
 
 /// Maximum interval between two rounds of a queue that has waiting items, while all endpoints are
 /// busy, paused or have an open circuit. A finished call starts the next round sooner.
@@ -116,6 +116,8 @@
     dispatcher: Arc<BatchDispatcher>,
     queue: Arc<GroupQueue>,
     id: JobId,
+    request: Arc<str>,
+    queued_at: Time,
     is_done: bool,
 }
 
@@ -124,6 +126,9 @@
         if self.is_done {
             return;
         }
+        let waited = clock::now().since(self.queued_at);
+        info!(self.dispatcher.logger, "stages: a stage job was cancelled"; "id" => &*self.request,
+            "waited_ms" => waited.as_millis() as u64);
         self.queue.result_senders.lock().remove(&self.id);
         let results = self.queue.batcher.lock().cancel(self.id);
         self.dispatcher.free(results);
@@ -205,9 +210,13 @@
             dispatcher: Arc::clone(self),
             queue: Arc::clone(&queue),
             id,
+            request: Arc::clone(&request),
+            queued_at: clock::now(),
             is_done: false,
         };
         if let Err(excess) = pushed {
+            guard.is_done = true;
+            queue.result_senders.lock().remove(&id);
             metric::job_turned_away("overloaded");
             info!(self.logger, "stages: refused, the queue is too long"; "id" => &*request,
                 "group" => %group, "waiting" => queue.batcher.lock().waiting(),
--- a/src/fleet/ingress.rs
+++ b/src/fleet/ingress.rs
@@ -256,6 +256,7 @@
         limits: || caller_limits(&node),
         stopping: node.stopping.clone(),
         closing,
+        cut_off: node.cut_off.clone(),
     };
     let handle = |request| handle(Arc::clone(&node), request);
     caller_connection::serve_connection(stream, context, handle).await;
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::decisions::endpoint_choice::AttemptEnd;
+use crate::fleet::request_progress::{LossCause, Wait};
 
 /// Counts a caller's request by its outcome and status, and records the time until its answer.
 pub fn request_ended(outcome: &'static str, status: u16, took: Duration) {
@@ -15,9 +16,16 @@
     histogram!("primrosewalk_request_seconds", "outcome" => outcome).record(took.as_secs_f64());
 }
 
-/// Counts a caller's whole request whose connection ended before its answer.
-pub fn request_unanswered() {
-    counter!("primrosewalk_unanswered_requests_total").increment(1);
+/// Counts a caller's whole request that ended without a whole answer or a refusal, by its cause and by what
+/// it waited for.
+pub fn request_unanswered(cause: LossCause, wait: Wait) {
+    let labels = [("cause", cause.name()), ("waiting_for", wait.name())];
+    counter!("primrosewalk_unanswered_requests_total", &labels).increment(1);
+}
+
+/// Counts a connection of a caller that this VM closed while no request was in progress.
+pub fn connection_closed(reason: &'static str) {
+    counter!("primrosewalk_closed_connections_total", "reason" => reason).increment(1);
 }
 
 /// How a stream to a caller ended.
@@ -33,6 +41,17 @@
     Broken,
 }
 
+impl StreamEnd {
+    /// Returns why the caller did not get the whole stream; `None` if it did.
+    pub fn loss_cause(self) -> Option<LossCause> {
+        match self {
+            Self::Complete => None,
+            Self::Deadline => Some(LossCause::Deadline),
+            Self::Silent | Self::Broken => Some(LossCause::Endpoint),
+        }
+    }
+}
+
 /// Counts a stream by how it ended.
 pub fn stream_ended(end: StreamEnd) {
     let end = match end {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 mod read_limit;
 pub mod reply;
 pub mod request;
+pub mod request_progress;
 pub mod run;
 pub mod settings;
 pub mod stage_jobs;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -10,6 +10,7 @@
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock;
 use crate::decisions::endpoint_choice::{
@@ -25,6 +26,7 @@
 use crate::fleet::model::{Endpoint, FleetVm};
 use crate::fleet::notices::NoticeBoard;
 use crate::fleet::peers::Peers;
+use crate::fleet::request_progress::LossCause;
 use crate::fleet::settings::FleetSettings;
 use crate::fleet::store_feed::StoreFeed;
 use crate::fleet::supervise::supervise;
@@ -75,6 +77,8 @@
     pub accepted_connections: AtomicUsize,
     /// The times of the planned stop; `None` before it begins.
     pub planned_stop: Mutex<Option<PlannedStop>>,
+    /// Once it is cancelled, the time of the planned stop is over and the open connections of callers end.
+    pub cut_off: CancellationToken,
 }
 
 /// Positions of this VM in the rendezvous orders of endpoints. Each is computed once for a set of
@@ -160,6 +164,7 @@
             open_connections: AtomicUsize::new(0),
             accepted_connections: AtomicUsize::new(0),
             planned_stop: Mutex::default(),
+            cut_off: CancellationToken::new(),
         })
     }
 
@@ -184,6 +189,14 @@
         *self.stopping.borrow()
     }
 
+    /// Returns why a request ends whose connection ends now.
+    pub fn loss_cause(&self) -> LossCause {
+        match self.cut_off.is_cancelled() {
+            true => LossCause::PlannedStop,
+            false => LossCause::CallerLeft,
+        }
+    }
+
     /// Waits until a request that takes `remaining` for the rest of its way can no longer be answered before the
     /// planned stop ends. Waits forever without one.
     pub async fn stop_leaves_less_than(&self, remaining: Duration) {
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -22,6 +22,7 @@
 use crate::fleet::model::{Endpoint, RouteKind};
 use crate::fleet::node::{MAX_SENDS, Node};
 use crate::fleet::reply::{self, Reply};
+use crate::fleet::request_progress::Wait;
 use crate::platform::endpoint_call::{ResponseClass, classify, returned_headers};
 use crate::traffic::Execution;
 
@@ -73,6 +74,7 @@
             }
         };
         node.note_trial(admitted);
+        admitted.progress.wait_for(Wait::Answer);
         attempts.sent += 1;
         attempts.runs += 1;
         attempts.tried.push(endpoint.id.clone());
@@ -153,6 +155,7 @@
     if is_retry && !node.allows_retry(&admitted.service, attempts.sent) {
         return Err(Obstacle::NoRetryLeft);
     }
+    admitted.progress.wait_for(Wait::Endpoint);
     let connected = next_connection(node, admitted, attempts, Work::Plain).await;
     let connected = connected.ok_or(Obstacle::NoEndpoint)?;
     if let Some(refusal) = refuse_quarantined(node, admitted, attempts) {
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -16,6 +16,7 @@
 use crate::fleet::model::RouteKind;
 use crate::fleet::node::Node;
 use crate::fleet::reply::Reply;
+use crate::fleet::request_progress::Progress;
 use crate::fleet::{metric, plain, stream};
 use crate::platform::caller::{CallerRequest, decode_caller};
 use crate::units::Time;
@@ -30,12 +31,12 @@
     }
 }
 
-/// Reports a request whose connection ends while it is served: its caller has left, or this VM has closed
-/// the connection.
+/// Reports a request whose connection ends while it is served.
 struct UnansweredGuard {
     node: Arc<Node>,
     id: String,
     arrived_at: Time,
+    progress: Arc<Progress>,
     is_answered: bool,
 }
 
@@ -44,9 +45,11 @@
         if self.is_answered {
             return;
         }
-        metric::request_unanswered();
+        let (cause, wait) = (self.node.loss_cause(), self.progress.waiting_for());
+        metric::request_unanswered(cause, wait);
         let took = clock::now().since(self.arrived_at);
         info!(self.node.logger, "request: its connection ended before an answer"; "id" => &self.id,
+            "cause" => %cause, "waiting_for" => %wait,
             "stopping" => self.node.is_stopping(), "took_ms" => took.as_millis() as u64);
     }
 }
@@ -59,13 +62,15 @@
     let arrived_at = clock::now();
     let caller = decode_caller(request.headers());
     let id = caller.id.clone();
+    let progress = Arc::new(Progress::default());
     let mut unanswered = UnansweredGuard {
         node: Arc::clone(&node),
         id: id.clone(),
         arrived_at,
+        progress: Arc::clone(&progress),
         is_answered: false,
     };
-    let reply = answer(&node, request, caller, arrived_at, guard).await;
+    let reply = answer(&node, request, caller, arrived_at, progress, guard).await;
     unanswered.is_answered = true;
     reply
 }
@@ -76,13 +81,14 @@
     request: Request<Incoming>,
     caller: CallerRequest,
     arrived_at: Time,
+    progress: Arc<Progress>,
     active: ActiveGuard,
 ) -> Reply {
     let id = caller.id.clone();
     let has_body = !request.body().is_end_stream();
     let admission = tokio::select! {
         biased;
-        admission = admit(node, request, caller, arrived_at) => admission,
+        admission = admit(node, request, caller, arrived_at, progress) => admission,
         () = node.stop_leaves_less_than(Duration::ZERO) => Err(RequestEnd::vm_stops(0)),
     };
     let admitted = match admission {
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -43,6 +43,8 @@
 /// Number of checks in a row that find no open work before the process exits once its listeners are
 /// closed. The last answers to other VMs are written between two of them.
 const EXIT_IDLE_CHECKS: u32 = 2;
+/// Time in which the open connections end once the time of a planned stop is over.
+const CUT_OFF_PERIOD: Duration = Duration::from_millis(20);
 /// Interval of the check whether all requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the observations of endpoints that may no longer be used are
@@ -275,6 +277,9 @@
     }
     warn!(node.logger, "vm: the time to stop is over, open streams are cut off";
         "requests" => open_work(node));
+    node.cut_off.cancel();
+    // The requests that end here are logged as their connections end.
+    sleep(CUT_OFF_PERIOD).await;
 }
 
 /// Returns the number of other VMs' stage jobs in progress, and of callers' requests, or of their open
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -35,6 +35,7 @@
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::{MAX_SENDS, Node};
 use crate::fleet::reply::{self, ReplyBody, relayed, whole_body};
+use crate::fleet::request_progress::Wait;
 use crate::fleet::stages::{StageFailure, StageResults, run_stages};
 use crate::platform::endpoint_call::{ResponseClass, classify, returned_headers};
 use crate::traffic::Execution;
@@ -396,6 +397,7 @@
     /// Runs the stages. Runs them once more if the result of a stage was gone before the next stage
     /// had read it.
     async fn stages(&mut self) -> Result<StageResults, RequestEnd> {
+        self.admitted.progress.wait_for(Wait::Stages);
         let is_retry = std::mem::replace(&mut self.stages_ran, true);
         let mut outcome = run_stages(&self.node, &self.admitted, is_retry).await;
         if matches!(
@@ -429,6 +431,7 @@
 
     /// Connects to an engine, if possible in the data centre that stores most of its inputs.
     async fn connect(&mut self, results: &StageResults) -> Option<(Arc<Endpoint>, Connection)> {
+        self.admitted.progress.wait_for(Wait::Endpoint);
         let view = self.node.view();
         let preferred_data_centre = results.data_centre(&view);
         let preferred_data_centre = preferred_data_centre
@@ -472,6 +475,7 @@
     /// Records that the request is sent to an engine.
     fn note_sent(&mut self, endpoint: &Arc<Endpoint>) {
         self.node.note_trial(&self.admitted);
+        self.admitted.progress.wait_for(Wait::Answer);
         self.engine = Some(Arc::clone(endpoint));
         self.engine_events = 0;
         self.attempts.sent += 1;
@@ -542,6 +546,7 @@
 
     /// Records an event that was read for the caller.
     fn note_event(&mut self, number: u64) {
+        self.admitted.progress.wait_for(Wait::NextEvent);
         self.last_event = Some(number);
         self.events += 1;
         self.engine_events += 1;
@@ -662,6 +667,9 @@
     fn log_end(&mut self, end: StreamEnd, reason: &str) {
         self.is_ended = true;
         metric::stream_ended(end);
+        if let Some(cause) = end.loss_cause() {
+            metric::request_unanswered(cause, self.admitted.progress.waiting_for());
+        }
         let took = clock::now().since(self.admitted.arrived_at);
         info!(self.node.logger, "request: stream ended"; "id" => &self.admitted.caller.id,
             "events" => self.events, "reason" => reason, "took_ms" => took.as_millis() as u64);
@@ -673,9 +681,15 @@
         let started = self.started.as_ref();
         let endpoint = started.map(|started| started.endpoint.to_string());
         self.end_attempt(AttemptEnd::Inconclusive);
-        if !self.is_ended {
-            info!(self.node.logger, "request: the caller left"; "id" => &self.admitted.caller.id,
-                "events" => self.events, "endpoint" => endpoint);
+        // Before its first event, the request itself is reported.
+        if !self.is_ended && self.events > 0 {
+            let (cause, wait) = (self.node.loss_cause(), self.admitted.progress.waiting_for());
+            metric::request_unanswered(cause, wait);
+            let took = clock::now().since(self.admitted.arrived_at);
+            info!(self.node.logger, "request: its connection ended in the middle of its stream";
+                "id" => &self.admitted.caller.id, "cause" => %cause, "waiting_for" => %wait,
+                "stopping" => self.node.is_stopping(), "events" => self.events, "endpoint" => endpoint,
+                "took_ms" => took.as_millis() as u64);
         }
     }
 }
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -452,6 +452,7 @@
         },
         stopping,
         closing: closing.clone(),
+        cut_off: CancellationToken::new(),
     };
     let handler = case.handler;
     let handle = move |_: HyperRequest<_>| async move { handler() };
