fix(fleet): announce for how long a caller's connection stays open

Each answer whose connection stays open now carries Keep-Alive with the idle timeout in whole seconds, and the connection is not closed before the announced time when a configuration lowers the limit during the answer.

an_answer_announces_for_how_long_its_connection_stays_open failed before: no answer had the header.

--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -15,10 +15,10 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use slog::{Logger, error, info};
@@ -63,6 +63,8 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of bytes that are still read after the write side was closed.
 const MAX_LINGER_BYTES: u64 = 4 * 1024 * 1024;
+/// Header that tells the caller for how long its connection stays open without a request.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Answer to a head that did not come to its end in time.
 const HEAD_TIMEOUT_ANSWER: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -102,6 +104,8 @@
     head_began_at: Option<Instant>,
     /// Time of the last byte of an answer.
     last_written_at: Option<Instant>,
+    /// Idle time that the last answer announced.
+    announced_idle_time: Duration,
 }
 
 impl Activity {
@@ -121,6 +125,10 @@
         }
     }
 
+    fn note_announcement(&self, idle_time: Duration) {
+        self.state.lock().announced_idle_time = idle_time;
+    }
+
     fn note_write(&self, is_blocked: bool) {
         let mut state = self.state.lock();
         let was_blocked = std::mem::replace(&mut state.is_write_blocked, is_blocked);
@@ -156,7 +164,10 @@
         Some(match closing_at {
             Some(at) if state.has_served => at,
             Some(at) => at + FIRST_REQUEST_TIMEOUT,
-            None => idle_since + limits.idle_timeout + TIMEOUT_MARGIN,
+            None => {
+                let idle_time = limits.idle_timeout.max(state.announced_idle_time);
+                idle_since + idle_time + TIMEOUT_MARGIN
+            }
         })
     }
 }
@@ -319,6 +330,33 @@
     reply
 }
 
+/// Returns whether the connection of a request stays open after its answer, unless the answer announces the
+/// close.
+fn keeps_connection(request: &Request<Incoming>) -> bool {
+    match request.version() {
+        Version::HTTP_10 => has_connection_option(request.headers(), "keep-alive"),
+        _ => !has_connection_option(request.headers(), "close"),
+    }
+}
+
+fn has_connection_option(headers: &HeaderMap, option: &str) -> bool {
+    let values = headers.get_all(CONNECTION).into_iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|found| found.trim().eq_ignore_ascii_case(option))
+}
+
+/// Adds the idle time to an answer, in whole seconds. Returns the time that the caller may rely on.
+fn announce_idle_time(reply: &mut Reply, idle_timeout: Duration) -> Duration {
+    let seconds = idle_timeout.as_secs();
+    let Ok(value) = HeaderValue::from_str(&format!("timeout={seconds}")) else {
+        return Duration::ZERO;
+    };
+    reply.headers_mut().insert(KEEP_ALIVE, value);
+    Duration::from_secs(seconds)
+}
+
 /// Serves the requests of one connection until it closes. When the caller closes the connection, its
 /// request is cancelled.
 pub async fn serve_connection<F: Future<Output = Reply>>(
@@ -331,16 +369,23 @@
     let _ = stream.set_nodelay(true);
     let (context, handle) = (&context, &handle);
     let activity = Arc::new(Activity::default());
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let in_progress = activity.begin_request();
+        let activity = &activity;
         async move {
             let limits = (context.limits)();
+            let keeps_connection = keeps_connection(&request);
             let mut reply = answer(&context.logger, limits, request, handle).await;
+            reply.headers_mut().remove(KEEP_ALIVE);
             if *context.stopping.borrow() {
                 // The caller should send its next request to another VM.
                 let close = HeaderValue::from_static("close");
                 reply.headers_mut().insert(CONNECTION, close);
             }
+            if keeps_connection && !has_connection_option(reply.headers(), "close") {
+                let idle_timeout = (context.limits)().idle_timeout;
+                activity.note_announcement(announce_idle_time(&mut reply, idle_timeout));
+            }
             Ok::<_, Infallible>(reply.map(|body| WatchedBody {
                 body,
                 logger: context.logger.clone(),
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -11,6 +11,7 @@
 use googletest::prelude::*;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request as HyperRequest, StatusCode};
 use primrosewalk::fleet::caller_connection::{ConnectionContext, DEFAULT_LIMITS, serve_connection};
 use primrosewalk::fleet::model::CallerLimits;
@@ -372,8 +373,9 @@
     is_reused: bool,
     /// Holds up the thread that serves the connection, before the request is sent.
     hold_up: fn(&CancellationToken),
-    /// Whether the request is sent in the same turn of the runtime in which the connection's timers fire.
-    is_sent_as_timers_fire: bool,
+    /// Turns of the runtime between the one in which the connection's timers fire and the one in which the
+    /// request is sent; `None` if it is sent without waiting for timers.
+    turns_after_timers: Option<usize>,
     /// Time until the caller reads the answer.
     read_after: Duration,
     /// Checks what the caller read until the connection was closed.
@@ -390,7 +392,7 @@
         handler: || panic!("test"),
         is_reused: false,
         hold_up: |_| {},
-        is_sent_as_timers_fire: false,
+        turns_after_timers: None,
         read_after: Duration::ZERO,
         is_right: |read| read.starts_with("HTTP/1.1 500 "),
     },
@@ -405,7 +407,7 @@
         },
         is_reused: false,
         hold_up: |_| {},
-        is_sent_as_timers_fire: false,
+        turns_after_timers: None,
         read_after: Duration::ZERO,
         is_right: |read| !read.ends_with("0\r\n\r\n"),
     },
@@ -414,7 +416,7 @@
         handler: || text(StatusCode::OK, "done"),
         is_reused: true,
         hold_up: CancellationToken::cancel,
-        is_sent_as_timers_fire: false,
+        turns_after_timers: None,
         read_after: Duration::ZERO,
         is_right: |read| read.starts_with("HTTP/1.1 200 "),
     },
@@ -423,7 +425,7 @@
         handler: || text(StatusCode::OK, "done"),
         is_reused: true,
         hold_up: |_| std::thread::sleep(LONGER_THAN_IDLE),
-        is_sent_as_timers_fire: true,
+        turns_after_timers: Some(0),
         read_after: Duration::ZERO,
         is_right: |read| read.starts_with("HTTP/1.1 200 "),
     },
@@ -432,40 +434,65 @@
         handler: || Reply::new(whole_body(vec![b'x'; LARGE_ANSWER_BYTES])),
         is_reused: false,
         hold_up: |_| {},
-        is_sent_as_timers_fire: false,
+        turns_after_timers: None,
         read_after: LONGER_THAN_IDLE,
         is_right: |read| read.len() > LARGE_ANSWER_BYTES,
     },
 ];
 
-async fn run_local_case(case: &LocalCase) -> std::io::Result<String> {
+/// What a test tells a connection that is served in its own process.
+struct Signals {
+    idle_timeout: watch::Sender<Duration>,
+    stop: watch::Sender<bool>,
+    closing: CancellationToken,
+    cut_off: CancellationToken,
+}
+
+/// Connects a caller whose requests are answered by `handler`.
+async fn connect_locally(
+    idle_timeout: Duration,
+    handler: fn() -> Reply,
+) -> std::io::Result<(Caller, Signals)> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let mut caller = Caller::connect(listener.local_addr()?).await;
+    let caller = Caller::connect(listener.local_addr()?).await;
     let (stream, _) = listener.accept().await?;
-    let closing = CancellationToken::new();
-    let (_stop, stopping) = watch::channel(false);
+    let (idle_timeout, idle_timeout_in_force) = watch::channel(idle_timeout);
+    let (stop, stopping) = watch::channel(false);
+    let signals = Signals {
+        idle_timeout,
+        stop,
+        closing: CancellationToken::new(),
+        cut_off: CancellationToken::new(),
+    };
     let context = ConnectionContext {
         logger: Logger::root(slog::Discard, o!()),
-        limits: || CallerLimits {
-            idle_timeout: Duration::ZERO,
+        limits: move || CallerLimits {
+            idle_timeout: *idle_timeout_in_force.borrow(),
             ..DEFAULT_LIMITS
         },
         stopping,
-        closing: closing.clone(),
-        cut_off: CancellationToken::new(),
+        closing: signals.closing.clone(),
+        cut_off: signals.cut_off.clone(),
     };
-    let handler = case.handler;
     let handle = move |_: HyperRequest<_>| async move { handler() };
     tokio::spawn(serve_connection(stream, context, handle));
+    Ok((caller, signals))
+}
+
+async fn run_local_case(case: &LocalCase) -> std::io::Result<String> {
+    let (mut caller, signals) = connect_locally(Duration::ZERO, case.handler).await?;
     if case.is_reused {
         caller.send(&format!("{LOOK}{COMMON}\r\n{{}}")).await;
         expect_that!(caller.read_answer().await, ok(eq(&200)), "{}", case.name);
     }
     let mut timer = std::pin::pin!(sleep(Duration::from_millis(1)));
     let _ = futures::poll!(timer.as_mut());
-    (case.hold_up)(&closing);
-    if case.is_sent_as_timers_fire {
+    (case.hold_up)(&signals.closing);
+    if let Some(turns) = case.turns_after_timers {
         timer.await;
+        for _ in 0..turns {
+            tokio::task::yield_now().await;
+        }
     }
     let request = format!("{LOOK}Connection: close\r\n{COMMON}\r\n{{}}");
     caller.stream.try_write(request.as_bytes())?;
@@ -485,3 +512,158 @@
         expect_that!((case.is_right)(&read), eq(true), "{}: {start}", case.name);
     }
 }
+
+/// What an answer says about how long its connection stays open.
+struct AnnouncementCase {
+    name: &'static str,
+    idle_timeout_ms: u64,
+    /// Request line and the headers that concern the connection.
+    request: &'static str,
+    handler: fn() -> Reply,
+    /// Whether a planned stop has begun.
+    is_stopping: bool,
+    keep_alive: Option<&'static str>,
+}
+
+fn done() -> Reply {
+    text(StatusCode::OK, "done")
+}
+
+const ANNOUNCEMENT_CASES: &[AnnouncementCase] = &[
+    AnnouncementCase {
+        name: "a whole number of seconds",
+        idle_timeout_ms: 15_000,
+        request: "GET / HTTP/1.1\r\n",
+        handler: done,
+        is_stopping: false,
+        keep_alive: Some("timeout=15"),
+    },
+    AnnouncementCase {
+        name: "a part of a second is not announced",
+        idle_timeout_ms: 2_900,
+        request: "GET / HTTP/1.1\r\n",
+        handler: done,
+        is_stopping: false,
+        keep_alive: Some("timeout=2"),
+    },
+    AnnouncementCase {
+        name: "less than a second",
+        idle_timeout_ms: 900,
+        request: "GET / HTTP/1.1\r\n",
+        handler: done,
+        is_stopping: false,
+        keep_alive: Some("timeout=0"),
+    },
+    AnnouncementCase {
+        name: "HTTP/1.0 with a connection that is kept",
+        idle_timeout_ms: 15_000,
+        request: "GET / HTTP/1.0\r\nConnection: Keep-Alive\r\n",
+        handler: done,
+        is_stopping: false,
+        keep_alive: Some("timeout=15"),
+    },
+    AnnouncementCase {
+        name: "HTTP/1.0",
+        idle_timeout_ms: 15_000,
+        request: "GET / HTTP/1.0\r\n",
+        handler: done,
+        is_stopping: false,
+        keep_alive: None,
+    },
+    AnnouncementCase {
+        name: "the caller asks for a close",
+        idle_timeout_ms: 15_000,
+        request: "GET / HTTP/1.1\r\nConnection: TE, Close\r\n",
+        handler: done,
+        is_stopping: false,
+        keep_alive: None,
+    },
+    AnnouncementCase {
+        name: "the answer announces a close",
+        idle_timeout_ms: 15_000,
+        request: "GET / HTTP/1.1\r\n",
+        handler: || {
+            let mut reply = done();
+            let close = HeaderValue::from_static("close");
+            reply.headers_mut().insert(CONNECTION, close);
+            reply
+        },
+        is_stopping: false,
+        keep_alive: None,
+    },
+    AnnouncementCase {
+        name: "an endpoint's own time",
+        idle_timeout_ms: 15_000,
+        request: "GET / HTTP/1.1\r\n",
+        handler: || {
+            let mut reply = done();
+            let other = HeaderValue::from_static("timeout=60");
+            reply.headers_mut().insert("keep-alive", other);
+            reply
+        },
+        is_stopping: false,
+        keep_alive: Some("timeout=15"),
+    },
+    AnnouncementCase {
+        name: "an endpoint's own time during a planned stop",
+        idle_timeout_ms: 15_000,
+        request: "GET / HTTP/1.1\r\n",
+        handler: || {
+            let mut reply = done();
+            let other = HeaderValue::from_static("timeout=60");
+            reply.headers_mut().insert("keep-alive", other);
+            reply
+        },
+        is_stopping: true,
+        keep_alive: None,
+    },
+];
+
+/// Guards against callers that reuse a connection as it closes, because they are not told for how long it
+/// stays open.
+#[gtest]
+#[tokio::test]
+async fn an_answer_announces_for_how_long_its_connection_stays_open() {
+    for case in ANNOUNCEMENT_CASES {
+        let idle_timeout = Duration::from_millis(case.idle_timeout_ms);
+        let (mut caller, signals) = connect_locally(idle_timeout, case.handler).await.unwrap();
+        signals.stop.send_replace(case.is_stopping);
+        let request = format!("{}Host: h.example\r\n\r\n", case.request);
+        caller.send(&request).await;
+        let head = caller.read_until("\r\n\r\n").await.unwrap();
+        let head = head.to_ascii_lowercase();
+        let announced: Vec<_> = head
+            .lines()
+            .filter_map(|line| line.strip_prefix("keep-alive: "))
+            .collect();
+        let expected: Vec<_> = case.keep_alive.into_iter().collect();
+        expect_that!(announced, eq(&expected), "{}: {head}", case.name);
+    }
+}
+
+/// Makes an answer whose end comes later than its head.
+fn answer_in_parts() -> Reply {
+    let frames = futures::stream::iter(0..2).then(|number| async move {
+        sleep(Duration::from_millis(300) * number).await;
+        Ok(Frame::data("part".into()))
+    });
+    Reply::new(StreamBody::new(frames).boxed_unsync())
+}
+
+/// Guards against closes before the time that an answer has announced to its caller.
+#[gtest]
+#[tokio::test]
+async fn an_idle_timeout_that_is_lowered_during_an_answer_binds_from_the_next_one_on() {
+    let (mut caller, signals) = connect_locally(Duration::from_secs(2), answer_in_parts)
+        .await
+        .unwrap();
+    caller.send(&format!("{LOOK}{COMMON}\r\n{{}}")).await;
+    caller.read_more().await.unwrap();
+    signals.idle_timeout.send_replace(Duration::ZERO);
+    expect_that!(caller.read_answer().await, ok(eq(&200)));
+    sleep(LONGER_THAN_IDLE).await;
+    caller.send(&format!("{LOOK}{COMMON}\r\n{{}}")).await;
+    expect_that!(caller.read_answer().await, ok(eq(&200)));
+    let closed = timeout(LONGER_THAN_IDLE, caller.read_more()).await;
+    expect_that!(closed, ok(err(eq("the connection was closed"))));
+}
