fix(fleet): do not read a request that crosses the close of a connection

A VM read and discarded what came after it had closed an idle connection, so that a caller could not know that its request had not run, and must not send it again if it may run only once. Such bytes stay unread now, and the connection is reset. Before the close the VM also asks the kernel for bytes that the runtime does not know of yet, and serves them. A head that is not whole when a planned stop is over is answered 408.

Failed before: a_request_that_crosses_the_close_of_an_idle_connection_is_not_read (no reset), the case "the request comes after the runtime last asked the kernel before the close" (closed without an answer), and a_head_that_is_not_whole_when_connections_are_cut_off_is_refused (closed without an answer).

--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -22,6 +22,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use slog::{Logger, error, info};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
@@ -65,6 +66,8 @@
 const MAX_LINGER_BYTES: u64 = 4 * 1024 * 1024;
 /// Header that tells the caller for how long its connection stays open without a request.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Size of the buffer for bytes that come after the write side was closed.
+const LINGER_BUFFER_BYTES: usize = 4_096;
 /// Answer to a head that did not come to its end in time.
 const HEAD_TIMEOUT_ANSWER: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -129,6 +132,12 @@
         self.state.lock().announced_idle_time = idle_time;
     }
 
+    /// Returns whether only a part of a request's head was read.
+    fn has_partial_head(&self) -> bool {
+        let state = self.state.lock();
+        !state.is_serving && state.head_began_at.is_some()
+    }
+
     fn note_write(&self, is_blocked: bool) {
         let mut state = self.state.lock();
         let was_blocked = std::mem::replace(&mut state.is_write_blocked, is_blocked);
@@ -357,6 +366,25 @@
     Duration::from_secs(seconds)
 }
 
+/// Returns whether the kernel holds bytes that were not read. The runtime learns of them later.
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut buffer = [std::mem::MaybeUninit::uninit()];
+    SockRef::from(stream)
+        .peek(&mut buffer)
+        .is_ok_and(|bytes| bytes > 0)
+}
+
+/// Why this VM ends a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The last answer was written, or the caller has left.
+    Served,
+    /// No request came in time.
+    TimedOut,
+    /// The time of a planned stop is over.
+    CutOff,
+}
+
 /// Serves the requests of one connection until it closes. When the caller closes the connection, its
 /// request is cancelled.
 pub async fn serve_connection<F: Future<Output = Reply>>(
@@ -369,7 +397,7 @@
     let _ = stream.set_nodelay(true);
     let (context, handle) = (&context, &handle);
     let activity = Arc::new(Activity::default());
-    let service = service_fn(|request: Request<Incoming>| {
+    let respond = |request: Request<Incoming>| {
         let in_progress = activity.begin_request();
         let activity = &activity;
         async move {
@@ -392,81 +420,123 @@
                 _request: in_progress,
             }))
         }
-    });
-    let watched = WatchedStream {
+    };
+    let mut watched = WatchedStream {
         stream,
         activity: Arc::clone(&activity),
     };
     let buffer_bytes = max_head_bytes((context.limits)()).max(MIN_BUFFER_BYTES);
-    let mut connection = http1::Builder::new()
-        // The timeouts are kept here, by the limits in force.
-        .header_read_timeout(None)
-        .max_buf_size(buffer_bytes)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(watched), service);
     let opened_at = Instant::now();
     let mut closing_at = None;
-    let is_timed_out = loop {
-        let close_at = activity.close_at((context.limits)(), opened_at, closing_at);
-        tokio::select! {
-            biased;
-            _ = &mut connection => break false,
-            () = context.cut_off.cancelled() => return,
-            () = activity.changed.notified() => {}
-            () = context.closing.cancelled(), if closing_at.is_none() => {
-                closing_at = Some(Instant::now());
-            }
-            () = sleep_until(close_at.unwrap_or(opened_at)), if close_at.is_some() => {
-                // A request may have come since the runtime last polled the sockets.
-                tokio::task::yield_now().await;
-                if (&mut connection).now_or_never().is_some() {
-                    break false;
+    let (stream, end, has_head) = loop {
+        let mut connection = http1::Builder::new()
+            // The timeouts are kept here, by the limits in force.
+            .header_read_timeout(None)
+            .max_buf_size(buffer_bytes)
+            .max_headers(MAX_HEADERS)
+            .serve_connection(TokioIo::new(watched), service_fn(respond));
+        let end = loop {
+            let close_at = activity.close_at((context.limits)(), opened_at, closing_at);
+            tokio::select! {
+                biased;
+                _ = &mut connection => break End::Served,
+                () = context.cut_off.cancelled() => break End::CutOff,
+                () = activity.changed.notified() => {}
+                () = context.closing.cancelled(), if closing_at.is_none() => {
+                    closing_at = Some(Instant::now());
                 }
-                let close_at = activity.close_at((context.limits)(), opened_at, closing_at);
-                if close_at.is_some_and(|at| at <= Instant::now()) {
-                    break true;
+                () = sleep_until(close_at.unwrap_or(opened_at)), if close_at.is_some() => {
+                    // A request may have come since the runtime last polled the sockets.
+                    tokio::task::yield_now().await;
+                    if (&mut connection).now_or_never().is_some() {
+                        break End::Served;
+                    }
+                    let close_at = activity.close_at((context.limits)(), opened_at, closing_at);
+                    if close_at.is_some_and(|at| at <= Instant::now()) {
+                        break End::TimedOut;
+                    }
                 }
             }
+        };
+        if end == End::CutOff && !activity.has_partial_head() {
+            return;
         }
+        let parts = connection.into_parts();
+        watched = parts.io.into_inner();
+        let has_head = is_head(&parts.read_buf);
+        if end != End::TimedOut || has_head || !has_unread_bytes(&watched.stream) {
+            break (watched.stream, end, has_head);
+        }
+        // Bytes that came after the last poll of the sockets are served like any others.
     };
-    let parts = connection.into_parts();
-    let mut stream = parts.io.into_inner().stream;
-    if !is_timed_out {
-        close(stream).await;
-        return;
+    match end {
+        End::Served => close(stream).await,
+        End::TimedOut if !has_head => {
+            let reason = if closing_at.is_some() { "stop" } else { "idle" };
+            log_close(context, &stream, reason, activity.idle_time(opened_at));
+            close_unread(context, stream).await;
+        }
+        End::TimedOut | End::CutOff => {
+            log_close(context, &stream, "head", activity.idle_time(opened_at));
+            refuse_head(stream).await;
+        }
     }
-    let caller = stream.peer_addr().map(|address| address.to_string()).ok();
-    let reason = match (is_head(&parts.read_buf), closing_at) {
-        (true, _) => "head",
-        (false, Some(_)) => "stop",
-        (false, None) => "idle",
-    };
+}
+
+fn log_close<L>(
+    context: &ConnectionContext<L>,
+    stream: &TcpStream,
+    reason: &'static str,
+    idle_time: Duration,
+) {
     metric::connection_closed(reason);
-    let (logger, idle) = (&context.logger, activity.idle_time(opened_at));
-    info!(logger, "connection: closed by this VM"; "caller" => &caller, "reason" => reason,
-        "idle_ms" => idle.as_millis() as u64);
-    if reason == "head" {
-        // If the write fails, the caller has closed the connection.
-        let _ = stream.write_all(HEAD_TIMEOUT_ANSWER).await;
-    }
-    let discarded_bytes = close(stream).await;
-    if reason != "head" && discarded_bytes > 0 {
-        metric::request_unanswered(LossCause::OwnClose, Wait::Body);
-        info!(logger, "request: its connection was closed while it was on its way"; "caller" => &caller,
-            "cause" => %LossCause::OwnClose, "bytes" => discarded_bytes);
+    info!(context.logger, "connection: closed by this VM"; "caller" => caller_name(stream),
+        "reason" => reason, "idle_ms" => idle_time.as_millis() as u64);
+}
+
+fn caller_name(stream: &TcpStream) -> Option<String> {
+    let address = stream.peer_addr().ok()?;
+    Some(address.to_string())
+}
+
+/// Refuses a request whose head did not come to its end in time, and closes its connection.
+async fn refuse_head(mut stream: TcpStream) {
+    // If the write fails, the caller has closed the connection.
+    let _ = stream.write_all(HEAD_TIMEOUT_ANSWER).await;
+    close(stream).await;
+}
+
+/// Closes a connection without a request. A request that crosses the close is left unread, so that the
+/// connection is reset: its caller may send it again only if this VM has not read it
+/// (`docs/platform.md`, "Connections of callers").
+async fn close_unread<L>(context: &ConnectionContext<L>, mut stream: TcpStream) {
+    let caller = caller_name(&stream);
+    // The connection ends whether or not the caller is still there.
+    let _ = stream.shutdown().await;
+    let mut buffer = vec![0; LINGER_BUFFER_BYTES];
+    while let Ok(Ok(bytes @ 1..)) = timeout(LINGER_PAUSE, stream.peek(&mut buffer)).await {
+        if is_head(&buffer[..bytes]) {
+            metric::request_unanswered(LossCause::OwnClose, Wait::Body);
+            info!(context.logger, "request: its connection was closed while it was on its way";
+                "caller" => &caller, "cause" => %LossCause::OwnClose, "bytes" => bytes);
+            return;
+        }
+        // Line ends after a body belong to no request.
+        if stream.read_exact(&mut buffer[..bytes]).await.is_err() {
+            return;
+        }
     }
 }
 
 /// Closes a connection in such a way that the caller can read the last answer, also one that still sends
-/// the body of a refused request. Returns the number of bytes that came meanwhile.
-async fn close(mut stream: TcpStream) -> u64 {
+/// the body of a refused request.
+async fn close(mut stream: TcpStream) {
     // The connection ends whether or not the caller is still there.
     let _ = stream.shutdown().await;
     let mut rest = stream.take(MAX_LINGER_BYTES);
     let discard = async {
-        let mut buffer = vec![0; 4_096];
+        let mut buffer = vec![0; LINGER_BUFFER_BYTES];
         while let Ok(Ok(1..)) = timeout(LINGER_PAUSE, rest.read(&mut buffer)).await {}
     };
     let _ = timeout(LINGER_TIMEOUT, discard).await;
-    MAX_LINGER_BYTES - rest.limit()
 }
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -429,6 +429,15 @@
         read_after: Duration::ZERO,
         is_right: |read| read.starts_with("HTTP/1.1 200 "),
     },
+    LocalCase {
+        name: "the request comes after the runtime last asked the kernel before the close",
+        handler: || text(StatusCode::OK, "done"),
+        is_reused: true,
+        hold_up: |_| std::thread::sleep(LONGER_THAN_IDLE),
+        turns_after_timers: Some(1),
+        read_after: Duration::ZERO,
+        is_right: |read| read.starts_with("HTTP/1.1 200 "),
+    },
     LocalCase {
         name: "the answer is read later than the idle timeout",
         handler: || Reply::new(whole_body(vec![b'x'; LARGE_ANSWER_BYTES])),
@@ -641,6 +650,21 @@
     }
 }
 
+/// Guards against requests that a VM reads and discards as they cross its close: their caller may only retry
+/// them if they were not read, which it learns from a reset.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_crosses_the_close_of_an_idle_connection_is_not_read() {
+    let (mut caller, _signals) = connect_locally(Duration::ZERO, done).await.unwrap();
+    caller.send(&format!("{LOOK}{COMMON}\r\n{{}}")).await;
+    expect_that!(caller.read_answer().await, ok(eq(&200)));
+    let closed = timeout(ANSWER_TIMEOUT, caller.read_more()).await;
+    expect_that!(closed, ok(err(eq("the connection was closed"))));
+    caller.send(&format!("{LOOK}{COMMON}\r\n{{}}")).await;
+    sleep(Duration::from_millis(300)).await;
+    expect_that!(caller.stream.take_error().unwrap(), some(anything()));
+}
+
 /// Makes an answer whose end comes later than its head.
 fn answer_in_parts() -> Reply {
     let frames = futures::stream::iter(0..2).then(|number| async move {
@@ -667,3 +691,16 @@
     let closed = timeout(LONGER_THAN_IDLE, caller.read_more()).await;
     expect_that!(closed, ok(err(eq("the connection was closed"))));
 }
+
+/// A head that is not whole when the time of a planned stop is over has not run, which its caller is told.
+#[gtest]
+#[tokio::test]
+async fn a_head_that_is_not_whole_when_connections_are_cut_off_is_refused() {
+    let (mut caller, signals) = connect_locally(Duration::from_secs(15), done)
+        .await
+        .unwrap();
+    caller.send("POST /look/x HTT").await;
+    sleep(Duration::from_millis(100)).await;
+    signals.cut_off.cancel();
+    expect_that!(caller.read_answer().await, ok(eq(&408)));
+}
