fix(fleet): a planned stop does not close a connection right after an answer

An answer that began before the stop has not announced the close, and its caller may send the next request as soon as it has read the end. After 2.2 s of a stop such a connection was closed at once, so that the request met the close. It now stays open for 0.5 s.

a_request_after_an_answer_that_ends_late_in_a_planned_stop_is_answered failed before: the connection was closed without an answer.

--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -64,6 +64,9 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of bytes that are still read after the write side was closed.
 const MAX_LINGER_BYTES: u64 = 4 * 1024 * 1024;
+/// Time for which a connection stays open during a planned stop after an answer that did not announce the
+/// close. Its caller sends the next request as soon as it has read the answer.
+const NEXT_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Header that tells the caller for how long its connection stays open without a request.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Size of the buffer for bytes that come after the write side was closed.
@@ -171,7 +174,7 @@
         }
         let idle_since = state.last_written_at.unwrap_or(opened_at);
         Some(match closing_at {
-            Some(at) if state.has_served => at,
+            Some(at) if state.has_served => at.max(idle_since + NEXT_REQUEST_TIMEOUT),
             Some(at) => at + FIRST_REQUEST_TIMEOUT,
             None => {
                 let idle_time = limits.idle_timeout.max(state.announced_idle_time);
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -692,6 +692,24 @@
     expect_that!(closed, ok(err(eq("the connection was closed"))));
 }
 
+/// An answer that began before a planned stop has announced that its connection stays open, so that its
+/// caller sends the next request as soon as it has read the end.
+#[gtest]
+#[tokio::test]
+async fn a_request_after_an_answer_that_ends_late_in_a_planned_stop_is_answered() {
+    let (mut caller, signals) = connect_locally(Duration::from_secs(15), answer_in_parts)
+        .await
+        .unwrap();
+    caller.send(&format!("{LOOK}{COMMON}\r\n{{}}")).await;
+    caller.read_more().await.unwrap();
+    signals.stop.send_replace(true);
+    signals.closing.cancel();
+    expect_that!(caller.read_answer().await, ok(eq(&200)));
+    sleep(Duration::from_millis(100)).await;
+    caller.send(&format!("{LOOK}{COMMON}\r\n{{}}")).await;
+    expect_that!(caller.read_answer().await, ok(eq(&200)));
+}
+
 /// A head that is not whole when the time of a planned stop is over has not run, which its caller is told.
 #[gtest]
 #[tokio::test]
