--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -9,33 +9,31 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::FutureExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode, Version};
 use hyper_util::rt::TokioIo;
-use parking_lot::Mutex;
 use slog::{Logger, error, info};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::fleet::connection_activity::{Activity, RequestInProgress, WatchedStream, is_head};
 use crate::fleet::metric;
 use crate::fleet::model::CallerLimits;
 use crate::fleet::reply::{Reply, ReplyBody, text};
 use crate::fleet::request_progress::{LossCause, Wait};
 
-/// Time that is added to the configured timeouts. Callers may use all of the time, and a close must not
-/// cross a request on its way.
-const TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
 /// Limits while no configuration is known.
 pub const DEFAULT_LIMITS: CallerLimits = CallerLimits {
     max_header_bytes: MIN_HEADER_BYTES,
@@ -53,9 +51,6 @@
 /// Maximum number of headers of a request. The configuration limits their bytes only, and the HTTP
 /// library's default of 100 refuses requests that it allows.
 const MAX_HEADERS: usize = 256;
-/// Time for which a connection without a request stays open during a planned stop. Its caller has
-/// connected because it has a request to send.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time without a byte after which a connection ends whose write side was closed. A close with unread
 /// bytes resets the connection, and a reset discards the answer that the caller has not read yet.
 const LINGER_PAUSE: Duration = Duration::from_millis(1_000);
@@ -63,6 +58,10 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of bytes that are still read after the write side was closed.
 const MAX_LINGER_BYTES: u64 = 4 * 1024 * 1024;
+/// Header that tells the caller for how long its connection stays open without a request.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Size of the buffer for bytes that come after the write side was closed.
+const LINGER_BUFFER_BYTES: usize = 4_096;
 /// Answer to a head that did not come to its end in time.
 const HEAD_TIMEOUT_ANSWER: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -82,158 +81,6 @@
     pub cut_off: CancellationToken,
 }
 
-/// What is under way on a connection.
-#[derive(Debug, Default)]
-struct Activity {
-    state: Mutex<ActivityState>,
-    /// Notified when a request ends and when the head of one begins.
-    changed: Notify,
-}
-
-#[derive(Debug, Default)]
-struct ActivityState {
-    /// Whether a request was read whose answer is not handed over to be written.
-    is_serving: bool,
-    /// Whether an answer waits until the caller reads.
-    is_write_blocked: bool,
-    /// Whether the connection had a request.
-    has_served: bool,
-    /// Time at which the first bytes of the next request were read.
-    head_began_at: Option<Instant>,
-    /// Time of the last byte of an answer.
-    last_written_at: Option<Instant>,
-}
-
-impl Activity {
-    fn begin_request(self: &Arc<Self>) -> RequestInProgress {
-        let mut state = self.state.lock();
-        state.is_serving = true;
-        state.has_served = true;
-        state.head_began_at = None;
-        RequestInProgress(Arc::clone(self))
-    }
-
-    fn note_read(&self, bytes: &[u8]) {
-        let mut state = self.state.lock();
-        if !state.is_serving && state.head_began_at.is_none() && is_head(bytes) {
-            state.head_began_at = Some(Instant::now());
-            self.changed.notify_one();
-        }
-    }
-
-    fn note_write(&self, is_blocked: bool) {
-        let mut state = self.state.lock();
-        let was_blocked = std::mem::replace(&mut state.is_write_blocked, is_blocked);
-        if !is_blocked {
-            state.last_written_at = Some(Instant::now());
-        }
-        if was_blocked && !is_blocked {
-            self.changed.notify_one();
-        }
-    }
-
-    /// Returns for how long no byte of an answer was written.
-    fn idle_time(&self, opened_at: Instant) -> Duration {
-        let last_written_at = self.state.lock().last_written_at;
-        last_written_at.unwrap_or(opened_at).elapsed()
-    }
-
-    /// Returns the time at which the connection is to be closed; `None` while a request is in progress.
-    fn close_at(
-        &self,
-        limits: CallerLimits,
-        opened_at: Instant,
-        closing_at: Option<Instant>,
-    ) -> Option<Instant> {
-        let state = self.state.lock();
-        if state.is_serving || state.is_write_blocked {
-            return None;
-        }
-        if let Some(began_at) = state.head_began_at {
-            return Some(began_at + limits.header_timeout + TIMEOUT_MARGIN);
-        }
-        let idle_since = state.last_written_at.unwrap_or(opened_at);
-        Some(match closing_at {
-            Some(at) if state.has_served => at,
-            Some(at) => at + FIRST_REQUEST_TIMEOUT,
-            None => idle_since + limits.idle_timeout + TIMEOUT_MARGIN,
-        })
-    }
-}
-
-/// Returns whether bytes belong to the head of a request. Some callers send a line end after a body.
-fn is_head(bytes: &[u8]) -> bool {
-    bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
-}
-
-/// Marks a request as in progress until it is dropped.
-struct RequestInProgress(Arc<Activity>);
-
-impl Drop for RequestInProgress {
-    fn drop(&mut self) {
-        let mut state = self.0.state.lock();
-        state.is_serving = false;
-        state.last_written_at = Some(Instant::now());
-        self.0.changed.notify_one();
-    }
-}
-
-/// A stream that records what is read and written.
-struct WatchedStream {
-    stream: TcpStream,
-    activity: Arc<Activity>,
-}
-
-impl AsyncRead for WatchedStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        let filled_before = buffer.filled().len();
-        ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
-        this.activity.note_read(&buffer.filled()[filled_before..]);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for WatchedStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let this = self.get_mut();
-        let written = Pin::new(&mut this.stream).poll_write(context, bytes);
-        this.activity.note_write(written.is_pending());
-        written
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let this = self.get_mut();
-        let written = Pin::new(&mut this.stream).poll_write_vectored(context, buffers);
-        this.activity.note_write(written.is_pending());
-        written
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
-
 /// Body of an answer, whose request is in progress until the body is dropped.
 struct WatchedBody {
     body: ReplyBody,
@@ -319,6 +166,52 @@
     reply
 }
 
+/// Returns whether the connection of a request stays open after its answer, unless the answer announces the
+/// close.
+fn keeps_connection(request: &Request<Incoming>) -> bool {
+    match request.version() {
+        Version::HTTP_10 => has_connection_option(request.headers(), "keep-alive"),
+        _ => !has_connection_option(request.headers(), "close"),
+    }
+}
+
+fn has_connection_option(headers: &HeaderMap, option: &str) -> bool {
+    let values = headers.get_all(CONNECTION).into_iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|found| found.trim().eq_ignore_ascii_case(option))
+}
+
+/// Adds the idle time to an answer, in whole seconds. Returns the time that the caller may rely on.
+fn announce_idle_time(reply: &mut Reply, idle_timeout: Duration) -> Duration {
+    let seconds = idle_timeout.as_secs();
+    let Ok(value) = HeaderValue::from_str(&format!("timeout={seconds}")) else {
+        return Duration::ZERO;
+    };
+    reply.headers_mut().insert(KEEP_ALIVE, value);
+    Duration::from_secs(seconds)
+}
+
+/// Returns whether the kernel holds bytes that were not read. The runtime learns of them later.
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let mut buffer = [std::mem::MaybeUninit::uninit()];
+    SockRef::from(stream)
+        .peek(&mut buffer)
+        .is_ok_and(|bytes| bytes > 0)
+}
+
+/// Why this VM ends a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The last answer was written, or the caller has left.
+    Served,
+    /// No request came in time.
+    TimedOut,
+    /// The time of a planned stop is over.
+    CutOff,
+}
+
 /// Serves the requests of one connection until it closes. When the caller closes the connection, its
 /// request is cancelled.
 pub async fn serve_connection<F: Future<Output = Reply>>(
@@ -331,97 +224,146 @@
     let _ = stream.set_nodelay(true);
     let (context, handle) = (&context, &handle);
     let activity = Arc::new(Activity::default());
-    let service = service_fn(|request| {
+    let respond = |request: Request<Incoming>| {
         let in_progress = activity.begin_request();
+        let activity = &activity;
         async move {
             let limits = (context.limits)();
+            let keeps_connection = keeps_connection(&request);
             let mut reply = answer(&context.logger, limits, request, handle).await;
+            reply.headers_mut().remove(KEEP_ALIVE);
             if *context.stopping.borrow() {
                 // The caller should send its next request to another VM.
                 let close = HeaderValue::from_static("close");
                 reply.headers_mut().insert(CONNECTION, close);
             }
+            if keeps_connection && !has_connection_option(reply.headers(), "close") {
+                let idle_timeout = (context.limits)().idle_timeout;
+                activity.note_announcement(announce_idle_time(&mut reply, idle_timeout));
+            }
             Ok::<_, Infallible>(reply.map(|body| WatchedBody {
                 body,
                 logger: context.logger.clone(),
                 _request: in_progress,
             }))
         }
-    });
-    let watched = WatchedStream {
+    };
+    let mut watched = WatchedStream {
         stream,
         activity: Arc::clone(&activity),
     };
     let buffer_bytes = max_head_bytes((context.limits)()).max(MIN_BUFFER_BYTES);
-    let mut connection = http1::Builder::new()
-        // The timeouts are kept here, by the limits in force.
-        .header_read_timeout(None)
-        .max_buf_size(buffer_bytes)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(watched), service);
     let opened_at = Instant::now();
     let mut closing_at = None;
-    let is_timed_out = loop {
-        let close_at = activity.close_at((context.limits)(), opened_at, closing_at);
-        tokio::select! {
-            biased;
-            _ = &mut connection => break false,
-            () = context.cut_off.cancelled() => return,
-            () = activity.changed.notified() => {}
-            () = context.closing.cancelled(), if closing_at.is_none() => {
-                closing_at = Some(Instant::now());
-            }
-            () = sleep_until(close_at.unwrap_or(opened_at)), if close_at.is_some() => {
-                // A request may have come since the runtime last polled the sockets.
-                tokio::task::yield_now().await;
-                if (&mut connection).now_or_never().is_some() {
-                    break false;
+    let (stream, end, has_head) = loop {
+        let mut connection = http1::Builder::new()
+            // The timeouts are kept here, by the limits in force.
+            .header_read_timeout(None)
+            .max_buf_size(buffer_bytes)
+            .max_headers(MAX_HEADERS)
+            .serve_connection(TokioIo::new(watched), service_fn(respond));
+        let end = loop {
+            let close_at = activity.close_at((context.limits)(), opened_at, closing_at);
+            tokio::select! {
+                biased;
+                _ = &mut connection => break End::Served,
+                () = context.cut_off.cancelled() => break End::CutOff,
+                () = activity.changed.notified() => {}
+                () = context.closing.cancelled(), if closing_at.is_none() => {
+                    closing_at = Some(Instant::now());
                 }
-                let close_at = activity.close_at((context.limits)(), opened_at, closing_at);
-                if close_at.is_some_and(|at| at <= Instant::now()) {
-                    break true;
+                () = sleep_until(close_at.unwrap_or(opened_at)), if close_at.is_some() => {
+                    // A request may have come since the runtime last polled the sockets.
+                    tokio::task::yield_now().await;
+                    if (&mut connection).now_or_never().is_some() {
+                        break End::Served;
+                    }
+                    let close_at = activity.close_at((context.limits)(), opened_at, closing_at);
+                    if close_at.is_some_and(|at| at <= Instant::now()) {
+                        break End::TimedOut;
+                    }
                 }
             }
+        };
+        if end == End::CutOff && !activity.has_partial_head() {
+            return;
         }
+        let parts = connection.into_parts();
+        watched = parts.io.into_inner();
+        let has_head = is_head(&parts.read_buf);
+        if end != End::TimedOut || has_head || !has_unread_bytes(&watched.stream) {
+            break (watched.stream, end, has_head);
+        }
+        // Bytes that came after the last poll of the sockets are served like any others.
     };
-    let parts = connection.into_parts();
-    let mut stream = parts.io.into_inner().stream;
-    if !is_timed_out {
-        close(stream).await;
-        return;
+    match end {
+        End::Served => close(stream).await,
+        End::TimedOut if !has_head => {
+            let reason = if closing_at.is_some() { "stop" } else { "idle" };
+            log_close(context, &stream, reason, activity.idle_time(opened_at));
+            close_unread(context, stream).await;
+        }
+        End::TimedOut | End::CutOff => {
+            log_close(context, &stream, "head", activity.idle_time(opened_at));
+            refuse_head(stream).await;
+        }
     }
-    let caller = stream.peer_addr().map(|address| address.to_string()).ok();
-    let reason = match (is_head(&parts.read_buf), closing_at) {
-        (true, _) => "head",
-        (false, Some(_)) => "stop",
-        (false, None) => "idle",
-    };
+}
+
+fn log_close<L>(
+    context: &ConnectionContext<L>,
+    stream: &TcpStream,
+    reason: &'static str,
+    idle_time: Duration,
+) {
     metric::connection_closed(reason);
-    let (logger, idle) = (&context.logger, activity.idle_time(opened_at));
-    info!(logger, "connection: closed by this VM"; "caller" => &caller, "reason" => reason,
-        "idle_ms" => idle.as_millis() as u64);
-    if reason == "head" {
-        // If the write fails, the caller has closed the connection.
-        let _ = stream.write_all(HEAD_TIMEOUT_ANSWER).await;
-    }
-    let discarded_bytes = close(stream).await;
-    if reason != "head" && discarded_bytes > 0 {
-        metric::request_unanswered(LossCause::OwnClose, Wait::Body);
-        info!(logger, "request: its connection was closed while it was on its way"; "caller" => &caller,
-            "cause" => %LossCause::OwnClose, "bytes" => discarded_bytes);
+    info!(context.logger, "connection: closed by this VM"; "caller" => caller_name(stream),
+        "reason" => reason, "idle_ms" => idle_time.as_millis() as u64);
+}
+
+fn caller_name(stream: &TcpStream) -> Option<String> {
+    let address = stream.peer_addr().ok()?;
+    Some(address.to_string())
+}
+
+/// Refuses a request whose head did not come to its end in time, and closes its connection.
+async fn refuse_head(mut stream: TcpStream) {
+    // If the write fails, the caller has closed the connection.
+    let _ = stream.write_all(HEAD_TIMEOUT_ANSWER).await;
+    close(stream).await;
+}
+
+/// Closes a connection without a request. A request that crosses the close is left unread, so that the
+/// connection is reset: its caller may send it again only if this VM has not read it
+/// (`docs/platform.md`, "Connections of callers").
+async fn close_unread<L>(context: &ConnectionContext<L>, mut stream: TcpStream) {
+    let caller = caller_name(&stream);
+    // The connection ends whether or not the caller is still there.
+    let _ = stream.shutdown().await;
+    let mut buffer = vec![0; LINGER_BUFFER_BYTES];
+    while let Ok(Ok(bytes @ 1..)) = timeout(LINGER_PAUSE, stream.peek(&mut buffer)).await {
+        if is_head(&buffer[..bytes]) {
+            metric::request_unanswered(LossCause::OwnClose, Wait::Body);
+            info!(context.logger, "request: its connection was closed while it was on its way";
+                "caller" => &caller, "cause" => %LossCause::OwnClose, "bytes" => bytes);
+            return;
+        }
+        // Line ends after a body belong to no request.
+        if stream.read_exact(&mut buffer[..bytes]).await.is_err() {
+            return;
+        }
     }
 }
 
 /// Closes a connection in such a way that the caller can read the last answer, also one that still sends
-/// the body of a refused request. Returns the number of bytes that came meanwhile.
-async fn close(mut stream: TcpStream) -> u64 {
+/// the body of a refused request.
+async fn close(mut stream: TcpStream) {
     // The connection ends whether or not the caller is still there.
     let _ = stream.shutdown().await;
     let mut rest = stream.take(MAX_LINGER_BYTES);
     let discard = async {
-        let mut buffer = vec![0; 4_096];
+        let mut buffer = vec![0; LINGER_BUFFER_BYTES];
         while let Ok(Ok(1..)) = timeout(LINGER_PAUSE, rest.read(&mut buffer)).await {}
     };
     let _ = timeout(LINGER_TIMEOUT, discard).await;
-    MAX_LINGER_BYTES - rest.limit()
 }
