fix(fleet): bound the waits of a stream by the time for which its caller waits

Callers of streams left with neither an event nor a refusal. They leave when no event has come for 2 s, four objectives or eight times the route's GapTargetMs, whichever is longest. Nothing knew that: the waits, queues and retries ended at the deadline, which is later.

The configuration's rule becomes `Route::max_event_gap`. Before the first event, the body, the stages, the connection, retries and the wait for an engine end 0.15 s before the caller leaves, with 503 if the request has not run and 504 otherwise. Within a stream, stages and other engines are begun only if their result would come before the caller leaves; the silence of an engine ends no stream sooner. The engine still gets the time until the deadline. Deadlines that are sooner than the gap apply as before.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -25,8 +25,10 @@
 /// takes the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Timeout for reading the whole body of a request, after which the request is refused. It is shorter if
-/// the deadline of the request is sooner.
+/// the caller leaves sooner.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time before a caller leaves by which it is refused, so that the refusal still reaches it.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(150);
 
 /// An admitted request.
 pub struct AdmittedRequest {
@@ -54,6 +56,9 @@
     pub due: Time,
     /// Time until which the request gets its final answer at the latest.
     pub deadline: Time,
+    /// Time by which the caller needs the first event of a stream or a refusal, because it leaves soon after.
+    /// It is the deadline for requests without a stream.
+    pub first_event_by: Time,
     /// What the request waits for.
     pub progress: Arc<Progress>,
 }
@@ -64,6 +69,11 @@
         self.deadline.since(clock::now())
     }
 
+    /// Returns the time by which the caller needs the next event, if it gets one now.
+    pub fn next_event_by(&self) -> Time {
+        event_needed_by(&self.route, clock::now(), self.deadline)
+    }
+
     /// Returns the priority of the request; 0 is the most urgent. The priority of the organisation
     /// goes before that of the route.
     pub fn priority(&self) -> u8 {
@@ -152,7 +162,8 @@
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let deadline = arrived_at + time_limit;
-    let body_timeout = BODY_TIMEOUT.min(deadline.since(clock::now()));
+    let first_event_by = event_needed_by(route, arrived_at, deadline);
+    let body_timeout = BODY_TIMEOUT.min(first_event_by.since(clock::now()));
     let body = read_caller_body(body, configuration.limits.max_body_bytes, body_timeout).await?;
     let Some(service) = pick_service(route, &caller.id) else {
         let reply = reply::not_run("the route has no service", NO_CONFIGURATION_RETRY_AFTER);
@@ -170,11 +181,21 @@
         arrived_at,
         due: arrived_at + route.objective,
         deadline,
+        first_event_by,
         caller,
         progress,
     })
 }
 
+/// Returns the time by which a caller that begins to wait at `from` needs an event or a refusal. The deadline
+/// needs no margin, since endpoints report it themselves.
+fn event_needed_by(route: &Route, from: Time, deadline: Time) -> Time {
+    let Some(gap) = route.max_event_gap else {
+        return deadline;
+    };
+    deadline.min(from + gap.saturating_sub(REFUSAL_MARGIN))
+}
+
 /// Returns the organisation of the API key. A request without a known API key is refused unless the
 /// route is public or requests need no key.
 fn check_api_key(
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -60,6 +60,9 @@
     pub is_public: bool,
     /// Whether a stream that broke may be resumed at another endpoint.
     pub is_resumable: bool,
+    /// Time for which a caller waits for the first or the next event of a stream before it leaves. `None`
+    /// for routes without streams, and where the configuration does not say.
+    pub max_event_gap: Option<Duration>,
 }
 
 impl Route {
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -19,7 +19,7 @@
 use crate::fleet::node::Node;
 use crate::fleet::stage_jobs::{free_results, run_job};
 use crate::fleet::view::FleetView;
-use crate::units::{DataCentreName, ServiceName};
+use crate::units::{DataCentreName, ServiceName, Time};
 
 /// Estimate of the time from the start of a generation to its first event, without the time for
 /// reading the prompt.
@@ -91,7 +91,8 @@
     VmStops,
 }
 
-/// Runs all stages of a request and starts each at the time that [`start_times`] gives.
+/// Runs all stages of a request and starts each at the time that [`start_times`] gives. The caller needs an
+/// event by `event_by`, so a stage whose result would come too late for that is not run.
 ///
 /// # Errors
 ///
@@ -99,6 +100,7 @@
 pub async fn run_stages(
     node: &Arc<Node>,
     admitted: &Arc<AdmittedRequest>,
+    event_by: Time,
     is_retry: bool,
 ) -> Result<StageResults, StageFailure> {
     let route = &admitted.route;
@@ -128,7 +130,7 @@
             if start.is_some_and(|start| start <= now) {
                 progress[stage] = Progress::Running(now);
                 let input = stage_input(admitted, stage, &results);
-                running.push(run_stage(node, admitted, stage, input, is_retry));
+                running.push(run_stage(node, admitted, event_by, stage, input, is_retry));
             }
         }
         let next_start = starts.iter().flatten().filter(|start| **start > now).min();
@@ -207,6 +209,7 @@
 async fn run_stage(
     node: &Arc<Node>,
     admitted: &Arc<AdmittedRequest>,
+    event_by: Time,
     stage: usize,
     input: ItemInput,
     is_retry: bool,
@@ -230,7 +233,7 @@
         .map(|limits| limits.result_ttl)
         .min();
     let inputs_expire_at = inputs_ttl.map(|ttl| now + ttl.mul_f64(INPUTS_TTL_FRACTION));
-    let deadline = admitted.deadline - min_remaining;
+    let deadline = event_by - min_remaining;
     let due = admitted.due - expected_remaining;
     let is_read_by_engine = route_stage.after.is_empty() && !has_followers(&admitted.route, stage);
     let job = Job {
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -39,7 +39,7 @@
 use crate::fleet::stages::{StageFailure, StageResults, run_stages};
 use crate::platform::endpoint_call::{ResponseClass, classify, returned_headers};
 use crate::traffic::Execution;
-use crate::units::PartId;
+use crate::units::{PartId, Time};
 
 /// Time after which a caller should retry, sent when no engine takes its request.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -64,7 +64,7 @@
 /// Number of events with which an answer is past its start. An engine that ends sooner may have been
 /// ended by the request.
 const START_EVENTS: u64 = 3;
-/// Minimum time left until the deadline for another engine to be worth trying.
+/// Minimum time left until the caller leaves for another engine to be worth trying.
 const MIN_STREAM_TIME: Duration = Duration::from_millis(50);
 
 /// Serves a request until its first event. The body of the reply then relays the further events;
@@ -77,13 +77,13 @@
     node.note_request(&admitted.service);
     let mut caller_stream = CallerStream::new(Arc::clone(&node), Arc::clone(&admitted));
     let opened = {
-        let opening = timeout(admitted.time_left(), caller_stream.open_first());
+        let opening = timeout(caller_stream.patience_left(), caller_stream.open_first());
         let part_wait = node.wait_for_quarantine(&admitted);
         tokio::select! {
             // A request that is to be refused must not be begun.
             biased;
             part = part_wait => Err(Interruption::Quarantine(part)),
-            opened = opening => opened.map_err(|_| Interruption::Deadline),
+            opened = opening => opened.map_err(|_| Interruption::NoEventInTime),
             () = node.stop_leaves_less_than(Duration::ZERO) => Err(Interruption::VmStops),
         }
     };
@@ -102,8 +102,8 @@
 enum Interruption {
     /// A part of the prompt has come under quarantine.
     Quarantine(PartId),
-    /// The deadline of the request has passed.
-    Deadline,
+    /// The caller is about to leave, or the deadline of the request has passed.
+    NoEventInTime,
     /// This VM stops.
     VmStops,
 }
@@ -223,6 +223,9 @@
     last_event: Option<u64>,
     /// Count of events that were read for the caller.
     events: u64,
+    /// Time by which the caller needs the next event. An attempt whose first event would come later is not
+    /// begun, but an engine that has the request may still send it then.
+    next_event_by: Time,
     /// The engine of the attempt in progress or of the last one.
     engine: Option<Arc<Endpoint>>,
     /// Count of events that were read from that engine.
@@ -236,6 +239,7 @@
 impl CallerStream {
     fn new(node: Arc<Node>, admitted: Arc<AdmittedRequest>) -> Self {
         let last_event = admitted.caller.last_event;
+        let next_event_by = admitted.first_event_by;
         Self {
             node,
             admitted,
@@ -244,6 +248,7 @@
             started: None,
             last_event,
             events: 0,
+            next_event_by,
             engine: None,
             engine_events: 0,
             stages_ran: false,
@@ -280,7 +285,7 @@
         self.is_ended = true;
         match interruption {
             Interruption::Quarantine(part) => self.refuse_for(part),
-            Interruption::Deadline => {
+            Interruption::NoEventInTime => {
                 self.end_attempt(AttemptEnd::Broken);
                 timed_out(&self.attempts)
             }
@@ -295,6 +300,11 @@
         quarantined(&self.attempts, part, duration)
     }
 
+    /// Returns the time left until the caller needs the next event.
+    fn patience_left(&self) -> Duration {
+        self.next_event_by.since(clock::now())
+    }
+
     /// Returns whether the route, the limits on attempts and the time left allow the request to be
     /// sent to another engine.
     fn may_send_again(&self) -> bool {
@@ -304,12 +314,12 @@
         is_allowed
             && self.attempts.sent < MAX_SENDS
             && self.attempts.failed_connections < MAX_FAILED_CONNECTIONS
-            && self.admitted.time_left() > MIN_STREAM_TIME
+            && self.patience_left() > MIN_STREAM_TIME
     }
 
     /// Returns the reply for a request that ended without a stream.
     fn failure(&self, reason: String) -> RequestEnd {
-        if self.admitted.time_left() < MIN_ATTEMPT_TIME {
+        if self.patience_left() < MIN_ATTEMPT_TIME {
             return timed_out(&self.attempts);
         }
         if self.attempts.runs > 0 {
@@ -350,6 +360,9 @@
         let Some((endpoint, connection)) = self.connect(&results).await else {
             return Err(self.failure("no engine".to_owned()));
         };
+        if self.patience_left() < MIN_ATTEMPT_TIME {
+            return Err(self.failure("no time left".to_owned()));
+        }
         // The connect and the stages take time, in which a part may have come under quarantine.
         if let Some(refusal) = refuse_quarantined(&self.node, &self.admitted, &self.attempts) {
             return Err(refusal);
@@ -399,12 +412,13 @@
     async fn stages(&mut self) -> Result<StageResults, RequestEnd> {
         self.admitted.progress.wait_for(Wait::Stages);
         let is_retry = std::mem::replace(&mut self.stages_ran, true);
-        let mut outcome = run_stages(&self.node, &self.admitted, is_retry).await;
+        let (node, admitted, event_by) = (&self.node, &self.admitted, self.next_event_by);
+        let mut outcome = run_stages(node, admitted, event_by, is_retry).await;
         if matches!(
             outcome,
             Err(StageFailure::Job(JobFailure::Item(ItemFailure::InputGone)))
         ) {
-            outcome = run_stages(&self.node, &self.admitted, true).await;
+            outcome = run_stages(node, admitted, event_by, true).await;
         }
         outcome.map_err(|failure| self.stage_failure(failure))
     }
@@ -548,6 +562,7 @@
     fn note_event(&mut self, number: u64) {
         self.admitted.progress.wait_for(Wait::NextEvent);
         self.last_event = Some(number);
+        self.next_event_by = self.admitted.next_event_by();
         self.events += 1;
         self.engine_events += 1;
         if self.engine_events == START_EVENTS {
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -15,6 +15,13 @@
 
 /// Longest duration that a configuration may give, in milliseconds: a day.
 const MAX_DURATION_MS: f64 = 86_400_000.0;
+/// Minimum time that a caller waits for the next event of a stream, in milliseconds.
+const MIN_EVENT_GAP_MS: f64 = 2_000.0;
+/// Time that a caller waits for the next event, as a multiple of the objective of the route.
+const EVENT_GAP_OBJECTIVES: f64 = 4.0;
+/// Time that a caller waits for the next event, as a multiple of the longest pause with which a stream is
+/// still on time.
+const EVENT_GAP_TARGET_PAUSES: f64 = 8.0;
 /// Bytes in a megabyte, as the platform's documents use the word.
 const MEGABYTE_BYTES: f64 = 1e6;
 
@@ -62,6 +69,10 @@
     public: bool,
     #[serde(default)]
     resumable: bool,
+    /// Longest pause between events with which a stream is on time. It is decoded leniently because only
+    /// streams use it, and a route works without it.
+    #[serde(default)]
+    gap_target_ms: serde_json::Value,
 }
 
 fn one_attempt() -> u32 {
@@ -186,7 +197,20 @@
     api_keys
 }
 
+/// Returns how long callers of a route wait for the next event of a stream (`docs/platform.md`, "Requests").
+fn decode_event_gap(route: &WireRoute) -> Option<Duration> {
+    let WireRouteKind::Streaming = route.route_kind else {
+        return None;
+    };
+    let target_pause_ms = route.gap_target_ms.as_f64().filter(|ms| *ms >= 0.0)?;
+    let gap_ms = MIN_EVENT_GAP_MS
+        .max(route.target_latency_ms * EVENT_GAP_OBJECTIVES)
+        .max(target_pause_ms * EVENT_GAP_TARGET_PAUSES);
+    Some(duration_from_ms(gap_ms))
+}
+
 fn decode_route(route: WireRoute) -> Route {
+    let max_event_gap = decode_event_gap(&route);
     let mut targets: smallvec::SmallVec<[(ServiceName, u32); 2]> = route
         .split
         .into_iter()
@@ -217,6 +241,7 @@
         stages: stages.collect(),
         is_public: route.public,
         is_resumable: route.resumable,
+        max_event_gap,
     }
 }
 
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -94,6 +94,54 @@
     expect_that!(limits.result_memory_bytes, eq(18_000_000));
 }
 
+/// Guards against a malformed pause that makes the whole configuration unusable, and against callers that leave
+/// sooner than a VM expects.
+#[gtest]
+fn the_time_that_callers_wait_for_an_event_follows_the_route() {
+    struct Case {
+        objective_ms: u64,
+        /// Value of `GapTargetMs`; `None` leaves it out.
+        target_pause: Option<&'static str>,
+        gap_ms: Option<u64>,
+    }
+    let case = |objective_ms, target_pause, gap_ms| Case {
+        objective_ms,
+        target_pause,
+        gap_ms,
+    };
+    let cases = [
+        case(400, Some("200"), Some(2_000)),
+        case(1_100, Some("500"), Some(4_400)),
+        case(400, Some("500.5"), Some(4_004)),
+        case(400, Some("0"), Some(2_000)),
+        case(400, Some("1e300"), Some(86_400_000)),
+        case(400, Some("-1"), None),
+        case(400, Some("null"), None),
+        case(400, Some("\"500\""), None),
+        case(400, Some("[]"), None),
+        case(400, None, None),
+    ];
+    for case in cases {
+        let target_pause = case.target_pause;
+        let pause = target_pause.map_or(String::new(), |pause| format!(",\"GapTargetMs\":{pause}"));
+        let objective = format!("\"TargetLatencyMs\":{}", case.objective_ms);
+        let document = CONFIGURATION
+            .replace(",\"GapTargetMs\":500", &pause)
+            .replace("\"TargetLatencyMs\":1100", &objective);
+        let decoded = decode_configuration(Bytes::from(document)).unwrap();
+        let gap = decoded.route("one.example", "/a/x").unwrap().max_event_gap;
+        let gap_ms = gap.map(|gap| gap.as_millis() as u64);
+        expect_that!(gap_ms, eq(case.gap_ms), "{target_pause:?}");
+    }
+    let document = CONFIGURATION.replace(
+        "\"TimeoutMs\":1500",
+        "\"TimeoutMs\":1500,\"GapTargetMs\":500",
+    );
+    let decoded = decode_configuration(Bytes::from(document)).unwrap();
+    let plain = decoded.route("one.example", "/a/b/x").unwrap();
+    expect_that!(plain.max_event_gap, none());
+}
+
 /// Guards against an empty list of organisations that is taken for none, which would turn the check of
 /// keys off.
 #[gtest]
