fix(fleet): lines of streams that were cut off name the cause

`request: stream ended` had neither `cause` nor `waiting_for` for a stream that its engine broke off or its deadline cut, and the line of a request that came after the close of its connection had no `waiting_for`, although all three were counted. The cases of tests/unanswered_requests.rs for them failed before: no line with a cause, or `own_close` without what it waited for.

--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -408,7 +408,7 @@
     if reason != "head" && discarded_bytes > 0 {
         metric::request_unanswered(LossCause::OwnClose, Wait::Body);
         info!(logger, "request: its connection was closed while it was on its way"; "caller" => &caller,
-            "cause" => %LossCause::OwnClose, "bytes" => discarded_bytes);
+            "cause" => %LossCause::OwnClose, "waiting_for" => %Wait::Body, "bytes" => discarded_bytes);
     }
 }
 
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -35,7 +35,7 @@
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::{MAX_SENDS, Node};
 use crate::fleet::reply::{self, ReplyBody, relayed, whole_body};
-use crate::fleet::request_progress::Wait;
+use crate::fleet::request_progress::{LossCause, Wait};
 use crate::fleet::stages::{StageFailure, StageResults, run_stages};
 use crate::platform::endpoint_call::{ResponseClass, classify, returned_headers};
 use crate::traffic::Execution;
@@ -667,11 +667,14 @@
     fn log_end(&mut self, end: StreamEnd, reason: &str) {
         self.is_ended = true;
         metric::stream_ended(end);
-        if let Some(cause) = end.loss_cause() {
-            metric::request_unanswered(cause, self.admitted.progress.waiting_for());
+        let wait = self.admitted.progress.waiting_for();
+        let cause = end.loss_cause();
+        if let Some(cause) = cause {
+            metric::request_unanswered(cause, wait);
         }
         let took = clock::now().since(self.admitted.arrived_at);
         info!(self.node.logger, "request: stream ended"; "id" => &self.admitted.caller.id,
+            "cause" => cause.map(LossCause::name), "waiting_for" => cause.map(|_| wait.name()),
             "events" => self.events, "reason" => reason, "took_ms" => took.as_millis() as u64);
     }
 }
