fix(fleet): a caller that leaves a silent endpoint is not counted as waiting for another one

While an endpoint was silent and no other one could take the request, the count said `endpoint` instead of `answer`, as if the request had none. The case of tests/unanswered_requests.rs with a silent plain endpoint failed before. Streams restore what they waited for in the same way; their case passed before, since without a second engine no stage runs again.

--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -180,6 +180,8 @@
         if let Ok(connected) = prepare(node, admitted, attempts).await {
             return connected;
         }
+        // The silent endpoint still has the request.
+        admitted.progress.wait_for(Wait::Answer);
         sleep(pause).await;
     }
     pending().await
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -376,10 +376,13 @@
             if let Some(started) = &mut self.started {
                 self.node.note_silence(started);
             }
+            let wait_before = self.admitted.progress.waiting_for();
             let obstacle = match self.prepare().await {
                 Ok(attempt) => return attempt,
                 Err(ended) => ended.reason,
             };
+            // The silent engine still has the request.
+            self.admitted.progress.wait_for(wait_before);
             info!(self.node.logger, "request: waiting for a silent engine";
                 "id" => &self.admitted.caller.id, "obstacle" => &obstacle);
             sleep(pause).await;
