test(fleet_soak): requests without an answer are read from the lines of the VMs

After each run the lines with a cause are counted and printed. In the planned runs none may be `own_close` or `planned_stop`, or `endpoint` without a silent endpoint, or `caller_left` in a queue of a VM. Callers with a long way keep idle connections past the idle timeout, others send after four fifths of it, and some leave a stream after 2 s without an event.

--- a/tests/fleet_soak/callers.rs
+++ b/tests/fleet_soak/callers.rs
@@ -13,9 +13,9 @@
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
-use hyper::body::Frame;
+use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
@@ -23,7 +23,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::users_platform::caller::{CallerAnswer, read_answer};
+use crate::delayed_reads::DelayedReads;
+use crate::users_platform::caller::{CallerAnswer, read_answer_with_gaps};
 
 /// Deadline that callers give their requests.
 pub const DEADLINE: Duration = Duration::from_secs(6);
@@ -36,6 +37,19 @@
 /// Number of streams of a burst: more than the retries that one VM may send at once.
 const BURST_STREAMS: usize = 24;
 const BURST_INTERVAL_MS: std::ops::Range<u64> = 1_500..3_000;
+/// Four fifths of the shortest idle timeout of a run, for which a connection may always be idle.
+const SAFE_IDLE_TIME: Duration = Duration::from_millis(800);
+/// Idle times after which VMs close connections, by the two idle timeouts of a run.
+const CLOSE_TIMES_MS: [u64; 2] = [2_500, 3_000];
+/// Time from a VM to a caller with a long way. It sees an answer and a close that much later.
+const LONG_WAY: Duration = Duration::from_millis(100);
+/// Time after a close in which a caller with a long way sends, without having seen the close.
+const AFTER_CLOSE_MS: std::ops::Range<u64> = 5..90;
+/// Time without an event after which callers of the platform leave a stream, also before the first one: the
+/// longest of 2 s and four times the objective of the routes.
+const STREAM_PATIENCE: Duration = Duration::from_millis(2_000);
+/// Longest time between two parts of an answer for the other callers.
+const ANSWER_GAP: Duration = Duration::from_secs(10);
 
 type Body = UnsyncBoxBody<Bytes, Infallible>;
 
@@ -49,6 +63,8 @@
     Unanswered(String),
     /// The caller gave up, long after the deadline.
     GaveUp,
+    /// The caller left a stream whose next event did not come in time.
+    Left,
 }
 
 /// One request of a caller.
@@ -78,9 +94,16 @@
     SlowBody,
     /// Sends many resumable streams at once.
     Burst,
+    /// Keeps its connection, and sends after four fifths of the idle timeout.
+    FourFifths,
+    /// Keeps its connection for longer than the idle timeout, unless the VM has named a time for it, and has a
+    /// long way to the VM.
+    LongIdle,
+    /// Sends streams only, and leaves one whose next event does not come in time.
+    Impatient,
 }
 
-pub const HABITS: [Habit; 7] = [
+pub const HABITS: [Habit; 10] = [
     Habit::OneShot,
     Habit::OneShot,
     Habit::Kept,
@@ -88,22 +111,51 @@
     Habit::KeptIdle,
     Habit::SlowBody,
     Habit::Burst,
+    Habit::FourFifths,
+    Habit::LongIdle,
+    Habit::Impatient,
 ];
 
 /// A connection to a VM.
 struct Connection {
     vm: usize,
     sender: SendRequest<Body>,
+    /// Time until which the VM keeps the connection open, as it has said.
+    usable_until: Option<Instant>,
 }
 
-async fn connect(vms: &[SocketAddr], vm: usize) -> Option<Connection> {
+impl Connection {
+    async fn is_usable(&mut self) -> bool {
+        let is_kept = self.usable_until.is_none_or(|until| Instant::now() < until);
+        is_kept && self.sender.ready().await.is_ok()
+    }
+}
+
+/// Returns the time that an answer gives in `Keep-Alive`.
+fn keep_alive(answer: &Response<Incoming>) -> Option<Duration> {
+    let value = answer.headers().get("keep-alive")?.to_str().ok()?;
+    let mut parameters = value.split(',');
+    let timeout_s = parameters.find_map(|text| text.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs_f64(timeout_s.parse().ok()?))
+}
+
+async fn connect(vms: &[SocketAddr], vm: usize, habit: Habit) -> Option<Connection> {
     let connecting = timeout(Duration::from_secs(1), TcpStream::connect(vms[vm]));
     let stream = connecting.await.ok()?.ok()?;
+    let delay = match habit {
+        Habit::LongIdle => LONG_WAY,
+        _ => Duration::ZERO,
+    };
+    let stream = DelayedReads::new(stream, delay);
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(async move {
         let _ = connection.await;
     });
-    Some(Connection { vm, sender })
+    Some(Connection {
+        vm,
+        sender,
+        usable_until: None,
+    })
 }
 
 /// Returns a body in parts, and notes when the last one is handed over.
@@ -135,14 +187,14 @@
 ) -> Exchange {
     let mut reused = kept.take();
     if let Some(connection) = &mut reused
-        && connection.sender.ready().await.is_err()
+        && !connection.is_usable().await
     {
         reused = None;
     }
     let is_first_on_connection = reused.is_none();
     let connection = match reused {
         Some(connection) => Some(connection),
-        None => connect(vms, vm).await,
+        None => connect(vms, vm, habit).await,
     };
     let sent_at = Instant::now();
     let vm = connection.as_ref().map_or(vm, |connection| connection.vm);
@@ -182,21 +234,26 @@
         .header("pieces", "2,3")
         .body(body)
         .unwrap();
-    let answer = timeout(
-        DEADLINE + ANSWER_MARGIN,
-        connection.sender.send_request(request),
-    );
+    let (patience, max_gap, impatient) = match habit {
+        Habit::Impatient => (STREAM_PATIENCE, STREAM_PATIENCE, Outcome::Left),
+        _ => (DEADLINE + ANSWER_MARGIN, ANSWER_GAP, Outcome::GaveUp),
+    };
+    let answer = timeout(patience, connection.sender.send_request(request));
     let outcome = match answer.await {
-        Err(_) => Outcome::GaveUp,
+        Err(_) => impatient,
         Ok(Err(error)) if error.is_canceled() => Outcome::NotSent,
         Ok(Err(error)) => Outcome::Unanswered(format!("{error:?}")),
-        Ok(Ok(answer)) => match read_answer(answer).await {
-            Some(answer) => {
-                *kept = Some(connection);
-                Outcome::Answered(answer)
+        Ok(Ok(answer)) => {
+            let keep_alive = keep_alive(&answer);
+            match read_answer_with_gaps(answer, max_gap).await {
+                (_, true) if habit == Habit::Impatient => Outcome::Left,
+                (answer, _) => {
+                    connection.usable_until = keep_alive.map(|time| Instant::now() + time);
+                    *kept = Some(connection);
+                    Outcome::Answered(answer)
+                }
             }
-            None => Outcome::Unanswered("the answer was not read".to_owned()),
-        },
+        }
     };
     let whole_at = *whole_at.lock();
     end(outcome, whole_at)
@@ -232,16 +289,25 @@
             sleep(Duration::from_millis(rng.random_range(BURST_INTERVAL_MS))).await;
             continue;
         }
-        let path = PATHS[(number + round) % PATHS.len()];
+        let path = match habit {
+            Habit::Impatient => PATHS[2 + round % 2],
+            _ => PATHS[(number + round) % PATHS.len()],
+        };
         if matches!(habit, Habit::OneShot | Habit::SlowBody) {
             kept = None;
         }
         let ended = exchange(&vms, vm, &mut kept, (id, path), habit).await;
         exchanges.lock().push(ended);
-        let pause_ms = match habit {
-            Habit::KeptIdle => rng.random_range(15..3_000),
-            _ => 15,
+        let pause = match habit {
+            Habit::KeptIdle => Duration::from_millis(rng.random_range(15..3_000)),
+            Habit::LongIdle => {
+                let close_ms = CLOSE_TIMES_MS[round % CLOSE_TIMES_MS.len()];
+                let since_answer_ms = close_ms + rng.random_range(AFTER_CLOSE_MS);
+                Duration::from_millis(since_answer_ms) - LONG_WAY
+            }
+            Habit::FourFifths => SAFE_IDLE_TIME,
+            _ => Duration::from_millis(15),
         };
-        sleep(Duration::from_millis(pause_ms)).await;
+        sleep(pause).await;
     }
 }
--- a/tests/fleet_soak/main.rs
+++ b/tests/fleet_soak/main.rs
@@ -16,10 +16,12 @@
 
 mod callers;
 mod crashing;
+mod delayed_reads;
 mod liveness;
 mod observations;
 mod planned;
 mod steps;
+mod unanswered;
 #[path = "../users_platform/mod.rs"]
 mod users_platform;
 
@@ -36,7 +38,9 @@
 use planned::soak_planned;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use steps::{Step, apply, draw_answers, draw_series, draw_silence};
+use unanswered::count_by_cause;
 use users_platform::backend::Fault;
 use users_platform::caller::{KeptConnection, request};
 use users_platform::store::Mode;
@@ -44,6 +48,8 @@
 
 /// Number of VMs, unless `SOAK_VMS` is set.
 const DEFAULT_VM_COUNT: usize = 4;
+/// Idle timeout of connections at the start of a run; the fixture's own one is longer than a run.
+const IDLE_TIMEOUT_MS: u64 = 1_500;
 /// Number of concurrent callers; each sends one request after the other.
 const CALLER_COUNT: usize = 6;
 /// Endpoint of the service `plain` that leaves at the end of each run; another one stays.
@@ -182,13 +188,22 @@
     }
 }
 
+/// Starts a fleet that closes idle connections within a run.
+async fn start_fleet(vm_count: usize) -> Fleet {
+    let mut fleet = Fleet::start_proxied(vm_count).await;
+    fleet.change_configuration(|configuration| {
+        configuration["Limits"]["IdleTimeoutMs"] = json!(IDLE_TIMEOUT_MS);
+    });
+    fleet
+}
+
 /// Runs the fault series of one seed and returns the violations found.
 async fn soak(seed: u64, vm_count: usize, fault_duration: Duration) -> Vec<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut answers_rng = ChaCha8Rng::seed_from_u64(!seed);
     // Differs from the sequences above, which listed seeds have failed with.
     let mut silence_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
-    let mut fleet = Fleet::start_proxied(vm_count).await;
+    let mut fleet = start_fleet(vm_count).await;
     let engines = add_engines(&mut fleet).await;
     let services: Vec<String> = fleet
         .backends
@@ -301,7 +316,8 @@
         succeeded.load(Ordering::Relaxed),
     );
     println!(
-        "seed {seed}: {sent} requests sent, {succeeded} served, {} faults",
+        "seed {seed}: {sent} requests sent, {succeeded} served, without an answer {:?}, {} faults",
+        count_by_cause(&fleet),
         steps.len()
     );
     let violations = observations.violations.lock().clone();
--- a/tests/fleet_soak/planned.rs
+++ b/tests/fleet_soak/planned.rs
@@ -17,6 +17,7 @@
 use crate::liveness::{VmStates, check_liveness};
 use crate::observations::Observations;
 use crate::steps::{Step, apply, draw_planned, draw_silence};
+use crate::unanswered::{check_causes, count_by_cause};
 use crate::users_platform::backend::{Backend, Received};
 use crate::users_platform::{DATA_CENTRES, Fleet};
 
@@ -24,8 +25,12 @@
 /// Upper bounds of the time between two draws.
 const MAX_PLANNED_GAP_MS: u64 = 2_000;
 const MAX_SILENCE_GAP_MS: u64 = 3_500;
-/// Pause after each event of a stream, so that streams last long enough to be silenced within.
-const EVENT_PAUSE: Duration = Duration::from_millis(120);
+/// Pauses after each event of a stream, by the parity of the seed. With the short one, streams last long enough to
+/// be silenced within; with the long one, those that begin during a planned stop may last longer than it.
+const EVENT_PAUSES: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(120)];
+/// Time of a call to the first stage in runs with an even seed: bursts then wait in its queue for longer than some
+/// callers do.
+const SLOW_STAGE_TIME: Duration = Duration::from_millis(400);
 /// `LossSlackMs` of the platform's rules: a connection that closes so soon after a request was sent may
 /// have been closed before the request was there.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
@@ -47,6 +52,8 @@
     stops: Vec<(usize, Instant, Option<Instant>)>,
     /// Endpoint, and the times at which it was listed as draining and as ready again.
     drains: Vec<(usize, Instant, Option<Instant>)>,
+    /// Times at which an endpoint fell silent, and for how long.
+    silences: Vec<(Instant, Duration)>,
 }
 
 impl PlannedWork {
@@ -54,6 +61,7 @@
         let now = Instant::now();
         match step {
             Step::Stop(vm) if !self.is_stopping(vm) => self.stops.push((vm, now, None)),
+            Step::Silence(_, duration) => self.silences.push((now, duration)),
             Step::Drain(endpoint) => self.drains.push((endpoint, now, None)),
             Step::List(listed) => {
                 let open = self.drains.iter_mut();
@@ -85,7 +93,8 @@
     let stop = work.stop_before(exchange.vm, exchange.ended_at);
     let is_cut_by_stop = stop.is_some_and(|began| exchange.ended_at >= began + CUT_TIME);
     match &exchange.outcome {
-        Outcome::NotSent => None,
+        // The lines of the VMs say whether it was right to let the caller wait.
+        Outcome::NotSent | Outcome::Left => None,
         Outcome::GaveUp => Some("neither an answer nor a refusal by its deadline".to_owned()),
         Outcome::Answered(answer) if !answer.is_complete => {
             let is_excused = took >= DEADLINE || is_cut_by_stop;
@@ -223,10 +232,15 @@
 pub async fn soak_planned(seed: u64, vm_count: usize, duration: Duration) -> Vec<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut silence_rng = ChaCha8Rng::seed_from_u64(!seed);
-    let mut fleet = Fleet::start_proxied(vm_count).await;
+    let mut fleet = crate::start_fleet(vm_count).await;
     add_engines(&mut fleet).await;
     for engine in fleet.backends_of("lm") {
-        engine.set_work_time(EVENT_PAUSE);
+        engine.set_work_time(EVENT_PAUSES[(seed % 2) as usize]);
+    }
+    if seed.is_multiple_of(2) {
+        for stage in fleet.backends_of("first") {
+            stage.set_work_time(SLOW_STAGE_TIME);
+        }
     }
     let services: Vec<String> = fleet
         .backends
@@ -324,6 +338,7 @@
     check_losses(&fleet, &exchanges, &work, &observations);
     check_drains(&fleet, &work, &observations);
     check_budget(&fleet, &exchanges, &observations);
+    check_causes(&fleet, &exchanges, &work.silences, &observations);
     let mut outcomes: HashMap<String, usize> = HashMap::new();
     for exchange in &exchanges {
         let outcome = match &exchange.outcome {
@@ -331,10 +346,15 @@
             Outcome::NotSent => "not sent".to_owned(),
             Outcome::Unanswered(_) => "unanswered".to_owned(),
             Outcome::GaveUp => "given up".to_owned(),
+            Outcome::Left => "left".to_owned(),
         };
         *outcomes.entry(outcome).or_default() += 1;
     }
-    println!("planned seed {seed}: {outcomes:?}, {} steps", steps.len());
+    let causes = count_by_cause(&fleet);
+    println!(
+        "planned seed {seed}: {outcomes:?}, without an answer {causes:?}, {} steps",
+        steps.len()
+    );
     let violations = observations.violations.lock().clone();
     if !violations.is_empty() {
         println!("planned seed {seed}: violations: {violations:#?}\nsteps: {steps:#?}");
--- a/tests/fleet_soak/steps.rs
+++ b/tests/fleet_soak/steps.rs
@@ -301,7 +301,7 @@
         Step::ChangeLimits => fleet.change_configuration(|configuration| {
             let is_low = configuration["Limits"]["IdleTimeoutMs"] == json!(1_000);
             let [idle_ms, header_bytes, look_ms, stream_ms] = match is_low {
-                true => [15_000, 16_384, 3_000, 8_000],
+                true => [1_500, 16_384, 3_000, 8_000],
                 false => [1_000, 32_768, 2_900, 7_000],
             };
             configuration["Limits"]["IdleTimeoutMs"] = json!(idle_ms);
--- a/tests/users_platform/caller.rs
+++ b/tests/users_platform/caller.rs
@@ -74,31 +74,46 @@
     read_answer(send(&call).await.ok()?).await
 }
 
+/// Longest time between two parts of an answer.
+const ANSWER_GAP: Duration = Duration::from_secs(10);
+
 /// Reads the rest of an answer. It is not complete if the connection ends before the body does.
 pub async fn read_answer(answer: Response<Incoming>) -> Option<CallerAnswer> {
+    let (answer, _) = read_answer_with_gaps(answer, ANSWER_GAP).await;
+    Some(answer)
+}
+
+/// Reads the rest of an answer, and leaves it when no part of it comes for `max_gap`. Returns whether it was
+/// left, in which case it is not complete.
+pub async fn read_answer_with_gaps(
+    answer: Response<Incoming>,
+    max_gap: Duration,
+) -> (CallerAnswer, bool) {
     let status = answer.status().as_u16();
     let header = |name: &str| answer.headers().get(name)?.to_str().ok().map(str::to_owned);
     let is_signed = header("response-signature").is_some();
     let retry_after_s = header("retry-after").and_then(|text| text.parse().ok());
     let mut body = answer.into_body();
     let mut bytes = Vec::new();
-    let is_complete = loop {
+    let (is_complete, is_left) = loop {
         if bytes.len() > MAX_BODY_BYTES {
-            break false;
+            break (false, false);
         }
-        match tokio::time::timeout(Duration::from_secs(10), body.frame()).await {
+        match timeout(max_gap, body.frame()).await {
             Ok(Some(Ok(frame))) => bytes.extend(frame.into_data().unwrap_or_default()),
-            Ok(None) => break true,
-            Ok(Some(Err(_))) | Err(_) => break false,
+            Ok(None) => break (true, false),
+            Ok(Some(Err(_))) => break (false, false),
+            Err(_) => break (false, true),
         }
     };
-    Some(CallerAnswer {
+    let answer = CallerAnswer {
         status,
         is_complete,
         body: String::from_utf8_lossy(&bytes).into_owned(),
         is_signed,
         retry_after_s,
-    })
+    };
+    (answer, is_left)
 }
 
 /// Caller that sends its requests on one connection for as long as the VM keeps it open, whatever
