--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -345,7 +345,7 @@
         if is_head(&buffer[..bytes]) {
             metric::request_unanswered(LossCause::OwnClose, Wait::Body);
             info!(context.logger, "request: its connection was closed while it was on its way";
-                "caller" => &caller, "cause" => %LossCause::OwnClose, "bytes" => bytes);
+                "caller" => &caller, "cause" => %LossCause::OwnClose, "waiting_for" => %Wait::Body, "bytes" => bytes);
             return;
         }
         // Line ends after a body belong to no request.
