--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -80,7 +80,7 @@
     std::iter::successors(Some(REPLACEMENT_PAUSE), |pause| Some(*pause * 2))
 }
 
-/// Returns the reply for a request whose deadline has passed.
+/// Returns the reply for a request whose deadline has passed, or whose caller is about to leave.
 pub fn timed_out(attempts: &Attempts) -> RequestEnd {
     if attempts.runs > 0 {
         let reply = reply::text(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
