fix(fleet): bound the wait for callers that send line ends to a closed connection

A caller that sends a line end more often than once a second kept the task of its closed connection, and so a planned stop, going for as long as it liked. Found by review, by reading; no test shows it. The wait has the bound of the other lingering reads again.

--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -341,7 +341,10 @@
     // The connection ends whether or not the caller is still there.
     let _ = stream.shutdown().await;
     let mut buffer = vec![0; LINGER_BUFFER_BYTES];
-    while let Ok(Ok(bytes @ 1..)) = timeout(LINGER_PAUSE, stream.peek(&mut buffer)).await {
+    let until = Instant::now() + LINGER_TIMEOUT;
+    while Instant::now() < until
+        && let Ok(Ok(bytes @ 1..)) = timeout(LINGER_PAUSE, stream.peek(&mut buffer)).await
+    {
         if is_head(&buffer[..bytes]) {
             metric::request_unanswered(LossCause::OwnClose, Wait::Body);
             info!(context.logger, "request: its connection was closed while it was on its way";
