fix(decisions): estimates of generations saturate

Found by review, by reading: the sum of two estimates could overflow and panic in the serving path with an absurd Last-Event-Id. No test shows it.

--- a/src/decisions/generation_times.rs
+++ b/src/decisions/generation_times.rs
@@ -50,7 +50,7 @@
 impl GenerationEstimate {
     /// Returns the time from the send to the end.
     pub fn total(&self) -> Duration {
-        self.first_event + self.further_events
+        self.first_event.saturating_add(self.further_events)
     }
 }
 
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -255,7 +255,7 @@
         min_remaining.saturating_sub(min_time_to_first_event(admitted.caller.prompt_tokens));
     let remaining_in_stop = || {
         let generation = node.generation_estimate(admitted, None, admitted.caller.last_event);
-        later_stages + generation.total()
+        later_stages.saturating_add(generation.total())
     };
     let started = now;
     let outcome = tokio::select! {
