fix(fleet): an engine with a long queue is no failed one when its caller leaves

Since the waits follow the caller's event gap, a request that got no event by then counted as a failure of its engine, which takes a merely loaded engine out of use under load. It says nothing about the engine until the deadline, as before.

--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -289,7 +289,12 @@
         match interruption {
             Interruption::Quarantine(part) => self.refuse_for(part),
             Interruption::NoEventInTime => {
-                self.end_attempt(AttemptEnd::Broken);
+                // A long queue at the engine is no failure of it while the deadline has not passed.
+                let end = match self.admitted.time_left().is_zero() {
+                    true => AttemptEnd::Broken,
+                    false => AttemptEnd::Inconclusive,
+                };
+                self.end_attempt(end);
                 timed_out(&self.attempts)
             }
             Interruption::VmStops => RequestEnd::vm_stops(self.attempts.runs),
