fix(fleet): the caller's event gap begins as it waits for the event

The gap began when the VM read the event before. A caller that reads slowly then lost the right to a resume that still would have come in time, and its stream was cut. Found by review, by reading; no test shows it.

--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -628,6 +628,8 @@
             return Some(Err(io::Error::other("no engine is open")));
         };
         let waits_since = clock::now();
+        // The caller begins to wait once it has read the event before.
+        self.next_event_by = self.admitted.next_event_by();
         let read = open.next_event(self.last_event);
         let awaited = await_or_replace(read, NEXT_EVENT_TIMEOUT, self.replacement_for_silent());
         let (end, reason, replacement) = match timeout(left, awaited).await {
