fix(fleet): panics are not counted as callers that left

A handler that panics is answered with 500, and was counted as unanswered too. A panic within a stream is a fault of this program and has a cause of its own. Found by review, by reading; a process cannot be made to panic from outside.

--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -42,7 +42,8 @@
 
 impl Drop for UnansweredGuard {
     fn drop(&mut self) {
-        if self.is_answered {
+        // A handler that panics is answered by the connection (`caller_connection`).
+        if self.is_answered || std::thread::panicking() {
             return;
         }
         let (cause, wait) = (self.node.loss_cause(), self.progress.waiting_for());
--- a/src/fleet/request_progress.rs
+++ b/src/fleet/request_progress.rs
@@ -55,6 +55,8 @@
     Deadline,
     /// The endpoint broke its answer off or was silent, and no other one went on with it.
     Endpoint,
+    /// The task that serves the stream failed.
+    Failure,
 }
 
 impl LossCause {
@@ -66,6 +68,7 @@
             Self::PlannedStop => "planned_stop",
             Self::Deadline => "deadline",
             Self::Endpoint => "endpoint",
+            Self::Failure => "failure",
         }
     }
 }
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -757,7 +757,11 @@
         self.end_attempt(AttemptEnd::Inconclusive);
         // Before its first event, the request itself is reported.
         if !self.is_ended && self.events > 0 {
-            let (cause, wait) = (self.node.loss_cause(), self.admitted.progress.waiting_for());
+            let cause = match std::thread::panicking() {
+                true => LossCause::Failure,
+                false => self.node.loss_cause(),
+            };
+            let wait = self.admitted.progress.waiting_for();
             metric::request_unanswered(cause, wait);
             let took = clock::now().since(self.admitted.arrived_at);
             info!(self.node.logger, "request: its connection ended in the middle of its stream";
