fix(fleet): a resumed request does not distort the expected length of generations

The length was taken from the number of the last event, which for a stream that the caller itself resumes is the caller's word. Found by review, by reading.

--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -612,6 +612,17 @@
         times.on_next_event(now, &self.admitted.service, endpoint, now.since(since));
     }
 
+    /// Records the number of events of a complete generation, for later estimates. The number of events before
+    /// a stream that the caller itself resumes is only its word.
+    fn note_length(&self) {
+        if self.admitted.caller.last_event.is_some() {
+            return;
+        }
+        let expected = self.admitted.caller.expected_tokens();
+        let mut times = self.node.generation_times.lock();
+        times.on_complete(clock::now(), &self.admitted.service, expected, self.events);
+    }
+
     /// Returns the next event for the caller. An error closes the connection to the caller.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         if self.is_ended {
@@ -642,15 +653,7 @@
             Ok(Awaited::Output(ReadOutcome::Complete)) => {
                 self.note_wait(&open.endpoint.id, waits_since);
                 self.end_attempt(AttemptEnd::Answered(None));
-                let events = self
-                    .last_event
-                    .map_or(0, |last_event| last_event.saturating_add(1));
-                self.node.generation_times.lock().on_complete(
-                    clock::now(),
-                    &self.admitted.service,
-                    self.admitted.caller.expected_tokens(),
-                    events,
-                );
+                self.note_length();
                 if self.engine_events < START_EVENTS {
                     self.node.note_pass(&self.admitted);
                 }
