fix(fleet): a stopping VM starts only generations that fit in its stop

Callers saw streams that ended in their middle 7.7 s after the signal, although they had begun only during the stop and had not run when it began. They could have been refused as not run and served by another VM.

Cause: the stop asked whether the start of an answer fits in its time, not whether the whole generation does.

The test a_generation_begins_in_a_planned_stop_only_if_it_fits failed before in its two cases of generations that do not fit: status 200 and a body that ends early after 5.5 s and 7.9 s. Its four cases of generations that fit passed before and pass now; they guard against refusals by an estimate that is too long.

The fix works since the time of a generation is estimated from what the VM has observed of the endpoint or the service: time to the first event, time for each further one, events for each token that the caller expects. While a request waits for its stages, and before each send to an engine, the rest of its way must end before the stop does. The estimate is a mean without a margin, so a generation that is longer than usual is still cut.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -12,6 +12,7 @@
 pub mod endpoint_choice;
 pub mod endpoint_notices;
 pub mod fair_queue;
+pub mod generation_times;
 pub mod gossip;
 pub mod group_choice;
 pub mod membership;
--- a/src/decisions/planned_stop.rs
+++ b/src/decisions/planned_stop.rs
@@ -47,11 +47,16 @@
         self.before_exit(LAST_ACCEPT_MARGIN)
     }
 
-    /// Returns the time by which each request has its answer, or the start of it.
+    /// Returns the time by which each request has its answer.
     pub fn answer_by(&self) -> Time {
         self.before_exit(ANSWER_MARGIN)
     }
 
+    /// Returns whether a request that takes `remaining` from now on is answered in time.
+    pub fn fits(&self, now: Time, remaining: Duration) -> bool {
+        now + remaining <= self.answer_by()
+    }
+
     fn before_exit(&self, margin: Duration) -> Time {
         self.began_at + self.exit_at.since(self.began_at).saturating_sub(margin)
     }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -16,10 +16,12 @@
 use crate::decisions::endpoint_choice::{
     AttemptEnd, ChoiceConfig, EndpointChoice, StartedAttempt, cold_share,
 };
+use crate::decisions::generation_times::{GenerationEstimate, GenerationTimes};
 use crate::decisions::planned_stop::PlannedStop;
 use crate::decisions::rendezvous::rendezvous_order;
 use crate::decisions::retry_window::{RetryWindow, RetryWindowConfig};
 use crate::decisions::stage_times::StageTimes;
+use crate::fleet::admission::AdmittedRequest;
 use crate::fleet::crash_reports::CrashBoard;
 use crate::fleet::dispatcher::BatchDispatcher;
 use crate::fleet::metric;
@@ -28,6 +30,7 @@
 use crate::fleet::peers::Peers;
 use crate::fleet::request_progress::LossCause;
 use crate::fleet::settings::FleetSettings;
+use crate::fleet::stages::min_time_to_first_event;
 use crate::fleet::store_feed::StoreFeed;
 use crate::fleet::supervise::supervise;
 use crate::fleet::view::FleetView;
@@ -36,6 +39,9 @@
 /// Maximum number of times that one request is sent to endpoints, the first included, whatever its
 /// route allows.
 pub const MAX_SENDS: u32 = 4;
+/// Interval at which a wait during a planned stop computes again what remains, since the pace of engines
+/// changes.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// State that serving requests needs; the control thread's state is read from `view`.
 pub struct Node {
@@ -66,6 +72,8 @@
     cold_ranks: Mutex<ColdRanks>,
     /// Recent durations of stages.
     pub stage_times: Mutex<StageTimes>,
+    /// Recent paces and lengths of generations.
+    pub generation_times: Mutex<GenerationTimes>,
     /// Number of callers' requests in progress.
     pub active_requests: AtomicUsize,
     /// Number of stage jobs in progress for other VMs.
@@ -159,6 +167,7 @@
             retries: Mutex::default(),
             cold_ranks: Mutex::default(),
             stage_times: Mutex::default(),
+            generation_times: Mutex::default(),
             active_requests: AtomicUsize::new(0),
             active_peer_jobs: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
@@ -198,8 +207,8 @@
     }
 
     /// Waits until a request that takes `remaining` for the rest of its way can no longer be answered before the
-    /// planned stop ends. Waits forever without one.
-    pub async fn stop_leaves_less_than(&self, remaining: Duration) {
+    /// planned stop ends. Waits forever without one. `remaining` is computed again as the wait goes on.
+    pub async fn stop_leaves_less_than(&self, remaining: impl Fn() -> Duration) {
         let mut stopping = self.stopping.clone();
         if stopping.wait_for(|stopping| *stopping).await.is_err() {
             return pending().await;
@@ -208,7 +217,40 @@
         let Some(planned_stop) = planned_stop else {
             return pending().await;
         };
-        sleep((planned_stop.answer_by() - remaining).since(clock::now())).await;
+        loop {
+            let now = clock::now();
+            let slack = (planned_stop.answer_by() - remaining()).since(now);
+            if slack.is_zero() {
+                return;
+            }
+            sleep(slack.min(STOP_CHECK_INTERVAL)).await;
+        }
+    }
+
+    /// Returns whether a planned stop is under way that ends before a request that takes `remaining` from now
+    /// on.
+    pub fn stops_within(&self, remaining: Duration) -> bool {
+        let planned_stop = *self.planned_stop.lock();
+        planned_stop.is_some_and(|planned_stop| !planned_stop.fits(clock::now(), remaining))
+    }
+
+    /// Estimates what the generation of a request still takes, of which the caller has the events up to
+    /// `last_event`. `endpoint` is its endpoint, if it is known.
+    pub fn generation_estimate(
+        &self,
+        admitted: &AdmittedRequest,
+        endpoint: Option<&EndpointName>,
+        last_event: Option<u64>,
+    ) -> GenerationEstimate {
+        let events = last_event.map_or(0, |last_event| last_event.saturating_add(1));
+        self.generation_times.lock().estimate(
+            clock::now(),
+            &admitted.service,
+            endpoint,
+            admitted.caller.expected_tokens(),
+            events,
+            min_time_to_first_event(admitted.caller.prompt_tokens),
+        )
     }
 
     /// Records the first attempt of a request to a service, which allows a part of a retry.
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -39,7 +39,7 @@
     let ended = tokio::select! {
         biased;
         served = timeout(admitted.time_left(), run) => served.ok(),
-        () = node.stop_leaves_less_than(Duration::ZERO) => None,
+        () = node.stop_leaves_less_than(|| Duration::ZERO) => None,
     };
     ended.unwrap_or_else(|| match fallback {
         Some(reply) => RequestEnd::new(reply, "error of the endpoint; no other answered in time"),
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -89,7 +89,7 @@
     let admission = tokio::select! {
         biased;
         admission = admit(node, request, caller, arrived_at, progress) => admission,
-        () = node.stop_leaves_less_than(Duration::ZERO) => Err(RequestEnd::vm_stops(0)),
+        () = node.stop_leaves_less_than(|| Duration::ZERO) => Err(RequestEnd::vm_stops(0)),
     };
     let admitted = match admission {
         Ok(admitted) => Arc::new(admitted),
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -344,6 +344,9 @@
             .map(|endpoint| endpoint.id.clone())
             .collect();
         node.choice.lock().retain(|id| usable_ids.contains(id));
+        let mut generation_times = node.generation_times.lock();
+        generation_times.retain(|id| usable_ids.contains(id));
+        drop(generation_times);
         let listed = view.endpoints_by_address.values();
         let listed_ids: std::collections::HashSet<_> =
             listed.map(|endpoint| endpoint.id.clone()).collect();
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -248,11 +248,17 @@
             .flatten(),
         reads_inputs_last: reads_inputs_last(&admitted.route, stage),
     };
+    let later_stages =
+        min_remaining.saturating_sub(min_time_to_first_event(admitted.caller.prompt_tokens));
+    let remaining_in_stop = || {
+        let generation = node.generation_estimate(admitted, None, admitted.caller.last_event);
+        later_stages + generation.total()
+    };
     let started = now;
     let outcome = tokio::select! {
         biased;
         outcome = run_job(node, &route_stage.service, job) => outcome.map_err(StageFailure::Job),
-        () = node.stop_leaves_less_than(min_remaining) => Err(StageFailure::VmStops),
+        () = node.stop_leaves_less_than(remaining_in_stop) => Err(StageFailure::VmStops),
     };
     let ended = clock::now();
     let took = ended.since(started);
@@ -320,8 +326,7 @@
         let service = &admitted.route.stages[stage].service;
         expected_ms(service, typical_call_ms(view, service))
     };
-    let mut ms =
-        GENERATION_START_MS + f64::from(admitted.caller.prompt_tokens) / PROMPT_TOKENS_PER_MS;
+    let mut ms = 0.0;
     let mut current = stage;
     // A stage only reads stages with lower numbers, so the loop ends.
     while let Some(next) = (current + 1..admitted.route.stages.len())
@@ -330,5 +335,12 @@
         ms += expected_stage_ms(next);
         current = next;
     }
+    Duration::from_secs_f64(ms / 1_000.0) + min_time_to_first_event(admitted.caller.prompt_tokens)
+}
+
+/// Returns the estimate of the time from the send of a request to its first event, for an engine that begins it at
+/// once.
+pub fn min_time_to_first_event(prompt_tokens: u32) -> Duration {
+    let ms = GENERATION_START_MS + f64::from(prompt_tokens) / PROMPT_TOKENS_PER_MS;
     Duration::from_secs_f64(ms / 1_000.0)
 }
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -39,7 +39,7 @@
 use crate::fleet::stages::{StageFailure, StageResults, run_stages};
 use crate::platform::endpoint_call::{ResponseClass, classify, returned_headers};
 use crate::traffic::Execution;
-use crate::units::PartId;
+use crate::units::{EndpointName, PartId, Time};
 
 /// Time after which a caller should retry, sent when no engine takes its request.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -84,7 +84,7 @@
             biased;
             part = part_wait => Err(Interruption::Quarantine(part)),
             opened = opening => opened.map_err(|_| Interruption::Deadline),
-            () = node.stop_leaves_less_than(Duration::ZERO) => Err(Interruption::VmStops),
+            () = node.stop_leaves_less_than(|| Duration::ZERO) => Err(Interruption::VmStops),
         }
     };
     match opened {
@@ -218,6 +218,8 @@
     open: Option<EngineStream>,
     /// The attempt in progress, which the endpoint choice counts until it ends.
     started: Option<StartedAttempt>,
+    /// When the request was sent to the engine of the attempt in progress.
+    sent_at: Time,
     /// Number of the last event that was read, or that the caller already had. A resumed stream
     /// continues after it.
     last_event: Option<u64>,
@@ -242,6 +244,7 @@
             attempts: Attempts::default(),
             open: None,
             started: None,
+            sent_at: Time::ZERO,
             last_event,
             events: 0,
             engine: None,
@@ -346,10 +349,12 @@
         if !self.has_engine() {
             return Err(self.failure("no engine".to_owned()));
         }
+        self.check_stop(None)?;
         let results = self.stages().await?;
         let Some((endpoint, connection)) = self.connect(&results).await else {
             return Err(self.failure("no engine".to_owned()));
         };
+        self.check_stop(Some(&endpoint.id))?;
         // The connect and the stages take time, in which a part may have come under quarantine.
         if let Some(refusal) = refuse_quarantined(&self.node, &self.admitted, &self.attempts) {
             return Err(refusal);
@@ -364,6 +369,21 @@
         })
     }
 
+    /// Refuses a request whose whole generation no longer fits in a planned stop: it would be cut in its middle,
+    /// while another VM can still serve it (`docs/platform.md`, "Planned stop").
+    fn check_stop(&self, endpoint: Option<&EndpointName>) -> Result<(), RequestEnd> {
+        let node = &self.node;
+        let estimate = node.generation_estimate(&self.admitted, endpoint, self.last_event);
+        if !node.stops_within(estimate.total()) {
+            return Ok(());
+        }
+        info!(node.logger, "request: its generation does not fit in the planned stop";
+            "id" => &self.admitted.caller.id, "endpoint" => endpoint.map(ToString::to_string),
+            "first_event_ms" => estimate.first_event.as_millis() as u64,
+            "further_events_ms" => estimate.further_events.as_millis() as u64);
+        Err(RequestEnd::vm_stops(self.attempts.runs))
+    }
+
     /// Waits until the request can be sent to another engine than the silent one that has it.
     async fn replacement_for_silent(&mut self) -> PreparedAttempt {
         if !self.admitted.route.is_resumable {
@@ -481,6 +501,7 @@
         self.attempts.sent += 1;
         self.attempts.runs += 1;
         self.attempts.tried.push(endpoint.id.clone());
+        self.sent_at = clock::now();
         let prompt_tokens = self.admitted.caller.prompt_tokens;
         let mut choice = self.node.choice.lock();
         self.started = Some(choice.start(clock::now(), endpoint, prompt_tokens));
@@ -499,6 +520,11 @@
     fn finish_opening(&mut self, opening: Opening) -> OpenOutcome {
         match opening {
             Opening::Event(headers, stream, number, event) => {
+                let (now, endpoint) = (clock::now(), &stream.endpoint.id);
+                let mut times = self.node.generation_times.lock();
+                let took = now.since(self.sent_at);
+                times.on_first_event(now, &self.admitted.service, endpoint, took);
+                drop(times);
                 self.open = Some(stream);
                 self.note_event(number);
                 let mut choice = self.node.choice.lock();
@@ -555,6 +581,14 @@
         }
     }
 
+    /// Records the wait for an event after the first one, or for the end, for later estimates. The time in which
+    /// the caller does not read is no part of it.
+    fn note_wait(&self, endpoint: &EndpointName, since: Time) {
+        let now = clock::now();
+        let mut times = self.node.generation_times.lock();
+        times.on_next_event(now, &self.admitted.service, endpoint, now.since(since));
+    }
+
     /// Returns the next event for the caller. An error closes the connection to the caller.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         if self.is_ended {
@@ -570,16 +604,28 @@
         let Some(mut open) = self.open.take() else {
             return Some(Err(io::Error::other("no engine is open")));
         };
+        let waits_since = clock::now();
         let read = open.next_event(self.last_event);
         let awaited = await_or_replace(read, NEXT_EVENT_TIMEOUT, self.replacement_for_silent());
         let (end, reason, replacement) = match timeout(left, awaited).await {
             Ok(Awaited::Output(ReadOutcome::Event(number, event))) => {
+                self.note_wait(&open.endpoint.id, waits_since);
                 self.open = Some(open);
                 self.note_event(number);
                 return Some(Ok(event));
             }
             Ok(Awaited::Output(ReadOutcome::Complete)) => {
+                self.note_wait(&open.endpoint.id, waits_since);
                 self.end_attempt(AttemptEnd::Answered(None));
+                let events = self
+                    .last_event
+                    .map_or(0, |last_event| last_event.saturating_add(1));
+                self.node.generation_times.lock().on_complete(
+                    clock::now(),
+                    &self.admitted.service,
+                    self.admitted.caller.expected_tokens(),
+                    events,
+                );
                 if self.engine_events < START_EVENTS {
                     self.node.note_pass(&self.admitted);
                 }
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -5,6 +5,7 @@
 use hyper::HeaderMap;
 use smallvec::SmallVec;
 
+use crate::decisions::generation_times::ExpectedTokens;
 use crate::units::PartId;
 
 /// One part of a prompt, which requests may have in common.
@@ -32,6 +33,8 @@
     pub prompt_tokens: u32,
     /// Maximum number of tokens to generate; 0 when the header is missing or malformed.
     pub output_tokens: u32,
+    /// The caller's estimate of the number of tokens to generate.
+    pub length_hint: Option<u32>,
     /// Number of the last stream event that the caller already has.
     pub last_event: Option<u64>,
     /// Number of items of each stage, by the stage's number.
@@ -41,6 +44,17 @@
 }
 
 impl CallerRequest {
+    /// Returns the number of tokens that the answer is expected to have.
+    pub fn expected_tokens(&self) -> ExpectedTokens {
+        match self.length_hint {
+            Some(hint) if self.output_tokens > 0 => {
+                ExpectedTokens::Hint(hint.min(self.output_tokens))
+            }
+            Some(hint) => ExpectedTokens::Hint(hint),
+            None => ExpectedTokens::Max(self.output_tokens),
+        }
+    }
+
     /// Returns the parts of the prompt that other requests may have too: all but the last one.
     pub fn shared_parts(&self) -> impl Iterator<Item = PartId> {
         let parts = self.prompt_parts.as_slice();
@@ -72,6 +86,7 @@
         prompt_parts,
         prompt_tokens,
         output_tokens,
+        length_hint: text("length-hint").and_then(|value| value.trim().parse().ok()),
         last_event: text("last-event-id").and_then(|value| value.trim().parse().ok()),
         stage_item_counts,
         stage_key: text("piece-key").map(str::to_owned),
--- a/tests/fleet_rules/main.rs
+++ b/tests/fleet_rules/main.rs
@@ -6,6 +6,7 @@
 
 mod batching;
 mod choice;
+mod generation_times;
 mod gossip;
 mod quarantine;
 mod retry_window;
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -299,6 +299,160 @@
     join_all(cases).await;
 }
 
+/// What becomes of a request whose generation takes some time, in a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Whole,
+    /// Refused at once as not run.
+    Refused,
+}
+
+struct GenerationCase {
+    name: &'static str,
+    path: &'static str,
+    /// Time from the send to the first event, and from each event to the next one or the end.
+    event_time: Duration,
+    /// Duration of the first stage.
+    stage_time: Duration,
+    token_usage: &'static str,
+    /// Whether the VM has answered such a request before.
+    is_observed: bool,
+    /// Time from the signal to the request. If it is negative, the request comes first.
+    sent_ms: i64,
+    outcome: Outcome,
+}
+
+const GENERATION_CASES: &[GenerationCase] = &[
+    GenerationCase {
+        name: "waits for a stage as the signal comes, and its generation takes longer than the stop",
+        path: "/stream/x",
+        event_time: Duration::from_millis(900),
+        stage_time: Duration::from_millis(1_000),
+        token_usage: "120,40",
+        is_observed: true,
+        sent_ms: -200,
+        outcome: Outcome::Refused,
+    },
+    GenerationCase {
+        name: "waits for a stage as the signal comes, and fits",
+        path: "/stream/x",
+        event_time: Duration::from_millis(300),
+        stage_time: Duration::from_millis(1_000),
+        token_usage: "120,40",
+        is_observed: true,
+        sent_ms: -200,
+        outcome: Outcome::Whole,
+    },
+    GenerationCase {
+        name: "comes so late that its generation takes longer than the rest of the stop",
+        path: "/once-stream/x",
+        event_time: Duration::from_millis(650),
+        stage_time: Duration::ZERO,
+        token_usage: "120,40",
+        is_observed: true,
+        sent_ms: 2_200,
+        outcome: Outcome::Refused,
+    },
+    GenerationCase {
+        name: "comes so early that its generation fits",
+        path: "/once-stream/x",
+        event_time: Duration::from_millis(650),
+        stage_time: Duration::ZERO,
+        token_usage: "120,40",
+        is_observed: true,
+        sent_ms: 300,
+        outcome: Outcome::Whole,
+    },
+    GenerationCase {
+        name: "has a maximum of tokens that is far above what is generated",
+        path: "/once-stream/x",
+        event_time: Duration::from_millis(100),
+        stage_time: Duration::ZERO,
+        token_usage: "120,4000",
+        is_observed: true,
+        sent_ms: 2_200,
+        outcome: Outcome::Whole,
+    },
+    GenerationCase {
+        name: "is the first one that the VM gets",
+        path: "/once-stream/x",
+        event_time: Duration::from_millis(100),
+        stage_time: Duration::ZERO,
+        token_usage: "120,4000",
+        is_observed: false,
+        sent_ms: 2_200,
+        outcome: Outcome::Whole,
+    },
+];
+
+/// Guards against streams that begin at an engine so late in a planned stop that they are cut in their middle,
+/// and against refusals of those that end in time.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_begins_in_a_planned_stop_only_if_it_fits() {
+    const DEADLINE_MS: u64 = 20_000;
+    let cases = GENERATION_CASES.iter().map(|case| async move {
+        let mut fleet = Fleet::prepare(1).await;
+        fleet.change_configuration(|configuration| {
+            for route in configuration["Routes"].as_array_mut().unwrap() {
+                route["TimeoutMs"] = json!(DEADLINE_MS);
+            }
+            configuration["Services"][2]["Pieces"]["CallMs"] = json!(1_000.0);
+        });
+        let engines = fleet.backends_of("lm");
+        engines.for_each(|backend| backend.set_work_time(case.event_time));
+        fleet.vms[0].start();
+        fleet.wait_until_ready().await;
+        let vm = fleet.vms[0].caller_address();
+        let send = |id: &'static str| {
+            let headers = [("token-usage", case.token_usage)];
+            async move {
+                let started = Instant::now();
+                let body = "{}".into();
+                let answer =
+                    request_with(vm, case.path, id, "key-1", &headers, body, DEADLINE_MS).await;
+                (answer, started.elapsed())
+            }
+        };
+        if case.is_observed {
+            let (answer, _) = send("r-before").await;
+            let is_whole = answer.is_some_and(|answer| is_whole(&answer, case.path, "r-before"));
+            expect_that!(is_whole, eq(true), "{}: before the stop", case.name);
+        }
+        let stage_endpoints = fleet.backends_of("first");
+        stage_endpoints.for_each(|backend| backend.set_work_time(case.stage_time));
+        let lead = Duration::from_millis(case.sent_ms.min(0).unsigned_abs());
+        let delay = Duration::from_millis(case.sent_ms.max(0).unsigned_abs());
+        let sent = async {
+            sleep(delay).await;
+            send("r-1").await
+        };
+        let signalled = async {
+            sleep(lead).await;
+            fleet.vms[0].signal(Signal::TERM);
+        };
+        let ((answer, took), ()) = tokio::join!(sent, signalled);
+        let context = format!("{}: {answer:?} after {took:?}", case.name);
+        let Some(answer) = answer else {
+            add_failure!("{context}");
+            return;
+        };
+        match case.outcome {
+            Outcome::Whole => {
+                expect_that!(is_whole(&answer, case.path, "r-1"), eq(true), "{context}");
+            }
+            Outcome::Refused => {
+                expect_that!(answer.status, eq(503), "{context}");
+                expect_that!(answer.retry_after_s, some(lt(0.1)), "{context}");
+                expect_that!(fleet.runs_of("r-1"), eq(0), "{context}");
+                expect_that!(took, lt(Duration::from_millis(1_000)), "{context}");
+            }
+        }
+        expect_that!(fleet.vms[0].wait_for_exit().await, eq(true));
+    });
+    join_all(cases).await;
+}
+
 /// Guards against requests that a stopping VM refuses although it can answer them: those that can be on time go
 /// before late ones, so a long queue does not mean that a new request waits.
 #[gtest]
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -8,6 +8,7 @@
 use googletest::prelude::*;
 use hyper::{HeaderMap, StatusCode};
 use primrosewalk::decisions::endpoint_notices::Notice;
+use primrosewalk::decisions::generation_times::ExpectedTokens;
 use primrosewalk::decisions::quarantine::{CrashEvidence, CrashReport, Quarantine};
 use primrosewalk::fleet::model::RouteKind;
 use primrosewalk::fleet::wire::{decode_crash_report, decode_gossip, encode_crash_report};
@@ -185,6 +186,7 @@
         ("deadline-ms", "6000"),
         ("authorization", "Token abc"),
         ("token-usage", "1460,80"),
+        ("length-hint", "64"),
         ("prefix-hash", "5c1e07a2:800,91bd3f06:410,zz:1,e4402b7d:250"),
         ("last-event-id", "12"),
         ("pieces", "2,0,3"),
@@ -194,6 +196,8 @@
     expect_that!(caller.api_key, some(eq("abc")));
     expect_that!(caller.prompt_tokens, eq(1_460));
     expect_that!(caller.output_tokens, eq(80));
+    expect_that!(caller.length_hint, some(eq(64)));
+    expect_that!(caller.expected_tokens(), eq(ExpectedTokens::Hint(64)));
     expect_that!(caller.prompt_parts.len(), eq(3));
     expect_that!(caller.last_event, some(eq(12)));
     expect_that!(caller.stage_item_counts.as_slice(), eq(&[2, 0, 3]));
