fix(endpoint_choice): requests that have chosen a cold endpoint count before they are sent

A VM that wakes from a freeze reads many requests at once.

A request counts from its choice on; the count moves to the time of the send when the connection is open. Test: requests_that_are_not_sent_yet_count_at_a_cold_endpoint (40 requests that are read together, slow connections, one after the other).

--- a/src/decisions/endpoint_choice.rs
+++ b/src/decisions/endpoint_choice.rs
@@ -127,6 +127,8 @@
     full_until: Time,
     /// Times of the requests sent within the last second while the endpoint was cold.
     cold_sent_at: SmallVec<[Time; 4]>,
+    /// Times at which requests chose the cold endpoint that are sent once their connections are open.
+    cold_reserved_at: SmallVec<[Time; 4]>,
     /// Time of the last attempt that ended as [`AttemptEnd::Broken`].
     failed_at: Option<Time>,
 }
@@ -195,15 +197,28 @@
         .cloned()
     }
 
+    /// Counts a request to an endpoint from now on that is sent once its connection is open. Otherwise
+    /// requests that are read together, such as after a freeze of this VM, would all choose a cold endpoint
+    /// before the first of them is sent.
+    pub fn reserve(&mut self, now: Time, endpoint: &Endpoint) {
+        if endpoint.cold_until > now {
+            let state = self.states.entry(endpoint.id.clone()).or_default();
+            state.cold_reserved_at.push(now);
+        }
+    }
+
     /// Records the start of an attempt.
     pub fn start(&mut self, now: Time, endpoint: &Endpoint, prompt_tokens: u32) -> StartedAttempt {
         let state = self.states.entry(endpoint.id.clone()).or_default();
         state.in_flight += 1;
         state.unread_tokens += u64::from(prompt_tokens);
         if endpoint.cold_until > now {
-            state
-                .cold_sent_at
-                .retain(|sent| now.since(*sent) < COLD_WINDOW);
+            let is_recent = |at: &mut Time| now.since(*at) < COLD_WINDOW;
+            state.cold_sent_at.retain(is_recent);
+            state.cold_reserved_at.retain(is_recent);
+            if !state.cold_reserved_at.is_empty() {
+                state.cold_reserved_at.remove(0);
+            }
             state.cold_sent_at.push(now);
         }
         let role = if state.circuit.allows(now) {
@@ -285,11 +300,12 @@
         self.states.get(endpoint).map_or(0, |state| state.in_flight)
     }
 
-    /// Counts the requests sent to a cold endpoint within the window.
+    /// Counts the requests that were sent to a cold endpoint within the window or have chosen it.
     fn cold_count(&self, now: Time, endpoint: &EndpointName) -> usize {
         self.states.get(endpoint).map_or(0, |state| {
             let recent = |sent: &&Time| now.since(**sent) < COLD_WINDOW;
-            state.cold_sent_at.iter().filter(recent).count()
+            let times = state.cold_sent_at.iter().chain(&state.cold_reserved_at);
+            times.filter(recent).count()
         })
     }
 
--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -131,6 +131,7 @@
 ) -> Option<(Arc<Endpoint>, Connection)> {
     loop {
         let endpoint = choose(node, admitted, attempts, work)?;
+        node.choice.lock().reserve(clock::now(), &endpoint);
         match connect_to(node, admitted, &endpoint, attempts).await {
             Some(connection) => return Some((endpoint, connection)),
             None if attempts.failed_connections >= MAX_FAILED_CONNECTIONS => return None,
--- a/tests/fleet_rules/choice.rs
+++ b/tests/fleet_rules/choice.rs
@@ -229,6 +229,72 @@
     expect_that!(sent_at_ms.len(), ge(9));
 }
 
+struct ConnectCase {
+    name: &'static str,
+    /// Times at which requests are read.
+    read_at_ms: &'static [u64],
+    /// Time that a connection takes.
+    connect_ms: u64,
+    /// Number of requests that the cold endpoint gets.
+    sent: usize,
+}
+
+const CONNECT_CASES: [ConnectCase; 3] = [
+    ConnectCase {
+        name: "read together",
+        read_at_ms: &[0; 40],
+        connect_ms: 5,
+        sent: 2,
+    },
+    ConnectCase {
+        name: "slow connections, which are used in the next window",
+        read_at_ms: &[0, 0, 900, 900, 1_060, 1_060, 1_140, 1_140],
+        connect_ms: 250,
+        sent: 2,
+    },
+    ConnectCase {
+        name: "one after the other",
+        read_at_ms: &[0, 400, 800, 1_200, 1_500],
+        connect_ms: 5,
+        sent: 4,
+    },
+];
+
+/// Guards against requests that all choose a cold endpoint while their connections are being opened.
+#[gtest]
+fn requests_that_are_not_sent_yet_count_at_a_cold_endpoint() {
+    let mut cold = Endpoint::clone(&endpoint("cold", "a"));
+    cold.cold_until = at(10_000);
+    let cold = Arc::new(cold);
+    let own_data_centre = own_data_centre();
+    for case in &CONNECT_CASES {
+        let mut choice = EndpointChoice::new(ChoiceConfig::default());
+        let mut connecting = Vec::new();
+        let mut sent = 0;
+        for ms in 0..2_000 {
+            let is_open = |connected_at: &u64| *connected_at == ms;
+            for _ in connecting.iter().copied().filter(|at| is_open(at)) {
+                choice.start(at(ms), &cold, 0);
+                sent += 1;
+            }
+            for _ in case.read_at_ms.iter().filter(|read_at| **read_at == ms) {
+                let request = EndpointRequest {
+                    tried: &[],
+                    own_data_centre: &own_data_centre,
+                    may_retry: true,
+                    work: Work::Plain,
+                };
+                let candidates = std::slice::from_ref(&cold);
+                if let Some(endpoint) = choice.choose(at(ms), candidates, request, |_| 2) {
+                    choice.reserve(at(ms), &endpoint);
+                    connecting.push(ms + case.connect_ms);
+                }
+            }
+        }
+        expect_that!(sent, eq(case.sent), "{}", case.name);
+    }
+}
+
 #[gtest]
 fn shares_of_a_cold_endpoint_add_up_to_its_limit_at_most() {
     struct Case {
