feat(batching): jobs that are overtaken in the queue end at once (a try)

Half of the refusals by Item(Late) come after more than 3.8 s: jobs that the queue took are overtaken by more urgent ones and end at their deadline. Here a job that has not begun ends as overloaded once the items ahead of it alone, in full calls at all endpoints, take until after its deadline.

--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -47,6 +47,9 @@
 /// Retry delay that is returned for a job that can never run.
 const INVALID_JOB_PAUSE: Duration = Duration::from_secs(5);
 
+/// Interval at which the queue is searched for overtaken jobs, which takes time for each job in it.
+const OVERTAKEN_CHECK_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Settings of a [`Batcher`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BatchingConfig {
@@ -168,6 +171,7 @@
     running: HashMap<u64, RunningCall>,
     last_batch_id: u64,
     retries: RetryWindow,
+    overtaken_checked_at: Time,
 }
 
 impl Batcher {
@@ -184,6 +188,7 @@
             running: HashMap::new(),
             last_batch_id: 0,
             retries: RetryWindow::new(retries),
+            overtaken_checked_at: Time::ZERO,
         }
     }
 
@@ -317,6 +322,41 @@
         late_jobs.into_iter().filter_map(fail_late).collect()
     }
 
+    /// Fails the jobs that cannot begin in time because of the items ahead of them, so that their requests are
+    /// refused at once. Jobs that came later and are more urgent may have overtaken them since they were
+    /// added.
+    ///
+    /// The estimate assumes full calls that take their configured time at all `endpoints`, so that no job fails
+    /// which could end in time. Jobs that have begun stay, since work was done for them.
+    pub fn fail_overtaken(&mut self, now: Time, endpoints: usize) -> Vec<JobEnd> {
+        let parallel_calls = endpoints.max(1) * self.limits.slots as usize;
+        let batch_items = self.limits.max_batch_items;
+        let is_checked = now.since(self.overtaken_checked_at) < OVERTAKEN_CHECK_INTERVAL;
+        if is_checked || self.queue.items() <= parallel_calls * batch_items {
+            return Vec::new();
+        }
+        self.overtaken_checked_at = now;
+        let mut items_ahead = 0;
+        let mut overtaken = Vec::new();
+        for id in self.job_order(now) {
+            let Some(state) = self.jobs.get(&id) else {
+                continue;
+            };
+            let items = state.queued.len();
+            let rounds = items_ahead / (parallel_calls * batch_items);
+            let wait_ms = rounds as f64 * self.nominal_ms(batch_items);
+            let own_ms = self.nominal_ms(items.min(batch_items));
+            let end = now + Duration::from_secs_f64((wait_ms + own_ms) / 1_000.0);
+            if end > state.job.deadline && !state.is_started {
+                overtaken.push((id, end.since(state.job.deadline)));
+            } else {
+                items_ahead += items;
+            }
+        }
+        let fail = |(id, excess)| self.fail_job(id, ItemFailure::Overtaken(excess));
+        overtaken.into_iter().filter_map(fail).collect()
+    }
+
     /// Returns the endpoints that must be asked for their free result memory before they get calls,
     /// and notes that they were asked.
     pub fn ask_for_memory(&mut self, now: Time, usable: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
--- a/src/decisions/batching/job.rs
+++ b/src/decisions/batching/job.rs
@@ -36,6 +36,8 @@
 pub enum ItemFailure {
     /// The deadline of the item can no longer be met.
     Late,
+    /// The items ahead of the job would take until after its deadline. Holds by how much.
+    Overtaken(Duration),
     /// An input of the item no longer exists.
     InputGone,
     /// The endpoint has no memory left for the result.
--- a/src/decisions/batching/selection.rs
+++ b/src/decisions/batching/selection.rs
@@ -15,7 +15,7 @@
 
 impl Batcher {
     /// Returns the jobs with queued items in the order in which they run.
-    fn job_order(&self, now: Time) -> impl Iterator<Item = JobId> {
+    pub(super) fn job_order(&self, now: Time) -> impl Iterator<Item = JobId> {
         // Batches are full while items wait, so the time of a full batch is used.
         let full_batch_time =
             Duration::from_secs_f64(self.nominal_ms(self.limits.max_batch_items) / 1_000.0);
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -231,7 +231,10 @@
                 "id" => &*request, "group" => %group,
                 "stage" => stage, "items" => items, "failure" => format!("{failure:?}"));
         }
-        result.map_err(JobFailure::Item)
+        result.map_err(|failure| match failure {
+            ItemFailure::Overtaken(excess) => JobFailure::Overloaded(excess),
+            failure => JobFailure::Item(failure),
+        })
     }
 
     /// Ends the jobs that have not begun as if their groups had no endpoint, since this VM stops.
@@ -387,6 +390,12 @@
             swept_at = now;
             queue.batcher.lock().sweep(now, usable);
         }
+        let overtaken = {
+            let mut batcher = queue.batcher.lock();
+            let endpoints = batcher.working_endpoints(now, usable);
+            batcher.fail_overtaken(now, endpoints)
+        };
+        end_jobs(&dispatcher, &queue, overtaken);
         let expired = queue.batcher.lock().expire(now);
         end_jobs(&dispatcher, &queue, expired);
         let open = dispatcher.notices.open(usable);
--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -356,7 +356,7 @@
 fn failed_job(failure: JobFailure) -> JobFailed {
     let mut failed = JobFailed::default();
     failed.reason = match failure {
-        JobFailure::Overloaded(wait) => {
+        JobFailure::Overloaded(wait) | JobFailure::Item(ItemFailure::Overtaken(wait)) => {
             failed.retry_after_ms = wait.as_millis() as u64;
             0
         }
