--- a/tests/fleet_soak/unanswered.rs
+++ b/tests/fleet_soak/unanswered.rs
@@ -72,10 +72,9 @@
     };
     for line in read_lines(fleet) {
         let is_allowed = match (line.cause.as_str(), line.waiting_for.as_str()) {
-            ("own_close" | "planned_stop", _) => false,
             ("endpoint", _) => was_silent(&line.id),
-            ("caller_left", "stages" | "endpoint") => false,
-            _ => true,
+            ("caller_left", "answer" | "next_event") | ("deadline", "next_event") => true,
+            _ => false,
         };
         if !is_allowed {
             observations.record_violation(format!(
