--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -206,8 +206,8 @@
         }
     }
 
-    /// Waits until a request that takes `remaining` for the rest of its way can no longer be answered before the
-    /// planned stop ends. Waits forever without one. `remaining` is computed again as the wait goes on.
+    /// Waits until a request that still takes `remaining` can no longer be answered before the planned stop
+    /// ends. Waits forever without one. `remaining` is computed again as the wait goes on.
     pub async fn stop_leaves_less_than(&self, remaining: impl Fn() -> Duration) {
         let mut stopping = self.stopping.clone();
         if stopping.wait_for(|stopping| *stopping).await.is_err() {
--- a/src/fleet/request_progress.rs
+++ b/src/fleet/request_progress.rs
@@ -10,7 +10,7 @@
 /// What a request waits for.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Wait {
-    /// Its head and body.
+    /// The rest of the request, or bytes of it on a connection that this VM has closed.
     #[default]
     Body,
     /// Results of its stages.
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -77,7 +77,10 @@
     node.note_request(&admitted.service);
     let mut caller_stream = CallerStream::new(Arc::clone(&node), Arc::clone(&admitted));
     let opened = {
-        let opening = timeout(caller_stream.patience_left(), caller_stream.open_first());
+        let opening = timeout(
+            caller_stream.time_to_next_event(),
+            caller_stream.open_first(),
+        );
         let part_wait = node.wait_for_quarantine(&admitted);
         tokio::select! {
             // A request that is to be refused must not be begun.
@@ -234,7 +237,7 @@
     engine_events: u64,
     /// Whether the stages were run before, so that another run of them is a retry.
     stages_ran: bool,
-    /// Whether the end of the request is known. If not, a drop is logged as the caller's leaving.
+    /// Whether the end of the request is known. If not, a drop after the first event is logged with its cause.
     is_ended: bool,
 }
 
@@ -309,7 +312,7 @@
     }
 
     /// Returns the time left until the caller needs the next event.
-    fn patience_left(&self) -> Duration {
+    fn time_to_next_event(&self) -> Duration {
         self.next_event_by.since(clock::now())
     }
 
@@ -322,12 +325,12 @@
         is_allowed
             && self.attempts.sent < MAX_SENDS
             && self.attempts.failed_connections < MAX_FAILED_CONNECTIONS
-            && self.patience_left() > MIN_STREAM_TIME
+            && self.time_to_next_event() > MIN_STREAM_TIME
     }
 
     /// Returns the reply for a request that ended without a stream.
     fn failure(&self, reason: String) -> RequestEnd {
-        if self.patience_left() < MIN_ATTEMPT_TIME {
+        if self.time_to_next_event() < MIN_ATTEMPT_TIME {
             return timed_out(&self.attempts);
         }
         if self.attempts.runs > 0 {
@@ -369,7 +372,7 @@
         let Some((endpoint, connection)) = self.connect(&results).await else {
             return Err(self.failure("no engine".to_owned()));
         };
-        if self.patience_left() < MIN_ATTEMPT_TIME {
+        if self.time_to_next_event() < MIN_ATTEMPT_TIME {
             return Err(self.failure("no time left".to_owned()));
         }
         self.check_stop(Some(&endpoint.id))?;
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -15,7 +15,8 @@
 
 /// Longest duration that a configuration may give, in milliseconds: a day.
 const MAX_DURATION_MS: f64 = 86_400_000.0;
-/// Minimum time that a caller waits for the next event of a stream, in milliseconds.
+/// Minimum time that a caller waits for the next event of a stream, in milliseconds. This and the two multiples
+/// below are the platform's rule for its callers (`docs/platform.md`, "Requests").
 const MIN_EVENT_GAP_MS: f64 = 2_000.0;
 /// Time that a caller waits for the next event, as a multiple of the objective of the route.
 const EVENT_GAP_OBJECTIVES: f64 = 4.0;
--- a/tests/caller_patience.rs
+++ b/tests/event_gap.rs
@@ -17,7 +17,7 @@
 /// Longest pause with which a stream is on time, as the configuration gives it.
 const TARGET_PAUSE_MS: u64 = 250;
 /// Time that a caller waits for an event: eight times that pause.
-const PATIENCE: Duration = Duration::from_millis(8 * TARGET_PAUSE_MS);
+const EVENT_GAP: Duration = Duration::from_millis(8 * TARGET_PAUSE_MS);
 /// Deadline of the requests, which is much later than the time at which their callers leave.
 const DEADLINE_MS: u64 = 6_000;
 /// Number of requests that fill several calls of the only endpoint of a stage.
@@ -33,7 +33,7 @@
     silent_service: &'static str,
     silence: Duration,
     /// Time that the callers wait for the head of an answer.
-    patience: Duration,
+    event_gap: Duration,
     status: u16,
 }
 
@@ -45,7 +45,7 @@
     deadline_ms: DEADLINE_MS,
     silent_service: "first",
     silence: Duration::from_secs(4),
-    patience: PATIENCE,
+    event_gap: EVENT_GAP,
     status: 503,
 };
 
@@ -86,7 +86,7 @@
         requests: 1,
         deadline_ms: 1_000,
         silent_service: "lm",
-        patience: Duration::from_millis(1_400),
+        event_gap: Duration::from_millis(1_400),
         status: 504,
         ..SILENT_STAGE
     },
@@ -97,7 +97,7 @@
         requests: 1,
         silent_service: "lm",
         silence: Duration::from_secs(3),
-        patience: Duration::from_secs(6),
+        event_gap: Duration::from_secs(6),
         status: 200,
         ..SILENT_STAGE
     },
@@ -123,7 +123,7 @@
     let vm = fleet.vms[0].caller_address();
     let body = bytes::Bytes::from_static(b"{}");
     let answer = request_with(vm, case.path, id, "key-1", &[], body, case.deadline_ms);
-    timeout(case.patience, answer).await.ok().flatten()
+    timeout(case.event_gap, answer).await.ok().flatten()
 }
 
 fn is_expected(case: &Case, answer: &CallerAnswer) -> bool {
@@ -173,7 +173,7 @@
     );
     stream.write_all(head.as_bytes()).await.unwrap();
     let mut answer = [0; 12];
-    let read = timeout(PATIENCE, stream.read_exact(&mut answer)).await;
+    let read = timeout(EVENT_GAP, stream.read_exact(&mut answer)).await;
     expect_that!(read, ok(ok(anything())));
     expect_that!(String::from_utf8_lossy(&answer), eq("HTTP/1.1 408"));
 }
@@ -212,7 +212,7 @@
     let disturb = async {
         sleep(Duration::from_millis(600)).await;
         engine.fall_silent(SILENCE);
-        sleep(PATIENCE).await;
+        sleep(EVENT_GAP).await;
         fleet.list_backend(engines[1], "ready");
     };
     let vm = fleet.vms[0].caller_address();
--- a/tests/fleet_soak/callers.rs
+++ b/tests/fleet_soak/callers.rs
@@ -47,7 +47,7 @@
 const AFTER_CLOSE_MS: std::ops::Range<u64> = 5..90;
 /// Time without an event after which callers of the platform leave a stream, also before the first one: the
 /// longest of 2 s and four times the objective of the routes.
-const STREAM_PATIENCE: Duration = Duration::from_millis(2_000);
+const STREAM_EVENT_GAP: Duration = Duration::from_millis(2_000);
 /// Longest time between two parts of an answer for the other callers.
 const ANSWER_GAP: Duration = Duration::from_secs(10);
 
@@ -234,11 +234,11 @@
         .header("pieces", "2,3")
         .body(body)
         .unwrap();
-    let (patience, max_gap, impatient) = match habit {
-        Habit::Impatient => (STREAM_PATIENCE, STREAM_PATIENCE, Outcome::Left),
+    let (max_wait, max_gap, impatient) = match habit {
+        Habit::Impatient => (STREAM_EVENT_GAP, STREAM_EVENT_GAP, Outcome::Left),
         _ => (DEADLINE + ANSWER_MARGIN, ANSWER_GAP, Outcome::GaveUp),
     };
-    let answer = timeout(patience, connection.sender.send_request(request));
+    let answer = timeout(max_wait, connection.sender.send_request(request));
     let outcome = match answer.await {
         Err(_) => impatient,
         Ok(Err(error)) if error.is_canceled() => Outcome::NotSent,
