--- a/tests/fleet_soak/main.rs
+++ b/tests/fleet_soak/main.rs
@@ -50,6 +50,8 @@
 const DEFAULT_VM_COUNT: usize = 4;
 /// Idle timeout of connections at the start of a run; the fixture's own one is longer than a run.
 const IDLE_TIMEOUT_MS: u64 = 1_500;
+/// Longest pause with which a stream is on time. Callers leave after eight times as long without an event.
+const TARGET_PAUSE_MS: u64 = 250;
 /// Number of concurrent callers; each sends one request after the other.
 const CALLER_COUNT: usize = 6;
 /// Endpoint of the service `plain` that leaves at the end of each run; another one stays.
@@ -188,11 +190,18 @@
     }
 }
 
-/// Starts a fleet that closes idle connections within a run.
+/// Starts a fleet that closes idle connections within a run, and whose streaming routes say for how long callers
+/// wait for an event.
 async fn start_fleet(vm_count: usize) -> Fleet {
     let mut fleet = Fleet::start_proxied(vm_count).await;
     fleet.change_configuration(|configuration| {
         configuration["Limits"]["IdleTimeoutMs"] = json!(IDLE_TIMEOUT_MS);
+        let routes = configuration["Routes"].as_array_mut().unwrap();
+        for route in routes.iter_mut() {
+            if route["RouteKind"] == "streaming" {
+                route["GapTargetMs"] = json!(TARGET_PAUSE_MS);
+            }
+        }
     });
     fleet
 }
