--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -77,16 +77,13 @@
     node.note_request(&admitted.service);
     let mut caller_stream = CallerStream::new(Arc::clone(&node), Arc::clone(&admitted));
     let opened = {
-        let opening = timeout(
-            caller_stream.time_to_next_event(),
-            caller_stream.open_first(),
-        );
+        let opening = timeout(admitted.time_left(), caller_stream.open_first());
         let part_wait = node.wait_for_quarantine(&admitted);
         tokio::select! {
             // A request that is to be refused must not be begun.
             biased;
             part = part_wait => Err(Interruption::Quarantine(part)),
-            opened = opening => opened.map_err(|_| Interruption::NoEventInTime),
+            opened = opening => opened.map_err(|_| Interruption::Deadline),
             () = node.stop_leaves_less_than(|| Duration::ZERO) => Err(Interruption::VmStops),
         }
     };
@@ -105,8 +102,8 @@
 enum Interruption {
     /// A part of the prompt has come under quarantine.
     Quarantine(PartId),
-    /// The caller is about to leave, or the deadline of the request has passed.
-    NoEventInTime,
+    /// The deadline of the request has passed.
+    Deadline,
     /// This VM stops.
     VmStops,
 }
@@ -291,13 +288,8 @@
         self.is_ended = true;
         match interruption {
             Interruption::Quarantine(part) => self.refuse_for(part),
-            Interruption::NoEventInTime => {
-                // A long queue at the engine is no failure of it while the deadline has not passed.
-                let end = match self.admitted.time_left().is_zero() {
-                    true => AttemptEnd::Broken,
-                    false => AttemptEnd::Inconclusive,
-                };
-                self.end_attempt(end);
+            Interruption::Deadline => {
+                self.end_attempt(AttemptEnd::Broken);
                 timed_out(&self.attempts)
             }
             Interruption::VmStops => RequestEnd::vm_stops(self.attempts.runs),
@@ -348,9 +340,11 @@
 
     /// Runs the stages, sends the request to one engine and reads its first event.
     async fn try_open(&mut self) -> OpenOutcome {
-        match self.prepare().await {
-            Ok(attempt) => self.open(attempt).await,
-            Err(ended) => OpenOutcome::Reply(ended),
+        // Once an engine has the request, its answer is awaited until the caller leaves.
+        match timeout(self.time_to_next_event(), self.prepare()).await {
+            Ok(Ok(attempt)) => self.open(attempt).await,
+            Ok(Err(ended)) => OpenOutcome::Reply(ended),
+            Err(_) => OpenOutcome::Reply(timed_out(&self.attempts)),
         }
     }
 
