--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -411,13 +411,10 @@
             if let Some(started) = &mut self.started {
                 self.node.note_silence(started);
             }
-            let wait_before = self.admitted.progress.waiting_for();
             let obstacle = match self.prepare().await {
                 Ok(attempt) => return attempt,
                 Err(ended) => ended.reason,
             };
-            // The silent engine still has the request.
-            self.admitted.progress.wait_for(wait_before);
             info!(self.node.logger, "request: waiting for a silent engine";
                 "id" => &self.admitted.caller.id, "obstacle" => &obstacle);
             sleep(pause).await;
@@ -432,10 +429,18 @@
         choose(&self.node, &self.admitted, &self.attempts, work).is_some()
     }
 
+    /// Records what the request waits for before it is sent. While a silent engine has it, it still waits for that
+    /// one.
+    fn note_preparation(&self, wait: Wait) {
+        if self.started.is_none() {
+            self.admitted.progress.wait_for(wait);
+        }
+    }
+
     /// Runs the stages. Runs them once more if the result of a stage was gone before the next stage
     /// had read it.
     async fn stages(&mut self) -> Result<StageResults, RequestEnd> {
-        self.admitted.progress.wait_for(Wait::Stages);
+        self.note_preparation(Wait::Stages);
         let is_retry = std::mem::replace(&mut self.stages_ran, true);
         let (node, admitted, event_by) = (&self.node, &self.admitted, self.next_event_by);
         let mut outcome = run_stages(node, admitted, event_by, is_retry).await;
@@ -470,7 +475,7 @@
 
     /// Connects to an engine, if possible in the data centre that stores most of its inputs.
     async fn connect(&mut self, results: &StageResults) -> Option<(Arc<Endpoint>, Connection)> {
-        self.admitted.progress.wait_for(Wait::Endpoint);
+        self.note_preparation(Wait::Endpoint);
         let view = self.node.view();
         let preferred_data_centre = results.data_centre(&view);
         let preferred_data_centre = preferred_data_centre
