--- a/tests/fleet_soak/main.rs
+++ b/tests/fleet_soak/main.rs
@@ -203,6 +203,12 @@
             }
         }
     });
+    // A request that a VM admits by the configuration before waits until its deadline.
+    let received = format!("\"version\":{}", fleet.configuration["Version"]);
+    for vm in &fleet.vms {
+        let is_in_force = || async { vm.log().contains(&received) };
+        eventually("the configuration of the run is in force", is_in_force).await;
+    }
     fleet
 }
 
