--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -6,7 +6,6 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use slog::info;
-use smallvec::SmallVec;
 use tokio::time::sleep;
 
 use crate::clock;
@@ -34,24 +33,12 @@
 /// Fraction of the time to live of its inputs within which a stage has to have read them.
 const INPUTS_TTL_FRACTION: f64 = 0.85;
 
-/// Estimate of the time that an engine takes to fetch the stage results that it reads, which it
-/// does before it reads the prompt. The results are freed then while stages queue, since the memory
-/// that results use is what limits the stages under load.
-const INPUT_FETCH_ESTIMATE: Duration = Duration::from_millis(80);
-/// Time for which results are kept for an engine that has not answered, while stages do not queue. A
-/// sound engine may be silent for a second or so and fetches its inputs only then.
-const SILENT_ENGINE_ESTIMATE: Duration = Duration::from_millis(1_500);
-/// Recent time of a stage, as a multiple of its typical time, above which the stage counts as queued.
-const QUEUED_RATIO: f64 = 2.0;
-
 /// Results of the stages of a request. Results that were not freed before are freed on drop.
 pub struct StageResults {
     node: Arc<Node>,
     by_stage: Vec<Option<Vec<String>>>,
     sizes_bytes: Vec<u64>,
     last_stages: Vec<usize>,
-    /// Services of the stages.
-    services: SmallVec<[ServiceName; 3]>,
 }
 
 impl StageResults {
@@ -75,21 +62,6 @@
         data_centre_of(view, results)
     }
 
-    /// Returns how long the results are kept after the request was sent to an engine that has not
-    /// answered.
-    pub fn kept_for(&self) -> Duration {
-        let (view, now) = (self.node.view(), clock::now());
-        let times = self.node.stage_times.lock();
-        let is_queued = self.services.iter().any(|service| {
-            let typical_ms = typical_call_ms(&view, service);
-            times.expected_ms(now, service, typical_ms) > typical_ms * QUEUED_RATIO
-        });
-        match is_queued {
-            true => INPUT_FETCH_ESTIMATE,
-            false => SILENT_ENGINE_ESTIMATE,
-        }
-    }
-
     /// Frees all results.
     pub fn free(&mut self) {
         for stage in 0..self.by_stage.len() {
@@ -144,11 +116,6 @@
         last_stages: (0..count)
             .filter(|stage| !has_followers(route, *stage))
             .collect(),
-        services: route
-            .stages
-            .iter()
-            .map(|stage| stage.service.clone())
-            .collect(),
     };
     let mut running = FuturesUnordered::new();
     let initial_progress = |stage| match item_count(admitted, stage) {
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -57,6 +57,10 @@
 /// Time after the deadline at which a stream is cut off. An engine that stops work at the deadline
 /// has this time to report that in its stream.
 const DEADLINE_GRACE: Duration = Duration::from_millis(200);
+/// Estimate of the time that an engine takes to fetch the stage results that it reads, which it
+/// does before it reads the prompt. The results are freed then: the memory that they use is what
+/// limits the stages under load.
+const INPUT_FETCH_ESTIMATE: Duration = Duration::from_millis(80);
 /// Number of events with which an answer is past its start. An engine that ends sooner may have been
 /// ended by the request.
 const START_EVENTS: u64 = 3;
@@ -164,7 +168,7 @@
     let mut opening = std::pin::pin!(opening);
     tokio::select! {
         opening = opening.as_mut() => opening,
-        () = sleep(results.kept_for()) => {
+        () = sleep(INPUT_FETCH_ESTIMATE) => {
             results.free();
             opening.await
         }
