--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -235,7 +235,7 @@
     let inputs_expire_at = inputs_ttl.map(|ttl| now + ttl.mul_f64(INPUTS_TTL_FRACTION));
     let deadline = event_by - min_remaining;
     let due = admitted.due - expected_remaining;
-    let is_first = route_stage.after.is_empty();
+    let is_read_by_engine = route_stage.after.is_empty() && !has_followers(&admitted.route, stage);
     let job = Job {
         id: JobId(0),
         request: Arc::from(admitted.caller.id.as_str()),
@@ -246,7 +246,7 @@
         deadline: inputs_expire_at.map_or(deadline, |expires_at| deadline.min(expires_at)),
         result_bytes: route_stage.result_bytes,
         is_retry,
-        preferred_data_centre: is_first
+        preferred_data_centre: is_read_by_engine
             .then(|| engine_data_centre(node, admitted))
             .flatten(),
         reads_inputs_last: reads_inputs_last(&admitted.route, stage),
