feat(fleet): one order for waiting stage work, by urgency and share

Cause: queues of stages knew neither priority nor organisation.

Change: priority and organisation travel with a stage job (two optional fields; absent means the earlier order). The owner of the queue gives each job a lane (`decisions/work_order.rs`): by priority, with work beyond the share of an organisation (weighted max-min, while the queue is backlogged) after all other, and a floor of one in three requests, drawn by the id of the request so that all stages agree. Jobs are refused when they arrive if their lane leaves no time, and while they wait if the work before them fills the time until their deadline. Metrics by priority.

--- a/src/decisions/batching.rs
+++ b/src/decisions/batching.rs
@@ -5,12 +5,14 @@
 //! "Stages"): items wait while all endpoints are busy, and an endpoint that becomes free takes as
 //! many items as fit. This handles bursts that exceed the capacity of unbatched calls.
 
+mod admission;
 mod endpoint;
 mod job;
+mod memory;
 mod queue;
 mod selection;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,10 +23,10 @@
 use smallvec::SmallVec;
 
 use crate::decisions::batching::endpoint::{EndpointState, ResultMemory};
-use crate::decisions::batching::queue::JobQueue;
+use crate::decisions::batching::queue::{JobQueue, Place};
 use crate::decisions::circuit::{CircuitConfig, Role};
-use crate::decisions::group_choice::GroupLoad;
 use crate::decisions::retry_window::{RetryWindow, RetryWindowConfig};
+use crate::decisions::work_order::{Lane, WorkShares};
 use crate::fleet::model::{BatchLimits, Endpoint};
 use crate::units::{DataCentreName, EndpointName, Time};
 
@@ -37,15 +39,6 @@
 const MAX_FAILED_CONNECTIONS: u32 = 3;
 /// Number of attempts of an item that share calls with items of other jobs, if these calls break.
 const MAX_SHARED_ATTEMPTS: u32 = MAX_ITEM_ATTEMPTS - 1;
-/// Largest number of items of a job. Requests have dozens; a larger number is a malformed message.
-const MAX_JOB_ITEMS: u32 = 4_096;
-
-/// Retry delay that is returned when no retry is allowed. First attempts that arrive in the meantime
-/// allow some.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
-
-/// Retry delay that is returned for a job that can never run.
-const INVALID_JOB_PAUSE: Duration = Duration::from_secs(5);
 
 /// Settings of a [`Batcher`].
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -124,6 +117,8 @@
     /// Whether no item of another job is sent with items of this one, because calls with them broke
     /// repeatedly.
     runs_alone: bool,
+    /// Position among the jobs that wait.
+    lane: Lane,
     job: Job,
     /// Items that wait for a call.
     queued: SmallVec<[QueuedItem; 8]>,
@@ -132,6 +127,19 @@
     missing_results: u32,
 }
 
+impl JobState {
+    /// Returns the place of the job in the queue.
+    fn place(&self) -> Place {
+        Place {
+            id: self.job.id,
+            lane: self.lane,
+            priority: self.job.urgency.priority,
+            due: self.job.due,
+            deadline: self.job.deadline,
+        }
+    }
+}
+
 /// A result that takes memory at its endpoint.
 #[derive(Debug)]
 struct StoredResult {
@@ -168,6 +176,9 @@
     running: HashMap<u64, RunningCall>,
     last_batch_id: u64,
     retries: RetryWindow,
+    shares: WorkShares,
+    /// When the queue was last searched for jobs that cannot end in time.
+    searched_at: Time,
 }
 
 impl Batcher {
@@ -184,6 +195,8 @@
             running: HashMap::new(),
             last_batch_id: 0,
             retries: RetryWindow::new(retries),
+            shares: WorkShares::default(),
+            searched_at: Time::ZERO,
         }
     }
 
@@ -197,111 +210,9 @@
         self.queue.items()
     }
 
-    /// Returns the load of the queue: how long an item that arrives now waits until it runs, and the
-    /// rate at which `usable` endpoints run items.
-    pub fn load(&self, now: Time, usable: &[Arc<Endpoint>]) -> GroupLoad {
-        let endpoints = self.working_endpoints(now, usable);
-        let own_ms = self.nominal_ms(1);
-        let wait = self.expected_wait(now, endpoints, 1);
-        let full_ms = self.nominal_ms(self.limits.max_batch_items);
-        let full_calls_per_s = (endpoints as f64) * 1_000.0 / full_ms.max(1.0);
-        GroupLoad {
-            wait: wait.saturating_sub(Duration::from_secs_f64(own_ms / 1_000.0)),
-            items_per_s: full_calls_per_s * self.limits.max_batch_items as f64,
-        }
-    }
-
-    /// Ends the jobs with queued items when no endpoint is left for them.
-    pub fn evict(&mut self) -> Vec<JobEnd> {
-        let ids = self.queue.in_order(Time::ZERO);
-        let ids: Vec<JobId> = ids.collect();
-        let evict = |id| {
-            let may_have_run = self.jobs.get(&id)?.is_started;
-            self.fail_job(id, ItemFailure::NoEndpoint { may_have_run })
-        };
-        ids.into_iter().filter_map(evict).collect()
-    }
-
-    /// Ends the jobs of which no item has been sent, so that another owner of the group can run them.
-    pub fn evict_unstarted(&mut self) -> Vec<JobEnd> {
-        let jobs = self.jobs.iter();
-        let unstarted = jobs.filter(|(_, job)| !job.is_started);
-        let ids: Vec<JobId> = unstarted.map(|(id, _)| *id).collect();
-        let may_have_run = false;
-        let evict = |id| self.fail_job(id, ItemFailure::NoEndpoint { may_have_run });
-        ids.into_iter().filter_map(evict).collect()
-    }
-
-    /// Returns the number of endpoints that work: those without an open circuit.
-    pub fn working_endpoints(&self, now: Time, usable: &[Arc<Endpoint>]) -> usize {
-        let works = |endpoint: &&Arc<Endpoint>| {
-            let state = self.endpoints.get(&endpoint.id);
-            state.is_none_or(|state| state.circuit.allows(now) || !state.circuit.is_open())
-        };
-        usable.iter().filter(works).count()
-    }
-
-    /// Estimates the time until `items` items that arrive now have run, if `endpoints` endpoints
-    /// share the work.
-    pub fn expected_wait(&self, now: Time, endpoints: usize, items: usize) -> Duration {
-        let endpoints = endpoints.max(1) as f64;
-        let full_ms = self.nominal_ms(self.limits.max_batch_items);
-        let ahead = self.queue.items() + items;
-        let calls = (ahead as f64 / self.limits.max_batch_items as f64).ceil();
-        let running_ms: f64 = self
-            .running
-            .values()
-            .map(|call| (call.nominal_ms - now.since(call.started_at).as_millis() as f64).max(0.0))
-            .sum();
-        let own_ms = self.nominal_ms(items.min(self.limits.max_batch_items));
-        let ahead_ms = ((calls - 1.0).max(0.0) * full_ms + running_ms) / endpoints;
-        Duration::from_secs_f64((ahead_ms + own_ms) / 1_000.0)
-    }
-
-    /// Adds a job, unless it is expected to end after its deadline, is a retry that the retry budget
-    /// does not allow, or has no plausible number of items.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time after which to try again: the estimate until the queue is short enough, or
-    /// a fixed pause if no retry is allowed.
-    pub fn push(&mut self, now: Time, endpoints: usize, job: Job) -> Result<(), Duration> {
-        if !(1..=MAX_JOB_ITEMS).contains(&job.items) {
-            return Err(INVALID_JOB_PAUSE);
-        }
-        let wait = self.expected_wait(now, endpoints, job.items as usize);
-        if now + wait > job.deadline {
-            let excess = (now + wait).since(job.deadline);
-            return Err(excess.max(Duration::from_millis(100)));
-        }
-        if job.is_retry {
-            if !self.retries.take(now, 1) {
-                return Err(RETRY_PAUSE);
-            }
-        } else {
-            self.retries.on_first_attempt(now);
-        }
-        let call_time = self.half_batch_time();
-        let any_data_centre_from = (now + call_time).min(job.due - call_time * 2).max(now);
-        let items = (0..job.items).map(|index| QueuedItem {
-            index,
-            attempts: 1,
-            failed_connections: 0,
-        });
-        let state = JobState {
-            queued: items.collect(),
-            results: vec![None; job.items as usize],
-            missing_results: job.items,
-            data_centre: job.preferred_data_centre.clone(),
-            any_data_centre_from,
-            queued_at: now,
-            is_started: false,
-            runs_alone: false,
-            job,
-        };
-        self.queue.add(&state.job, false, state.queued.len());
-        self.jobs.insert(state.job.id, state);
-        Ok(())
+    /// Returns the number of queued items by priority; `None` for those without a priority.
+    pub fn waiting_by_priority(&self) -> impl Iterator<Item = (Option<u8>, usize)> {
+        self.queue.items_by_priority()
     }
 
     /// Removes a job whose request has ended, and returns the results that it already has.
@@ -309,53 +220,6 @@
         self.remove_job(id).unwrap_or_default()
     }
 
-    /// Fails the jobs that have a queued item which can no longer meet its deadline.
-    pub fn expire(&mut self, now: Time) -> Vec<JobEnd> {
-        let min_call_time = Duration::from_secs_f64(self.nominal_ms(1) / 1_000.0);
-        let late_jobs = self.queue.with_deadline_before(now + min_call_time);
-        let fail_late = |id| self.fail_job(id, ItemFailure::Late);
-        late_jobs.into_iter().filter_map(fail_late).collect()
-    }
-
-    /// Returns the endpoints that must be asked for their free result memory before they get calls,
-    /// and notes that they were asked.
-    pub fn ask_for_memory(&mut self, now: Time, usable: &[Arc<Endpoint>]) -> Vec<Arc<Endpoint>> {
-        if self.queue.items() == 0 {
-            return Vec::new();
-        }
-        let mut to_ask = Vec::new();
-        for endpoint in usable {
-            let state = self.endpoints.entry(endpoint.id.clone()).or_default();
-            if state.should_ask_for_memory(now, &self.config) {
-                if state.others_bytes() == 0 {
-                    state.memory = ResultMemory::Asked(now);
-                } else {
-                    state.memory = ResultMemory::UsedByOthers(state.others_bytes(), now);
-                }
-                to_ask.push(Arc::clone(endpoint));
-            }
-        }
-        to_ask
-    }
-
-    /// Records the free result memory that an endpoint reports; `None` if it reports none, which
-    /// counts as no memory used by others.
-    pub fn on_memory_report(
-        &mut self,
-        now: Time,
-        endpoint: &EndpointName,
-        free_bytes: Option<u64>,
-    ) {
-        let total_bytes = self.limits.result_memory_bytes;
-        let state = self.endpoints.entry(endpoint.clone()).or_default();
-        state.memory = ResultMemory::UsedByOthers(0, now);
-        let own_bytes = state.used_bytes();
-        let others_bytes = free_bytes.map_or(0, |free| {
-            total_bytes.saturating_sub(free.saturating_add(own_bytes))
-        });
-        state.memory = ResultMemory::UsedByOthers(others_bytes, now);
-    }
-
     /// Returns the next call to make, if an endpoint is free and items wait.
     pub fn next_batch(&mut self, now: Time, usable: &[Arc<Endpoint>]) -> Option<Batch> {
         let (endpoint, items) =
@@ -366,6 +230,7 @@
                     (!items.is_empty()).then_some((endpoint, items))
                 })?;
         let waits = self.start_jobs(now, &items);
+        self.shares.on_run(now, items.len());
         let nominal_ms = self.nominal_ms(items.len());
         let reserved_bytes = items.iter().map(|item| item.result_bytes).sum();
         let state = self.endpoints.entry(endpoint.id.clone()).or_default();
@@ -486,31 +351,6 @@
         (ends, orphans)
     }
 
-    /// Records that a result was freed. Returns whether this batcher knew the result.
-    pub fn on_freed(&mut self, handle: &str) -> bool {
-        let Some(result) = self.results.remove(handle) else {
-            return false;
-        };
-        release(&mut self.endpoints, &result);
-        true
-    }
-
-    /// Removes results that have expired and endpoints that are no longer usable and have neither
-    /// calls nor results.
-    pub fn sweep(&mut self, now: Time, usable: &[Arc<Endpoint>]) {
-        let endpoints = &mut self.endpoints;
-        self.results.retain(|_, result| {
-            let is_stored = now < result.expires_at;
-            if !is_stored {
-                release(endpoints, result);
-            }
-            is_stored
-        });
-        let usable: HashSet<&EndpointName> = usable.iter().map(|endpoint| &endpoint.id).collect();
-        endpoints
-            .retain(|id, state| state.calls > 0 || state.stored_results > 0 || usable.contains(id));
-    }
-
     /// Returns the time of a call with `items` items according to the configuration.
     fn nominal_ms(&self, items: usize) -> f64 {
         self.limits.call_overhead_ms + self.limits.item_ms * items as f64
@@ -559,21 +399,6 @@
         }
     }
 
-    /// Counts a result towards the memory that its endpoint uses, until the result expires.
-    fn record_result(&mut self, now: Time, endpoint: &EndpointName, handle: &str, bytes: u64) {
-        let result = StoredResult {
-            endpoint: endpoint.clone(),
-            bytes,
-            expires_at: now + self.limits.result_ttl,
-        };
-        let state = self.endpoints.entry(endpoint.clone()).or_default();
-        state.stored_results += 1;
-        state.stored_bytes += bytes;
-        if let Some(replaced) = self.results.insert(handle.to_owned(), result) {
-            release(&mut self.endpoints, &replaced);
-        }
-    }
-
     /// Stores the result of an item in its job. Returns the end of the job if this was its last
     /// missing result.
     ///
@@ -595,7 +420,7 @@
         let unneeded = queued_before - state.queued.len();
         if unneeded > 0 {
             let is_last = state.queued.is_empty();
-            self.queue.remove(&state.job, unneeded, is_last);
+            self.queue.remove(state.place(), unneeded, is_last);
         }
         if state.missing_results > 0 {
             return Ok(None);
@@ -715,7 +540,7 @@
             return false;
         };
         state.queued.push(item);
-        self.queue.add(&state.job, state.is_started, 1);
+        self.queue.add(state.place(), state.is_started, 1);
         true
     }
 
@@ -732,15 +557,7 @@
     /// Removes a job and its queued items, and returns the results that it already has.
     fn remove_job(&mut self, id: JobId) -> Option<Vec<String>> {
         let state = self.jobs.remove(&id)?;
-        self.queue.remove(&state.job, state.queued.len(), true);
+        self.queue.remove(state.place(), state.queued.len(), true);
         Some(state.results.into_iter().flatten().collect())
     }
 }
-
-/// Gives back the memory of a result that its endpoint no longer holds.
-fn release(endpoints: &mut HashMap<EndpointName, EndpointState>, result: &StoredResult) {
-    if let Some(state) = endpoints.get_mut(&result.endpoint) {
-        state.stored_results -= 1;
-        state.stored_bytes -= result.bytes;
-    }
-}
--- a/src/decisions/batching/job.rs
+++ b/src/decisions/batching/job.rs
@@ -6,6 +6,7 @@
 
 use smallvec::SmallVec;
 
+use crate::decisions::work_order::Urgency;
 use crate::fleet::model::Endpoint;
 use crate::units::{DataCentreName, Time};
 
@@ -36,6 +37,9 @@
 pub enum ItemFailure {
     /// The deadline of the item can no longer be met.
     Late,
+    /// The work that goes before the job fills the time until its deadline. No item of the job was
+    /// sent. Holds the time after which a place is expected.
+    Overtaken(Duration),
     /// An input of the item no longer exists.
     InputGone,
     /// The endpoint has no memory left for the result.
@@ -79,6 +83,8 @@
     pub preferred_data_centre: Option<DataCentreName>,
     /// Whether these items are the last to read their inputs.
     pub reads_inputs_last: bool,
+    /// How urgent the job is, and whose share of the service it takes.
+    pub urgency: Urgency,
 }
 
 /// How a job ended.
--- a/src/decisions/batching/selection.rs
+++ b/src/decisions/batching/selection.rs
@@ -15,7 +15,7 @@
 
 impl Batcher {
     /// Returns the jobs with queued items in the order in which they run.
-    fn job_order(&self, now: Time) -> impl Iterator<Item = JobId> {
+    pub(super) fn job_order(&self, now: Time) -> impl Iterator<Item = JobId> {
         // Batches are full while items wait, so the time of a full batch is used.
         let full_batch_time =
             Duration::from_secs_f64(self.nominal_ms(self.limits.max_batch_items) / 1_000.0);
@@ -137,7 +137,7 @@
             return;
         };
         let is_last = count == state.queued.len();
-        self.queue.remove(&state.job, count, is_last);
+        self.queue.remove(state.place(), count, is_last);
         let sent = state.queued.drain(..count).map(|item| SentItem {
             job: id,
             item,
@@ -164,7 +164,7 @@
             };
             if !state.is_started {
                 state.is_started = true;
-                self.queue.start(&state.job);
+                self.queue.start(state.place(), state.queued.len());
                 waits.push(now.since(state.queued_at));
             }
         }
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -198,7 +198,7 @@
         job.id = JobId(self.next_job_id.fetch_add(1, Ordering::Relaxed));
         let id = job.id;
         let request = Arc::clone(&job.request);
-        let (stage, items) = (job.stage, job.items);
+        let (stage, items, priority) = (job.stage, job.items, job.urgency.priority);
         if group.data_centre.is_some() {
             // All endpoints of the group are in one data centre.
             job.preferred_data_centre = None;
@@ -218,8 +218,10 @@
             guard.is_done = true;
             queue.result_senders.lock().remove(&id);
             metric::job_turned_away("overloaded");
+            metric::job_refused_early(priority);
             info!(self.logger, "stages: refused, the queue is too long"; "id" => &*request,
-                "group" => %group, "waiting" => queue.batcher.lock().waiting(),
+                "group" => %group, "priority" => priority,
+                "waiting" => queue.batcher.lock().waiting(),
                 "excess_ms" => excess.as_millis() as u64);
             return Err(JobFailure::Overloaded(excess));
         }
@@ -229,9 +231,16 @@
         if let Err(failure) = &result {
             info!(self.logger, "stages: a stage job ended without results";
                 "id" => &*request, "group" => %group,
-                "stage" => stage, "items" => items, "failure" => format!("{failure:?}"));
+                "stage" => stage, "items" => items, "priority" => priority,
+                "failure" => format!("{failure:?}"));
         }
-        result.map_err(JobFailure::Item)
+        result.map_err(|failure| match failure {
+            ItemFailure::Overtaken(wait) => {
+                metric::job_refused_early(priority);
+                JobFailure::Overloaded(wait)
+            }
+            failure => JobFailure::Item(failure),
+        })
     }
 
     /// Ends the jobs that have not begun as if their groups had no endpoint, since this VM stops.
@@ -385,10 +394,19 @@
         }
         if now.since(swept_at) >= SWEEP_INTERVAL {
             swept_at = now;
-            queue.batcher.lock().sweep(now, usable);
+            let mut batcher = queue.batcher.lock();
+            batcher.sweep(now, usable);
+            metric::items_waiting(&id, batcher.waiting_by_priority());
         }
-        let expired = queue.batcher.lock().expire(now);
+        let (expired, overtaken) = {
+            let mut batcher = queue.batcher.lock();
+            (
+                batcher.expire(now),
+                batcher.refuse_overtaken(now, usable.len()),
+            )
+        };
         end_jobs(&dispatcher, &queue, expired);
+        end_jobs(&dispatcher, &queue, overtaken);
         let open = dispatcher.notices.open(usable);
         let endpoints_to_ask = queue.batcher.lock().ask_for_memory(now, &open);
         for endpoint in endpoints_to_ask {
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -7,6 +7,8 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::decisions::endpoint_choice::AttemptEnd;
+use crate::decisions::stage_groups::GroupId;
+use crate::decisions::work_order::MAX_PRIORITY;
 use crate::fleet::request_progress::{LossCause, Wait};
 
 /// Counts a caller's request by its outcome and status, and records the time until its answer.
@@ -120,6 +122,31 @@
     counter!("primrosewalk_stage_jobs_turned_away_total", "reason" => reason).increment(1);
 }
 
+/// Returns the label of a priority.
+fn priority_label(priority: Option<u8>) -> String {
+    priority.map_or_else(
+        || "none".to_owned(),
+        |priority| priority.min(MAX_PRIORITY).to_string(),
+    )
+}
+
+/// Counts a stage job that a queue of this VM refused because more urgent work fills its time.
+pub fn job_refused_early(priority: Option<u8>) {
+    let priority = priority_label(priority);
+    counter!("primrosewalk_stage_jobs_refused_early_total", "priority" => priority).increment(1);
+}
+
+/// Records the number of items that wait in a queue of this VM by priority.
+pub fn items_waiting(group: &GroupId, waiting: impl Iterator<Item = (Option<u8>, usize)>) {
+    for (priority, items) in waiting {
+        let labels = [
+            ("group", group.to_string()),
+            ("priority", priority_label(priority)),
+        ];
+        gauge!("primrosewalk_stage_waiting_items", &labels).set(items as f64);
+    }
+}
+
 /// Counts the bytes of a frame that was sent to another VM or received from it.
 pub fn peer_frame(direction: &'static str, bytes: usize) {
     counter!("primrosewalk_peer_bytes_total", "direction" => direction).increment(bytes as u64);
--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -15,6 +15,7 @@
 use crate::decisions::batching::{ItemFailure, ItemInput, Job, JobId, endpoint_address};
 use crate::decisions::group_choice::{GroupLoad, home_group};
 use crate::decisions::stage_groups::{GroupId, StageGroup};
+use crate::decisions::work_order::Urgency;
 use crate::fleet::dispatcher::{JobFailure, data_centre_of};
 use crate::fleet::model::FleetVm;
 use crate::fleet::node::Node;
@@ -304,7 +305,8 @@
         .is_some_and(|owner| owner.name == node.settings.vm)
 }
 
-fn encode_job(group: &GroupId, job: &Job, may_move: bool, now: Time) -> StageJob {
+/// Encodes a job of this VM, to be sent to another VM now.
+pub fn encode_job(group: &GroupId, job: &Job, may_move: bool, now: Time) -> StageJob {
     let (key, inputs) = match &job.input {
         ItemInput::Key(key) => (Some(key.to_string()), Vec::new()),
         ItemInput::Handles(handles) => (None, handles.to_vec()),
@@ -325,6 +327,8 @@
         preferred_data_centre: job.preferred_data_centre.as_ref().map(ToString::to_string),
         group: Some(group.to_string()),
         may_move,
+        priority: job.urgency.priority.map(u32::from),
+        organisation: job.urgency.organisation.as_ref().map(ToString::to_string),
     }
 }
 
@@ -350,13 +354,19 @@
         is_retry: wire.is_retry,
         preferred_data_centre: preferred_data_centre.and_then(|name| name.parse().ok()),
         reads_inputs_last: wire.reads_inputs_last,
+        urgency: Urgency {
+            priority: wire
+                .priority
+                .map(|priority| u8::try_from(priority).unwrap_or(u8::MAX)),
+            organisation: wire.organisation.and_then(|name| name.parse().ok()),
+        },
     }
 }
 
 fn failed_job(failure: JobFailure) -> JobFailed {
     let mut failed = JobFailed::default();
     failed.reason = match failure {
-        JobFailure::Overloaded(wait) => {
+        JobFailure::Overloaded(wait) | JobFailure::Item(ItemFailure::Overtaken(wait)) => {
             failed.retry_after_ms = wait.as_millis() as u64;
             0
         }
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::decisions::batching::{ItemInput, Job, JobId};
 use crate::decisions::stage_start::{Progress, StageState, start_times};
+use crate::decisions::work_order::Urgency;
 use crate::fleet::admission::AdmittedRequest;
 use crate::fleet::attempts::{Attempts, choose, generation_work};
 use crate::fleet::dispatcher::{JobFailure, data_centre_of};
@@ -250,6 +251,13 @@
             .then(|| engine_data_centre(node, admitted))
             .flatten(),
         reads_inputs_last: reads_inputs_last(&admitted.route, stage),
+        urgency: Urgency {
+            priority: Some(admitted.priority()),
+            organisation: admitted
+                .organisation
+                .as_ref()
+                .map(|organisation| organisation.name.clone()),
+        },
     };
     let later_stages =
         min_remaining.saturating_sub(min_time_to_first_event(admitted.caller.prompt_tokens));
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -262,6 +262,12 @@
     /// Whether the owner of the group may move the job to another group.
     #[prost(bool, tag = "15")]
     pub may_move: bool,
+    /// Priority of the request, 0 for the most urgent; absent from earlier builds.
+    #[prost(uint32, optional, tag = "16")]
+    pub priority: Option<u32>,
+    /// Name of the organisation of the request, if it has one; absent from earlier builds.
+    #[prost(string, optional, tag = "17")]
+    pub organisation: Option<String>,
 }
 
 /// Load of a group of endpoints.
--- a/tests/fleet_rules/batching.rs
+++ b/tests/fleet_rules/batching.rs
@@ -10,6 +10,7 @@
     Batch, BatchFailure, Batcher, BatchingConfig, ItemFailure, ItemInput, Job, JobEnd, JobId,
 };
 use primrosewalk::decisions::retry_window::RetryWindowConfig;
+use primrosewalk::decisions::work_order::Urgency;
 use primrosewalk::fleet::model::{BatchLimits, Endpoint};
 use primrosewalk::units::Time;
 use rustix::time::{ClockId, clock_gettime};
@@ -39,7 +40,7 @@
 
 /// Returns a first-stage job that arrives at `now_ms`, is due 1 s after it and has its deadline 5 s
 /// after it.
-fn job(id: u64, now_ms: u64, items: u32) -> Job {
+pub(super) fn job(id: u64, now_ms: u64, items: u32) -> Job {
     Job {
         id: JobId(id),
         request: Arc::from(format!("r{id}")),
@@ -52,26 +53,28 @@
         is_retry: false,
         preferred_data_centre: None,
         reads_inputs_last: false,
+        urgency: Urgency::default(),
     }
 }
 
 /// Determines the duration in milliseconds and the outcome of a call, from its batch and the time
 /// at which the endpoint gets it.
-type Behaviour<'a> = &'a dyn Fn(&Batch, u64) -> (u64, std::result::Result<(), BatchFailure>);
+pub(super) type Behaviour<'a> =
+    &'a dyn Fn(&Batch, u64) -> (u64, std::result::Result<(), BatchFailure>);
 
 /// Replays arrivals in steps of one millisecond and records when and how each job ended.
-struct Replay {
+pub(super) struct Replay {
     batcher: Batcher,
     endpoints: Vec<Arc<Endpoint>>,
     /// Running calls by end time in milliseconds and batch id.
     running: BTreeMap<(u64, u64), (Batch, std::result::Result<(), BatchFailure>)>,
     /// End time in milliseconds and outcome by job id.
-    ends: HashMap<u64, (u64, std::result::Result<(), ItemFailure>)>,
+    pub(super) ends: HashMap<u64, (u64, std::result::Result<(), ItemFailure>)>,
     /// Calls sent: time in milliseconds, number of items and endpoint.
     batches: Vec<(u64, usize, String)>,
     /// Number of jobs that the batcher refused.
-    refused: usize,
-    sent_items: usize,
+    pub(super) refused: usize,
+    pub(super) sent_items: usize,
     /// Time from a job's end until its results are freed.
     frees_after_ms: u64,
     /// Results to free: time in milliseconds and handle.
@@ -79,7 +82,7 @@
 }
 
 impl Replay {
-    fn new(endpoints: Vec<Arc<Endpoint>>) -> Self {
+    pub(super) fn new(endpoints: Vec<Arc<Endpoint>>) -> Self {
         Self {
             batcher: batcher(),
             endpoints,
@@ -94,7 +97,7 @@
     }
 
     /// Replays the arrivals, given as arrival time in milliseconds and job, until `until_ms`.
-    fn run(&mut self, arrivals: &[(u64, Job)], until_ms: u64, behaviour: Behaviour<'_>) {
+    pub(super) fn run(&mut self, arrivals: &[(u64, Job)], until_ms: u64, behaviour: Behaviour<'_>) {
         for now_ms in 0..until_ms {
             for (_, job) in arrivals.iter().filter(|(ms, _)| *ms == now_ms) {
                 let accepted = self
@@ -121,6 +124,9 @@
             }
             let expired = self.batcher.expire(at(now_ms));
             self.record_ends(now_ms, expired);
+            let endpoints = self.endpoints.len();
+            let overtaken = self.batcher.refuse_overtaken(at(now_ms), endpoints);
+            self.record_ends(now_ms, overtaken);
             let to_ask = self.batcher.ask_for_memory(at(now_ms), &self.endpoints);
             for endpoint in to_ask {
                 self.batcher
@@ -174,7 +180,7 @@
     }
 
     /// Returns the number of jobs that succeeded by the time at which they were due.
-    fn on_time(&self, arrivals: &[(u64, Job)]) -> usize {
+    pub(super) fn on_time(&self, arrivals: &[(u64, Job)]) -> usize {
         let is_on_time = |job: &Job| {
             self.ends
                 .get(&job.id.0)
@@ -185,12 +191,15 @@
 }
 
 /// Behaviour of a healthy endpoint: a call takes as long as [`LIMITS`] says, and succeeds.
-fn nominal_call(batch: &Batch, _now_ms: u64) -> (u64, std::result::Result<(), BatchFailure>) {
+pub(super) fn nominal_call(
+    batch: &Batch,
+    _now_ms: u64,
+) -> (u64, std::result::Result<(), BatchFailure>) {
     (200 + 20 * batch.items.len() as u64, Ok(()))
 }
 
 /// Returns three endpoints, each in a data centre of its own.
-fn three_endpoints() -> Vec<Arc<Endpoint>> {
+pub(super) fn three_endpoints() -> Vec<Arc<Endpoint>> {
     vec![
         endpoint("e-1", "a"),
         endpoint("e-2", "b"),
--- a/tests/fleet_rules/main.rs
+++ b/tests/fleet_rules/main.rs
@@ -13,6 +13,7 @@
 mod revision_lag;
 mod settings;
 mod stage_groups;
+mod stage_order;
 mod stage_start;
 mod store_source;
 mod store_view;
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -146,6 +146,8 @@
             preferred_data_centre: self.0.random_bool(0.5).then(|| self.text()),
             group: self.0.random_bool(0.7).then(|| self.text()),
             may_move: self.0.random(),
+            priority: self.0.random_bool(0.5).then(|| self.number() as u32),
+            organisation: self.0.random_bool(0.5).then(|| self.text()),
         }
     }
 
