feat(fleet): choose endpoints by the load that they report

Cause: one VM of 88 sees each engine every few seconds, so its own counts say nothing of the queues and the speed of shared machines. Answers tell both (Instance-Load) and nobody read them.

Change: the header is decoded, the newest report of each endpoint is kept with its age and exchanged between VMs in bounded datagrams, and plain requests and generations weigh queue, speed and share of failures. Services whose endpoints do not report how long work takes are served as before.

--- a/src/decisions/endpoint_choice.rs
+++ b/src/decisions/endpoint_choice.rs
@@ -11,9 +11,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
 use smallvec::SmallVec;
 
 use crate::decisions::circuit::{Circuit, CircuitConfig, Role};
+use crate::decisions::engine_load::{EngineLoad, ProcessKey};
+use crate::decisions::load_cost::{LoadedEndpoint, Prompt, PromptCosts, better_of_two, with_loads};
 use crate::fleet::model::Endpoint;
 use crate::units::{DataCentreName, EndpointName, Time};
 
@@ -66,6 +69,8 @@
         prompt_prefix: u64,
         /// Length of the prompt in tokens.
         prompt_tokens: u32,
+        /// Length of the shared prefix in tokens.
+        shared_tokens: u32,
         /// Data centre that holds most of the stage results.
         preferred_data_centre: &'a DataCentreName,
     },
@@ -105,6 +110,8 @@
 pub struct StartedAttempt {
     /// Endpoint that the attempt goes to.
     pub endpoint: EndpointName,
+    /// The endpoint's process.
+    pub process: ProcessKey,
     role: Role,
     prompt_tokens: u32,
     /// Whether the endpoint was silent for long during the attempt.
@@ -167,6 +174,87 @@
         request: EndpointRequest<'_>,
         cold_limit_per_s: impl Fn(&Endpoint) -> usize,
     ) -> Option<Arc<Endpoint>> {
+        let pool = self.pool(now, candidates, request, cold_limit_per_s);
+        let median_ms = self.median_ms(&pool);
+        match request.work {
+            Work::Plain => self.fastest(now, &pool, request.own_data_centre, median_ms),
+            Work::Generation {
+                prompt_prefix,
+                prompt_tokens,
+                preferred_data_centre,
+                ..
+            } => self
+                .affine_engine(now, &pool, prompt_prefix, prompt_tokens, median_ms)
+                .or_else(|| self.fastest(now, &pool, preferred_data_centre, median_ms)),
+        }
+        .cloned()
+    }
+
+    /// Returns the endpoint to try next, by the loads that the endpoints report. Chooses as
+    /// [`Self::choose`] does if none of them reports how long work takes.
+    pub fn choose_by_load(
+        &self,
+        now: Time,
+        candidates: &[Arc<Endpoint>],
+        request: EndpointRequest<'_>,
+        cold_limit_per_s: impl Fn(&Endpoint) -> usize,
+        loads: &EngineLoad,
+        random: &mut impl RngExt,
+    ) -> Option<Arc<Endpoint>> {
+        let pool = self.pool(now, candidates, request, &cold_limit_per_s);
+        let Some(loaded) = with_loads(now, &pool, loads) else {
+            return self.choose(now, candidates, request, cold_limit_per_s);
+        };
+        let median_ms = self.median_ms(&pool);
+        let plain_cost = |loaded: &LoadedEndpoint<'_>| {
+            let usual_ms = self.expected_time_ms(now, loaded.endpoint, median_ms);
+            let distance_ms = match loaded.endpoint.data_centre == *request.own_data_centre {
+                true => 0.0,
+                false => self.config.distance_ms,
+            };
+            loaded.plain_cost_ms(usual_ms) + distance_ms
+        };
+        let Work::Generation {
+            prompt_prefix,
+            prompt_tokens,
+            shared_tokens,
+            ..
+        } = request.work
+        else {
+            return better_of_two(&loaded, plain_cost, random).cloned();
+        };
+        let prompt = Prompt {
+            tokens: prompt_tokens,
+            shared_tokens,
+        };
+        let costs = PromptCosts::new(prompt, &loaded, loads.mean_prompt_tokens());
+        let is_slow = |endpoint: &Endpoint| {
+            let time_ms = self.expected_time_ms(now, endpoint, median_ms);
+            time_ms > median_ms * self.config.slow_ratio
+        };
+        let mut order: Vec<(u64, &LoadedEndpoint<'_>)> = loaded
+            .iter()
+            .map(|engine| (!affinity(prompt_prefix, &engine.endpoint.id), engine))
+            .collect();
+        order.sort_by_key(|(rank, _)| *rank);
+        let affine = order
+            .iter()
+            .find(|(_, engine)| !is_slow(engine.endpoint) && costs.accepts(engine, random));
+        match affine {
+            Some((_, engine)) => Some(Arc::clone(engine.endpoint)),
+            None => better_of_two(&loaded, |engine| costs.uncached(engine), random).cloned(),
+        }
+    }
+
+    /// Returns the endpoints that a request may go to: the healthy ones, or if there is none all that
+    /// were not tried.
+    fn pool<'a>(
+        &self,
+        now: Time,
+        candidates: &'a [Arc<Endpoint>],
+        request: EndpointRequest<'_>,
+        cold_limit_per_s: impl Fn(&Endpoint) -> usize,
+    ) -> Vec<&'a Arc<Endpoint>> {
         let is_within_cold_limit = |endpoint: &Endpoint| {
             endpoint.cold_until <= now || {
                 let recent = self.cold_count(now, &endpoint.id);
@@ -182,19 +270,7 @@
         let is_healthy =
             |endpoint: &&&Arc<Endpoint>| self.is_healthy(now, endpoint, request.may_retry);
         let healthy: Vec<&Arc<Endpoint>> = untried.iter().filter(is_healthy).copied().collect();
-        let pool = if healthy.is_empty() { untried } else { healthy };
-        let median_ms = self.median_ms(&pool);
-        match request.work {
-            Work::Plain => self.fastest(now, &pool, request.own_data_centre, median_ms),
-            Work::Generation {
-                prompt_prefix,
-                prompt_tokens,
-                preferred_data_centre,
-            } => self
-                .affine_engine(now, &pool, prompt_prefix, prompt_tokens, median_ms)
-                .or_else(|| self.fastest(now, &pool, preferred_data_centre, median_ms)),
-        }
-        .cloned()
+        if healthy.is_empty() { untried } else { healthy }
     }
 
     /// Counts a request to an endpoint from now on that is sent once its connection is open. Otherwise
@@ -228,6 +304,7 @@
         };
         StartedAttempt {
             endpoint: endpoint.id.clone(),
+            process: ProcessKey::of(endpoint),
             role,
             prompt_tokens,
             is_silent: false,
--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -14,6 +14,7 @@
 
 use crate::clock;
 use crate::decisions::endpoint_choice::{AttemptEnd, EndpointRequest, Work};
+use crate::decisions::engine_load::LoadEstimate;
 use crate::fleet::admission::{AdmittedRequest, RequestEnd};
 use crate::fleet::endpoint_client::{CallFailure, Connection, connect};
 use crate::fleet::metric;
@@ -44,6 +45,15 @@
     pub sent: u32,
     /// Number of sends after which the request has run or may have run.
     pub runs: u32,
+    /// Load of the endpoint that was chosen last, where endpoints report how long work takes.
+    pub load: Option<LoadEstimate>,
+}
+
+impl Attempts {
+    /// Formats the load by which the last endpoint was chosen, for the log.
+    pub fn load_text(&self) -> Option<String> {
+        self.load.map(|load| load.to_string())
+    }
 }
 
 /// Outcome of waiting for an endpoint.
@@ -132,6 +142,11 @@
     loop {
         let endpoint = choose(node, admitted, attempts, work)?;
         node.choice.lock().reserve(clock::now(), &endpoint);
+        attempts.load = node.loads.estimate(&endpoint);
+        if let Some(load) = &attempts.load {
+            metric::load_report_used(load.age);
+        }
+        node.loads.on_send(&endpoint, prompt_tokens(&work));
         match connect_to(node, admitted, &endpoint, attempts).await {
             Some(connection) => return Some((endpoint, connection)),
             None if attempts.failed_connections >= MAX_FAILED_CONNECTIONS => return None,
@@ -149,17 +164,25 @@
 ) -> Option<Arc<Endpoint>> {
     let view = node.view();
     let open = node.notices.open(view.usable_endpoints(&admitted.service));
-    node.choice.lock().choose(
-        clock::now(),
-        &open,
-        EndpointRequest {
-            tried: &attempts.tried,
-            own_data_centre: &node.settings.data_centre,
-            may_retry: admitted.route.may_retry(),
-            work,
-        },
-        |endpoint| node.max_cold_requests_per_s(&view, endpoint),
-    )
+    let request = EndpointRequest {
+        tried: &attempts.tried,
+        own_data_centre: &node.settings.data_centre,
+        may_retry: admitted.route.may_retry(),
+        work,
+    };
+    let cold_limit = |endpoint: &Endpoint| node.max_cold_requests_per_s(&view, endpoint);
+    let (now, choice) = (clock::now(), node.choice.lock());
+    node.loads.with(|loads| {
+        choice.choose_by_load(now, &open, request, cold_limit, loads, &mut rand::rng())
+    })
+}
+
+/// Returns the length of the prompt that an endpoint would have to read.
+fn prompt_tokens(work: &Work<'_>) -> u32 {
+    match work {
+        Work::Plain => 0,
+        Work::Generation { prompt_tokens, .. } => *prompt_tokens,
+    }
 }
 
 /// Connects to an endpoint. A failure counts against the endpoint in later choices, but not as a
@@ -197,9 +220,13 @@
     // The last part of the prompt belongs to this request alone. The part before it is the longest
     // prefix that requests share.
     let prompt_prefix = prompt.iter().rev().nth(1).or(prompt.last());
+    let shared = prompt.split_last().map_or(&[][..], |(_, shared)| shared);
     Work::Generation {
         prompt_prefix: prompt_prefix.map_or(0, |part| part.id.0),
         prompt_tokens: admitted.caller.prompt_tokens,
+        shared_tokens: shared
+            .iter()
+            .fold(0, |sum: u32, part| sum.saturating_add(part.tokens)),
         preferred_data_centre,
     }
 }
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -17,6 +17,7 @@
 use crate::decisions::store_view::{StoreView, StoreViewConfig};
 use crate::fleet::control_state::Control;
 use crate::fleet::crash_reports::{CrashBoard, share_crash_reports};
+use crate::fleet::load_reports::LoadBoard;
 use crate::fleet::metric;
 use crate::fleet::model::FleetVm;
 use crate::fleet::peers::Peers;
@@ -43,6 +44,8 @@
     pub feed: watch::Sender<Arc<StoreFeed>>,
     /// Evidence of crashed engines, which the control thread shares with other VMs.
     pub crashes: Arc<CrashBoard>,
+    /// Loads of endpoints, which the control thread exchanges with other VMs.
+    pub loads: Arc<LoadBoard>,
 }
 
 /// Runs the control thread until the process ends.
@@ -82,6 +85,7 @@
         peer_is_newer: Notify::new(),
         lag: Mutex::default(),
         crashes: publications.crashes,
+        loads: publications.loads,
     });
     tokio::spawn(metric::measure_thread("control"));
     spawn_supervised(&control, "store", follow_store);
--- a/src/fleet/control_state.rs
+++ b/src/fleet/control_state.rs
@@ -10,6 +10,7 @@
 use crate::decisions::revision_lag::RevisionLag;
 use crate::decisions::store_view::StoreView;
 use crate::fleet::crash_reports::CrashBoard;
+use crate::fleet::load_reports::LoadBoard;
 use crate::fleet::model::FleetVm;
 use crate::fleet::peers::Peers;
 use crate::fleet::settings::FleetSettings;
@@ -31,6 +32,7 @@
     pub(super) peer_is_newer: Notify,
     pub(super) lag: Mutex<RevisionLag>,
     pub(super) crashes: Arc<CrashBoard>,
+    pub(super) loads: Arc<LoadBoard>,
 }
 
 impl Control {
--- a/src/fleet/crash_reports.rs
+++ b/src/fleet/crash_reports.rs
@@ -20,10 +20,11 @@
 use crate::fleet::admission::AdmittedRequest;
 use crate::fleet::control_state::Control;
 use crate::fleet::endpoint_client::has_ended;
+use crate::fleet::load_reports::{self, spread_loads};
 use crate::fleet::metric;
 use crate::fleet::model::Endpoint;
 use crate::fleet::node::Node;
-use crate::fleet::wire::{decode_crash_report, encode_crash_report};
+use crate::fleet::wire::{decode_crash_report, decode_load_reports, encode_crash_report};
 use crate::units::PartId;
 
 /// Number of VMs that get news in one round.
@@ -183,7 +184,7 @@
     parts.join(",")
 }
 
-/// Exchanges evidence with other VMs and judges it, until the process ends.
+/// Exchanges evidence and loads of endpoints with other VMs, and judges the evidence, until the process ends.
 pub(super) async fn share_crash_reports(control: Arc<Control>) {
     let address = {
         let settings = control.settings.lock();
@@ -199,7 +200,7 @@
     };
     let mut datagram = vec![0; MAX_DATAGRAM_BYTES];
     let (mut compare_at, mut spread_at) = (Instant::now(), Instant::now());
-    let mut judge_at = Instant::now();
+    let (mut judge_at, mut spread_loads_at) = (Instant::now(), Instant::now());
     loop {
         let now = Instant::now();
         if now >= compare_at {
@@ -215,7 +216,15 @@
             judge_at = now + JUDGE_PERIOD;
             control.crashes.judge(&control.logger);
         }
+        let has_loads = control.loads.is_in_use();
+        if has_loads && now >= spread_loads_at {
+            spread_loads_at = now + load_reports::ROUND_PERIOD;
+            spread_loads(&control, &socket).await;
+        }
         let mut next = compare_at;
+        if has_loads {
+            next = next.min(spread_loads_at);
+        }
         if has_news {
             next = next.min(spread_at);
         }
@@ -298,6 +307,11 @@
 /// Takes over what another VM reports, and sends it everything if it lacks some of it.
 async fn receive_report(control: &Control, socket: &UdpSocket, datagram: &[u8], from: SocketAddr) {
     let SocketAddr::V4(from) = from else { return };
+    match decode_load_reports(datagram) {
+        Ok(loads) if !loads.is_empty() => return control.loads.receive(&loads),
+        // The datagram has evidence of crashes, or the error shows again below.
+        _ => {}
+    }
     let (report, digest) = match decode_crash_report(datagram) {
         Ok(decoded) => decoded,
         Err(error) => {
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -135,6 +135,18 @@
     counter!("primrosewalk_attempts_total", "end" => "no_connection").increment(1);
 }
 
+/// Counts reports of the load of endpoints: from `answers`, `received` from other VMs, of these the
+/// `newer` ones, and `sent` to other VMs.
+pub fn load_reports(kind: &'static str, count: usize) {
+    counter!("primrosewalk_load_reports_total", "kind" => kind).increment(count as u64);
+}
+
+/// Counts an endpoint that was chosen by its reported load, and records the age of the report.
+pub fn load_report_used(age: Duration) {
+    load_reports("used", 1);
+    histogram!("primrosewalk_load_report_age_seconds").record(age.as_secs_f64());
+}
+
 /// Counts an engine that ended while it answered a request of this VM.
 pub fn engine_crashed() {
     counter!("primrosewalk_engine_crashes_total").increment(1);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 pub mod endpoint_client;
 mod engine_stream;
 pub mod ingress;
+mod load_reports;
 mod metric;
 pub mod model;
 mod node;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -24,6 +24,7 @@
 use crate::fleet::admission::AdmittedRequest;
 use crate::fleet::crash_reports::CrashBoard;
 use crate::fleet::dispatcher::BatchDispatcher;
+use crate::fleet::load_reports::LoadBoard;
 use crate::fleet::metric;
 use crate::fleet::model::{Endpoint, FleetVm};
 use crate::fleet::notices::NoticeBoard;
@@ -58,6 +59,8 @@
     pub stopping: watch::Receiver<bool>,
     /// Evidence of requests that crash engines.
     pub crashes: Arc<CrashBoard>,
+    /// Loads that endpoints report.
+    pub loads: Arc<LoadBoard>,
     /// Connections for calls to other VMs.
     pub peers: Arc<Peers>,
     /// What endpoints have asked for in their answers.
@@ -129,6 +132,8 @@
     pub stopping: watch::Receiver<bool>,
     /// Evidence of requests that crash engines.
     pub crashes: Arc<CrashBoard>,
+    /// Loads that endpoints report.
+    pub loads: Arc<LoadBoard>,
 }
 
 impl Node {
@@ -144,8 +149,9 @@
             feed,
             stopping,
             crashes,
+            loads,
         } = subscriptions;
-        let notices = NoticeBoard::new(logger.clone());
+        let notices = NoticeBoard::new(logger.clone(), Arc::clone(&loads));
         let dispatcher = BatchDispatcher::new(
             logger.clone(),
             Arc::clone(&notices),
@@ -161,6 +167,7 @@
             feed,
             stopping,
             crashes,
+            loads,
             notices,
             dispatcher,
             choice: Mutex::new(EndpointChoice::new(ChoiceConfig::default())),
@@ -277,6 +284,7 @@
     /// Records how an attempt ended, for later choices of endpoints and for the metrics.
     pub fn end_attempt(&self, started: StartedAttempt, end: AttemptEnd) {
         metric::attempt_ended(end);
+        self.loads.on_attempt_end(started.process, end);
         self.choice.lock().finish(clock::now(), started, end);
     }
 
--- a/src/fleet/notices.rs
+++ b/src/fleet/notices.rs
@@ -10,28 +10,35 @@
 
 use crate::clock;
 use crate::decisions::endpoint_notices::EndpointNotices;
+use crate::fleet::load_reports::LoadBoard;
 use crate::fleet::model::Endpoint;
-use crate::platform::endpoint_call::notice_of;
+use crate::platform::endpoint_call::{load_of, notice_of};
 use crate::units::EndpointName;
 
 /// The notices of all endpoints, with a log line for each new one.
 pub struct NoticeBoard {
     logger: Logger,
     notices: Mutex<EndpointNotices>,
+    loads: Arc<LoadBoard>,
 }
 
 impl NoticeBoard {
-    /// Creates a board without notices.
-    pub fn new(logger: Logger) -> Arc<Self> {
+    /// Creates a board without notices. Loads that answers report go to `loads`.
+    pub fn new(logger: Logger, loads: Arc<LoadBoard>) -> Arc<Self> {
         Arc::new(Self {
             logger,
             notices: Mutex::default(),
+            loads,
         })
     }
 
-    /// Records what the head of an answer asks for. All answers of endpoints pass here, whatever the call
+    /// Records what the head of an answer asks for and the load that it reports. All answers of endpoints pass here, whatever the call
     /// was.
     pub fn read(&self, endpoint: &Endpoint, status: StatusCode, headers: &HeaderMap) {
+        if let Some(report) = load_of(headers).filter(|_| status != StatusCode::MISDIRECTED_REQUEST)
+        {
+            self.loads.on_report(endpoint, report);
+        }
         let notice = notice_of(status, headers);
         let is_new = self.notices.lock().record(clock::now(), endpoint, notice);
         if is_new {
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -102,7 +102,8 @@
         };
         guard.finish(end);
         info!(node.logger, "request: attempt ended"; "id" => &admitted.caller.id,
-            "endpoint" => %endpoint.id, "sent" => attempts.sent, "end" => &reason);
+            "endpoint" => %endpoint.id, "sent" => attempts.sent, "end" => &reason,
+            "load" => attempts.load_text());
         last_reason = reason;
         match outcome {
             AttemptOutcome::Answer(reply) if reply.status().is_server_error() && may_retry => {
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -22,6 +22,7 @@
 use crate::fleet::control::{Publications, run_control};
 use crate::fleet::crash_reports::CrashBoard;
 use crate::fleet::ingress::{self, Closing};
+use crate::fleet::load_reports::LoadBoard;
 use crate::fleet::metric;
 use crate::fleet::node::{Node, Subscriptions};
 use crate::fleet::peers::serve_peers;
@@ -98,17 +99,19 @@
     let (stop, stopping) = watch::channel(false);
     let (reload, reloaded) = watch::channel(None);
     let crashes = Arc::new(CrashBoard::default());
+    let loads = Arc::new(LoadBoard::default());
     // The control thread owns `alive`, so `control_ended` resolves when it ends for any reason.
     let (alive, control_ended) = oneshot::channel::<()>();
     let control = {
         let (settings, logger, stopping) = (settings.clone(), logger.clone(), stopping.clone());
-        let crashes = Arc::clone(&crashes);
+        let (crashes, loads) = (Arc::clone(&crashes), Arc::clone(&loads));
         let run = move || {
             let _alive = alive;
             let publications = Publications {
                 view,
                 feed,
                 crashes,
+                loads,
             };
             let control = run_control(
                 settings,
@@ -131,6 +134,7 @@
             feed: feed_receiver,
             stopping,
             crashes,
+            loads,
         };
         let (unused_inputs, unused) = mpsc::unbounded_channel();
         let node = Node::new(
@@ -344,6 +348,7 @@
             .map(|endpoint| endpoint.id.clone())
             .collect();
         node.choice.lock().retain(|id| usable_ids.contains(id));
+        node.loads.forget_old();
         let mut generation_times = node.generation_times.lock();
         generation_times.retain(|id| usable_ids.contains(id));
         drop(generation_times);
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -537,7 +537,8 @@
             "id" => &self.admitted.caller.id,
             "endpoint" => engine.map(|engine| engine.id.to_string()),
             "data_centre" => engine.map(|engine| engine.data_centre.to_string()),
-            "sent" => self.attempts.sent, "outcome" => outcome);
+            "sent" => self.attempts.sent, "outcome" => outcome,
+            "load" => self.attempts.load_text());
     }
 
     /// Records what an engine has sent for its answer, and decides whether another one may be tried.
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -8,6 +8,7 @@
 
 use prost::{Message, Oneof};
 
+use crate::decisions::engine_load::{LoadReport, MAX_SHARED, Observation, ProcessKey, SharedLoad};
 use crate::decisions::gossip::{GossipKind, GossipMessage, VmRecord, VmState};
 use crate::decisions::quarantine::{CrashEvidence, CrashReport, PassEvidence};
 use crate::fleet::model::{FleetVm, VmSize};
@@ -104,6 +105,115 @@
     pub age_ms: u64,
 }
 
+/// A datagram with loads of endpoints, from one VM to another. It has no tag in common with
+/// [`WireCrashReport`], which has the same port.
+#[derive(Clone, PartialEq, Message)]
+pub struct WireLoadReports {
+    /// The newest observations of endpoints.
+    #[prost(message, repeated, tag = "4")]
+    pub loads: Vec<WireLoad>,
+}
+
+/// The newest observations of one endpoint on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct WireLoad {
+    /// Key of the endpoint's process.
+    #[prost(fixed64, tag = "1")]
+    pub process: u64,
+    /// Number of the report of load; absent if there is none.
+    #[prost(fixed32, optional, tag = "2")]
+    pub load_number: Option<u32>,
+    /// Age of the report, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub load_age_ms: u32,
+    /// Number of requests that run.
+    #[prost(uint32, tag = "4")]
+    pub running: u32,
+    /// Number of requests that wait.
+    #[prost(uint32, tag = "5")]
+    pub waiting: u32,
+    /// Number of requests that the endpoint runs at the same time.
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+    /// Time that work takes now, in percent of the usual time.
+    #[prost(uint32, optional, tag = "7")]
+    pub work_time_percent: Option<u32>,
+    /// Number of the outcome of an attempt; absent if there is none.
+    #[prost(fixed32, optional, tag = "8")]
+    pub outcome_number: Option<u32>,
+    /// Age of the outcome, in milliseconds.
+    #[prost(uint32, tag = "9")]
+    pub outcome_age_ms: u32,
+    /// Whether the attempt failed.
+    #[prost(bool, tag = "10")]
+    pub has_failed: bool,
+}
+
+impl From<&SharedLoad> for WireLoad {
+    fn from(shared: &SharedLoad) -> Self {
+        let age_ms = |age: Duration| age.as_millis().try_into().unwrap_or(u32::MAX);
+        let mut wire = Self {
+            process: shared.process.0,
+            ..Self::default()
+        };
+        if let Some(load) = &shared.load {
+            wire.load_number = Some(load.number);
+            wire.load_age_ms = age_ms(load.age);
+            wire.running = load.value.running;
+            wire.waiting = load.value.waiting;
+            wire.slots = load.value.slots;
+            wire.work_time_percent = load.value.work_time_percent;
+        }
+        if let Some(outcome) = &shared.has_failed {
+            wire.outcome_number = Some(outcome.number);
+            wire.outcome_age_ms = age_ms(outcome.age);
+            wire.has_failed = outcome.value;
+        }
+        wire
+    }
+}
+
+impl From<WireLoad> for SharedLoad {
+    fn from(wire: WireLoad) -> Self {
+        let report = LoadReport {
+            running: wire.running,
+            waiting: wire.waiting,
+            slots: wire.slots,
+            work_time_percent: wire.work_time_percent,
+        };
+        Self {
+            process: ProcessKey(wire.process),
+            load: wire.load_number.map(|number| Observation {
+                value: report,
+                number,
+                age: Duration::from_millis(wire.load_age_ms.into()),
+            }),
+            has_failed: wire.outcome_number.map(|number| Observation {
+                value: wire.has_failed,
+                number,
+                age: Duration::from_millis(wire.outcome_age_ms.into()),
+            }),
+        }
+    }
+}
+
+/// Encodes loads of endpoints.
+pub fn encode_load_reports(loads: &[SharedLoad]) -> Vec<u8> {
+    let loads = loads.iter().map(WireLoad::from).collect();
+    WireLoadReports { loads }.encode_to_vec()
+}
+
+/// Decodes loads of endpoints; none from a datagram of another kind.
+///
+/// # Errors
+///
+/// Returns what is wrong with the datagram.
+pub fn decode_load_reports(datagram: &[u8]) -> anyhow::Result<Vec<SharedLoad>> {
+    let wire = WireLoadReports::decode(datagram)?;
+    let loads = wire.loads.into_iter().take(MAX_SHARED);
+    Ok(loads.map(SharedLoad::from).collect())
+}
+
 /// Encodes a report of crashes, with a digest if the sender asks for what it lacks.
 pub fn encode_crash_report(report: &CrashReport, digest: Option<u64>) -> Vec<u8> {
     let crashes = report.crashes.iter().map(|crash| WireCrash {
--- a/src/platform/endpoint_call.rs
+++ b/src/platform/endpoint_call.rs
@@ -6,6 +6,7 @@
 use hyper::{HeaderMap, StatusCode};
 
 use crate::decisions::endpoint_notices::Notice;
+use crate::decisions::engine_load::LoadReport;
 use crate::units::{EndpointName, OrganisationName};
 
 /// Header that says after how many seconds a caller should retry.
@@ -17,6 +18,12 @@
 const REQUEST_ID: &str = "request-id";
 /// Header by which an endpoint says that it leaves.
 const LEAVING: &str = "server-leaving";
+/// Header with the load of an endpoint.
+const LOAD: &str = "instance-load";
+/// Largest number of requests or slots in a report of load that is believed.
+const MAX_REPORTED_REQUESTS: u32 = 100_000;
+/// Largest work time in a report of load that is believed, in percent.
+const MAX_WORK_TIME_PERCENT: u32 = 100_000;
 
 /// Request headers that are not passed on from callers to endpoints: they apply to a single
 /// connection, or only this system may set them.
@@ -58,7 +65,7 @@
     "trailer",
     "upgrade",
     "content-length",
-    "instance-load",
+    LOAD,
 ];
 
 /// Values of the headers that this system sets on a request to an endpoint.
@@ -180,6 +187,30 @@
     }
 }
 
+/// Returns the load that an answer of an endpoint reports. A malformed report is ignored, since the
+/// answer itself may be sound.
+pub fn load_of(headers: &HeaderMap) -> Option<LoadReport> {
+    let text = headers.get(LOAD)?.to_str().ok()?;
+    let mut figures = text.splitn(5, ',').map(|figure| figure.trim().parse().ok());
+    let mut requests = || -> Option<u32> {
+        let count = figures.next()??;
+        (count <= MAX_REPORTED_REQUESTS).then_some(count)
+    };
+    let (running, waiting, slots) = (requests()?, requests()?, requests()?);
+    let work_time_percent = match figures.next() {
+        None => None,
+        Some(percent) => {
+            Some(percent.filter(|percent| (1..=MAX_WORK_TIME_PERCENT).contains(percent))?)
+        }
+    };
+    (slots > 0).then_some(LoadReport {
+        running,
+        waiting,
+        slots,
+        work_time_percent,
+    })
+}
+
 /// Returns the headers of an endpoint's answer that are passed on to the caller.
 pub fn returned_headers(endpoint: &HeaderMap) -> HeaderMap {
     let mut headers = endpoint.clone();
