feat(fleet): spread a popular prefix over the engines that its demand needs

Cause: reports are 200 ms old when they arrive. An engine that looked idle got all prompts of a popular prefix until the next report, so that the load went from one engine to the next.

Change: each VM estimates the demand for a prefix from its own requests and the number of VMs; prompts go to the better one of two random engines among as many as the demand needs. Queues fade in one second.

--- a/src/decisions/endpoint_choice.rs
+++ b/src/decisions/endpoint_choice.rs
@@ -16,7 +16,9 @@
 
 use crate::decisions::circuit::{Circuit, CircuitConfig, Role};
 use crate::decisions::engine_load::{EngineLoad, ProcessKey};
-use crate::decisions::load_cost::{LoadedEndpoint, Prompt, PromptCosts, better_of_two, with_loads};
+use crate::decisions::load_cost::{
+    GOOD_RATIO, LoadedEndpoint, Prompt, PromptCosts, better_of_two, prefix_engines, with_loads,
+};
 use crate::fleet::model::Endpoint;
 use crate::units::{DataCentreName, EndpointName, Time};
 
@@ -155,6 +157,8 @@
 const COLD_WINDOW: Duration = Duration::from_millis(1_050);
 /// Response time that is assumed before the first observation, in milliseconds.
 const DEFAULT_TIME_MS: f64 = 50.0;
+/// Number of engines after those of a prefix that are tried before a random one.
+const FOLLOWING_ENGINES: usize = 2;
 
 impl EndpointChoice {
     /// Creates a choice without observations.
@@ -221,7 +225,9 @@
             ..
         } = request.work
         else {
-            return better_of_two(&loaded, plain_cost, random).cloned();
+            let loaded: Vec<_> = loaded.iter().collect();
+            let chosen = better_of_two(&loaded, plain_cost, GOOD_RATIO, random);
+            return chosen.map(|loaded| Arc::clone(loaded.endpoint));
         };
         let prompt = Prompt {
             tokens: prompt_tokens,
@@ -232,18 +238,21 @@
             let time_ms = self.expected_time_ms(now, endpoint, median_ms);
             time_ms > median_ms * self.config.slow_ratio
         };
-        let mut order: Vec<(u64, &LoadedEndpoint<'_>)> = loaded
-            .iter()
-            .map(|engine| (!affinity(prompt_prefix, &engine.endpoint.id), engine))
-            .collect();
-        order.sort_by_key(|(rank, _)| *rank);
-        let affine = order
-            .iter()
-            .find(|(_, engine)| !is_slow(engine.endpoint) && costs.accepts(engine, random));
-        match affine {
-            Some((_, engine)) => Some(Arc::clone(engine.endpoint)),
-            None => better_of_two(&loaded, |engine| costs.uncached(engine), random).cloned(),
-        }
+        let sound = loaded.iter().filter(|engine| !is_slow(engine.endpoint));
+        let mut order: Vec<&LoadedEndpoint<'_>> = sound.collect();
+        order.sort_by_cached_key(|engine| !affinity(prompt_prefix, &engine.endpoint.id));
+        let demand = loads.demand_tokens_per_s(now, prompt_prefix);
+        let (home, others) = order.split_at(prefix_engines(demand).min(order.len()));
+        let home = better_of_two(home, |engine| costs.cached(engine), f64::MAX, random);
+        // Engines that follow in the order, since they may have the prefix from earlier spills.
+        let followers = others.iter().take(FOLLOWING_ENGINES).copied();
+        let mut affine = home.into_iter().chain(followers);
+        let affine = affine.find(|engine| costs.accepts(engine, random));
+        let chosen = affine.or_else(|| {
+            let loaded: Vec<_> = loaded.iter().collect();
+            better_of_two(&loaded, |engine| costs.uncached(engine), f64::MAX, random)
+        });
+        chosen.map(|engine| Arc::clone(engine.endpoint))
     }
 
     /// Returns the endpoints that a request may go to: the healthy ones, or if there is none all that
--- a/src/decisions/engine_load.rs
+++ b/src/decisions/engine_load.rs
@@ -23,7 +23,7 @@
 /// almost all VMs get it.
 const SHARED_ROUNDS: u8 = 3;
 /// Half-life of a reported queue, which is about the time that a generation takes.
-const QUEUE_HALF_LIFE: Duration = Duration::from_millis(500);
+const QUEUE_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Half-life of a reported work time. Machines change their speed many times a second.
 const WORK_TIME_HALF_LIFE: Duration = Duration::from_millis(300);
 /// Half-life of a share of failures without a newer outcome, so that an endpoint is tried again.
@@ -32,6 +32,11 @@
 const OUTCOME_WEIGHT: f64 = 0.15;
 /// Weight of the newest prompt in the mean length of prompts.
 const PROMPT_WEIGHT: f64 = 0.05;
+/// Half-life of the demand for a prompt prefix. One VM of a large fleet sees even a popular prefix about
+/// once a second.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(5);
+/// Upper bound of the number of prompt prefixes whose demand is remembered.
+const MAX_PREFIXES: usize = 1_024;
 /// Age at which an endpoint without observations is forgotten.
 const FORGET_AGE: Duration = Duration::from_secs(20);
 /// Upper bound of the number of endpoints that are remembered.
@@ -249,6 +254,23 @@
     observed: u64,
     /// Moving average of the prompts that this VM sends.
     mean_prompt_tokens: f64,
+    /// Prompt tokens beside the prefix that this VM sent lately, by prefix.
+    demands: HashMap<u64, Demand>,
+    /// Number of VMs that send requests.
+    vms: u32,
+}
+
+/// Sum of prompt tokens whose older parts count for less.
+#[derive(Debug, Clone, Copy)]
+struct Demand {
+    tokens: f64,
+    at: Time,
+}
+
+impl Demand {
+    fn tokens(self, now: Time) -> f64 {
+        self.tokens * decay(now.since(self.at), DEMAND_HALF_LIFE)
+    }
 }
 
 impl EngineLoad {
@@ -259,6 +281,8 @@
             seed,
             observed: 0,
             mean_prompt_tokens: 0.0,
+            demands: HashMap::new(),
+            vms: 1,
         }
     }
 
@@ -292,6 +316,34 @@
         }
     }
 
+    /// Records a prompt with a shared prefix, of which an engine reads `unshared_tokens`.
+    pub fn on_prompt(&mut self, now: Time, prefix: u64, unshared_tokens: u32) {
+        let is_known = self.demands.contains_key(&prefix);
+        if self.entries.is_empty() || (!is_known && self.demands.len() >= MAX_PREFIXES) {
+            return;
+        }
+        let none = Demand {
+            tokens: 0.0,
+            at: now,
+        };
+        let demand = self.demands.entry(prefix).or_insert(none);
+        demand.tokens = demand.tokens(now) + f64::from(unshared_tokens);
+        demand.at = now;
+    }
+
+    /// Returns how many prompt tokens beside a prefix all VMs together send in a second.
+    pub fn demand_tokens_per_s(&self, now: Time, prefix: u64) -> f64 {
+        let tokens = self.demands.get(&prefix);
+        let tokens = tokens.map_or(0.0, |demand| demand.tokens(now));
+        let mean_age_s = DEMAND_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        tokens / mean_age_s * f64::from(self.vms)
+    }
+
+    /// Sets the number of VMs that send requests.
+    pub fn set_vms(&mut self, vms: u32) {
+        self.vms = vms.max(1);
+    }
+
     /// Returns the mean length of the prompts that this VM sent recently; 0 if it has sent none.
     pub fn mean_prompt_tokens(&self) -> f64 {
         self.mean_prompt_tokens
@@ -388,6 +440,8 @@
     /// Forgets endpoints without recent observations.
     pub fn forget_old(&mut self, now: Time) {
         self.entries.retain(|_, entry| !entry.is_old(now));
+        let is_recent = |demand: &Demand| now.since(demand.at) <= FORGET_AGE;
+        self.demands.retain(|_, demand| is_recent(demand));
     }
 
     fn has_room(&self, process: ProcessKey) -> bool {
--- a/src/decisions/load_cost.rs
+++ b/src/decisions/load_cost.rs
@@ -2,8 +2,9 @@
 //!
 //! All VMs read the same reports, which are some hundred milliseconds old. If each VM took the endpoint
 //! that looks best, all of them would take the same one until the next report. So a plain request goes to
-//! the better one of two that are chosen at random among the good ones, and the engine that has a prompt's
-//! prefix cached is left with a probability that rises with its load (`docs/design/endpoint-load.md`).
+//! the better one of two that are chosen at random among the good ones. A popular prompt prefix is spread
+//! over as many engines as the demand for it needs, in the same way, and they are left with a probability
+//! that rises with their load (`docs/design/endpoint-load.md`).
 
 use std::sync::Arc;
 
@@ -14,8 +15,11 @@
 use crate::fleet::model::Endpoint;
 use crate::units::Time;
 
-/// Factor by which the cost of a good endpoint may exceed that of the best one.
-const GOOD_RATIO: f64 = 1.2;
+/// Factor by which the cost of a good endpoint for a plain request may exceed that of the best one.
+pub const GOOD_RATIO: f64 = 1.5;
+/// Prompt tokens in a second up to which an engine takes prompts of one prefix: half of what engines
+/// commonly read, so that it has time for other prompts and for generating.
+const PREFIX_TOKENS_PER_S: f64 = 25_000.0;
 /// Number of further attempts that a failure costs a request: the time of the failed one, and the risk
 /// that it has run and cannot be sent again.
 const FAILURE_COST: f64 = 8.0;
@@ -32,8 +36,6 @@
 pub struct LoadedEndpoint<'a> {
     /// The endpoint.
     pub endpoint: &'a Arc<Endpoint>,
-    /// Whether the endpoint has reported its load lately.
-    pub is_known: bool,
     running: f64,
     waiting: f64,
     slots: f64,
@@ -78,7 +80,6 @@
         let slots = estimate.map_or(endpoint.slots, |load| load.report.slots);
         LoadedEndpoint {
             endpoint,
-            is_known: estimate.is_some(),
             running: faded(mean_running, |load| load.report.running),
             waiting: faded(mean_waiting, |load| load.report.waiting),
             slots: f64::from(slots.max(1)),
@@ -119,6 +120,12 @@
     pub shared_tokens: u32,
 }
 
+/// Returns over how many engines the prompts with a prefix are spread. The demand decides, and not the
+/// reports alone: between two reports an engine that looks idle would get all of them.
+pub fn prefix_engines(demand_tokens_per_s: f64) -> usize {
+    (demand_tokens_per_s / PREFIX_TOKENS_PER_S).ceil().max(1.0) as usize
+}
+
 /// Decides which engine reads a prompt.
 pub struct PromptCosts {
     tokens: f64,
@@ -133,6 +140,11 @@
     pub fn new(prompt: Prompt, engines: &[LoadedEndpoint<'_>], mean_prompt_tokens: f64) -> Self {
         let tokens = f64::from(prompt.tokens);
         let unshared_tokens = f64::from(prompt.tokens.saturating_sub(prompt.shared_tokens));
+        let mean_prompt_tokens = if mean_prompt_tokens > 0.0 {
+            mean_prompt_tokens
+        } else {
+            tokens
+        };
         let costs = engines.iter();
         let costs = costs.map(|engine| engine.prompt_cost(tokens, mean_prompt_tokens));
         let mut costs: Vec<f64> = costs.collect();
@@ -152,7 +164,7 @@
     /// Returns whether an engine that has the prefix cached takes the prompt. The engine of a popular
     /// prefix would otherwise get the whole fleet's requests with it.
     pub fn accepts(&self, engine: &LoadedEndpoint<'_>, random: &mut impl RngExt) -> bool {
-        let cost = engine.prompt_cost(self.unshared_tokens, self.mean_prompt_tokens);
+        let cost = self.cached(engine);
         let gain = self.alternative - self.unshared_tokens;
         if gain <= 0.0 {
             return cost <= self.alternative;
@@ -162,21 +174,28 @@
         random.random::<f64>() >= leave_probability
     }
 
+    /// Returns the cost of a prompt at an engine that has its prefix cached.
+    pub fn cached(&self, engine: &LoadedEndpoint<'_>) -> f64 {
+        engine.prompt_cost(self.unshared_tokens, self.mean_prompt_tokens)
+    }
+
     /// Returns the cost of a prompt at an engine that has none of it cached.
     pub fn uncached(&self, engine: &LoadedEndpoint<'_>) -> f64 {
         engine.prompt_cost(self.tokens, self.mean_prompt_tokens)
     }
 }
 
-/// Returns the better one of two random endpoints among those that are nearly as good as the best.
-pub fn better_of_two<'a>(
-    engines: &[LoadedEndpoint<'a>],
+/// Returns the better one of two random endpoints among those whose cost is at most `good_ratio` times
+/// that of the best.
+pub fn better_of_two<'a, 'b>(
+    engines: &[&'b LoadedEndpoint<'a>],
     cost: impl Fn(&LoadedEndpoint<'a>) -> f64,
+    good_ratio: f64,
     random: &mut impl RngExt,
-) -> Option<&'a Arc<Endpoint>> {
-    let costs: Vec<f64> = engines.iter().map(&cost).collect();
+) -> Option<&'b LoadedEndpoint<'a>> {
+    let costs: Vec<f64> = engines.iter().map(|engine| cost(engine)).collect();
     let best = costs.iter().copied().min_by(f64::total_cmp)?;
-    let is_good = |index: &usize| costs[*index] <= best * GOOD_RATIO;
+    let is_good = |index: &usize| costs[*index] <= best * good_ratio;
     let good: SmallVec<[usize; 32]> = (0..engines.len()).filter(is_good).collect();
     let first = random.random_range(0..good.len());
     let second = (first + random.random_range(0..good.len().max(2) - 1) + 1) % good.len();
@@ -186,5 +205,5 @@
     } else {
         first
     };
-    Some(engines[better].endpoint)
+    Some(engines[better])
 }
--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -146,7 +146,7 @@
         if let Some(load) = &attempts.load {
             metric::load_report_used(load.age);
         }
-        node.loads.on_send(&endpoint, prompt_tokens(&work));
+        node.loads.on_send(&endpoint, &work);
         match connect_to(node, admitted, &endpoint, attempts).await {
             Some(connection) => return Some((endpoint, connection)),
             None if attempts.failed_connections >= MAX_FAILED_CONNECTIONS => return None,
@@ -177,14 +177,6 @@
     })
 }
 
-/// Returns the length of the prompt that an endpoint would have to read.
-fn prompt_tokens(work: &Work<'_>) -> u32 {
-    match work {
-        Work::Plain => 0,
-        Work::Generation { prompt_tokens, .. } => *prompt_tokens,
-    }
-}
-
 /// Connects to an endpoint. A failure counts against the endpoint in later choices, but not as a
 /// retry, since nothing was sent.
 async fn connect_to(
--- a/src/fleet/load_reports.rs
+++ b/src/fleet/load_reports.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use crate::clock;
-use crate::decisions::endpoint_choice::AttemptEnd;
+use crate::decisions::endpoint_choice::{AttemptEnd, Work};
 use crate::decisions::engine_load::{EngineLoad, LoadEstimate, LoadReport, ProcessKey, SharedLoad};
 use crate::fleet::control_state::Control;
 use crate::fleet::metric;
@@ -51,9 +51,21 @@
     }
 
     /// Records a request that is about to be sent to an endpoint.
-    pub fn on_send(&self, endpoint: &Endpoint, prompt_tokens: u32) {
+    pub fn on_send(&self, endpoint: &Endpoint, work: &Work<'_>) {
         let (now, process) = (clock::now(), ProcessKey::of(endpoint));
-        self.loads.lock().on_send(now, process, prompt_tokens);
+        let mut loads = self.loads.lock();
+        let Work::Generation {
+            prompt_prefix,
+            prompt_tokens,
+            shared_tokens,
+            ..
+        } = *work
+        else {
+            return loads.on_send(now, process, 0);
+        };
+        loads.on_send(now, process, prompt_tokens);
+        let unshared_tokens = prompt_tokens.saturating_sub(shared_tokens);
+        loads.on_prompt(now, prompt_prefix, unshared_tokens);
     }
 
     /// Records how an attempt at an endpoint ended.
@@ -78,9 +90,11 @@
         self.loads.lock().estimate(now, process)
     }
 
-    /// Forgets endpoints without recent observations.
-    pub fn forget_old(&self) {
-        self.loads.lock().forget_old(clock::now());
+    /// Forgets endpoints without recent observations, and takes over the number of VMs.
+    pub fn refresh(&self, vms: usize) {
+        let mut loads = self.loads.lock();
+        loads.forget_old(clock::now());
+        loads.set_vms(u32::try_from(vms).unwrap_or(u32::MAX));
     }
 
     /// Returns whether there is something to pass on from time to time.
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -348,7 +348,7 @@
             .map(|endpoint| endpoint.id.clone())
             .collect();
         node.choice.lock().retain(|id| usable_ids.contains(id));
-        node.loads.forget_old();
+        node.loads.refresh(view.vms.len());
         let mut generation_times = node.generation_times.lock();
         generation_times.retain(|id| usable_ids.contains(id));
         drop(generation_times);
--- a/tests/fleet_rules/main.rs
+++ b/tests/fleet_rules/main.rs
@@ -6,6 +6,7 @@
 
 mod batching;
 mod choice;
+mod endpoint_load;
 mod generation_times;
 mod gossip;
 mod quarantine;
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -8,6 +8,7 @@
 use googletest::prelude::*;
 use hyper::{HeaderMap, StatusCode};
 use primrosewalk::decisions::endpoint_notices::Notice;
+use primrosewalk::decisions::engine_load::LoadReport;
 use primrosewalk::decisions::generation_times::ExpectedTokens;
 use primrosewalk::decisions::quarantine::{CrashEvidence, CrashReport, Quarantine};
 use primrosewalk::fleet::model::RouteKind;
@@ -15,7 +16,9 @@
 use primrosewalk::platform::caller::decode_caller;
 use primrosewalk::platform::configuration::decode_configuration;
 use primrosewalk::platform::directory::{caller_data_centre, encode_addresses};
-use primrosewalk::platform::endpoint_call::{ResponseClass, classify, notice_of, returned_headers};
+use primrosewalk::platform::endpoint_call::{
+    ResponseClass, classify, load_of, notice_of, returned_headers,
+};
 use primrosewalk::platform::endpoint_entry::decode_endpoint;
 use primrosewalk::platform::stage_call::{decode_free_bytes, decode_run};
 use primrosewalk::units::{PartId, Time};
@@ -557,3 +560,78 @@
         expect_that!(notice, eq(case.expected), "{:?}", case.headers);
     }
 }
+
+struct LoadCase {
+    text: &'static str,
+    /// Running, waiting, slots and the work time in percent.
+    load: Option<(u32, u32, u32, Option<u32>)>,
+}
+
+const LOAD_CASES: [LoadCase; 12] = [
+    LoadCase {
+        text: "3,0,8",
+        load: Some((3, 0, 8, None)),
+    },
+    LoadCase {
+        text: "3, 1, 64, 250",
+        load: Some((3, 1, 64, Some(250))),
+    },
+    LoadCase {
+        text: "3,1,64,250,a later figure",
+        load: Some((3, 1, 64, Some(250))),
+    },
+    LoadCase {
+        text: "",
+        load: None,
+    },
+    LoadCase {
+        text: "3,1",
+        load: None,
+    },
+    LoadCase {
+        text: "3,1,0,100",
+        load: None,
+    },
+    LoadCase {
+        text: "-3,1,8,100",
+        load: None,
+    },
+    LoadCase {
+        text: "3,1,8,",
+        load: None,
+    },
+    LoadCase {
+        text: "3,1,8,0",
+        load: None,
+    },
+    LoadCase {
+        text: "3,1,8,fast",
+        load: None,
+    },
+    LoadCase {
+        text: "3,4000000000,8,100",
+        load: None,
+    },
+    LoadCase {
+        text: "3,99999999999999999999,8,100",
+        load: None,
+    },
+];
+
+/// Guards against malformed loads that would steer requests.
+#[gtest]
+fn malformed_loads_are_ignored() {
+    for case in &LOAD_CASES {
+        let expected = case
+            .load
+            .map(|(running, waiting, slots, work_time_percent)| LoadReport {
+                running,
+                waiting,
+                slots,
+                work_time_percent,
+            });
+        let load = load_of(&headers(&[("instance-load", case.text)]));
+        expect_that!(load, eq(expected), "{}", case.text);
+    }
+    expect_that!(load_of(&HeaderMap::new()), none());
+}
