--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -109,6 +109,11 @@
         self.child.is_some()
     }
 
+    /// Returns the id of the process, if the test has started it and has not seen it end.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns a field of the process's status in the proc file system.
     fn process_status(&self, field: &str) -> Option<String> {
         let pid = self.child.as_ref()?.id();
