fix(fleet): what a VM holds for its callers is bounded by its machine

Cause: bodies were read whole whatever their number and announced size, each of their parts kept the connection's buffer, answers that callers did not read were kept, and no listener bounded its connections. 40 bodies of 4 MiB ended a VM of 160 MB.

Change: one budget for connections, heads, bodies, answers and streams, and a bound on connections, from memory_mb and max_descriptors of the settings (new, optional). Bodies announced over the limit are refused unread. Directory, readiness, metrics and links between VMs get bounds of their own. decisions/caller_memory.rs decides, fleet/caller_memory.rs carries it out. Answers of endpoints keep their own limit of 32 MiB, which does not follow from the settings yet.

--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod at_most_once;
 pub mod batching;
+pub mod caller_memory;
 pub mod change_log;
 pub mod circuit;
 pub mod config_version;
--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri, Version};
+use parking_lot::Mutex;
 
 use crate::clock;
+use crate::decisions::caller_memory::Phase;
 use crate::decisions::endpoint_choice::hash_of;
+use crate::fleet::caller_memory::{CallerAccount, OverMemory};
 use crate::fleet::model::{Configuration, Organisation, Route, RouteKind};
 use crate::fleet::node::Node;
 use crate::fleet::reply::{self, Reply};
@@ -27,6 +30,12 @@
 /// Timeout for reading the whole body of a request, after which the request is refused. It is shorter if
 /// the caller leaves sooner.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a caller should retry, sent when this VM holds too much for its callers. Slow callers give
+/// way after a second.
+const OVER_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Capacity up to which the buffer of a body is made at once, by the announced size. Larger ones grow as the body
+/// comes.
+const MAX_FIRST_CAPACITY_BYTES: usize = 64 * 1024;
 /// Time before a caller leaves by which it is refused, so that the refusal still reaches it.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(150);
 
@@ -40,8 +49,8 @@
     pub method: Method,
     /// URI of the request; its path and query go to the endpoint.
     pub uri: Uri,
-    /// Body of the request.
-    pub body: Bytes,
+    /// Body of the request, empty once it can no longer be sent.
+    body: Mutex<Bytes>,
     /// The route that matches the request.
     pub route: Arc<Route>,
     /// The organisation whose API key the request has, if any.
@@ -64,6 +73,16 @@
 }
 
 impl AdmittedRequest {
+    /// Returns the body of the request.
+    pub fn body(&self) -> Bytes {
+        self.body.lock().clone()
+    }
+
+    /// Frees the body, once the request will not be sent again.
+    pub fn free_body(&self) {
+        *self.body.lock() = Bytes::new();
+    }
+
     /// Returns the time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.since(clock::now())
@@ -164,7 +183,10 @@
     let deadline = arrived_at + time_limit;
     let first_event_by = event_needed_by(route, arrived_at, deadline);
     let body_timeout = BODY_TIMEOUT.min(first_event_by.since(clock::now()));
-    let body = read_caller_body(body, configuration.limits.max_body_bytes, body_timeout).await?;
+    let account = head.extensions.get::<CallerAccount>();
+    let account = account.map_or_else(CallerAccount::unlimited, CallerAccount::clone);
+    let limit_bytes = configuration.limits.max_body_bytes;
+    let body = read_caller_body(body, limit_bytes, body_timeout, &account).await?;
     let Some(service) = pick_service(route, &caller.id) else {
         let reply = reply::not_run("the route has no service", NO_CONFIGURATION_RETRY_AFTER);
         return Err(RequestEnd::new(reply, "no service"));
@@ -173,7 +195,7 @@
         headers: head.headers,
         method: head.method,
         uri: head.uri,
-        body,
+        body: Mutex::new(body),
         route: Arc::clone(route),
         organisation,
         service,
@@ -215,26 +237,27 @@
     Ok(organisation)
 }
 
-/// Reads the whole body of a request, up to `limit_bytes`.
+/// Reads the whole body of a request, up to `limit_bytes`, within the time limit and the memory of this VM.
 async fn read_caller_body(
     body: Incoming,
     limit_bytes: usize,
     time_limit: Duration,
+    account: &CallerAccount,
 ) -> Result<Bytes, RequestEnd> {
-    let read = tokio::time::timeout(time_limit, Limited::new(body, limit_bytes).collect()).await;
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    account.enter(Phase::Body);
+    let read = tokio::time::timeout(time_limit, collect_body(body, limit_bytes, account));
+    let read = tokio::select! {
+        biased;
+        read = read => read,
+        () = account.body_gives_way() => Ok(Err(BodyFailure::OverMemory)),
+    };
+    account.enter(Phase::Serving);
     match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let reply = reply::text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-            Err(RequestEnd::new(reply, "body too large"))
-        }
-        Ok(Err(error)) => {
-            let reply = reply::text(StatusCode::BAD_REQUEST, "the body is incomplete");
-            Err(RequestEnd::new(
-                reply,
-                format!("the body broke off: {error}"),
-            ))
-        }
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(failure)) => Err(failure.into()),
         Err(_) => {
             let reply = reply::text(StatusCode::REQUEST_TIMEOUT, "the body came too slowly");
             Err(RequestEnd::new(reply, "body too slow"))
@@ -242,6 +265,80 @@
     }
 }
 
+/// Why the body of a request was not read to its end.
+enum BodyFailure {
+    TooLarge,
+    Incomplete(hyper::Error),
+    OverMemory,
+}
+
+impl From<OverMemory> for BodyFailure {
+    fn from(_: OverMemory) -> Self {
+        Self::OverMemory
+    }
+}
+
+impl From<BodyFailure> for RequestEnd {
+    fn from(failure: BodyFailure) -> Self {
+        match failure {
+            BodyFailure::TooLarge => {
+                let reply = reply::text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+                Self::new(reply, "body too large")
+            }
+            BodyFailure::Incomplete(error) => {
+                let reply = reply::text(StatusCode::BAD_REQUEST, "the body is incomplete");
+                Self::new(reply, format!("the body broke off: {error}"))
+            }
+            BodyFailure::OverMemory => {
+                let reply = reply::not_run(
+                    "this VM holds too much for its callers",
+                    OVER_MEMORY_RETRY_AFTER,
+                );
+                Self::new(reply, "no memory for the body")
+            }
+        }
+    }
+}
+
+/// Copies the parts of a body into one buffer as they come, since each part would keep the buffer of the
+/// connection in use. The body is charged by its announced size before it is read, and by its buffer.
+async fn collect_body(
+    mut body: Incoming,
+    limit_bytes: usize,
+    account: &CallerAccount,
+) -> Result<Bytes, BodyFailure> {
+    let size = body.size_hint();
+    let announced = size
+        .exact()
+        .map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    if announced.is_some_and(|bytes| bytes > limit_bytes) {
+        return Err(BodyFailure::TooLarge);
+    }
+    let mut held = account.hold(Phase::Body);
+    held.grow_to(announced.unwrap_or(0))?;
+    let max_capacity = announced.unwrap_or(limit_bytes);
+    let mut buffer = Vec::with_capacity(announced.unwrap_or(0).min(MAX_FIRST_CAPACITY_BYTES));
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(BodyFailure::Incomplete)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        let needed = buffer.len() + data.len();
+        if needed > limit_bytes {
+            return Err(BodyFailure::TooLarge);
+        }
+        if needed > buffer.capacity() {
+            let capacity = needed
+                .max(buffer.capacity() * 2)
+                .min(max_capacity.max(needed));
+            held.grow_to(capacity)?;
+            buffer.reserve_exact(capacity - buffer.len());
+        }
+        buffer.extend_from_slice(data);
+    }
+    Ok(held.attach_all(buffer))
+}
+
 /// Picks one of the services of a route by weight. The choice depends only on the request id, so
 /// that all VMs pick the same service.
 fn pick_service(route: &Route, id: &str) -> Option<ServiceName> {
--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -226,7 +226,7 @@
             last_event,
         },
     );
-    let mut request = Request::new(Full::new(admitted.body.clone()));
+    let mut request = Request::new(Full::new(admitted.body()));
     *request.method_mut() = admitted.method.clone();
     let path = admitted
         .uri
--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -9,6 +9,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -28,6 +29,8 @@
 use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::decisions::caller_memory::Phase;
+use crate::fleet::caller_memory::{CallerAccount, Held};
 use crate::fleet::connection_activity::{Activity, RequestInProgress, WatchedStream, is_head};
 use crate::fleet::metric;
 use crate::fleet::model::CallerLimits;
@@ -79,11 +82,21 @@
     pub closing: CancellationToken,
     /// Once it is cancelled, connections end with their requests in progress.
     pub cut_off: CancellationToken,
+    /// Account of the connection.
+    pub account: CallerAccount,
 }
 
-/// Body of an answer, whose request is in progress until the body is dropped.
+/// Minimum size of a whole answer that is charged. Smaller ones, such as refusals, are a part of what the
+/// connection costs by itself.
+const MIN_CHARGED_ANSWER_BYTES: usize = 4 * 1024;
+
+/// Body of an answer, whose request is in progress until the body is dropped. What is held of it is charged
+/// until it is written.
 struct WatchedBody {
     body: ReplyBody,
+    held: Held,
+    /// Whether the size of the answer is not known, so that its parts are charged as they come.
+    has_parts: bool,
     logger: Logger,
     _request: RequestInProgress,
 }
@@ -98,11 +111,13 @@
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         let this = self.get_mut();
         let body = Pin::new(&mut this.body);
-        catch_unwind(AssertUnwindSafe(|| body.poll_frame(context))).unwrap_or_else(|panic| {
+        let polled = catch_unwind(AssertUnwindSafe(|| body.poll_frame(context)));
+        let polled = polled.unwrap_or_else(|panic| {
             report_panic(&this.logger, panic.as_ref());
             // An error breaks the answer off, so that it does not look complete.
             Poll::Ready(Some(Err(io::Error::other("the body failed"))))
-        })
+        });
+        polled.map(|frame| frame.map(|frame| this.charge(frame?)))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -114,6 +129,34 @@
     }
 }
 
+impl WatchedBody {
+    /// Passes the charge of a part on to it. A part that does not fit breaks the answer off.
+    fn charge(&mut self, frame: Frame<Bytes>) -> io::Result<Frame<Bytes>> {
+        let data = match frame.into_data() {
+            Ok(data) => data,
+            Err(trailers) => return Ok(trailers),
+        };
+        if self.has_parts {
+            self.held.grow(data.len()).map_err(io::Error::other)?;
+        }
+        Ok(Frame::data(self.held.attach(data)))
+    }
+}
+
+/// Charges a whole answer. One that does not fit is lost, and its request may have run.
+fn charge_answer(account: &CallerAccount, reply: Reply) -> (Reply, Held, bool) {
+    let mut held = account.hold(Phase::Unread);
+    let Some(bytes) = reply.body().size_hint().exact() else {
+        return (reply, held, true);
+    };
+    let bytes = usize::try_from(bytes).unwrap_or(usize::MAX / 4);
+    if bytes < MIN_CHARGED_ANSWER_BYTES || held.grow(bytes).is_ok() {
+        return (reply, held, false);
+    }
+    let lost = text(StatusCode::BAD_GATEWAY, "no memory for the answer");
+    (lost, held, false)
+}
+
 fn report_panic(logger: &Logger, panic: &(dyn Any + Send)) {
     let message = panic
         .downcast_ref::<String>()
@@ -210,6 +253,8 @@
     TimedOut,
     /// The time of a planned stop is over.
     CutOff,
+    /// The connections of the listener hold too much.
+    GaveWay,
 }
 
 /// Serves the requests of one connection until it closes. When the caller closes the connection, its
@@ -223,14 +268,16 @@
     // since answers are only slower without the option.
     let _ = stream.set_nodelay(true);
     let (context, handle) = (&context, &handle);
-    let activity = Arc::new(Activity::default());
-    let respond = |request: Request<Incoming>| {
+    let activity = Arc::new(Activity::new(context.account.clone()));
+    let respond = |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(context.account.clone());
         let in_progress = activity.begin_request();
         let activity = &activity;
         async move {
             let limits = (context.limits)();
             let keeps_connection = keeps_connection(&request);
-            let mut reply = answer(&context.logger, limits, request, handle).await;
+            let reply = answer(&context.logger, limits, request, handle).await;
+            let (mut reply, held, has_parts) = charge_answer(&context.account, reply);
             reply.headers_mut().remove(KEEP_ALIVE);
             if *context.stopping.borrow() {
                 // The caller should send its next request to another VM.
@@ -243,6 +290,8 @@
             }
             Ok::<_, Infallible>(reply.map(|body| WatchedBody {
                 body,
+                held,
+                has_parts,
                 logger: context.logger.clone(),
                 _request: in_progress,
             }))
@@ -268,7 +317,17 @@
                 biased;
                 _ = &mut connection => break End::Served,
                 () = context.cut_off.cancelled() => break End::CutOff,
-                () = activity.changed.notified() => {}
+                () = activity.changed.notified() => {
+                    if activity.has_refused_head.load(Ordering::Relaxed) {
+                        break End::GaveWay;
+                    }
+                }
+                () = context.account.connection_gives_way() => {
+                    // A request may have come since the decision.
+                    if activity.is_write_blocked() || !activity.is_serving() {
+                        break End::GaveWay;
+                    }
+                }
                 () = context.closing.cancelled(), if closing_at.is_none() => {
                     closing_at = Some(Instant::now());
                 }
@@ -288,6 +347,12 @@
         if end == End::CutOff && !activity.has_partial_head() {
             return;
         }
+        if end == End::GaveWay {
+            metric::connection_closed("bound");
+            if activity.is_write_blocked() {
+                return;
+            }
+        }
         let parts = connection.into_parts();
         watched = parts.io.into_inner();
         let has_head = is_head(&parts.read_buf);
@@ -296,17 +361,27 @@
         }
         // Bytes that came after the last poll of the sockets are served like any others.
     };
-    match end {
-        End::Served => close(stream).await,
-        End::TimedOut if !has_head => {
-            let reason = if closing_at.is_some() { "stop" } else { "idle" };
-            log_close(context, &stream, reason, activity.idle_time(opened_at));
-            close_unread(context, stream).await;
-        }
-        End::TimedOut | End::CutOff => {
-            log_close(context, &stream, "head", activity.idle_time(opened_at));
-            refuse_head(stream).await;
+    context.account.enter(Phase::Closing);
+    let closing = async {
+        match end {
+            End::Served => close(stream).await,
+            // The account logs this, at most once a second.
+            End::GaveWay if has_head => refuse_head(stream).await,
+            End::GaveWay => close_unread(context, stream).await,
+            End::TimedOut if !has_head => {
+                let reason = if closing_at.is_some() { "stop" } else { "idle" };
+                log_close(context, &stream, reason, activity.idle_time(opened_at));
+                close_unread(context, stream).await;
+            }
+            End::TimedOut | End::CutOff => {
+                log_close(context, &stream, "head", activity.idle_time(opened_at));
+                refuse_head(stream).await;
+            }
         }
+    };
+    tokio::select! {
+        () = closing => {}
+        () = context.account.connection_gives_way() => {}
     }
 }
 
--- a/src/fleet/connection_activity.rs
+++ b/src/fleet/connection_activity.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::decisions::caller_memory::Phase;
+use crate::fleet::caller_memory::{CallerAccount, Held};
 use crate::fleet::model::CallerLimits;
 
 /// Time that is added to the configured timeouts. Callers may use all of the time, and a close must not
@@ -26,11 +29,21 @@
 /// close. Its caller sends the next request as soon as it has read the answer.
 const NEXT_REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// What is held for each byte of a head: the buffer grows by doubling.
+const HEAD_COST: usize = 2;
+/// Maximum number of bytes of one read while memory is scarce. The buffer of the HTTP library grows when it is
+/// filled by a read.
+const SCARCE_READ_BYTES: usize = 4 * 1024;
+
 /// What is under way on a connection.
-#[derive(Debug, Default)]
 pub struct Activity {
+    account: CallerAccount,
+    /// Charge for the head of the current request, or of the next one.
+    head: Mutex<Held>,
     state: Mutex<ActivityState>,
-    /// Notified when a request ends and when the head of one begins.
+    /// Whether the head of a request does not fit in the memory.
+    pub has_refused_head: AtomicBool,
+    /// Notified when a request ends and when the head of one begins or is refused.
     pub changed: Notify,
 }
 
@@ -51,21 +64,50 @@
 }
 
 impl Activity {
+    /// Creates the state of a new connection, with its account.
+    pub fn new(account: CallerAccount) -> Self {
+        Self {
+            head: Mutex::new(account.hold(Phase::Head)),
+            account,
+            state: Mutex::default(),
+            has_refused_head: AtomicBool::new(false),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns whether an answer waits until the caller reads.
+    pub fn is_write_blocked(&self) -> bool {
+        self.state.lock().is_write_blocked
+    }
+
+    /// Returns whether a request was read whose answer is not handed over to be written.
+    pub fn is_serving(&self) -> bool {
+        self.state.lock().is_serving
+    }
+
     /// Marks a request as in progress until the result is dropped.
     pub fn begin_request(self: &Arc<Self>) -> RequestInProgress {
         let mut state = self.state.lock();
         state.is_serving = true;
         state.has_served = true;
         state.head_began_at = None;
+        self.account.enter(Phase::Serving);
         RequestInProgress(Arc::clone(self))
     }
 
-    fn note_read(&self, bytes: &[u8]) {
+    /// Records what was read. Returns whether there is room for it.
+    fn note_read(&self, bytes: &[u8]) -> bool {
         let mut state = self.state.lock();
-        if !state.is_serving && state.head_began_at.is_none() && is_head(bytes) {
+        if state.is_serving {
+            return true;
+        }
+        if state.head_began_at.is_none() && is_head(bytes) {
             state.head_began_at = Some(Instant::now());
+            self.account.enter(Phase::Head);
             self.changed.notify_one();
         }
+        // The end of a connection is read as no bytes.
+        bytes.is_empty() || self.head.lock().grow(bytes.len() * HEAD_COST).is_ok()
     }
 
     /// Remembers the idle time that an answer announces.
@@ -85,11 +127,26 @@
         if !is_blocked {
             state.last_written_at = Some(Instant::now());
         }
+        if is_blocked && !was_blocked {
+            self.account.enter(Phase::Unread);
+        }
         if was_blocked && !is_blocked {
             self.changed.notify_one();
         }
     }
 
+    /// Records that everything was written. A caller that reads, but slowly, still holds up its answer.
+    fn note_flushed(&self) {
+        if !self.account.is_limited() {
+            return;
+        }
+        let state = self.state.lock();
+        self.account.leave_unread(match state.is_serving {
+            true => Phase::Serving,
+            false => Phase::Idle,
+        });
+    }
+
     /// Returns for how long no byte of an answer was written.
     pub fn idle_time(&self, opened_at: Instant) -> Duration {
         let last_written_at = self.state.lock().last_written_at;
@@ -135,6 +192,8 @@
         let mut state = self.0.state.lock();
         state.is_serving = false;
         state.last_written_at = Some(Instant::now());
+        self.0.head.lock().release();
+        self.0.account.enter(Phase::Idle);
         self.0.changed.notify_one();
     }
 }
@@ -153,9 +212,24 @@
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let filled_before = buffer.filled().len();
-        ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
-        this.activity.note_read(&buffer.filled()[filled_before..]);
-        Poll::Ready(Ok(()))
+        if this.activity.account.is_scarce() && buffer.remaining() > SCARCE_READ_BYTES {
+            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(SCARCE_READ_BYTES));
+            ready!(Pin::new(&mut this.stream).poll_read(context, &mut part))?;
+            let bytes = part.filled().len();
+            buffer.advance(bytes);
+        } else {
+            ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
+        }
+        if this.activity.note_read(&buffer.filled()[filled_before..]) {
+            return Poll::Ready(Ok(()));
+        }
+        // The task of the connection refuses the head.
+        buffer.set_filled(filled_before);
+        this.activity
+            .has_refused_head
+            .store(true, Ordering::Relaxed);
+        this.activity.changed.notify_one();
+        Poll::Pending
     }
 }
 
@@ -172,7 +246,9 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        let this = self.get_mut();
+        this.activity.note_flushed();
+        Pin::new(&mut this.stream).poll_flush(context)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/fleet/ingress.rs
+++ b/src/fleet/ingress.rs
@@ -15,7 +15,9 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
+use crate::decisions::caller_memory::CallerBounds;
 use crate::fleet::caller_connection::{self, ConnectionContext, DEFAULT_LIMITS};
+use crate::fleet::caller_memory::{CallerAccount, CallerAccounts, caller_bounds, side_bounds};
 use crate::fleet::model::CallerLimits;
 use crate::fleet::node::Node;
 use crate::fleet::reply::{Reply, text, whole_body};
@@ -81,7 +83,18 @@
             .accepted_connections
             .fetch_add(1, Ordering::Relaxed);
     };
-    accept(node, listener, closing, count, handle).await;
+    let accounts = accounts(&node, "callers", |bounds| bounds);
+    accept(node, accounts, listener, closing, count, handle).await;
+}
+
+/// Opens the accounts of a listener; `None` if the settings name no bounds.
+pub fn accounts(
+    node: &Node,
+    listener: &'static str,
+    bounds: impl Fn(CallerBounds) -> CallerBounds,
+) -> Option<Arc<CallerAccounts>> {
+    let bounds = bounds(caller_bounds(&node.settings)?);
+    Some(CallerAccounts::new(listener, bounds, node.logger.clone()))
 }
 
 /// Serves the address directory, which tells callers which VMs to use.
@@ -92,7 +105,8 @@
         }
         address_answer(&node, request.uri().query().unwrap_or_default())
     };
-    accept(node, listener, closing, || {}, handle).await;
+    let accounts = accounts(&node, "directory", side_bounds);
+    accept(node, accounts, listener, closing, || {}, handle).await;
 }
 
 /// Serves the readiness check, which says whether this VM takes requests.
@@ -109,7 +123,8 @@
         }
         text(StatusCode::OK, "ready")
     };
-    accept(node, listener, closing, || {}, handle).await;
+    let accounts = accounts(&node, "readiness", side_bounds);
+    accept(node, accounts, listener, closing, || {}, handle).await;
 }
 
 /// Serves the metrics in the text format of Prometheus.
@@ -126,7 +141,8 @@
             text(StatusCode::OK, &metrics.render())
         }
     };
-    accept(node, listener, closing, || {}, handle).await;
+    let accounts = accounts(&node, "metrics", side_bounds);
+    accept(node, accounts, listener, closing, || {}, handle).await;
 }
 
 /// Returns the answer of the address directory for a query.
@@ -171,6 +187,7 @@
 /// and all connections are accepted before the close.
 async fn accept<F>(
     node: Arc<Node>,
+    accounts: Option<Arc<CallerAccounts>>,
     listener: TcpListener,
     closing: Closing,
     count: impl Fn(),
@@ -178,11 +195,19 @@
 ) where
     F: Future<Output = Reply> + Send + 'static,
 {
-    let serve = |stream| {
+    let serve = |stream, caller| {
+        let account = match &accounts {
+            None => CallerAccount::unlimited(),
+            // Dropped unread, so that its caller may send the request elsewhere.
+            Some(accounts) => match accounts.connect(caller) {
+                Some(account) => account,
+                None => return,
+            },
+        };
         count();
         let connection = OpenConnection::new(&node);
         let closing = closing.connections.clone();
-        let served = serve_connection(Arc::clone(&node), stream, closing, handle.clone());
+        let served = serve_connection(Arc::clone(&node), account, stream, closing, handle.clone());
         tokio::spawn(async move {
             served.await;
             drop(connection);
@@ -203,7 +228,7 @@
             () = sleep_until(close_at.unwrap_or_else(Instant::now)), if close_at.is_some() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(stream),
+            Ok((stream, caller)) => serve(stream, caller),
             Err(error) => {
                 warn!(
                     node.logger,
@@ -217,11 +242,11 @@
     let Ok(listener) = listener.into_std() else {
         return;
     };
-    while let Ok((stream, _)) = listener.accept() {
+    while let Ok((stream, caller)) = listener.accept() {
         if stream.set_nonblocking(true).is_ok()
             && let Ok(stream) = TcpStream::from_std(stream)
         {
-            serve(stream);
+            serve(stream, caller);
         }
     }
 }
@@ -245,6 +270,7 @@
 /// Serves the requests of one connection until it closes.
 async fn serve_connection<F>(
     node: Arc<Node>,
+    account: CallerAccount,
     stream: TcpStream,
     closing: CancellationToken,
     handle: impl Fn(Arc<Node>, Request<Incoming>) -> F,
@@ -257,6 +283,7 @@
         stopping: node.stopping.clone(),
         closing,
         cut_off: node.cut_off.clone(),
+        account,
     };
     let handle = |request| handle(Arc::clone(&node), request);
     caller_connection::serve_connection(stream, context, handle).await;
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -28,6 +28,12 @@
     counter!("primrosewalk_closed_connections_total", "reason" => reason).increment(1);
 }
 
+/// Counts a connection or request that a listener refused to keep within the bounds of the machine.
+pub fn caller_refused(listener: &'static str, reason: &'static str) {
+    let labels = [("listener", listener), ("reason", reason)];
+    counter!("primrosewalk_bound_refusals_total", &labels).increment(1);
+}
+
 /// How a stream to a caller ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamEnd {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod caller_connection;
+pub mod caller_memory;
 mod connection_activity;
 pub mod control;
 mod control_state;
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -5,9 +5,12 @@
 //! (`docs/platform.md`, "Stages").
 
 use std::collections::HashMap;
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use anyhow::Context as _;
@@ -16,12 +19,15 @@
 use parking_lot::Mutex;
 use prost::Message;
 use slog::{Logger, info, warn};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, interval, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::decisions::caller_memory::Phase;
+use crate::fleet::caller_memory::{CallerAccount, CallerAccounts, Held};
 use crate::fleet::metric;
 use crate::fleet::wire::{Body, Empty, Frame};
 
@@ -282,20 +288,75 @@
     Frame::decode(bytes)
 }
 
+/// Connection of another VM. What is read of a frame is charged until the frame is whole.
+struct ChargedStream {
+    stream: TcpStream,
+    account: CallerAccount,
+    held: Arc<Mutex<Held>>,
+}
+
+impl AsyncRead for ChargedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let filled_before = buffer.filled().len();
+        ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
+        let bytes = buffer.filled().len() - filled_before;
+        this.account.enter(Phase::Body);
+        Poll::Ready(this.held.lock().grow(bytes).map_err(io::Error::other))
+    }
+}
+
+impl AsyncWrite for ChargedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+}
+
 /// Serves the calls of other VMs. `handle` returns the future that answers one call; the future is
 /// dropped when the caller cancels the call or its connection ends. Messages without an answer
 /// run to their end.
 pub async fn serve_peers<F>(
     listener: TcpListener,
     logger: Logger,
+    accounts: Option<Arc<CallerAccounts>>,
     handle: impl Fn(Body) -> F + Clone + Send + Sync + 'static,
 ) where
     F: Future<Output = Option<Body>> + Send + 'static,
 {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_peer(stream, logger.clone(), handle.clone()));
+            Ok((stream, vm)) => {
+                let account = match &accounts {
+                    None => CallerAccount::unlimited(),
+                    Some(accounts) => match accounts.connect(vm) {
+                        Some(account) => account,
+                        None => continue,
+                    },
+                };
+                let served = serve_peer(stream, account.clone(), logger.clone(), handle.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = served => {}
+                        () = account.connection_gives_way() => {}
+                        () = account.body_gives_way() => {}
+                    }
+                });
             }
             Err(error) => {
                 warn!(logger, "peers: a connection was not accepted: {error}");
@@ -308,6 +369,7 @@
 /// Serves the calls of one connection, concurrently.
 async fn serve_peer<F>(
     stream: TcpStream,
+    account: CallerAccount,
     logger: Logger,
     handle: impl Fn(Body) -> F + Clone + Send + Sync + 'static,
 ) where
@@ -316,6 +378,12 @@
     if let Err(error) = stream.set_nodelay(true) {
         warn!(logger, "peers: cannot set TCP_NODELAY: {error}");
     }
+    let held = Arc::new(Mutex::new(account.hold(Phase::Body)));
+    let stream = ChargedStream {
+        stream,
+        account: account.clone(),
+        held: Arc::clone(&held),
+    };
     let (mut sink, mut source) = Framed::new(stream, codec()).split();
     let (answers, mut queued_answers) = mpsc::channel::<Frame>(MAX_QUEUED_FRAMES);
     let writer = AbortOnDropHandle::new(tokio::spawn(async move {
@@ -333,6 +401,8 @@
             return;
         }
         running.retain(|_, task| !task.is_finished());
+        held.lock().release();
+        account.enter(Phase::Idle);
         let frame = match decode(bytes) {
             Ok(frame) => frame,
             Err(error) => {
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -19,6 +19,7 @@
 
 use crate::clock;
 use crate::decisions::planned_stop::PlannedStop;
+use crate::fleet::caller_memory::peer_bounds;
 use crate::fleet::control::{Publications, run_control};
 use crate::fleet::crash_reports::CrashBoard;
 use crate::fleet::ingress::{self, Closing};
@@ -223,7 +224,8 @@
     accepting.spawn(serve_metrics);
     let handler_node = Arc::clone(node);
     let handle = move |body| serve_peer_call(Arc::clone(&handler_node), body);
-    tokio::spawn(serve_peers(peers, node.logger.clone(), handle));
+    let accounts = ingress::accounts(node, "other VMs", peer_bounds);
+    tokio::spawn(serve_peers(peers, node.logger.clone(), accounts, handle));
     accepting.close();
     Ok(accepting)
 }
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -60,6 +60,10 @@
     cpu_count: f64,
     #[serde(default)]
     link_mbit_per_s: f64,
+    #[serde(default)]
+    memory_mb: f64,
+    #[serde(default)]
+    max_descriptors: f64,
 }
 
 fn default_retry_window_s() -> f64 {
@@ -108,6 +112,10 @@
     pub is_first_start: bool,
     /// Size of this VM, by which it gets work for the whole fleet.
     pub size: VmSize,
+    /// Memory that the process may use; `None` if it is not known.
+    pub memory_bytes: Option<usize>,
+    /// Number of descriptors that the process may have open; `None` if it is not known.
+    pub max_descriptors: Option<usize>,
 }
 
 /// Reads and checks a settings file.
@@ -187,6 +195,8 @@
         ("cpu_share", document.cpu_share),
         ("cpu_count", document.cpu_count),
         ("link_mbit_per_s", document.link_mbit_per_s),
+        ("memory_mb", document.memory_mb),
+        ("max_descriptors", document.max_descriptors),
     ] {
         if !value.is_finite() || value < 0.0 {
             findings.add(place, format!("{value} is not a number of 0 or more"));
@@ -217,9 +227,16 @@
             cpu_millicores: (document.cpu_share * document.cpu_count * 1_000.0) as u32,
             link_mbit_per_s: document.link_mbit_per_s as u32,
         },
+        memory_bytes: known(document.memory_mb * 1_000_000.0),
+        max_descriptors: known(document.max_descriptors),
     })
 }
 
+/// Returns a size of the machine; 0 stands for one that is not known.
+fn known(value: f64) -> Option<usize> {
+    (value >= 1.0).then_some(value as usize)
+}
+
 /// Parses the value at `place`. An invalid value adds a finding and gives `fallback`, so that the
 /// check goes on.
 fn parse<T: FromStr>(
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -601,6 +601,10 @@
         self.next_event_by = self.admitted.next_event_by();
         self.events += 1;
         self.engine_events += 1;
+        let route = &self.admitted.route;
+        if self.events == 1 && !(route.is_resumable && self.attempts.runs < route.max_attempts) {
+            self.admitted.free_body();
+        }
         if self.engine_events == START_EVENTS {
             self.node.note_pass(&self.admitted);
         }
--- a/tests/caller_connections.rs
+++ b/tests/caller_connections.rs
@@ -14,6 +14,7 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request as HyperRequest, StatusCode};
 use primrosewalk::fleet::caller_connection::{ConnectionContext, DEFAULT_LIMITS, serve_connection};
+use primrosewalk::fleet::caller_memory::CallerAccount;
 use primrosewalk::fleet::model::CallerLimits;
 use primrosewalk::fleet::reply::{Reply, text, whole_body};
 use rustix::process::Signal;
@@ -482,6 +483,7 @@
         stopping,
         closing: signals.closing.clone(),
         cut_off: signals.cut_off.clone(),
+        account: CallerAccount::unlimited(),
     };
     let handle = move |_: HyperRequest<_>| async move { handler() };
     tokio::spawn(serve_connection(stream, context, handle));
--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -34,6 +34,9 @@
 /// by the endpoints.
 const UNREAD_AT_A_TIME: usize = 4;
 
+/// Makes the tests of this file run one after the other.
+static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 /// Where the members of a crowd connect.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Listener {
@@ -408,14 +411,87 @@
     expect_that!(peak_bytes, lt(max_bytes), "{name}: memory");
     let max_sockets = crowd.max_descriptors - RESERVED_DESCRIPTORS;
     expect_that!(descriptors, lt(max_sockets), "{name}: descriptors");
+    if !matches!(crowd.sends, Sends::Unread { .. }) {
+        // Whatever the members were told, none of them has sent a whole request.
+        let runs: usize = (0..crowd.members)
+            .map(|number| fleet.runs_of(&format!("crowd-{number}")))
+            .sum();
+        expect_that!(runs, eq(0), "{name}: requests of the crowd that ran");
+    }
     drop(members);
 }
 
+/// Guards against refusals that promise something else than the pages, or nothing, for bodies that a VM does
+/// not read to their end.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_that_is_refused_is_promised_not_to_have_run() {
+    struct Case {
+        name: &'static str,
+        framing: &'static str,
+        /// Callers that stop in the middle of bodies of this size hold memory meanwhile.
+        held_bytes: usize,
+        status: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "announced over the limit",
+            framing: "Content-Length: 1048577",
+            held_bytes: 0,
+            status: "413",
+        },
+        Case {
+            name: "announced over the limit, and the caller waits for leave",
+            framing: "Content-Length: 1048577\r\nExpect: 100-continue",
+            held_bytes: 0,
+            status: "413",
+        },
+        Case {
+            name: "no room beside others",
+            framing: "Content-Length: 1048576",
+            held_bytes: MIB,
+            status: "503",
+        },
+    ];
+    let _turn = TURN.lock().await;
+    let crowd = bodies("refusals", 0, Sends::Head { bytes: 0 });
+    for case in cases {
+        let fleet = start_vm(&crowd).await;
+        let vm = fleet.vms[0].caller_address();
+        let mut holders = Vec::new();
+        if case.held_bytes > 0 {
+            for number in 0..40 {
+                let mut holder = connect(vm).await.unwrap();
+                let framing = format!("Content-Length: {}", case.held_bytes);
+                let head = head("/look/x", number, &framing);
+                holder.write_all(head.as_bytes()).await.unwrap();
+                holders.push(holder);
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+        let mut caller = connect(vm).await.unwrap();
+        let head = head("/look/x", 1_000, case.framing);
+        caller.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = [0; 12];
+        let read = timeout(STEP_TIMEOUT, caller.read_exact(&mut answer)).await;
+        expect_that!(read, ok(ok(anything())), "{}", case.name);
+        let answer = String::from_utf8_lossy(&answer).into_owned();
+        expect_that!(
+            answer,
+            eq(&format!("HTTP/1.1 {}", case.status)),
+            "{}",
+            case.name
+        );
+        expect_that!(fleet.runs_of("crowd-1000"), eq(0), "{}", case.name);
+    }
+}
+
 /// The crowds come one after the other, since the measured memory and descriptors are those of one crowd.
 /// `CROWD` names the only one to bring, by a part of its name.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_vm_outlives_crowds_of_callers_that_hold_its_memory_and_descriptors() {
+    let _turn = TURN.lock().await;
     let chosen = std::env::var("CROWD").unwrap_or_default();
     for crowd in CROWDS.iter().filter(|crowd| crowd.name.contains(&chosen)) {
         meet(crowd).await;
--- a/tests/fleet_rules/main.rs
+++ b/tests/fleet_rules/main.rs
@@ -5,6 +5,7 @@
 //! randomised membership runs.
 
 mod batching;
+mod caller_memory;
 mod choice;
 mod generation_times;
 mod gossip;
--- a/tests/fleet_rules/settings.rs
+++ b/tests/fleet_rules/settings.rs
@@ -50,6 +50,20 @@
     expect_that!(settings.size, eq(VmSize::default()));
 }
 
+/// Without the size of the machine in the file, nothing bounds what is held for callers.
+#[gtest]
+fn the_size_of_the_machine_is_optional() {
+    let settings = check_settings(VALID).unwrap();
+    expect_that!(settings.memory_bytes, none());
+    expect_that!(settings.max_descriptors, none());
+    let text = format!("{VALID}\nmemory_mb = 160\nmax_descriptors = 4100");
+    let settings = check_settings(&text).unwrap();
+    expect_that!(settings.memory_bytes, some(eq(160_000_000)));
+    expect_that!(settings.max_descriptors, some(eq(4_100)));
+    let findings = check_settings(&format!("{VALID}\nmemory_mb = -1")).unwrap_err();
+    expect_that!(findings.items()[0].place.as_str(), eq("memory_mb"));
+}
+
 #[gtest]
 fn an_unknown_field_is_ignored() {
     expect_that!(
