feat(fleet): count messages between VMs by what they carry

`primrosewalk_peer_bytes_total` had only the direction, so that nobody could say which messages the bytes of a busy VM are. Messages and bytes between VMs are now counted by kind, gossip and crash reports included, and so are the bodies of calls to stage endpoints by path.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -164,6 +164,7 @@
 }
 
 fn receive_datagram(control: &Control, datagram: &[u8], from: SocketAddr) -> OutgoingList {
+    metric::peer_message("received", "gossip", datagram.len());
     match decode_gossip(datagram) {
         Ok(message) if from.ip() != message.sender.vm.ip => {
             warn!(control.logger, "membership: a datagram is not from its sender and was dropped";
@@ -186,6 +187,7 @@
     let port = control.settings.lock().gossip_port;
     for Outgoing { to, message } in outgoing {
         let datagram = encode_gossip(message);
+        metric::peer_message("sent", "gossip", datagram.len());
         if let Err(error) = socket.send_to(&datagram, (*to, port)).await {
             // No resend is needed: the next gossip period makes up for a lost datagram.
             slog::debug!(control.logger, "membership: a datagram was not sent";
--- a/src/fleet/crash_reports.rs
+++ b/src/fleet/crash_reports.rs
@@ -288,6 +288,7 @@
 ) {
     let datagram = encode_crash_report(report, digest);
     let port = control.settings.lock().peer_port;
+    metric::peer_message("sent", "crash_report", datagram.len());
     if let Err(error) = socket.send_to(&datagram, (target, port)).await {
         // No resend is needed: evidence is sent several times and compared later.
         slog::debug!(control.logger, "crashes: a report was not sent";
@@ -297,6 +298,7 @@
 
 /// Takes over what another VM reports, and sends it everything if it lacks some of it.
 async fn receive_report(control: &Control, socket: &UdpSocket, datagram: &[u8], from: SocketAddr) {
+    metric::peer_message("received", "crash_report", datagram.len());
     let SocketAddr::V4(from) = from else { return };
     let (report, digest) = match decode_crash_report(datagram) {
         Ok(decoded) => decoded,
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -609,10 +609,11 @@
 
 fn stage_request(
     endpoint: &EndpointName,
-    path: &str,
+    path: &'static str,
     address: std::net::SocketAddr,
     body: Vec<u8>,
 ) -> Request<Full<Bytes>> {
+    metric::stage_call_sent(path, body.len());
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = path.parse().unwrap_or_default();
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -120,9 +120,11 @@
     counter!("primrosewalk_stage_jobs_turned_away_total", "reason" => reason).increment(1);
 }
 
-/// Counts the bytes of a frame that was sent to another VM or received from it.
-pub fn peer_frame(direction: &'static str, bytes: usize) {
-    counter!("primrosewalk_peer_bytes_total", "direction" => direction).increment(bytes as u64);
+/// Counts a message between VMs and its bytes, by what it carries.
+pub fn peer_message(direction: &'static str, kind: &'static str, bytes: usize) {
+    let labels = [("direction", direction), ("kind", kind)];
+    counter!("primrosewalk_peer_messages_total", &labels).increment(1);
+    counter!("primrosewalk_peer_bytes_total", &labels).increment(bytes as u64);
 }
 
 /// Records how many frames wait to be sent to another VM.
@@ -130,6 +132,11 @@
     histogram!("primrosewalk_peer_waiting_frames").record(frames as f64);
 }
 
+/// Counts the bytes of the body of a call to a stage endpoint, by the path of the call.
+pub fn stage_call_sent(path: &'static str, bytes: usize) {
+    counter!("primrosewalk_stage_call_bytes_total", "path" => path).increment(bytes as u64);
+}
+
 /// Counts a failed attempt to connect to an endpoint.
 pub fn connection_failed() {
     counter!("primrosewalk_attempts_total", "end" => "no_connection").increment(1);
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -273,13 +273,15 @@
 
 fn encode(frame: &Frame) -> Bytes {
     let bytes = Bytes::from(frame.encode_to_vec());
-    metric::peer_frame("sent", bytes.len());
+    metric::peer_message("sent", frame.kind(), bytes.len());
     bytes
 }
 
 fn decode(bytes: BytesMut) -> Result<Frame, prost::DecodeError> {
-    metric::peer_frame("received", bytes.len());
-    Frame::decode(bytes)
+    let size_bytes = bytes.len();
+    let frame = Frame::decode(bytes)?;
+    metric::peer_message("received", frame.kind(), size_bytes);
+    Ok(frame)
 }
 
 /// Serves the calls of other VMs. `handle` returns the future that answers one call; the future is
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -160,6 +160,26 @@
     pub body: Option<Body>,
 }
 
+impl Frame {
+    /// Returns the name of what the frame carries, for the metrics.
+    pub fn kind(&self) -> &'static str {
+        match &self.body {
+            None => "empty",
+            Some(Body::StageJob(_)) => "stage_job",
+            Some(Body::Cancel(_)) => "cancel",
+            Some(Body::Free(_)) => "free_results",
+            Some(Body::Results(_)) => "stage_results",
+            Some(Body::JobFailed(_)) => "stage_failure",
+            Some(Body::Ping(_) | Body::Pong(_)) => "ping",
+            Some(Body::StateRequest(_)) => "state_request",
+            Some(Body::State(_)) => "store_state",
+            Some(Body::GroupLoad(_)) => "group_load",
+            Some(Body::ListenToStore(_)) => "listen",
+            Some(Body::StoreNews(_)) => "store_changes",
+        }
+    }
+}
+
 /// Content of a [`Frame`].
 #[derive(Clone, PartialEq, Oneof)]
 pub enum Body {
