--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -22,6 +22,7 @@
 use primrosewalk::decisions::rendezvous::rendezvous_order;
 use primrosewalk::decisions::retry_window::RetryWindowConfig;
 use primrosewalk::decisions::routing::{RouteRequest, Router, RoutingConfig};
+use primrosewalk::decisions::work_order::Urgency;
 use primrosewalk::fleet::model::{BatchLimits, Endpoint};
 use primrosewalk::manifest::{ApiKeyDigest, Manifest, parse_manifest};
 use primrosewalk::units::{Burst, Incarnation, RatePerSecond, Time, Version, VmId};
@@ -247,6 +248,7 @@
         is_retry: false,
         preferred_data_centre: Some(format!("dc-{}", number % 5).parse().unwrap()),
         reads_inputs_last: true,
+        urgency: Urgency::default(),
     }
 }
 
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -36,4 +36,5 @@
 pub mod stage_times;
 pub mod store_source;
 pub mod store_view;
+pub mod warm_start;
 pub mod work_order;
--- a/src/decisions/work_order.rs
+++ b/src/decisions/work_order.rs
@@ -17,10 +17,13 @@
 /// Highest number of a priority. Larger ones count as this one.
 pub const MAX_PRIORITY: u8 = 9;
 
-/// One of this many requests of each priority goes with the most urgent work, and as many of each
-/// organisation count as within its share. Without it a less urgent kind of request, or an organisation
-/// that asks for several times its share, would get no answer for as long as an overload lasts.
+/// One of this many requests of each priority goes with the most urgent work. Without it a less urgent
+/// kind of request would get no answer for as long as an overload lasts.
 const FLOOR_DIVISOR: u64 = 3;
+/// One of this many requests of each organisation counts as within its share, so that the less urgent
+/// ones of an organisation whose urgent work takes up its share get an answer too. It is small because
+/// the others pay for it.
+const ORGANISATION_FLOOR_DIVISOR: u64 = 8;
 
 /// Half-life of the observed rates. Bursts last seconds, and must be seen while they last.
 const RATE_HALF_LIFE: Duration = Duration::from_secs(1);
@@ -178,7 +181,7 @@
         let draw = hash_of(request);
         // The upper half of the draw decides on the share, the lower one on the floor.
         let position = (draw >> 32) as f64 / f64::from(u32::MAX);
-        let floor = 1.0 / FLOOR_DIVISOR as f64;
+        let floor = 1.0 / ORGANISATION_FLOOR_DIVISOR as f64;
         let within_share = self.fraction_within_share(now, urgency, priority);
         if position > within_share.max(floor) {
             return Lane::BeyondShare(priority);
--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::decisions::caller_memory::Phase;
 use crate::decisions::endpoint_choice::hash_of;
+use crate::decisions::warm_start::return_after;
 use crate::fleet::caller_memory::{CallerAccount, OverMemory};
 use crate::fleet::model::{Configuration, Organisation, Route, RouteKind};
 use crate::fleet::node::Node;
@@ -21,9 +22,8 @@
 use crate::platform::caller::CallerRequest;
 use crate::units::{ServiceName, Time};
 
-/// Time after which a caller should retry, sent while this VM has no configuration or the route has
-/// no service.
-const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a caller should retry, sent while the route has no service.
+const NO_SERVICE_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time after which a caller should retry, sent when this VM stops. It is short because another VM
 /// takes the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -145,11 +145,8 @@
     if planned_stop.is_some_and(|planned_stop| !planned_stop.accepts(arrived_at)) {
         return Err(RequestEnd::vm_stops(0));
     }
-    let Some(configuration) = node.view().configuration.clone() else {
-        let reply = reply::not_run(
-            "no configuration is known yet",
-            NO_CONFIGURATION_RETRY_AFTER,
-        );
+    let Some(configuration) = node.configuration_for(&caller).await else {
+        let reply = reply::not_run("no configuration is known yet", return_after(&caller.id));
         return Err(RequestEnd::new(reply, "no configuration"));
     };
     let (head, body) = request.into_parts();
@@ -188,7 +185,7 @@
     let limit_bytes = configuration.limits.max_body_bytes;
     let body = read_caller_body(body, limit_bytes, body_timeout, &account).await?;
     let Some(service) = pick_service(route, &caller.id) else {
-        let reply = reply::not_run("the route has no service", NO_CONFIGURATION_RETRY_AFTER);
+        let reply = reply::not_run("the route has no service", NO_SERVICE_RETRY_AFTER);
         return Err(RequestEnd::new(reply, "no service"));
     };
     Ok(AdmittedRequest {
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -168,6 +168,7 @@
 }
 
 fn receive_datagram(control: &Control, datagram: &[u8], from: SocketAddr) -> OutgoingList {
+    metric::peer_message("received", "gossip", datagram.len());
     match decode_gossip(datagram) {
         Ok(message) if from.ip() != message.sender.vm.ip => {
             warn!(control.logger, "membership: a datagram is not from its sender and was dropped";
@@ -190,6 +191,7 @@
     let port = control.settings.lock().gossip_port;
     for Outgoing { to, message } in outgoing {
         let datagram = encode_gossip(message);
+        metric::peer_message("sent", "gossip", datagram.len());
         if let Err(error) = socket.send_to(&datagram, (*to, port)).await {
             // No resend is needed: the next gossip period makes up for a lost datagram.
             slog::debug!(control.logger, "membership: a datagram was not sent";
@@ -215,14 +217,20 @@
 
 /// Publishes the VMs that serve and the share count.
 fn publish_vms(control: &Control) {
-    let (changes, vms, known_vms) = {
+    let (changes, vms, known_vms, has_met_fleet) = {
         let mut gossip = control.gossip.lock();
         let vms: std::collections::BTreeMap<_, _> = gossip
             .serving()
             .map(|vm| (vm.name.clone(), vm.clone()))
             .collect();
-        (gossip.take_changes(), vms, gossip.known_count())
+        let has_met_fleet = gossip.has_met();
+        let known_vms = gossip.known_count();
+        (gossip.take_changes(), vms, known_vms, has_met_fleet)
     };
+    if has_met_fleet && !control.view.borrow().has_met_fleet {
+        info!(control.logger, "membership: this VM has met its fleet"; "vms" => vms.len(),
+            "known" => known_vms);
+    }
     for change in &changes {
         info!(control.logger, "membership: a VM changed"; "vm" => %change.vm,
             "state" => format!("{:?}", change.state), "incarnation" => change.incarnation);
@@ -237,6 +245,7 @@
             next.set_vms(vms);
         }
         next.share_count = share_count;
+        next.has_met_fleet = has_met_fleet;
         *view = Arc::new(next);
     });
 }
--- a/src/fleet/crash_reports.rs
+++ b/src/fleet/crash_reports.rs
@@ -297,6 +297,7 @@
 ) {
     let datagram = encode_crash_report(report, digest);
     let port = control.settings.lock().peer_port;
+    metric::peer_message("sent", "crash_report", datagram.len());
     if let Err(error) = socket.send_to(&datagram, (target, port)).await {
         // No resend is needed: evidence is sent several times and compared later.
         slog::debug!(control.logger, "crashes: a report was not sent";
@@ -306,6 +307,7 @@
 
 /// Takes over what another VM reports, and sends it everything if it lacks some of it.
 async fn receive_report(control: &Control, socket: &UdpSocket, datagram: &[u8], from: SocketAddr) {
+    metric::peer_message("received", "crash_report", datagram.len());
     let SocketAddr::V4(from) = from else { return };
     match decode_load_reports(datagram) {
         Ok(loads) if !loads.is_empty() => return control.loads.receive(&loads),
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -18,6 +18,11 @@
     histogram!("primrosewalk_request_seconds", "outcome" => outcome).record(took.as_secs_f64());
 }
 
+/// Counts a request that is held because this VM has no configuration yet.
+pub fn request_held() {
+    counter!("primrosewalk_held_requests_total").increment(1);
+}
+
 /// Counts a caller's whole request that ended without a whole answer or a refusal, by its cause and by what
 /// it waited for.
 pub fn request_unanswered(cause: LossCause, wait: Wait) {
@@ -153,9 +158,11 @@
     }
 }
 
-/// Counts the bytes of a frame that was sent to another VM or received from it.
-pub fn peer_frame(direction: &'static str, bytes: usize) {
-    counter!("primrosewalk_peer_bytes_total", "direction" => direction).increment(bytes as u64);
+/// Counts a message between VMs and its bytes, by what it carries.
+pub fn peer_message(direction: &'static str, kind: &'static str, bytes: usize) {
+    let labels = [("direction", direction), ("kind", kind)];
+    counter!("primrosewalk_peer_messages_total", &labels).increment(1);
+    counter!("primrosewalk_peer_bytes_total", &labels).increment(bytes as u64);
 }
 
 /// Records how many frames wait to be sent to another VM.
@@ -163,6 +170,11 @@
     histogram!("primrosewalk_peer_waiting_frames").record(frames as f64);
 }
 
+/// Counts the bytes of the body of a call to a stage endpoint, by the path of the call.
+pub fn stage_call_sent(path: &'static str, bytes: usize) {
+    counter!("primrosewalk_stage_call_bytes_total", "path" => path).increment(bytes as u64);
+}
+
 /// Counts a failed attempt to connect to an endpoint.
 pub fn connection_failed() {
     counter!("primrosewalk_attempts_total", "end" => "no_connection").increment(1);
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -279,13 +279,15 @@
 
 fn encode(frame: &Frame) -> Bytes {
     let bytes = Bytes::from(frame.encode_to_vec());
-    metric::peer_frame("sent", bytes.len());
+    metric::peer_message("sent", frame.kind(), bytes.len());
     bytes
 }
 
 fn decode(bytes: BytesMut) -> Result<Frame, prost::DecodeError> {
-    metric::peer_frame("received", bytes.len());
-    Frame::decode(bytes)
+    let size_bytes = bytes.len();
+    let frame = Frame::decode(bytes)?;
+    metric::peer_message("received", frame.kind(), size_bytes);
+    Ok(frame)
 }
 
 /// Connection of another VM. What is read of a frame is charged until the frame is whole.
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -64,6 +64,10 @@
     /// Newest revision of the platform's store that the sender knows.
     #[prost(uint64, tag = "7")]
     pub store_revision: u64,
+    /// Number of VMs that the sender knows to be alive, itself included; 0 while it may not know
+    /// its fleet yet, and from earlier builds.
+    #[prost(uint32, tag = "8")]
+    pub fleet_size: u32,
 }
 
 /// A datagram with evidence of crashed engines, from one VM to another.
@@ -270,6 +274,26 @@
     pub body: Option<Body>,
 }
 
+impl Frame {
+    /// Returns the name of what the frame carries, for the metrics.
+    pub fn kind(&self) -> &'static str {
+        match &self.body {
+            None => "empty",
+            Some(Body::StageJob(_)) => "stage_job",
+            Some(Body::Cancel(_)) => "cancel",
+            Some(Body::Free(_)) => "free_results",
+            Some(Body::Results(_)) => "stage_results",
+            Some(Body::JobFailed(_)) => "stage_failure",
+            Some(Body::Ping(_) | Body::Pong(_)) => "ping",
+            Some(Body::StateRequest(_)) => "state_request",
+            Some(Body::State(_)) => "store_state",
+            Some(Body::GroupLoad(_)) => "group_load",
+            Some(Body::ListenToStore(_)) => "listen",
+            Some(Body::StoreNews(_)) => "store_changes",
+        }
+    }
+}
+
 /// Content of a [`Frame`].
 #[derive(Clone, PartialEq, Oneof)]
 pub enum Body {
@@ -378,6 +402,10 @@
     /// Name of the organisation of the request, if it has one; absent from earlier builds.
     #[prost(string, optional, tag = "17")]
     pub organisation: Option<String>,
+    /// Whether the sender does not own the group itself but passes on a job of a third VM, so that the
+    /// recipient runs it whatever it knows of the owners.
+    #[prost(bool, tag = "30")]
+    pub is_forwarded: bool,
 }
 
 /// Load of a group of endpoints.
@@ -581,6 +609,7 @@
         sender: Some((&message.sender).into()),
         records: message.records.iter().map(WireRecord::from).collect(),
         store_revision: message.store_revision,
+        fleet_size: message.fleet_size.map_or(0, |size| size as u32),
     };
     wire.encode_to_vec()
 }
@@ -617,5 +646,6 @@
         sender: sender.try_into()?,
         records: records?,
         store_revision: wire.store_revision,
+        fleet_size: (wire.fleet_size > 0).then_some(wire.fleet_size as usize),
     })
 }
--- a/tests/fleet_rules/main.rs
+++ b/tests/fleet_rules/main.rs
@@ -19,6 +19,7 @@
 mod stage_start;
 mod store_source;
 mod store_view;
+mod warm_start;
 
 use std::sync::Arc;
 
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -127,6 +127,7 @@
             sender: self.0.random_bool(0.9).then_some(sender),
             records: (0..records).map(|_| self.record()).collect(),
             store_revision: self.number(),
+            fleet_size: self.number() as u32,
         }
     }
 
@@ -148,6 +149,7 @@
             may_move: self.0.random(),
             priority: self.0.random_bool(0.5).then(|| self.number() as u32),
             organisation: self.0.random_bool(0.5).then(|| self.text()),
+            is_forwarded: self.0.random(),
         }
     }
 
