feat(fleet): a VM that has just started meets its fleet before it places work

Change: requests are held until the configuration is there, for a second after the start and a quarter of the caller's time at most, then refused with returns spread over 0.6 s; a VM that knows nobody asks the seeds each 0.1 s; until it has met its fleet it places no stage jobs and its directory names none; for 3 s it passes jobs on to the owner that it knows; both listings of the store run at once. Decision: decisions/warm_start.rs.

--- a/src/decisions/gossip.rs
+++ b/src/decisions/gossip.rs
@@ -19,6 +19,7 @@
 pub use message::{GossipKind, GossipMessage, MembershipChange, Outgoing, VmRecord, VmState};
 
 use crate::decisions::gossip::probing::{Probe, ProxyProbe};
+use crate::decisions::warm_start::{WarmStart, WarmStartConfig};
 use crate::fleet::model::FleetVm;
 use crate::units::{Time, VmId};
 
@@ -42,6 +43,9 @@
     /// `startup_rejoin_period`. After a power loss all VMs start within 0.3 s of each other, and
     /// until they know each other, each one batches stages on its own.
     pub startup_duration: Duration,
+    /// Interval between two messages to the seeds during `startup_duration` while this VM knows no live VM.
+    /// The seeds may be the last to start.
+    pub alone_rejoin_period: Duration,
     /// Interval between two requests for records during `startup_duration`.
     pub startup_rejoin_period: Duration,
     /// Time after the start in which this VM asks a live VM for its records every rejoin period
@@ -64,6 +68,8 @@
     /// Bound for the pause between two ticks. After a longer pause this VM assumes that it was
     /// suspended.
     pub suspended_after: Duration,
+    /// Settings of the decision when this VM has met its fleet.
+    pub warm_start: WarmStartConfig,
 }
 
 impl Default for GossipConfig {
@@ -76,6 +82,7 @@
             forget_after: Duration::from_secs(30),
             rejoin_period: Duration::from_millis(1_200),
             startup_duration: Duration::from_millis(2_400),
+            alone_rejoin_period: Duration::from_millis(100),
             startup_rejoin_period: Duration::from_millis(300),
             frequent_sync_duration: Duration::from_secs(10),
             sync_period: Duration::from_secs(10),
@@ -84,6 +91,7 @@
             extra_messages: 6,
             recently_heard: Duration::from_millis(1_500),
             suspended_after: Duration::from_millis(1_500),
+            warm_start: WarmStartConfig::default(),
         }
     }
 }
@@ -118,8 +126,10 @@
     next_probe_at: Time,
     next_rejoin_at: Time,
     next_sync_at: Time,
+    next_meeting_at: Time,
     started_at: Option<Time>,
     last_tick_at: Option<Time>,
+    warm_start: WarmStart,
     rng: ChaCha8Rng,
     changes: Vec<MembershipChange>,
     /// Number of changes so far to what [`Gossip::serving`] and [`Gossip::known_count`] return.
@@ -158,8 +168,10 @@
             next_probe_at: Time::ZERO,
             next_rejoin_at: Time::ZERO,
             next_sync_at: Time::ZERO,
+            next_meeting_at: Time::ZERO,
             started_at: None,
             last_tick_at: None,
+            warm_start: WarmStart::default(),
             rng,
             changes: Vec::new(),
             version: 0,
@@ -224,7 +236,38 @@
         let timeouts = direct.map(|probe| probe.started_at + self.config.probe_timeout);
         let timeout = timeouts.min();
         let due = self.next_probe_at.min(self.next_rejoin_at);
-        timeout.map_or(due, |at| at.min(due))
+        let warm_start = self.warm_start.due_at(&self.config.warm_start);
+        let meeting = self.is_meeting().then_some(self.next_meeting_at);
+        let others = timeout.into_iter().chain(warm_start).chain(meeting);
+        others.fold(due, Time::min)
+    }
+
+    /// Returns whether this VM has met its fleet since it started.
+    pub fn has_met(&self) -> bool {
+        self.warm_start.has_met()
+    }
+
+    /// Returns how many VMs are alive, this one included, once it knows its fleet well enough to tell others.
+    fn fleet_size(&self) -> Option<usize> {
+        let now = self.last_tick_at?;
+        let is_known = self.warm_start.knows_fleet_size(now);
+        is_known.then(|| self.live().count() + 1)
+    }
+
+    /// Decides whether this VM has met its fleet.
+    fn update_warm_start(&mut self, now: Time) {
+        if self.warm_start.has_met() {
+            return;
+        }
+        // Without seeds there is nobody to meet.
+        let known_vms = self.live().count() + 1;
+        let config = &self.config.warm_start;
+        if self.seeds.is_empty() {
+            self.warm_start.on_fleet_size(1);
+        }
+        if self.warm_start.update(now, known_vms, config) {
+            self.version += 1;
+        }
     }
 
     /// Returns a number that rises with each change to the known VMs and to what they serve.
@@ -262,7 +305,12 @@
             false => self.config.rejoin_period,
         };
         if now >= self.next_rejoin_at {
-            self.next_rejoin_at = now + rejoin_period;
+            let is_alone = is_starting && self.live().next().is_none();
+            self.next_rejoin_at = now
+                + match is_alone {
+                    true => self.config.alone_rejoin_period,
+                    false => rejoin_period,
+                };
             self.rejoin(&mut outgoing);
         }
         if now >= self.next_sync_at {
@@ -274,7 +322,12 @@
                 };
             self.sync(&mut outgoing);
         }
+        if now >= self.next_meeting_at && self.is_meeting() {
+            self.next_meeting_at = now + self.config.alone_rejoin_period;
+            self.ask_live_seed(&mut outgoing);
+        }
         self.expire(now);
+        self.update_warm_start(now);
         outgoing
     }
 
@@ -292,6 +345,10 @@
         for record in &message.records {
             self.merge(now, record);
         }
+        if let Some(fleet_size) = message.fleet_size {
+            self.warm_start.on_fleet_size(fleet_size);
+        }
+        self.update_warm_start(now);
         match &message.kind {
             GossipKind::Ping => {
                 let ack = self.message(GossipKind::Ack, message.probe);
@@ -415,6 +472,21 @@
         targets
     }
 
+    /// Returns whether this VM knows others, but may not know its whole fleet yet.
+    fn is_meeting(&self) -> bool {
+        !self.has_met() && self.live().next().is_some()
+    }
+
+    /// Asks a live seed for its records: all VMs of a fleet that starts have turned to the seeds first.
+    fn ask_live_seed(&mut self, outgoing: &mut OutgoingList) {
+        let seeds = self.seeds.clone();
+        let is_seed = |member: &Member| seeds.contains(&member.record.vm.ip);
+        if let Some(to) = self.shuffled_live(is_seed).pop() {
+            let message = self.message(GossipKind::Join, 0);
+            outgoing.push(Outgoing { to, message });
+        }
+    }
+
     /// Asks one randomly chosen live VM for its records.
     fn sync(&mut self, outgoing: &mut OutgoingList) {
         if let Some(to) = self.shuffled_live(|_| true).pop() {
@@ -547,6 +619,7 @@
             sender: self.own_record.clone(),
             records,
             store_revision: self.store_revision,
+            fleet_size: self.fleet_size(),
         }
     }
 
--- a/src/decisions/gossip/message.rs
+++ b/src/decisions/gossip/message.rs
@@ -59,6 +59,9 @@
     pub records: Vec<VmRecord>,
     /// Newest revision of the platform's store that the sender knows.
     pub store_revision: u64,
+    /// Number of VMs that the sender knows to be alive, itself included; `None` while it
+    /// may not know its fleet yet.
+    pub fleet_size: Option<usize>,
 }
 
 /// A message and the address to send it to.
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -33,3 +33,4 @@
 pub mod stage_times;
 pub mod store_source;
 pub mod store_view;
+pub mod warm_start;
--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -11,6 +11,7 @@
 
 use crate::clock;
 use crate::decisions::endpoint_choice::hash_of;
+use crate::decisions::warm_start::return_after;
 use crate::fleet::model::{Configuration, Organisation, Route, RouteKind};
 use crate::fleet::node::Node;
 use crate::fleet::reply::{self, Reply};
@@ -18,9 +19,8 @@
 use crate::platform::caller::CallerRequest;
 use crate::units::{ServiceName, Time};
 
-/// Time after which a caller should retry, sent while this VM has no configuration or the route has
-/// no service.
-const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a caller should retry, sent while the route has no service.
+const NO_SERVICE_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time after which a caller should retry, sent when this VM stops. It is short because another VM
 /// takes the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -126,11 +126,8 @@
     if planned_stop.is_some_and(|planned_stop| !planned_stop.accepts(arrived_at)) {
         return Err(RequestEnd::vm_stops(0));
     }
-    let Some(configuration) = node.view().configuration.clone() else {
-        let reply = reply::not_run(
-            "no configuration is known yet",
-            NO_CONFIGURATION_RETRY_AFTER,
-        );
+    let Some(configuration) = node.configuration_for(&caller).await else {
+        let reply = reply::not_run("no configuration is known yet", return_after(&caller.id));
         return Err(RequestEnd::new(reply, "no configuration"));
     };
     let (head, body) = request.into_parts();
@@ -166,7 +163,7 @@
     let body_timeout = BODY_TIMEOUT.min(first_event_by.since(clock::now()));
     let body = read_caller_body(body, configuration.limits.max_body_bytes, body_timeout).await?;
     let Some(service) = pick_service(route, &caller.id) else {
-        let reply = reply::not_run("the route has no service", NO_CONFIGURATION_RETRY_AFTER);
+        let reply = reply::not_run("the route has no service", NO_SERVICE_RETRY_AFTER);
         return Err(RequestEnd::new(reply, "no service"));
     };
     Ok(AdmittedRequest {
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -213,14 +213,20 @@
 
 /// Publishes the VMs that serve and the share count.
 fn publish_vms(control: &Control) {
-    let (changes, vms, known_vms) = {
+    let (changes, vms, known_vms, has_met_fleet) = {
         let mut gossip = control.gossip.lock();
         let vms: std::collections::BTreeMap<_, _> = gossip
             .serving()
             .map(|vm| (vm.name.clone(), vm.clone()))
             .collect();
-        (gossip.take_changes(), vms, gossip.known_count())
+        let has_met_fleet = gossip.has_met();
+        let known_vms = gossip.known_count();
+        (gossip.take_changes(), vms, known_vms, has_met_fleet)
     };
+    if has_met_fleet && !control.view.borrow().has_met_fleet {
+        info!(control.logger, "membership: this VM has met its fleet"; "vms" => vms.len(),
+            "known" => known_vms);
+    }
     for change in &changes {
         info!(control.logger, "membership: a VM changed"; "vm" => %change.vm,
             "state" => format!("{:?}", change.state), "incarnation" => change.incarnation);
@@ -235,6 +241,7 @@
             next.set_vms(vms);
         }
         next.share_count = share_count;
+        next.has_met_fleet = has_met_fleet;
         *view = Arc::new(next);
     });
 }
--- a/src/fleet/ingress.rs
+++ b/src/fleet/ingress.rs
@@ -132,6 +132,11 @@
 /// Returns the answer of the address directory for a query.
 fn address_answer(node: &Node, query: &str) -> Reply {
     let view = node.view();
+    if !view.has_met_fleet {
+        // Callers keep the addresses that they have, or ask another VM. With the few that this VM knows,
+        // they would all gather there.
+        return text(StatusCode::SERVICE_UNAVAILABLE, "this VM has just started");
+    }
     let port = node.settings.caller_address.port();
     let list = directory_addresses(&view, caller_data_centre(query), port);
     if list.is_empty() {
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -16,6 +16,11 @@
     histogram!("primrosewalk_request_seconds", "outcome" => outcome).record(took.as_secs_f64());
 }
 
+/// Counts a request that is held because this VM has no configuration yet.
+pub fn request_held() {
+    counter!("primrosewalk_held_requests_total").increment(1);
+}
+
 /// Counts a caller's whole request that ended without a whole answer or a refusal, by its cause and by what
 /// it waited for.
 pub fn request_unanswered(cause: LossCause, wait: Wait) {
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -21,11 +21,12 @@
 use crate::decisions::rendezvous::rendezvous_order;
 use crate::decisions::retry_window::{RetryWindow, RetryWindowConfig};
 use crate::decisions::stage_times::StageTimes;
+use crate::decisions::warm_start::{SETTLING_PERIOD, hold_until};
 use crate::fleet::admission::AdmittedRequest;
 use crate::fleet::crash_reports::CrashBoard;
 use crate::fleet::dispatcher::BatchDispatcher;
 use crate::fleet::metric;
-use crate::fleet::model::{Endpoint, FleetVm};
+use crate::fleet::model::{Configuration, Endpoint, FleetVm};
 use crate::fleet::notices::NoticeBoard;
 use crate::fleet::peers::Peers;
 use crate::fleet::request_progress::LossCause;
@@ -34,7 +35,8 @@
 use crate::fleet::store_feed::StoreFeed;
 use crate::fleet::supervise::supervise;
 use crate::fleet::view::FleetView;
-use crate::units::{EndpointName, ServiceName, VmId};
+use crate::platform::caller::CallerRequest;
+use crate::units::{EndpointName, ServiceName, Time, VmId};
 
 /// Maximum number of times that one request is sent to endpoints, the first included, whatever its
 /// route allows.
@@ -74,6 +76,8 @@
     pub stage_times: Mutex<StageTimes>,
     /// Recent paces and lengths of generations.
     pub generation_times: Mutex<GenerationTimes>,
+    /// When this VM started.
+    started_at: Time,
     /// Number of callers' requests in progress.
     pub active_requests: AtomicUsize,
     /// Number of stage jobs in progress for other VMs.
@@ -168,6 +172,7 @@
             cold_ranks: Mutex::default(),
             stage_times: Mutex::default(),
             generation_times: Mutex::default(),
+            started_at: clock::now(),
             active_requests: AtomicUsize::new(0),
             active_peer_jobs: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
@@ -193,6 +198,36 @@
         Arc::clone(&self.view.borrow())
     }
 
+    /// Returns the configuration for a request that arrives now. While this VM has none because it has just
+    /// started, the request is held for a short time; `None` if there is none by then, or this VM stops.
+    pub async fn configuration_for(&self, caller: &CallerRequest) -> Option<Arc<Configuration>> {
+        let known = self.view.borrow().configuration.clone();
+        if known.is_some() {
+            return known;
+        }
+        let now = clock::now();
+        let time_left = hold_until(self.started_at, now, caller.deadline).since(now);
+        metric::request_held();
+        let (mut view, mut stopping) = (self.view.clone(), self.stopping.clone());
+        tokio::select! {
+            _ = view.wait_for(|view| view.configuration.is_some()) => {}
+            _ = stopping.wait_for(|stopping| *stopping) => {}
+            () = sleep(time_left) => {}
+        }
+        self.view.borrow().configuration.clone()
+    }
+
+    /// Waits until this VM has met its fleet, half a second after its start at the latest.
+    pub async fn wait_for_fleet(&self) {
+        // Fails only when the control thread has ended, and then this VM stops.
+        let _ = self.view.clone().wait_for(|view| view.has_met_fleet).await;
+    }
+
+    /// Returns whether VMs may disagree on the owners of groups because a fleet has just started.
+    pub fn forwards_jobs(&self) -> bool {
+        clock::now().since(self.started_at) < SETTLING_PERIOD
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -60,6 +60,8 @@
         let handles = handles.iter().map(|handle| (handle.as_str(), 1));
         job.preferred_data_centre = data_centre_of(&node.view(), handles);
     }
+    // Before, this VM would take itself for the owner of every group.
+    node.wait_for_fleet().await;
     while excluded.len() < MAX_GROUPS_TRIED {
         let view = node.view();
         let group = target.take().or_else(|| {
@@ -70,7 +72,7 @@
             Some(home.id.clone())
         });
         let Some(group) = group else { break };
-        match run_at_owner(node, &view, &group, &mut job, may_move).await {
+        match run_at_owner(node, &view, &group, &mut job, may_move, false).await {
             Err(JobFailure::Moved(other)) if may_move => {
                 may_move = false;
                 target = Some(other);
@@ -86,13 +88,15 @@
 }
 
 /// Runs a job at the VM that owns a group, or at the next one in order if that VM does not answer.
-/// This VM runs it when its own turn comes, or after [`MAX_OWNERS_TRIED`] other VMs.
+/// This VM runs it when its own turn comes, or after [`MAX_OWNERS_TRIED`] other VMs. `is_forwarded` says
+/// that the job is another VM's.
 async fn run_at_owner(
     node: &Arc<Node>,
     view: &FleetView,
     group: &GroupId,
     job: &mut Job,
     may_move: bool,
+    is_forwarded: bool,
 ) -> Result<Vec<String>, JobFailure> {
     let owners = view.stage_groups.get(group).map(|group| &*group.owners);
     let owners = owners.unwrap_or_default().iter();
@@ -105,7 +109,10 @@
             }
             break;
         }
-        let call = Body::StageJob(encode_job(group, job, may_move, clock::now()));
+        let call = Body::StageJob(StageJob {
+            is_forwarded,
+            ..encode_job(group, job, may_move, clock::now())
+        });
         match node.peers.call(vm.ip, call).await {
             Ok(Body::Results(results)) => return Ok(results.handles),
             Ok(Body::JobFailed(failed)) if failed.is_stopping => {
@@ -128,7 +135,16 @@
     let outcome = node.dispatcher.run(group, job.clone(), may_move).await;
     if !was_stopping && node.is_stopping() && outcome == Err(JobFailure::NO_ENDPOINT) {
         // The job has been handed over. There is no further round, since this VM is stopping now.
-        return Box::pin(run_at_owner(node, &node.view(), group, job, may_move)).await;
+        let view = node.view();
+        return Box::pin(run_at_owner(
+            node,
+            &view,
+            group,
+            job,
+            may_move,
+            is_forwarded,
+        ))
+        .await;
     }
     outcome
 }
@@ -196,8 +212,14 @@
     let service = wire.service.clone();
     let group: Option<GroupId> = wire.group.as_ref().and_then(|group| group.parse().ok());
     let may_move = wire.may_move;
-    let job = decode_job(wire, clock::now());
+    let may_forward = node.forwards_jobs() && !wire.is_forwarded && !wire.is_retry;
+    let mut job = decode_job(wire, clock::now());
     let outcome = match (group, service.parse()) {
+        // The sender may not know all VMs yet.
+        (Some(group), _) if may_forward => {
+            node.wait_for_fleet().await;
+            run_at_owner(node, &node.view(), &group, &mut job, may_move, true).await
+        }
         (Some(group), _) => node.dispatcher.run(&group, job, may_move).await,
         (None, Ok(service)) => run_job(node, &service, job).await,
         (None, Err(_)) => Err(JobFailure::NO_ENDPOINT),
@@ -325,6 +347,7 @@
         preferred_data_centre: job.preferred_data_centre.as_ref().map(ToString::to_string),
         group: Some(group.to_string()),
         may_move,
+        is_forwarded: false,
     }
 }
 
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -328,8 +328,8 @@
 
     async fn list(&mut self, client: StoreClient) -> anyhow::Result<()> {
         metric::store_called("list");
-        let operator = client.list(OPERATOR_PREFIX).await?;
-        let endpoints = client.list(ENDPOINTS_PREFIX).await?;
+        let (operator, endpoints) =
+            tokio::try_join!(client.list(OPERATOR_PREFIX), client.list(ENDPOINTS_PREFIX))?;
         self.note_answer();
         let control = &self.control;
         // The watch starts at the lower revision, so that it reports the changes that were made
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -30,6 +30,9 @@
     /// Upper bound on the number of VMs that act at the same time. Each VM uses a fleet-wide limit
     /// divided by this number.
     pub share_count: u32,
+    /// Whether this VM has met its fleet since it started, so that `vms` and the owners of the groups are
+    /// those that other VMs know too.
+    pub has_met_fleet: bool,
     /// State of the platform's store that the view reflects, for VMs that ask for it.
     pub store: Arc<StoreSnapshot>,
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -63,6 +63,10 @@
     /// Newest revision of the platform's store that the sender knows.
     #[prost(uint64, tag = "7")]
     pub store_revision: u64,
+    /// Number of VMs that the sender knows to be alive, itself included; 0 while it may not know
+    /// its fleet yet, and from earlier builds.
+    #[prost(uint32, tag = "8")]
+    pub fleet_size: u32,
 }
 
 /// A datagram with evidence of crashed engines, from one VM to another.
@@ -282,6 +286,10 @@
     /// Whether the owner of the group may move the job to another group.
     #[prost(bool, tag = "15")]
     pub may_move: bool,
+    /// Whether the sender does not own the group itself but passes on a job of a third VM, so that the
+    /// recipient runs it whatever it knows of the owners.
+    #[prost(bool, tag = "30")]
+    pub is_forwarded: bool,
 }
 
 /// Load of a group of endpoints.
@@ -485,6 +493,7 @@
         sender: Some((&message.sender).into()),
         records: message.records.iter().map(WireRecord::from).collect(),
         store_revision: message.store_revision,
+        fleet_size: message.fleet_size.map_or(0, |size| size as u32),
     };
     wire.encode_to_vec()
 }
@@ -521,5 +530,6 @@
         sender: sender.try_into()?,
         records: records?,
         store_revision: wire.store_revision,
+        fleet_size: (wire.fleet_size > 0).then_some(wire.fleet_size as usize),
     })
 }
--- a/tests/fleet_rules/gossip.rs
+++ b/tests/fleet_rules/gossip.rs
@@ -26,7 +26,7 @@
 const MESSAGE_DELAY_MS: u64 = 1;
 
 /// Returns the address of VM `index`.
-fn ip(index: usize) -> Ipv4Addr {
+pub(crate) fn ip(index: usize) -> Ipv4Addr {
     Ipv4Addr::new(10, 0, (index / 250) as u8, (index % 250 + 1) as u8)
 }
 
@@ -46,11 +46,11 @@
 }
 
 /// Simulated fleet whose messages may be lost and whose VMs may be down, frozen or cut off.
-struct Fleet {
+pub(crate) struct Fleet {
     seed: u64,
-    now_ms: u64,
+    pub(crate) now_ms: u64,
     /// Gossip state of each VM; `None` while the VM is down.
-    vms: Vec<Option<Gossip>>,
+    pub(crate) vms: Vec<Option<Gossip>>,
     /// State of the other VMs that each VM last reported as changed, by name.
     last_states: Vec<BTreeMap<String, VmState>>,
     frozen: BTreeSet<usize>,
@@ -66,7 +66,7 @@
 }
 
 impl Fleet {
-    fn new(count: usize, seed: u64) -> Self {
+    pub(crate) fn new(count: usize, seed: u64) -> Self {
         Self {
             seed,
             now_ms: 0,
@@ -84,7 +84,7 @@
     }
 
     /// Runs the simulation for some time.
-    fn run(&mut self, duration_ms: u64) {
+    pub(crate) fn run(&mut self, duration_ms: u64) {
         let until_ms = self.now_ms + duration_ms;
         while self.now_ms < until_ms {
             self.now_ms += STEP_MS;
@@ -109,7 +109,7 @@
         }
     }
 
-    fn send(&mut self, from: usize, outgoing: impl IntoIterator<Item = Outgoing>) {
+    pub(crate) fn send(&mut self, from: usize, outgoing: impl IntoIterator<Item = Outgoing>) {
         for Outgoing { to, message } in outgoing {
             self.sent += 1;
             if self.rng.random_bool(self.loss) {
--- a/tests/fleet_rules/main.rs
+++ b/tests/fleet_rules/main.rs
@@ -16,6 +16,7 @@
 mod stage_start;
 mod store_source;
 mod store_view;
+mod warm_start;
 
 use std::sync::Arc;
 
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -127,6 +127,7 @@
             sender: self.0.random_bool(0.9).then_some(sender),
             records: (0..records).map(|_| self.record()).collect(),
             store_revision: self.number(),
+            fleet_size: self.number() as u32,
         }
     }
 
@@ -146,6 +147,7 @@
             preferred_data_centre: self.0.random_bool(0.5).then(|| self.text()),
             group: self.0.random_bool(0.7).then(|| self.text()),
             may_move: self.0.random(),
+            is_forwarded: self.0.random(),
         }
     }
 
