--- a/src/decisions/work_order.rs
+++ b/src/decisions/work_order.rs
@@ -26,7 +26,7 @@
 const ORGANISATION_FLOOR_DIVISOR: u64 = 8;
 
 /// Half-life of the observed rates. Bursts last seconds, and must be seen while they last.
-const RATE_HALF_LIFE: Duration = Duration::from_secs(1);
+const RATE_HALF_LIFE: Duration = Duration::from_millis(1_500);
 /// Half-life of the usual demand of an organisation. It is longer than bursts, so that a burst of one
 /// organisation hardly changes what the others get.
 const USUAL_HALF_LIFE: Duration = Duration::from_secs(30);
