feat(fleet): divide engines between long and short prompts by their load

Cause: a long prompt delays the events of all streams beside it.

Change: long prompts (4,000 tokens or more in the unshared part or in the shared ones) prefer the first engines of a rendezvous order, short ones the rest, in proportion to the load that each VM sees; no messages. It acts where routes declare a pause target and endpoints report a fourth figure of load.

--- a/src/decisions/endpoint_choice.rs
+++ b/src/decisions/endpoint_choice.rs
@@ -14,6 +14,7 @@
 use smallvec::SmallVec;
 
 use crate::decisions::circuit::{Circuit, CircuitConfig, Role};
+use crate::decisions::prompt_placement::{PromptPreference, prefer_engines};
 use crate::fleet::model::Endpoint;
 use crate::units::{DataCentreName, EndpointName, Time};
 
@@ -66,6 +67,8 @@
         prompt_prefix: u64,
         /// Length of the prompt in tokens.
         prompt_tokens: u32,
+        /// Engines that the prompt prefers for its length; `None` while all serve all prompts.
+        preference: Option<PromptPreference>,
         /// Data centre that holds most of the stage results.
         preferred_data_centre: &'a DataCentreName,
     },
@@ -189,9 +192,17 @@
             Work::Generation {
                 prompt_prefix,
                 prompt_tokens,
+                preference,
                 preferred_data_centre,
             } => self
-                .affine_engine(now, &pool, prompt_prefix, prompt_tokens, median_ms)
+                .affine_engine(
+                    now,
+                    &pool,
+                    prompt_prefix,
+                    prompt_tokens,
+                    preference,
+                    median_ms,
+                )
                 .or_else(|| self.fastest(now, &pool, preferred_data_centre, median_ms)),
         }
         .cloned()
@@ -381,6 +392,7 @@
         pool: &[&'a Arc<Endpoint>],
         prompt_prefix: u64,
         prompt_tokens: u32,
+        preference: Option<PromptPreference>,
         median_ms: f64,
     ) -> Option<&'a Arc<Endpoint>> {
         let mut order: SmallVec<[(u64, &'a Arc<Endpoint>); 16]> = pool
@@ -388,6 +400,9 @@
             .map(|endpoint| (!affinity(prompt_prefix, &endpoint.id), *endpoint))
             .collect();
         order.sort_by_key(|(rank, _)| *rank);
+        if let Some(preference) = preference {
+            prefer_engines(&mut order, |(_, endpoint)| &endpoint.id, preference);
+        }
         let total: u32 = order
             .iter()
             .map(|(_, endpoint)| self.in_flight(&endpoint.id))
@@ -414,7 +429,7 @@
 
 /// Returns the rendezvous weight of an endpoint for a prompt prefix: all VMs prefer the highest
 /// one.
-fn affinity(prompt_prefix: u64, endpoint: &EndpointName) -> u64 {
+pub fn affinity(prompt_prefix: u64, endpoint: &EndpointName) -> u64 {
     let mut hasher = DefaultHasher::new();
     (prompt_prefix, endpoint.as_str()).hash(&mut hasher);
     hasher.finish()
--- a/src/decisions/generation_times.rs
+++ b/src/decisions/generation_times.rs
@@ -31,7 +31,8 @@
 }
 
 impl ExpectedTokens {
-    fn count(self) -> f64 {
+    /// Returns the number of tokens, whatever it is based on.
+    pub fn count(self) -> f64 {
         match self {
             Self::Hint(tokens) | Self::Max(tokens) => f64::from(tokens),
         }
--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -19,6 +19,7 @@
 pub mod ownership_keys;
 pub mod placement;
 pub mod planned_stop;
+pub mod prompt_placement;
 pub mod quarantine;
 pub mod quota;
 pub mod rendezvous;
--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -190,6 +190,7 @@
 /// Returns the work of a request for an engine, by which the engine is chosen.
 /// `preferred_data_centre` is the data centre that stores most of what the engine reads.
 pub fn generation_work<'a>(
+    node: &Node,
     admitted: &AdmittedRequest,
     preferred_data_centre: &'a DataCentreName,
 ) -> Work<'a> {
@@ -200,6 +201,7 @@
     Work::Generation {
         prompt_prefix: prompt_prefix.map_or(0, |part| part.id.0),
         prompt_tokens: admitted.caller.prompt_tokens,
+        preference: node.prompt_preference(admitted),
         preferred_data_centre,
     }
 }
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -8,6 +8,7 @@
 
 use crate::decisions::endpoint_choice::AttemptEnd;
 use crate::fleet::request_progress::{LossCause, Wait};
+use crate::units::ServiceName;
 
 /// Counts a caller's request by its outcome and status, and records the time until its answer.
 pub fn request_ended(outcome: &'static str, status: u16, took: Duration) {
@@ -159,3 +160,9 @@
 pub fn active_requests(count: usize) {
     gauge!("primrosewalk_active_requests").set(count as f64);
 }
+
+/// Sets the share of the engines of a service that long prompts prefer, in sixteenths.
+pub fn long_prompt_steps(service: &ServiceName, steps: u32) {
+    gauge!("primrosewalk_long_prompt_engine_sixteenths", "service" => service.to_string())
+        .set(f64::from(steps));
+}
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -1,13 +1,14 @@
 //! State that all tasks of a VM's traffic thread share.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::future::pending;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
+use hyper::HeaderMap;
 use parking_lot::Mutex;
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -18,6 +19,7 @@
 };
 use crate::decisions::generation_times::{GenerationEstimate, GenerationTimes};
 use crate::decisions::planned_stop::PlannedStop;
+use crate::decisions::prompt_placement::{PromptPlacement, PromptPreference, PromptSize};
 use crate::decisions::rendezvous::rendezvous_order;
 use crate::decisions::retry_window::{RetryWindow, RetryWindowConfig};
 use crate::decisions::stage_times::StageTimes;
@@ -34,6 +36,7 @@
 use crate::fleet::store_feed::StoreFeed;
 use crate::fleet::supervise::supervise;
 use crate::fleet::view::FleetView;
+use crate::platform::endpoint_call::reports_work_time;
 use crate::units::{EndpointName, ServiceName, VmId};
 
 /// Maximum number of times that one request is sent to endpoints, the first included, whatever its
@@ -74,6 +77,10 @@
     pub stage_times: Mutex<StageTimes>,
     /// Recent paces and lengths of generations.
     pub generation_times: Mutex<GenerationTimes>,
+    /// Divides engines between long prompts and short ones.
+    prompt_placement: Mutex<PromptPlacement>,
+    /// Services with endpoints that report how long work takes on their machines.
+    work_time_services: Mutex<HashSet<ServiceName>>,
     /// Number of callers' requests in progress.
     pub active_requests: AtomicUsize,
     /// Number of stage jobs in progress for other VMs.
@@ -168,6 +175,8 @@
             cold_ranks: Mutex::default(),
             stage_times: Mutex::default(),
             generation_times: Mutex::default(),
+            prompt_placement: Mutex::default(),
+            work_time_services: Mutex::default(),
             active_requests: AtomicUsize::new(0),
             active_peer_jobs: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
@@ -274,6 +283,46 @@
         self.choice.lock().note_silence(clock::now(), started);
     }
 
+    /// Records whether the endpoints of a service report how long work takes on their machines. Only those share
+    /// their machines, so that a long prompt may delay the streams beside it beyond their target.
+    pub fn note_work_time(&self, endpoint: &Endpoint, headers: &HeaderMap) {
+        let mut services = self.work_time_services.lock();
+        if !services.contains(&endpoint.service) && reports_work_time(headers) {
+            services.insert(endpoint.service.clone());
+        }
+    }
+
+    /// Records that a generation is sent, which shifts the division of the engines between long prompts and short
+    /// ones.
+    pub fn note_prompt(&self, admitted: &AdmittedRequest) {
+        let (service, size) = (&admitted.service, prompt_size(admitted));
+        let mut placement = self.prompt_placement.lock();
+        let Some(steps) = placement.record(clock::now(), service, size) else {
+            return;
+        };
+        metric::long_prompt_steps(service, steps);
+        info!(self.logger, "endpoints: the share of the engines for long prompts has changed";
+            "service" => %service, "sixteenths" => steps);
+    }
+
+    /// Returns the engines that a generation prefers for the length of its prompt; `None` while all engines
+    /// serve all prompts, and where long prompts are not known to delay others beyond their target.
+    pub fn prompt_preference(&self, admitted: &AdmittedRequest) -> Option<PromptPreference> {
+        admitted.route.max_event_gap?;
+        let service = &admitted.service;
+        if !self.work_time_services.lock().contains(service) {
+            return None;
+        }
+        let placement = self.prompt_placement.lock();
+        placement.preference(service, prompt_size(admitted))
+    }
+
+    /// Drops what was seen of the prompts of services that `is_kept` does not name.
+    pub fn forget_prompts(&self, is_kept: impl Fn(&ServiceName) -> bool) {
+        self.prompt_placement.lock().retain(&is_kept);
+        self.work_time_services.lock().retain(&is_kept);
+    }
+
     /// Records how an attempt ended, for later choices of endpoints and for the metrics.
     pub fn end_attempt(&self, started: StartedAttempt, end: AttemptEnd) {
         metric::attempt_ended(end);
@@ -327,3 +376,14 @@
         max_attempts: MAX_SENDS,
     }
 }
+
+/// Returns what a generation costs an engine that has the shared parts of its prompt cached.
+fn prompt_size(admitted: &AdmittedRequest) -> PromptSize {
+    let caller = &admitted.caller;
+    let unshared_tokens = caller.unshared_prompt_tokens();
+    PromptSize {
+        shared_tokens: caller.prompt_tokens - unshared_tokens,
+        unshared_tokens,
+        output_tokens: caller.expected_tokens().count() as u32,
+    }
+}
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -347,6 +347,7 @@
         let mut generation_times = node.generation_times.lock();
         generation_times.retain(|id| usable_ids.contains(id));
         drop(generation_times);
+        node.forget_prompts(|service| view.endpoints.contains_key(service));
         let listed = view.endpoints_by_address.values();
         let listed_ids: std::collections::HashSet<_> =
             listed.map(|endpoint| endpoint.id.clone()).collect();
--- a/src/fleet/stages.rs
+++ b/src/fleet/stages.rs
@@ -290,7 +290,7 @@
 /// results only the engine reads should run there, because such results are large. The choice of
 /// the engine rarely changes until the stage has ended.
 fn engine_data_centre(node: &Node, admitted: &AdmittedRequest) -> Option<DataCentreName> {
-    let work = generation_work(admitted, &node.settings.data_centre);
+    let work = generation_work(node, admitted, &node.settings.data_centre);
     let endpoint = choose(node, admitted, &Attempts::default(), work)?;
     Some(endpoint.data_centre.clone())
 }
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -186,6 +186,7 @@
     let (head, body) = answer.into_parts();
     let status = head.status;
     node.notices.read(endpoint, status, &head.headers);
+    node.note_work_time(endpoint, &head.headers);
     let headers = returned_headers(&head.headers);
     match classify(status, &head.headers, &admitted.caller.id) {
         ResponseClass::Answer if status.is_success() => {}
@@ -428,7 +429,7 @@
     /// Returns whether an engine is left to which the request can be sent now. Without one, the
     /// stages would run in vain.
     fn has_engine(&self) -> bool {
-        let work = generation_work(&self.admitted, &self.node.settings.data_centre);
+        let work = generation_work(&self.node, &self.admitted, &self.node.settings.data_centre);
         choose(&self.node, &self.admitted, &self.attempts, work).is_some()
     }
 
@@ -484,7 +485,7 @@
         let preferred_data_centre = preferred_data_centre
             .as_ref()
             .unwrap_or(&self.node.settings.data_centre);
-        let work = generation_work(&self.admitted, preferred_data_centre);
+        let work = generation_work(&self.node, &self.admitted, preferred_data_centre);
         next_connection(&self.node, &self.admitted, &mut self.attempts, work).await
     }
 
@@ -529,6 +530,7 @@
         self.attempts.runs += 1;
         self.attempts.tried.push(endpoint.id.clone());
         self.sent_at = clock::now();
+        self.node.note_prompt(&self.admitted);
         let prompt_tokens = self.admitted.caller.prompt_tokens;
         let mut choice = self.node.choice.lock();
         self.started = Some(choice.start(clock::now(), endpoint, prompt_tokens));
--- a/src/platform/endpoint_call.rs
+++ b/src/platform/endpoint_call.rs
@@ -15,6 +15,10 @@
 /// Header that shows that an answer comes from an endpoint and not from something in between.
 const SIGNATURE: &str = "response-signature";
 const REQUEST_ID: &str = "request-id";
+/// Header with the load of an endpoint, in numbers with commas between them.
+const LOAD: &str = "instance-load";
+/// Position in [`LOAD`] of the number that says how long work takes now.
+const WORK_TIME_POSITION: usize = 3;
 /// Header by which an endpoint says that it leaves.
 const LEAVING: &str = "server-leaving";
 
@@ -58,7 +62,7 @@
     "trailer",
     "upgrade",
     "content-length",
-    "instance-load",
+    LOAD,
 ];
 
 /// Values of the headers that this system sets on a request to an endpoint.
@@ -180,6 +184,14 @@
     }
 }
 
+/// Returns whether an endpoint says in an answer how long work takes on its machine now, as those that share
+/// their machines do.
+pub fn reports_work_time(headers: &HeaderMap) -> bool {
+    let load = headers.get(LOAD).and_then(|value| value.to_str().ok());
+    let figure = load.and_then(|load| load.split(',').nth(WORK_TIME_POSITION));
+    figure.is_some_and(|figure| figure.trim().parse::<f64>().is_ok())
+}
+
 /// Returns the headers of an endpoint's answer that are passed on to the caller.
 pub fn returned_headers(endpoint: &HeaderMap) -> HeaderMap {
     let mut headers = endpoint.clone();
--- a/tests/fleet_rules/choice.rs
+++ b/tests/fleet_rules/choice.rs
@@ -49,6 +49,7 @@
     Work::Generation {
         prompt_prefix,
         prompt_tokens: 1_000,
+        preference: None,
         preferred_data_centre,
     }
 }
--- a/tests/fleet_rules/main.rs
+++ b/tests/fleet_rules/main.rs
@@ -8,6 +8,7 @@
 mod choice;
 mod generation_times;
 mod gossip;
+mod prompt_placement;
 mod quarantine;
 mod retry_window;
 mod revision_lag;
