--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -220,6 +220,8 @@
     started: Option<StartedAttempt>,
     /// When the request was sent to the engine of the attempt in progress.
     sent_at: Time,
+    /// Longest time that the engines took for an event after the first one, while the caller was reading.
+    max_pause: Duration,
     /// Number of the last event that was read, or that the caller already had. A resumed stream
     /// continues after it.
     last_event: Option<u64>,
@@ -249,6 +251,7 @@
             open: None,
             started: None,
             sent_at: Time::ZERO,
+            max_pause: Duration::ZERO,
             last_event,
             events: 0,
             next_event_by,
@@ -538,7 +541,9 @@
             "endpoint" => engine.map(|engine| engine.id.to_string()),
             "data_centre" => engine.map(|engine| engine.data_centre.to_string()),
             "sent" => self.attempts.sent, "outcome" => outcome,
-            "load" => self.attempts.load_text());
+            "load" => self.attempts.load_text(),
+            "unshared_prompt_tokens" => self.admitted.caller.unshared_prompt_tokens(),
+            "took_ms" => clock::now().since(self.sent_at).as_millis() as u64);
     }
 
     /// Records what an engine has sent for its answer, and decides whether another one may be tried.
@@ -613,8 +618,9 @@
 
     /// Records the wait for an event after the first one, or for the end, for later estimates. The time in which
     /// the caller does not read is no part of it.
-    fn note_wait(&self, endpoint: &EndpointName, since: Time) {
+    fn note_wait(&mut self, endpoint: &EndpointName, since: Time) {
         let now = clock::now();
+        self.max_pause = self.max_pause.max(now.since(since));
         let mut times = self.node.generation_times.lock();
         times.on_next_event(now, &self.admitted.service, endpoint, now.since(since));
     }
@@ -756,7 +762,8 @@
         let took = clock::now().since(self.admitted.arrived_at);
         info!(self.node.logger, "request: stream ended"; "id" => &self.admitted.caller.id,
             "cause" => cause.map(LossCause::name), "waiting_for" => cause.map(|_| wait.name()),
-            "events" => self.events, "reason" => reason, "took_ms" => took.as_millis() as u64);
+            "events" => self.events, "reason" => reason, "took_ms" => took.as_millis() as u64,
+            "max_pause_ms" => self.max_pause.as_millis() as u64);
     }
 }
 
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -55,6 +55,15 @@
         }
     }
 
+    /// Returns the tokens of the prompt that no other request has, which an engine reads even if it has all
+    /// other parts cached.
+    pub fn unshared_prompt_tokens(&self) -> u32 {
+        let shared = self.prompt_parts.split_last().map(|(_, shared)| shared);
+        let shared = shared.unwrap_or_default().iter().map(|part| part.tokens);
+        self.prompt_tokens
+            .saturating_sub(shared.fold(0, u32::saturating_add))
+    }
+
     /// Returns the parts of the prompt that other requests may have too: all but the last one.
     pub fn shared_parts(&self) -> impl Iterator<Item = PartId> {
         let parts = self.prompt_parts.as_slice();
