fix(fleet): findings of the review of callers' memory, stage order, start of VMs and endpoint loads

Cause and change, by reading; no test failed before, unless said: - A request behind an answer that its caller does not read counted as being served, so that its connection never gave way. It stays unread. - A head that was refused on its first read was closed without an answer. It gets 408. - A link between VMs counted as idle while calls ran on it. It counts as serving, and other VMs may open a third of the callers' connections, since each VM has two links to another one. - A job that was passed on, and may have run there, came back as not run, so that running it again took no retry. The answer says that it may have run. - An organisation's share was computed from what a queue had run, which is nothing after a start or a stall. It is computed from what the endpoints can run then. - The gauge of waiting items kept its last value when a queue was empty. - Endpoints that report no work time took part in the exchange once another one had reported it, and own sends without a later report kept an endpoint avoided for 20 s (now 2 s). - Loads from other VMs are checked like those in answers; slots are bounded by the listed ones, and a reported work time attracts at most as much as 0.7 of the usual time. - clippy: needless_range_loop in tests/fleet_rules/warm_start.rs.

--- a/src/decisions/batching/admission.rs
+++ b/src/decisions/batching/admission.rs
@@ -72,10 +72,15 @@
             return Err(INVALID_JOB_PAUSE);
         }
         let is_backlogged = self.is_backlogged(endpoints);
-        let (urgency, request) = (&job.urgency, &job.request);
-        let lane = self
-            .shares
-            .on_arrival(now, urgency, request, job.items, is_backlogged);
+        let full_items_per_s = self.full_items_per_s(endpoints.max(1));
+        let lane = self.shares.on_arrival(
+            now,
+            &job.urgency,
+            &job.request,
+            job.items,
+            is_backlogged,
+            full_items_per_s,
+        );
         let wait = self.wait_in_lane(now, endpoints, lane, job.items as usize);
         if now + wait > job.deadline {
             let excess = (now + wait).since(job.deadline);
--- a/src/decisions/engine_load.rs
+++ b/src/decisions/engine_load.rs
@@ -43,9 +43,16 @@
 const MAX_ENDPOINTS: usize = 4_096;
 /// Upper bound of the own sends since the last report that are counted for one endpoint.
 const MAX_SENDS: usize = 64;
+/// Age above which an own send no longer counts. An endpoint that reports nothing new would be avoided
+/// for good otherwise.
+const MAX_SEND_AGE: Duration = Duration::from_secs(2);
+/// Largest number of requests in a report. A larger one is a mistake of the endpoint.
+pub const MAX_REPORTED_REQUESTS: u32 = 100_000;
+/// Largest work time in a report, in percent of the usual one.
+pub const MAX_WORK_TIME_PERCENT: u32 = 100_000;
 /// Bounds of the factor by which a reported work time counts, so that a wrong report neither attracts
 /// all requests nor keeps all away.
-const WORK_FACTOR_BOUNDS: (f64, f64) = (0.5, 8.0);
+const WORK_FACTOR_BOUNDS: (f64, f64) = (0.7, 8.0);
 
 /// Load that an endpoint reports in an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,6 +68,18 @@
     pub work_time_percent: Option<u32>,
 }
 
+impl LoadReport {
+    /// Returns whether the figures can be those of an endpoint.
+    pub fn is_plausible(&self) -> bool {
+        let is_count = |count| count <= MAX_REPORTED_REQUESTS;
+        let percent = self.work_time_percent;
+        is_count(self.running)
+            && is_count(self.waiting)
+            && (1..=MAX_REPORTED_REQUESTS).contains(&self.slots)
+            && percent.is_none_or(|percent| (1..=MAX_WORK_TIME_PERCENT).contains(&percent))
+    }
+}
+
 /// Key of one process of an endpoint. A restarted endpoint has another one, so that what was observed
 /// of the former process says nothing about it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -197,11 +216,11 @@
         self.failure_share * decay(now.since(newest.at), FAILURE_HALF_LIFE)
     }
 
-    fn is_old(&self, now: Time) -> bool {
-        let is_old = |at: Option<Time>| at.is_none_or(|at| now.since(at) > FORGET_AGE);
-        is_old(self.load.map(|load| load.at))
-            && is_old(self.has_failed.map(|outcome| outcome.at))
-            && is_old(self.sends.last().map(|send| send.at))
+    /// Drops what is old. Returns whether anything is left.
+    fn keep_recent(&mut self, now: Time) -> bool {
+        let is_recent = |at: Time| now.since(at) <= FORGET_AGE;
+        self.load = self.load.filter(|load| is_recent(load.at));
+        self.load.is_some() || self.sends.last().is_some_and(|send| is_recent(send.at))
     }
 }
 
@@ -299,7 +318,7 @@
 
     /// Records that this VM sends a request to an endpoint.
     pub fn on_send(&mut self, now: Time, process: ProcessKey, prompt_tokens: u32) {
-        if self.entries.is_empty() || !self.has_room(process) {
+        if self.is_empty() || !self.has_room(process) {
             return;
         }
         let entry = self.entries.entry(process).or_default();
@@ -319,7 +338,7 @@
     /// Records a prompt with a shared prefix, of which an engine reads `unshared_tokens`.
     pub fn on_prompt(&mut self, now: Time, prefix: u64, unshared_tokens: u32) {
         let is_known = self.demands.contains_key(&prefix);
-        if self.entries.is_empty() || (!is_known && self.demands.len() >= MAX_PREFIXES) {
+        if self.is_empty() || (!is_known && self.demands.len() >= MAX_PREFIXES) {
             return;
         }
         let none = Demand {
@@ -369,7 +388,7 @@
             let load = load.filter(|load| load.value.work_time_percent.is_some());
             let has_failed = other.has_failed;
             let has_failed = has_failed.filter(|outcome| outcome.age <= MAX_SHARED_AGE);
-            if load.is_none() && has_failed.is_none() {
+            if load.is_none() && !self.entries.contains_key(&other.process) {
                 continue;
             }
             let entry = self.entries.entry(other.process).or_default();
@@ -387,7 +406,7 @@
         let mut news: Vec<(Duration, &ProcessKey, &mut Entry)> = self
             .entries
             .iter_mut()
-            .filter(|(_, entry)| entry.is_shared)
+            .filter(|(_, entry)| entry.is_shared && entry.load.is_some())
             .filter_map(|(process, entry)| {
                 let load = entry.load.filter(|load| load.is_news(now));
                 let outcome = entry.has_failed.filter(|outcome| outcome.is_news(now));
@@ -414,7 +433,7 @@
 
     /// Returns whether no endpoint has reported its work time.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        !self.entries.values().any(|entry| entry.load.is_some())
     }
 
     /// Returns what is known of an endpoint; `None` if it has not reported its load lately.
@@ -425,13 +444,15 @@
         let reported = f64::from(load.value.work_time_percent?) / 100.0;
         let reported = reported.clamp(WORK_FACTOR_BOUNDS.0, WORK_FACTOR_BOUNDS.1);
         let work_factor = 1.0 + (reported - 1.0) * decay(age, WORK_TIME_HALF_LIFE);
-        let tokens = entry.sends.iter().map(|send| u64::from(send.prompt_tokens));
+        let recent = entry.sends.iter();
+        let recent = recent.filter(|send| now.since(send.at) <= MAX_SEND_AGE);
+        let tokens = recent.clone().map(|send| u64::from(send.prompt_tokens));
         Some(LoadEstimate {
             report: load.value,
             age,
             queue_weight: decay(age, QUEUE_HALF_LIFE),
             work_factor,
-            own_sends: entry.sends.len() as u32,
+            own_sends: recent.count() as u32,
             own_prompt_tokens: tokens.sum(),
             failure_share: entry.failure_share(now),
         })
@@ -439,7 +460,7 @@
 
     /// Forgets endpoints without recent observations.
     pub fn forget_old(&mut self, now: Time) {
-        self.entries.retain(|_, entry| !entry.is_old(now));
+        self.entries.retain(|_, entry| entry.keep_recent(now));
         let is_recent = |demand: &Demand| now.since(demand.at) <= FORGET_AGE;
         self.demands.retain(|_, demand| is_recent(demand));
     }
--- a/src/decisions/load_cost.rs
+++ b/src/decisions/load_cost.rs
@@ -77,7 +77,7 @@
                 mean + (f64::from(count(&load)) - mean) * load.queue_weight
             })
         };
-        let slots = estimate.map_or(endpoint.slots, |load| load.report.slots);
+        let slots = estimate.map_or(endpoint.slots, |load| load.report.slots.min(endpoint.slots));
         LoadedEndpoint {
             endpoint,
             running: faded(mean_running, |load| load.report.running),
--- a/src/decisions/work_order.rs
+++ b/src/decisions/work_order.rs
@@ -157,7 +157,8 @@
 
 impl WorkShares {
     /// Records that work arrives, and returns its lane. Shares are limited only while the queue
-    /// `is_backlogged`, because there is enough for all otherwise.
+    /// `is_backlogged`, because there is enough for all otherwise. The service runs `full_items_per_s` with
+    /// full calls.
     pub fn on_arrival(
         &mut self,
         now: Time,
@@ -165,6 +166,7 @@
         request: &str,
         items: u32,
         is_backlogged: bool,
+        full_items_per_s: f64,
     ) -> Lane {
         let Some(priority) = urgency.rank() else {
             return Lane::Front;
@@ -176,7 +178,7 @@
             self.division = None;
         } else if now.since(self.calculated_at) >= SHARE_INTERVAL {
             self.calculated_at = now;
-            self.division = self.divide(now);
+            self.division = self.divide(now, full_items_per_s);
         }
         let draw = hash_of(request);
         // The upper half of the draw decides on the share, the lower one on the floor.
@@ -229,7 +231,7 @@
     /// Divides what the service has run lately among the organisations by their weights, so that none
     /// gets more than it asks for (weighted max-min fairness). Returns nothing if there is enough for
     /// all, or only one organisation.
-    fn divide(&mut self, now: Time) -> Option<Division> {
+    fn divide(&mut self, now: Time, full_items_per_s: f64) -> Option<Division> {
         let is_kept = |demand: &Demand| demand.usual.at(now) >= MIN_ITEMS;
         self.demand.retain(|_, demand| is_kept(demand));
         let count = self.demand.len();
@@ -242,7 +244,11 @@
         let weighted = weighted.map(|demand| (demand.at(now), demand.usual.at(now) + mean_usual));
         let mut weighted: Vec<(f64, f64)> = weighted.collect();
         weighted.sort_by(|a, b| f64::total_cmp(&(a.0 / a.1), &(b.0 / b.1)));
-        let mut items_left = self.run.at(now);
+        // A queue that has just started, or whose endpoints stood still, has run little and is about to
+        // run much more.
+        let mean_age_s = RATE_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        let (run, full) = (self.run.at(now), full_items_per_s * mean_age_s);
+        let mut items_left = if run < full / 2.0 { full } else { run };
         let mut weight_left: f64 = weighted.iter().map(|(_, weight)| weight).sum();
         for (demand, weight) in weighted {
             let items_per_weight = items_left / weight_left;
--- a/src/fleet/caller_connection.rs
+++ b/src/fleet/caller_connection.rs
@@ -355,7 +355,8 @@
         }
         let parts = connection.into_parts();
         watched = parts.io.into_inner();
-        let has_head = is_head(&parts.read_buf);
+        let has_refused_head = activity.has_refused_head.load(Ordering::Relaxed);
+        let has_head = has_refused_head || is_head(&parts.read_buf);
         if end != End::TimedOut || has_head || !has_unread_bytes(&watched.stream) {
             break (watched.stream, end, has_head);
         }
--- a/src/fleet/caller_memory.rs
+++ b/src/fleet/caller_memory.rs
@@ -31,6 +31,9 @@
 const SIDE_PARTS: usize = 8;
 /// Part of the bounds of callers that the listener for other VMs gets.
 const PEER_PARTS: usize = 4;
+/// Connections of other VMs may be one by this of the callers' number. Each VM has two links to every other
+/// one at most, one for its traffic and one for the store.
+const PEER_CONNECTION_PARTS: usize = 3;
 /// Interval at which refusals are logged for the same reason.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -63,7 +66,7 @@
 pub fn peer_bounds(bounds: CallerBounds) -> CallerBounds {
     CallerBounds {
         max_bytes: bounds.max_bytes / PEER_PARTS,
-        max_connections: (bounds.max_connections / PEER_PARTS).max(1),
+        max_connections: (bounds.max_connections / PEER_CONNECTION_PARTS).max(1),
         ..bounds
     }
 }
--- a/src/fleet/connection_activity.rs
+++ b/src/fleet/connection_activity.rs
@@ -91,7 +91,10 @@
         state.is_serving = true;
         state.has_served = true;
         state.head_began_at = None;
-        self.account.enter(Phase::Serving);
+        // A request behind an answer that is not read waits for the caller too.
+        if !state.is_write_blocked {
+            self.account.enter(Phase::Serving);
+        }
         RequestInProgress(Arc::clone(self))
     }
 
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -428,7 +428,14 @@
                 batch,
             ));
         }
-        let is_idle = queue.batcher.lock().waiting() == 0;
+        let is_idle = {
+            let batcher = queue.batcher.lock();
+            let is_idle = batcher.waiting() == 0;
+            if is_idle {
+                metric::items_waiting(&id, batcher.waiting_by_priority());
+            }
+            is_idle
+        };
         if is_idle {
             queue.wake.notified().await;
         } else {
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -404,7 +404,10 @@
         }
         running.retain(|_, task| !task.is_finished());
         held.lock().release();
-        account.enter(Phase::Idle);
+        account.enter(match running.is_empty() {
+            true => Phase::Idle,
+            false => Phase::Serving,
+        });
         let frame = match decode(bytes) {
             Ok(frame) => frame,
             Err(error) => {
--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -117,10 +117,14 @@
         match node.peers.call(vm.ip, call).await {
             Ok(Body::Results(results)) => return Ok(results.handles),
             Ok(Body::JobFailed(failed)) if failed.is_stopping => {
+                job.is_retry |= failed.may_have_run;
                 info!(node.logger, "stages: the owner stops, trying the next VM";
                     "id" => &*job.request, "group" => %group, "stopping_vm" => %vm.name);
             }
-            Ok(Body::JobFailed(failed)) => return Err(decode_failure(&failed)),
+            Ok(Body::JobFailed(failed)) => {
+                job.is_retry |= failed.may_have_run;
+                return Err(decode_failure(&failed));
+            }
             Ok(_) => {
                 warn!(node.logger, "stages: a VM sent an answer of the wrong type"; "vm" => %vm.name)
             }
@@ -200,20 +204,19 @@
 /// all jobs of a service to one VM; it is sent on to the owner of its group.
 async fn serve_job(node: &Arc<Node>, wire: StageJob) -> Body {
     let _active = ActivePeerJob::new(node);
-    let stopping = || {
-        Body::JobFailed(JobFailed {
-            is_stopping: true,
-            // For earlier builds, which look no further.
-            ..failed_job(JobFailure::NO_ENDPOINT)
-        })
+    let stopping = || JobFailed {
+        is_stopping: true,
+        // For earlier builds, which look no further.
+        ..failed_job(JobFailure::NO_ENDPOINT)
     };
     if node.is_stopping() {
-        return stopping();
+        return Body::JobFailed(stopping());
     }
     let service = wire.service.clone();
     let group: Option<GroupId> = wire.group.as_ref().and_then(|group| group.parse().ok());
     let may_move = wire.may_move;
     let may_forward = node.forwards_jobs() && !wire.is_forwarded && !wire.is_retry;
+    let was_retry = wire.is_retry;
     let mut job = decode_job(wire, clock::now());
     let outcome = match (group, service.parse()) {
         // The sender may not know all VMs yet.
@@ -221,15 +224,21 @@
             node.wait_for_fleet().await;
             run_at_owner(node, &node.view(), &group, &mut job, may_move, true).await
         }
-        (Some(group), _) => node.dispatcher.run(&group, job, may_move).await,
-        (None, Ok(service)) => run_job(node, &service, job).await,
+        (Some(group), _) => node.dispatcher.run(&group, job.clone(), may_move).await,
+        (None, Ok(service)) => run_job(node, &service, job.clone()).await,
         (None, Err(_)) => Err(JobFailure::NO_ENDPOINT),
     };
-    match outcome {
-        Ok(handles) => Body::Results(Handles { handles, service }),
+    // A VM that the job was passed on to may have run it, which the sender has to count as a run.
+    let may_have_run = job.is_retry && !was_retry;
+    let failed = match outcome {
+        Ok(handles) => return Body::Results(Handles { handles, service }),
         Err(JobFailure::NO_ENDPOINT) if node.is_stopping() => stopping(),
-        Err(failure) => Body::JobFailed(failed_job(failure)),
-    }
+        Err(failure) => failed_job(failure),
+    };
+    Body::JobFailed(JobFailed {
+        may_have_run: failed.may_have_run || may_have_run,
+        ..failed
+    })
 }
 
 /// Reports the loads of the groups that this VM owns to the owners of the other groups of the same
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -187,11 +187,14 @@
         };
         Self {
             process: ProcessKey(wire.process),
-            load: wire.load_number.map(|number| Observation {
-                value: report,
-                number,
-                age: Duration::from_millis(wire.load_age_ms.into()),
-            }),
+            load: wire
+                .load_number
+                .filter(|_| report.is_plausible())
+                .map(|number| Observation {
+                    value: report,
+                    number,
+                    age: Duration::from_millis(wire.load_age_ms.into()),
+                }),
             has_failed: wire.outcome_number.map(|number| Observation {
                 value: wire.has_failed,
                 number,
--- a/src/platform/endpoint_call.rs
+++ b/src/platform/endpoint_call.rs
@@ -20,10 +20,6 @@
 const LEAVING: &str = "server-leaving";
 /// Header with the load of an endpoint.
 const LOAD: &str = "instance-load";
-/// Largest number of requests or slots in a report of load that is believed.
-const MAX_REPORTED_REQUESTS: u32 = 100_000;
-/// Largest work time in a report of load that is believed, in percent.
-const MAX_WORK_TIME_PERCENT: u32 = 100_000;
 
 /// Request headers that are not passed on from callers to endpoints: they apply to a single
 /// connection, or only this system may set them.
@@ -192,23 +188,16 @@
 pub fn load_of(headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(LOAD)?.to_str().ok()?;
     let mut figures = text.splitn(5, ',').map(|figure| figure.trim().parse().ok());
-    let mut requests = || -> Option<u32> {
-        let count = figures.next()??;
-        (count <= MAX_REPORTED_REQUESTS).then_some(count)
+    let report = LoadReport {
+        running: figures.next()??,
+        waiting: figures.next()??,
+        slots: figures.next()??,
+        work_time_percent: match figures.next() {
+            None => None,
+            Some(percent) => Some(percent?),
+        },
     };
-    let (running, waiting, slots) = (requests()?, requests()?, requests()?);
-    let work_time_percent = match figures.next() {
-        None => None,
-        Some(percent) => {
-            Some(percent.filter(|percent| (1..=MAX_WORK_TIME_PERCENT).contains(percent))?)
-        }
-    };
-    (slots > 0).then_some(LoadReport {
-        running,
-        waiting,
-        slots,
-        work_time_percent,
-    })
+    report.is_plausible().then_some(report)
 }
 
 /// Returns the headers of an endpoint's answer that are passed on to the caller.
--- a/tests/fleet_rules/warm_start.rs
+++ b/tests/fleet_rules/warm_start.rs
@@ -192,11 +192,11 @@
     let mut owners_by_count: BTreeMap<usize, usize> = BTreeMap::new();
     while fleet.now_ms < 3_000 {
         let now_ms = fleet.now_ms;
-        for index in 0..VMS {
-            if (start_ms[index]..start_ms[index] + 10).contains(&now_ms) {
+        for (index, start_ms) in start_ms.iter().enumerate() {
+            if (*start_ms..start_ms + 10).contains(&now_ms) {
                 fleet.vms[index] = Some(new_vm(index, seed));
             }
-            let listed_at = start_ms[index] + LISTING_MS;
+            let listed_at = start_ms + LISTING_MS;
             if (listed_at..listed_at + 10).contains(&now_ms)
                 && let Some(vm) = &mut fleet.vms[index]
             {
