fix(fleet): a VM that stops gives another VM's job back instead of passing it on

Cause: a VM that has just started passes jobs of other VMs on to the owner that it knows, itself included. Change: the VM answers that it stops, as before, and the sender goes to the next owner.

--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -138,8 +138,13 @@
         }
     }
     let outcome = node.dispatcher.run(group, job.clone(), may_move).await;
-    if !was_stopping && node.is_stopping() && outcome == Err(JobFailure::NO_ENDPOINT) {
-        // The job has been handed over. There is no further round, since this VM is stopping now.
+    if !is_forwarded
+        && !was_stopping
+        && node.is_stopping()
+        && outcome == Err(JobFailure::NO_ENDPOINT)
+    {
+        // The job has been handed over. Another VM's job goes back to it, since its call to this VM would break
+        // off at the end of the stop. There is no further round, since this VM is stopping now.
         let view = node.view();
         return Box::pin(run_at_owner(
             node,
