Review: an answer without a length that its engine breaks off reaches callers as whole

A plain answer without a length ends with its connection. The VM takes the end of the connection of an engine that was killed for the end of the answer, and gives the part that came a length of its own. Streams are checked for this, plain answers are not.

--- /dev/null
+++ b/review/standins-2/engine.rs
@@ -0,0 +1,76 @@
+//! Stand-in for an engine. It answers each request after some work, on a connection of its own.
+
+use std::fs::File;
+use std::io::{self, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::http;
+
+/// Time for which an engine works on a request before it answers.
+const WORK: Duration = Duration::from_millis(60);
+/// Number of parts of an answer without a length, and the pause between two of them.
+const PARTS: usize = 12;
+const PART_PAUSE: Duration = Duration::from_millis(30);
+
+/// Returns the whole body for a request.
+pub fn body_of(id: &str) -> String {
+    let parts = (0..PARTS).map(|part| format!("{id} record {part} {}\n", "x".repeat(4_000)));
+    parts.collect::<String>() + &format!("{id} end of records\n")
+}
+
+/// Runs requests: `framed` answers with a length and at once, `unframed` without a length, part by part.
+pub fn serve(address: &str, id: &str, kind: &str, log: &str) {
+    let log = File::options().create(true).append(true).open(log);
+    let log = Arc::new(log.expect("the log can be written"));
+    let listener = TcpListener::bind(address).expect("the address is free");
+    for stream in listener.incoming().flatten() {
+        let (id, kind, log) = (id.to_owned(), kind.to_owned(), Arc::clone(&log));
+        thread::spawn(move || {
+            // The caller may leave at any time.
+            let _ = answer(stream, &id, &kind, &log);
+        });
+    }
+}
+
+fn answer(stream: TcpStream, id: &str, kind: &str, log: &File) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut reader = BufReader::new(stream);
+    let request = http::read(&mut reader, false)?;
+    let stream = reader.get_mut();
+    if request.header("expect-instance").is_some_and(|expected| expected != id) {
+        let refusal = format!("HTTP/1.1 421 Misdirected\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+        return stream.write_all(refusal.as_bytes());
+    }
+    let request_id = request.header("request-id").unwrap_or_default();
+    let body = body_of(request_id);
+    note(log, &format!("engine {id}: runs {request_id} {}", request.first_line))?;
+    thread::sleep(WORK);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Signature: {id}.{request_id}.{}\r\n",
+        body.len()
+    );
+    if kind == "framed" {
+        let short = &body[..800];
+        write!(stream, "{head}Content-Length: {}\r\n\r\n{short}", short.len())?;
+        return Ok(());
+    }
+    write!(stream, "{head}Connection: close\r\n\r\n")?;
+    for line in body.split_inclusive('\n') {
+        stream.write_all(line.as_bytes())?;
+        thread::sleep(PART_PAUSE);
+    }
+    let bytes = body.len();
+    note(
+        log,
+        &format!("engine {id}: has sent the whole answer to {request_id}, {bytes} bytes"),
+    )
+}
+
+/// Writes a line with its time, at once, since the engines share the file.
+fn note(mut log: &File, text: &str) -> io::Result<()> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    log.write_all(format!("{} {text}\n", now.as_millis()).as_bytes())
+}
--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,24 @@
+//! Stand-ins for the store and for engines, and the cases that use them.
+//!
+//!     cases store ADDRESS ITEMS          serves the items of a file
+//!     cases engine ADDRESS ID KIND LOG   runs requests and writes what it runs to a file
+//!     cases 6 FOLDER                     runs a case; FOLDER/record.txt receives what happened
+
+mod engine;
+mod fleet;
+mod http;
+mod store;
+
+#[path = "../6/case.rs"]
+mod case_6;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    match arguments[..] {
+        ["store", address, items] => store::serve(address, items),
+        ["engine", address, id, kind, log] => engine::serve(address, id, kind, log),
+        ["6", folder] => std::process::exit(fleet::run(folder, case_6::run)),
+        _ => std::process::exit(2),
+    }
+}
