Review: idle connections of callers take a process over its memory

1,900 callers that had one answer and keep their connections open hold about 138 kB each, of which 20 KiB are charged: the read buffers of the HTTP library are not counted, and not kept small while less than half of the budget is charged. With a second body that stops short the process holds 312 MB on a machine with 260 MB.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,7 +2,7 @@
 //!
 //!     cases store ADDRESS ITEMS          serves the items of a file
 //!     cases engine ADDRESS ID KIND LOG   runs requests and writes what it runs to a file
-//!     cases 6 FOLDER                     runs a case; FOLDER/record.txt receives what happened
+//!     cases 6|7 FOLDER                   runs a case; FOLDER/record.txt receives what happened
 
 mod engine;
 mod fleet;
@@ -11,6 +11,8 @@
 
 #[path = "../6/case.rs"]
 mod case_6;
+#[path = "../7/case.rs"]
+mod case_7;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -19,6 +21,7 @@
         ["store", address, items] => store::serve(address, items),
         ["engine", address, id, kind, log] => engine::serve(address, id, kind, log),
         ["6", folder] => std::process::exit(fleet::run(folder, case_6::run)),
+        ["7", folder] => std::process::exit(fleet::run(folder, case_7::run)),
         _ => std::process::exit(2),
     }
 }
