Review: a stream that broke off while its VM stood still ends as complete

A stream without length or chunks is taken for complete if its engine's address accepts a connection when the end is read. While the VM stood still, the engine ended and another process took its address.

--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -15,13 +15,18 @@
 const PARTS: usize = 12;
 const PART_PAUSE: Duration = Duration::from_millis(30);
 
+/// Number of events of a stream, and the pause between two of them.
+pub const EVENTS: usize = 40;
+const EVENT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Returns the whole body for a request.
 pub fn body_of(id: &str) -> String {
     let parts = (0..PARTS).map(|part| format!("{id} record {part} {}\n", "x".repeat(4_000)));
     parts.collect::<String>() + &format!("{id} end of records\n")
 }
 
-/// Runs requests: `framed` answers with a length and at once, `unframed` without a length, part by part.
+/// Runs requests: `framed` answers with a length and at once, `unframed` without a length and part by part, and
+/// `stream` with events, without a length too.
 pub fn serve(address: &str, id: &str, kind: &str, log: &str) {
     let log = File::options().create(true).append(true).open(log);
     let log = Arc::new(log.expect("the log can be written"));
@@ -58,6 +63,15 @@
         return Ok(());
     }
     write!(stream, "{head}Connection: close\r\n\r\n")?;
+    if kind == "stream" {
+        let resumed_after = request.header("last-event-id").and_then(|id| id.parse().ok());
+        for event in resumed_after.map_or(0, |id: usize| id + 1)..EVENTS {
+            write!(stream, "id: {event}\ndata: {request_id} token {event}\n\n")?;
+            note(log, &format!("engine {id}: has sent event {event} of {request_id}"))?;
+            thread::sleep(EVENT_PAUSE);
+        }
+        return note(log, &format!("engine {id}: has sent the last event of {request_id}"));
+    }
     for line in body.split_inclusive('\n') {
         stream.write_all(line.as_bytes())?;
         thread::sleep(PART_PAUSE);
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -1,5 +1,6 @@
 //! A small deployment on loopback addresses: a store, engines and VMs, each a process of its own.
 
+use std::collections::HashSet;
 use std::fs::{self, File};
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -48,9 +49,15 @@
         writeln!(self.file.lock().unwrap(), "{after:8.3} s  {text}").unwrap();
     }
 
-    /// Adds what the engines have run: each line of their log, or the number of requests if these are many.
+    /// Adds what the engines have run: each line of their log, but only the last event of each stream, or the
+    /// number of requests if the lines are many.
     fn add_engines(&self, log: &str) {
-        let lines: Vec<&str> = log.lines().collect();
+        let mut seen = HashSet::new();
+        let mut lines: Vec<&str> = log.lines().rev().collect();
+        lines.retain(|line| {
+            let event = line.split_once(" has sent event ");
+            event.is_none_or(|(_, event)| seen.insert(event.split_once(" of ").map(|(_, stream)| stream)))
+        });
         if lines.len() > MAX_ENGINE_LINES {
             let runs = |name: &str| lines.iter().filter(|line| line.contains(name)).count();
             let (first, second) = (runs(" runs first-"), runs(" runs second-"));
@@ -59,7 +66,7 @@
             ));
             return;
         }
-        for (ms, text) in lines.iter().filter_map(|line| line.split_once(' ')) {
+        for (ms, text) in lines.iter().rev().filter_map(|line| line.split_once(' ')) {
             let at = UNIX_EPOCH + Duration::from_millis(ms.parse().unwrap_or(0));
             self.line_at(at, text);
         }
@@ -90,6 +97,13 @@
         end(&mut self.child);
     }
 
+    /// Sends a signal to the process: `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.as_ref().map_or(0, Child::id);
+        let status = Command::new("sh").args(["-c", &format!("kill -{name} {pid}")]).status();
+        assert!(status.is_ok_and(|status| status.success()), "the signal was sent");
+    }
+
     pub fn callers(&self) -> SocketAddr {
         (self.ip, 8625).into()
     }
@@ -130,6 +144,8 @@
     /// What the engines have run.
     pub engine_log: PathBuf,
     store: Option<Child>,
+    engine_kind: String,
+    engine_addresses: Vec<SocketAddr>,
     files: PathBuf,
 }
 
@@ -168,6 +184,8 @@
         has_trouble,
         engine_log: files.join("engines.log"),
         store: None,
+        engine_kind: String::new(),
+        engine_addresses: Vec::new(),
         files,
     };
     File::create(&fleet.engine_log).unwrap();
@@ -203,16 +221,17 @@
         }
         let items_file = self.files.join("items");
         fs::write(&items_file, items).unwrap();
-        let spawn = |command: &mut Command| command.stdin(Stdio::null()).spawn().unwrap();
         let mut command = Command::new(&cases);
-        self.store = Some(spawn(command.args(["store", &store.to_string()]).arg(&items_file)));
-        for (number, address) in addresses.iter().enumerate() {
-            let id = format!("i-{number}");
-            let mut command = Command::new(&cases);
-            command
-                .args(["engine", &address.to_string(), &id, kind])
-                .arg(&self.engine_log);
-            self.engines.push(Some(spawn(&mut command)));
+        command
+            .args(["store", &store.to_string()])
+            .arg(&items_file)
+            .stdin(Stdio::null());
+        self.store = Some(command.spawn().unwrap());
+        self.engine_kind = kind.to_owned();
+        self.engine_addresses = addresses;
+        for number in 0..engines {
+            self.engines.push(None);
+            self.start_engine(number);
         }
         thread::sleep(Duration::from_millis(300));
         let ips: Vec<Ipv4Addr> = (0..vms).map(|number| ip(1, number)).collect();
@@ -235,6 +254,17 @@
     }
 }
 
+impl Fleet {
+    /// Starts the process of an engine, under the id and the address that it had before.
+    pub fn start_engine(&mut self, number: usize) {
+        let address = self.engine_addresses[number].to_string();
+        let mut command = Command::new(std::env::current_exe().unwrap());
+        command.args(["engine", &address, &format!("i-{number}"), &self.engine_kind]);
+        command.arg(&self.engine_log).stdin(Stdio::null());
+        self.engines[number] = Some(command.spawn().unwrap());
+    }
+}
+
 /// Returns the second byte of loopback addresses whose ports nobody uses.
 fn free_subnet() -> Option<u8> {
     let first = std::process::id() % 100;
@@ -282,16 +312,24 @@
     text
 }
 
-/// One service with two routes: `/pay/` may run once, `/look/` may be repeated.
+/// One service with four routes: requests to `/pay/` run once, those to `/look/` may be repeated, and streams of
+/// `/chat/` may be resumed while those of `/brief/` may not.
 fn configuration() -> String {
-    let route = |path: &str, kind: &str, attempts: u32| {
+    let route = |path: &str, kind: &str, attempts: u32, stream: &str| {
         format!(
             "{{\"Name\":\"r-{path}\",\"Host\":\"{HOST}\",\"PathPrefix\":\"/{path}/\",\"RouteKind\":\"{kind}\",\
              \"TimeoutMs\":6000,\"TargetLatencyMs\":300,\"Priority\":2,\"Service\":\"wuno96b\",\
-             \"MaxAttempts\":{attempts},\"Public\":false}}"
+             \"MaxAttempts\":{attempts},\"Public\":false{stream}}}"
         )
     };
-    let routes = [route("pay", "non_idempotent", 1), route("look", "idempotent", 2)].join(",");
+    let stream = |resumable: bool| format!(",\"Sticky\":true,\"Resumable\":{resumable},\"GapTargetMs\":500");
+    let routes = [
+        route("pay", "non_idempotent", 1, ""),
+        route("look", "idempotent", 2, ""),
+        route("chat", "streaming", 2, &stream(true)),
+        route("brief", "streaming", 1, &stream(false)),
+    ]
+    .join(",");
     format!(
         "{{\"Version\":7,\"Routes\":[{routes}],\"Services\":[{{\"Name\":\"wuno96b\",\"HealthPath\":\"/healthz\",\
          \"MaxConnections\":96,\"Protocol\":\"h1\",\"Tls\":false,\"ColdStartS\":0.0,\"ColdPerS\":0.0}}],\
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,7 +2,7 @@
 //!
 //!     cases store ADDRESS ITEMS          serves the items of a file
 //!     cases engine ADDRESS ID KIND LOG   runs requests and writes what it runs to a file
-//!     cases 6|7 FOLDER                   runs a case; FOLDER/record.txt receives what happened
+//!     cases 6|7|8 FOLDER                 runs a case; FOLDER/record.txt receives what happened
 
 mod engine;
 mod fleet;
@@ -13,6 +13,8 @@
 mod case_6;
 #[path = "../7/case.rs"]
 mod case_7;
+#[path = "../8/case.rs"]
+mod case_8;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -22,6 +24,7 @@
         ["engine", address, id, kind, log] => engine::serve(address, id, kind, log),
         ["6", folder] => std::process::exit(fleet::run(folder, case_6::run)),
         ["7", folder] => std::process::exit(fleet::run(folder, case_7::run)),
+        ["8", folder] => std::process::exit(fleet::run(folder, case_8::run)),
         _ => std::process::exit(2),
     }
 }
