--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,11 +9,11 @@
 mod http;
 mod store;
 
-#[path = "../6/case.rs"]
+#[path = "../6/course.rs"]
 mod case_6;
-#[path = "../7/case.rs"]
+#[path = "../7/course.rs"]
 mod case_7;
-#[path = "../8/case.rs"]
+#[path = "../8/course.rs"]
 mod case_8;
 
 fn main() {
