--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -30,6 +30,28 @@
     CouldNotRun(String),
 }
 
+/// Time after which a run is given up.
+const MAX_RUN: Duration = Duration::from_secs(105);
+
+/// Ids of the processes that this run has started and not ended.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn spawn(command: &mut Command) -> Option<Child> {
+    let child = command.spawn().unwrap();
+    CHILDREN.lock().unwrap().push(child.id());
+    Some(child)
+}
+
+/// Ends all processes of a run that takes too long, and the run itself.
+fn watch_time() {
+    thread::sleep(MAX_RUN);
+    for child in CHILDREN.lock().unwrap().iter() {
+        let _ = Command::new("sh").args(["-c", &format!("kill -KILL {child}")]).status();
+    }
+    println!("could not run: no end within {MAX_RUN:?}");
+    std::process::exit(2);
+}
+
 /// Largest number of engines' lines that go into the record one by one.
 const MAX_ENGINE_LINES: usize = 200;
 
@@ -90,7 +112,7 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
             .stderr(log);
-        self.child = Some(command.spawn().unwrap());
+        self.child = spawn(&mut command);
     }
 
     pub fn kill(&mut self) {
@@ -161,6 +183,7 @@
 /// Kills a process that this run started.
 pub fn end(child: &mut Option<Child>) {
     if let Some(mut child) = child.take() {
+        CHILDREN.lock().unwrap().retain(|id| *id != child.id());
         let _ = child.kill();
         let _ = child.wait();
     }
@@ -189,6 +212,7 @@
         files,
     };
     File::create(&fleet.engine_log).unwrap();
+    thread::spawn(watch_time);
     let verdict = case(&mut fleet);
     let (code, text) = match verdict {
         Verdict::Held => (0, "held".to_owned()),
@@ -226,7 +250,7 @@
             .args(["store", &store.to_string()])
             .arg(&items_file)
             .stdin(Stdio::null());
-        self.store = Some(command.spawn().unwrap());
+        self.store = spawn(&mut command);
         self.engine_kind = kind.to_owned();
         self.engine_addresses = addresses;
         for number in 0..engines {
@@ -270,7 +294,7 @@
         let mut command = Command::new(std::env::current_exe().unwrap());
         command.args(["engine", &address, &format!("i-{number}"), &self.engine_kind]);
         command.arg(&self.engine_log).stdin(Stdio::null());
-        self.engines[number] = Some(command.spawn().unwrap());
+        self.engines[number] = spawn(&mut command);
     }
 }
 
