Review: an engine's own 503 tells callers that a payout has not run

Answers with a signature are passed on with their status. An engine that fails after it has run a request may answer 503 without Not-Executed, which disclaims nothing; passed on, it promises that the request has not run.

--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -4,6 +4,7 @@
 use std::io::{self, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -19,6 +20,10 @@
 pub const EVENTS: usize = 40;
 const EVENT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Of so many requests, a `grey` engine fails so many after it has run them.
+const GREY_OF: usize = 5;
+const GREY_FAILS: usize = 2;
+
 /// Returns the whole body for a request.
 pub fn body_of(id: &str) -> String {
     let parts = (0..PARTS).map(|part| format!("{id} record {part} {}\n", "x".repeat(4_000)));
@@ -26,7 +31,7 @@
 }
 
 /// Runs requests: `framed` answers with a length and at once, `unframed` without a length and part by part, and
-/// `stream` with events, without a length too.
+/// `stream` with events, without a length too. `grey` is `framed`, and fails some requests that it has run.
 pub fn serve(address: &str, id: &str, kind: &str, log: &str) {
     let log = File::options().create(true).append(true).open(log);
     let log = Arc::new(log.expect("the log can be written"));
@@ -51,13 +56,27 @@
     }
     let request_id = request.header("request-id").unwrap_or_default();
     let body = body_of(request_id);
-    note(log, &format!("engine {id}: runs {request_id} {}", request.first_line))?;
+    let text = String::from_utf8_lossy(&request.body);
+    let text = if text.len() < 40 { &text } else { "" };
+    note(
+        log,
+        &format!("engine {id}: runs {request_id} {} {text}", request.first_line),
+    )?;
     thread::sleep(WORK);
     let head = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Signature: {id}.{request_id}.{}\r\n",
         body.len()
     );
-    if kind == "framed" {
+    static RUNS: AtomicUsize = AtomicUsize::new(0);
+    if kind == "grey" && RUNS.fetch_add(1, Ordering::Relaxed) % GREY_OF < GREY_FAILS {
+        note(
+            log,
+            &format!("engine {id}: has run {request_id}, and answers 503 without Not-Executed"),
+        )?;
+        let head = head.replacen("200 OK", "503 Service Unavailable", 1);
+        return write!(stream, "{head}Content-Length: 14\r\n\r\nledger is away");
+    }
+    if kind == "framed" || kind == "grey" {
         let short = &body[..800];
         write!(stream, "{head}Content-Length: {}\r\n\r\n{short}", short.len())?;
         return Ok(());
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -166,7 +166,7 @@
     /// What the engines have run.
     pub engine_log: PathBuf,
     store: Option<Child>,
-    engine_kind: String,
+    engine_kinds: Vec<String>,
     engine_addresses: Vec<SocketAddr>,
     files: PathBuf,
 }
@@ -207,7 +207,7 @@
         has_trouble,
         engine_log: files.join("engines.log"),
         store: None,
-        engine_kind: String::new(),
+        engine_kinds: Vec::new(),
         engine_addresses: Vec::new(),
         files,
     };
@@ -227,7 +227,7 @@
 }
 
 impl Fleet {
-    /// Starts a store, `engines` engines of a kind and `vms` VMs, and waits until the VMs are ready.
+    /// Starts a store, `engines` engines of these kinds and `vms` VMs, and waits until the VMs are ready.
     pub fn start(&mut self, engines: usize, kind: &str, vms: usize) -> Result<(), String> {
         let subnet = free_subnet().ok_or("no free addresses")?;
         let ip = |part: u8, number: usize| Ipv4Addr::new(127, subnet, part, number as u8 + 1);
@@ -251,9 +251,11 @@
             .arg(&items_file)
             .stdin(Stdio::null());
         self.store = spawn(&mut command);
-        self.engine_kind = kind.to_owned();
         self.engine_addresses = addresses;
         for number in 0..engines {
+            // The last kind is that of all further engines.
+            let kind = kind.split(' ').nth(number).or(kind.split(' ').last());
+            self.engine_kinds.push(kind.unwrap_or_default().to_owned());
             self.engines.push(None);
             self.start_engine(number);
         }
@@ -292,7 +294,7 @@
     pub fn start_engine(&mut self, number: usize) {
         let address = self.engine_addresses[number].to_string();
         let mut command = Command::new(std::env::current_exe().unwrap());
-        command.args(["engine", &address, &format!("i-{number}"), &self.engine_kind]);
+        command.args(["engine", &address, &format!("i-{number}"), &self.engine_kinds[number]]);
         command.arg(&self.engine_log).stdin(Stdio::null());
         self.engines[number] = spawn(&mut command);
     }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,7 +2,7 @@
 //!
 //!     cases store ADDRESS ITEMS          serves the items of a file
 //!     cases engine ADDRESS ID KIND LOG   runs requests and writes what it runs to a file
-//!     cases 6|7|8 FOLDER                 runs a case; FOLDER/record.txt receives what happened
+//!     cases 6|7|8|9 FOLDER                 runs a case; FOLDER/record.txt receives what happened
 
 mod engine;
 mod fleet;
@@ -15,6 +15,8 @@
 mod case_7;
 #[path = "../8/course.rs"]
 mod case_8;
+#[path = "../9/course.rs"]
+mod case_9;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -25,6 +27,7 @@
         ["6", folder] => std::process::exit(fleet::run(folder, case_6::run)),
         ["7", folder] => std::process::exit(fleet::run(folder, case_7::run)),
         ["8", folder] => std::process::exit(fleet::run(folder, case_8::run)),
+        ["9", folder] => std::process::exit(fleet::run(folder, case_9::run)),
         _ => std::process::exit(2),
     }
 }
