--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -119,13 +119,6 @@
         end(&mut self.child);
     }
 
-    /// Sends a signal to the process: `STOP` or `CONT`.
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.as_ref().map_or(0, Child::id);
-        let status = Command::new("sh").args(["-c", &format!("kill -{name} {pid}")]).status();
-        assert!(status.is_ok_and(|status| status.success()), "the signal was sent");
-    }
-
     pub fn callers(&self) -> SocketAddr {
         (self.ip, 8625).into()
     }
@@ -165,6 +158,9 @@
     pub has_trouble: bool,
     /// What the engines have run.
     pub engine_log: PathBuf,
+    /// Whether the first engine is behind a path that can be cut.
+    pub has_path: bool,
+    path: Option<Child>,
     store: Option<Child>,
     engine_kinds: Vec<String>,
     engine_addresses: Vec<SocketAddr>,
@@ -175,6 +171,7 @@
     fn drop(&mut self) {
         self.vms.iter_mut().for_each(Vm::kill);
         self.engines.iter_mut().for_each(end);
+        end(&mut self.path);
         end(&mut self.store);
         let _ = fs::remove_dir_all(&self.files);
     }
@@ -206,6 +203,8 @@
         record,
         has_trouble,
         engine_log: files.join("engines.log"),
+        has_path: false,
+        path: None,
         store: None,
         engine_kinds: Vec::new(),
         engine_addresses: Vec::new(),
@@ -252,6 +251,14 @@
             .stdin(Stdio::null());
         self.store = spawn(&mut command);
         self.engine_addresses = addresses;
+        if self.has_path {
+            let listen = self.engine_addresses[0].to_string();
+            self.engine_addresses[0].set_port(9001);
+            let mut command = Command::new(&cases);
+            command.args(["proxy", &listen, &self.engine_addresses[0].to_string()]);
+            command.arg(self.files.join("cut")).stdin(Stdio::null());
+            self.path = spawn(&mut command);
+        }
         for number in 0..engines {
             // The last kind is that of all further engines.
             let kind = kind.split(' ').nth(number).or(kind.split(' ').last());
@@ -290,6 +297,15 @@
         }
     }
 
+    /// Cuts the path between the first engine and all VMs, or ends the cut.
+    pub fn set_cut(&self, is_cut: bool) {
+        let file = self.files.join("cut");
+        match is_cut {
+            true => drop(File::create(file).unwrap()),
+            false => fs::remove_file(file).unwrap(),
+        }
+    }
+
     /// Starts the process of an engine, under the id and the address that it had before.
     pub fn start_engine(&mut self, number: usize) {
         let address = self.engine_addresses[number].to_string();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the store and for engines, and the cases that use them.
 //!
+//!     cases proxy LISTEN TARGET CUT      passes connections on while the file CUT does not exist
 //!     cases store ADDRESS ITEMS          serves the items of a file
 //!     cases engine ADDRESS ID KIND LOG   runs requests and writes what it runs to a file
 //!     cases 6|7|8|9 FOLDER                 runs a case; FOLDER/record.txt receives what happened
@@ -7,6 +8,7 @@
 mod engine;
 mod fleet;
 mod http;
+mod proxy;
 mod store;
 
 #[path = "../6/course.rs"]
@@ -24,6 +26,7 @@
     match arguments[..] {
         ["store", address, items] => store::serve(address, items),
         ["engine", address, id, kind, log] => engine::serve(address, id, kind, log),
+        ["proxy", listen, target, cut] => proxy::serve(listen, target, cut),
         ["6", folder] => std::process::exit(fleet::run(folder, case_6::run)),
         ["7", folder] => std::process::exit(fleet::run(folder, case_7::run)),
         ["8", folder] => std::process::exit(fleet::run(folder, case_8::run)),
