feat(fleet): tell refusals of endpoints from those of a VM in logs and metrics

Cause: `request: answered` with status 503 read the same whether the VM had refused the request or passed on the word of an endpoint, and nothing said whether the endpoint had stated that it had not run it.

Change: one line and one count for each refusal of an endpoint, with its status, whether it states that the request has not run, its signature and the request that it names; `source` in `request: answered` and in primrosewalk_requests_total. The head of an answer is read in one place for plain requests and streams.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -104,24 +104,54 @@
     }
 }
 
+/// Whose answer a caller gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerSource {
+    /// This VM's own.
+    Vm,
+    /// That of an endpoint, unchanged.
+    Endpoint,
+}
+
+impl AnswerSource {
+    /// Returns the name for logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Vm => "vm",
+            Self::Endpoint => "endpoint",
+        }
+    }
+}
+
 /// How a request ended: the answer to the caller, with the reason for the log.
 pub struct RequestEnd {
     /// The answer to the caller. It is boxed to keep results small, since most results that can
     /// hold it hold another value.
     pub reply: Box<Reply>,
+    /// Whose answer it is.
+    pub source: AnswerSource,
     /// What led to the answer.
     pub reason: String,
 }
 
 impl RequestEnd {
-    /// Pairs an answer with its reason.
+    /// Pairs an answer of this VM with its reason.
     pub fn new(reply: Reply, reason: impl Into<String>) -> Self {
         Self {
             reply: Box::new(reply),
+            source: AnswerSource::Vm,
             reason: reason.into(),
         }
     }
 
+    /// Pairs an answer of an endpoint with its reason.
+    pub fn relayed(reply: Reply, reason: impl Into<String>) -> Self {
+        Self {
+            source: AnswerSource::Endpoint,
+            ..Self::new(reply, reason)
+        }
+    }
+
     /// Ends a request that cannot be answered before this VM stops. `runs` is the number of times that it has
     /// run or may have run.
     pub fn vm_stops(runs: u32) -> Self {
--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
+use hyper::http::response;
 use hyper::{Request, StatusCode};
 use slog::info;
 use smallvec::SmallVec;
@@ -21,7 +22,9 @@
 use crate::fleet::model::{Endpoint, RouteKind};
 use crate::fleet::node::Node;
 use crate::fleet::reply;
-use crate::platform::endpoint_call::{EndpointHeaders, endpoint_headers};
+use crate::platform::endpoint_call::{
+    EndpointHeaders, ResponseClass, classify, endpoint_headers, refusal_of,
+};
 use crate::units::{DataCentreName, EndpointName, PartId};
 
 /// Time after which a caller should retry, sent when no endpoint takes its request.
@@ -223,6 +226,26 @@
     }
 }
 
+/// Heeds what the head of an endpoint's answer asks for, and classifies it. A refusal is logged with what the
+/// endpoint states about it, since the answer to the caller does not show that.
+pub fn read_head(
+    node: &Node,
+    admitted: &AdmittedRequest,
+    endpoint: &Endpoint,
+    head: &response::Parts,
+) -> ResponseClass {
+    let id = &admitted.caller.id;
+    node.notices.read(endpoint, head.status, &head.headers);
+    if let Some(refusal) = refusal_of(head.status, &head.headers, id) {
+        metric::endpoint_refused(head.status.as_u16(), refusal.states_not_run);
+        info!(node.logger, "request: an endpoint refused it"; "id" => id,
+            "endpoint" => %endpoint.id, "status" => head.status.as_u16(),
+            "states_not_run" => refusal.states_not_run, "signed" => refusal.is_signed,
+            "answered_id" => refusal.answered_id.name());
+    }
+    classify(head.status, &head.headers, id)
+}
+
 /// Builds the request to an endpoint. `inputs` are the stage results that it reads, and
 /// `last_event` is the number of the event after which a stream is resumed.
 pub fn build_request(
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -10,16 +10,26 @@
 use crate::decisions::revision_lag::StoreProgress;
 use crate::decisions::stage_groups::GroupId;
 use crate::decisions::work_order::MAX_PRIORITY;
+use crate::fleet::admission::AnswerSource;
 use crate::fleet::request_progress::{LossCause, Wait};
 use crate::units::StorePosition;
 
-/// Counts a caller's request by its outcome and status, and records the time until its answer.
-pub fn request_ended(outcome: &'static str, status: u16, took: Duration) {
-    counter!("primrosewalk_requests_total", "outcome" => outcome, "status" => status.to_string())
-        .increment(1);
+/// Counts a caller's request by its outcome, its status and whose answer it got, and records the time until its
+/// answer.
+pub fn request_ended(outcome: &'static str, status: u16, source: AnswerSource, took: Duration) {
+    counter!("primrosewalk_requests_total", "outcome" => outcome, "status" => status.to_string(),
+        "source" => source.name())
+    .increment(1);
     histogram!("primrosewalk_request_seconds", "outcome" => outcome).record(took.as_secs_f64());
 }
 
+/// Counts a refusal of an endpoint, by its status and by whether it states that the request has not run.
+pub fn endpoint_refused(status: u16, states_not_run: bool) {
+    counter!("primrosewalk_endpoint_refusals_total", "status" => status.to_string(),
+        "states_not_run" => if states_not_run { "yes" } else { "no" })
+    .increment(1);
+}
+
 /// Counts a request that is held because this VM has no configuration yet.
 pub fn request_held() {
     counter!("primrosewalk_held_requests_total").increment(1);
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -15,7 +15,7 @@
 use crate::fleet::admission::{AdmittedRequest, RequestEnd};
 use crate::fleet::attempts::{
     Attempts, Awaited, MIN_ATTEMPT_TIME, NOT_RUN_RETRY_AFTER, await_or_replace, build_request,
-    next_connection, refuse_quarantined, replacement_pauses, retry_after, timed_out,
+    next_connection, read_head, refuse_quarantined, replacement_pauses, retry_after, timed_out,
 };
 use crate::fleet::crash_reports::check_engine;
 use crate::fleet::endpoint_client::{CallFailure, Connection, read_body};
@@ -23,7 +23,7 @@
 use crate::fleet::node::{MAX_SENDS, Node};
 use crate::fleet::reply::{self, Reply};
 use crate::fleet::request_progress::Wait;
-use crate::platform::endpoint_call::{ResponseClass, classify, returned_headers};
+use crate::platform::endpoint_call::{ResponseClass, returned_headers};
 use crate::traffic::Execution;
 
 /// Time without an answer after which an idempotent request goes on at another endpoint if it can, as a
@@ -42,7 +42,9 @@
         () = node.stop_leaves_less_than(|| Duration::ZERO) => None,
     };
     ended.unwrap_or_else(|| match fallback {
-        Some(reply) => RequestEnd::new(reply, "error of the endpoint; no other answered in time"),
+        Some(reply) => {
+            RequestEnd::relayed(reply, "error of the endpoint; no other answered in time")
+        }
         None if admitted.time_left().is_zero() => timed_out(&attempts),
         None => RequestEnd::vm_stops(attempts.runs),
     })
@@ -109,7 +111,7 @@
             AttemptOutcome::Answer(reply) if reply.status().is_server_error() && may_retry => {
                 *fallback = Some(reply);
             }
-            AttemptOutcome::Answer(reply) => return RequestEnd::new(reply, last_reason),
+            AttemptOutcome::Answer(reply) => return RequestEnd::relayed(reply, last_reason),
             AttemptOutcome::NotRun => attempts.runs -= 1,
             AttemptOutcome::Unknown if may_retry => {}
             AttemptOutcome::Unknown => break,
@@ -123,7 +125,7 @@
         return timed_out(attempts);
     }
     match fallback.take() {
-        Some(reply) => RequestEnd::new(reply, format!("error of the endpoint; {last_reason}")),
+        Some(reply) => RequestEnd::relayed(reply, format!("error of the endpoint; {last_reason}")),
         None if attempts.runs > 0 => RequestEnd::new(
             reply::text(StatusCode::BAD_GATEWAY, "the endpoint failed"),
             last_reason,
@@ -208,7 +210,7 @@
 ) -> (AttemptEnd, String, AttemptOutcome) {
     let sent_at = clock::now();
     let request = build_request(admitted, endpoint, None, None);
-    let answer = whole_answer(node, endpoint, connection, request, &admitted.caller.id).await;
+    let answer = whole_answer(node, admitted, endpoint, connection, request).await;
     let took = clock::now().since(sent_at);
     match answer {
         Err(failure) => {
@@ -299,14 +301,13 @@
 /// Sends a request and classifies its answer. The body is read only for an answer to this request.
 async fn whole_answer(
     node: &Node,
+    admitted: &AdmittedRequest,
     endpoint: &Endpoint,
     connection: Connection,
     request: Request<Full<Bytes>>,
-    id: &str,
 ) -> Result<(ResponseClass, Reply), CallFailure> {
     let (head, body) = connection.send(request).await?.into_parts();
-    node.notices.read(endpoint, head.status, &head.headers);
-    let class = classify(head.status, &head.headers, id);
+    let class = read_head(node, admitted, endpoint, &head);
     let body = if class == ResponseClass::Answer {
         read_body(body).await?
     } else {
--- a/src/fleet/request.rs
+++ b/src/fleet/request.rs
@@ -131,9 +131,9 @@
     } else {
         "failed"
     };
-    metric::request_ended(outcome, status.as_u16(), took);
+    metric::request_ended(outcome, status.as_u16(), ended.source, took);
     info!(node.logger, "request: answered"; "id" => id, "status" => status.as_u16(),
-        "reason" => ended.reason, "took_ms" => took.as_millis() as u64,
+        "source" => ended.source.name(), "reason" => ended.reason, "took_ms" => took.as_millis() as u64,
         "route" => admitted.map_or("", |admitted| &admitted.route.name),
         "configuration" => admitted.map_or(0, |admitted| admitted.configuration_version));
     *ended.reply
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -24,8 +24,8 @@
 use crate::fleet::admission::{AdmittedRequest, RequestEnd};
 use crate::fleet::attempts::{
     Attempts, Awaited, MAX_FAILED_CONNECTIONS, MIN_ATTEMPT_TIME, await_or_replace, build_request,
-    choose, generation_work, next_connection, quarantined, refuse_quarantined, replacement_pauses,
-    retry_after, timed_out,
+    choose, generation_work, next_connection, quarantined, read_head, refuse_quarantined,
+    replacement_pauses, retry_after, timed_out,
 };
 use crate::fleet::crash_reports::check_engine;
 use crate::fleet::dispatcher::JobFailure;
@@ -37,7 +37,7 @@
 use crate::fleet::reply::{self, ReplyBody, relayed, whole_body};
 use crate::fleet::request_progress::{LossCause, Wait};
 use crate::fleet::stages::{StageFailure, StageResults, run_stages};
-use crate::platform::endpoint_call::{ResponseClass, classify, returned_headers};
+use crate::platform::endpoint_call::{ResponseClass, returned_headers};
 use crate::traffic::Execution;
 use crate::units::{EndpointName, PartId, Time};
 
@@ -93,7 +93,7 @@
         Ok(Ok((headers, first))) => {
             let body = relay_body(caller_stream, first, active);
             let reason = "stream began";
-            RequestEnd::new(relayed(StatusCode::OK, headers, body), reason)
+            RequestEnd::relayed(relayed(StatusCode::OK, headers, body), reason)
         }
     }
 }
@@ -185,9 +185,8 @@
 ) -> Opening {
     let (head, body) = answer.into_parts();
     let status = head.status;
-    node.notices.read(endpoint, status, &head.headers);
     let headers = returned_headers(&head.headers);
-    match classify(status, &head.headers, &admitted.caller.id) {
+    match read_head(node, admitted, endpoint, &head) {
         ResponseClass::Answer if status.is_success() => {}
         ResponseClass::Answer => return Opening::Error(status, headers, read_body(body).await),
         ResponseClass::NotRun => {
@@ -271,7 +270,7 @@
                 OpenOutcome::Empty(status, headers) => {
                     self.is_ended = true;
                     let reply = relayed(status, headers, whole_body(Bytes::new()));
-                    return Err(RequestEnd::new(reply, "an empty stream"));
+                    return Err(RequestEnd::relayed(reply, "an empty stream"));
                 }
                 OpenOutcome::Reply(ended) => {
                     self.is_ended = true;
@@ -576,7 +575,7 @@
                     _ if may_retry => OpenOutcome::Failed(reason),
                     Ok(body) => {
                         let reply = relayed(status, headers, whole_body(body));
-                        OpenOutcome::Reply(RequestEnd::new(reply, reason))
+                        OpenOutcome::Reply(RequestEnd::relayed(reply, reason))
                     }
                     Err(failure) => OpenOutcome::Failed(failure.message),
                 }
--- a/src/platform/endpoint_call.rs
+++ b/src/platform/endpoint_call.rs
@@ -20,6 +20,16 @@
 const LEAVING: &str = "server-leaving";
 /// Header with the load of an endpoint.
 const LOAD: &str = "instance-load";
+/// Header by which an endpoint states that it has not run the request.
+const NOT_EXECUTED: &str = "not-executed";
+
+/// Statuses that promise callers that their request has not run and never will.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
 
 /// Request headers that are not passed on from callers to endpoints: they apply to a single
 /// connection, or only this system may set them.
@@ -146,6 +156,62 @@
     Invalid,
 }
 
+/// The request that an answer names as its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnsweredId {
+    /// The request that was sent.
+    Own,
+    /// Another request.
+    Other,
+    /// None.
+    Missing,
+}
+
+impl AnsweredId {
+    fn of(headers: &HeaderMap, id: &str) -> Self {
+        match headers.get(REQUEST_ID) {
+            Some(echoed) if echoed.as_bytes() == id.as_bytes() => Self::Own,
+            Some(_) => Self::Other,
+            None => Self::Missing,
+        }
+    }
+
+    /// Returns the name for logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Other => "other",
+            Self::Missing => "missing",
+        }
+    }
+}
+
+/// What an endpoint says of a request that it refuses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Whether the endpoint states that it has not run the request.
+    pub states_not_run: bool,
+    /// Whether the answer has the signature of an endpoint.
+    pub is_signed: bool,
+    /// The request that the answer names.
+    pub answered_id: AnsweredId,
+}
+
+/// Returns whether a status promises callers that their request has not run and never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
+
+/// Returns what an answer to request `id` says of a refusal; `None` for any other answer.
+pub fn refusal_of(status: StatusCode, headers: &HeaderMap, id: &str) -> Option<Refusal> {
+    let states_not_run = headers.contains_key(NOT_EXECUTED);
+    (states_not_run || promises_not_run(status)).then(|| Refusal {
+        states_not_run,
+        is_signed: headers.contains_key(SIGNATURE),
+        answered_id: AnsweredId::of(headers, id),
+    })
+}
+
 /// Returns whether a status ends a request (RFC 9110, 15). The library accepts any number of three digits.
 fn is_final_status(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
@@ -156,18 +222,18 @@
     if !is_final_status(status) {
         return ResponseClass::Invalid;
     }
-    let echoed = headers.get(REQUEST_ID);
-    if echoed.is_some_and(|echoed| echoed.as_bytes() != id.as_bytes()) {
+    let answered_id = AnsweredId::of(headers, id);
+    if answered_id == AnsweredId::Other {
         return ResponseClass::Invalid;
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseClass::OtherEndpoint;
     }
-    if headers.contains_key("not-executed") {
+    if headers.contains_key(NOT_EXECUTED) {
         return ResponseClass::NotRun;
     }
     let is_genuine = headers.contains_key(SIGNATURE)
-        && echoed.is_some()
+        && answered_id == AnsweredId::Own
         && !headers.contains_key("content-encoding");
     if is_genuine {
         ResponseClass::Answer
@@ -225,7 +291,7 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseClass::OtherEndpoint;
     }
-    if headers.contains_key("not-executed") {
+    if headers.contains_key(NOT_EXECUTED) {
         return ResponseClass::NotRun;
     }
     if status == StatusCode::OK {
--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -59,6 +59,28 @@
     Trickle,
     /// Announces neither length nor chunks, and ends the answer with its connection.
     Unframed(UnframedEnd),
+    /// Refuses a request that it runs, and does not state that it has not run.
+    LateRefusal(LateRefusal),
+}
+
+/// How an endpoint refuses a request that it runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LateRefusal {
+    pub status: u16,
+    pub form: RefusalForm,
+}
+
+/// Form of a [`LateRefusal`]. Those of stage services have neither id nor signature.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalForm {
+    /// Comes after the run, with id and signature as usual.
+    Signed,
+    /// Comes after the run, without a signature.
+    Unsigned,
+    /// Comes after the run, and breaks off in the middle of its body.
+    Cut,
+    /// Comes before the run, which takes place whether or not the caller stays.
+    First,
 }
 
 /// How an answer ends that announces neither length nor chunks. All but the first break a stream off.
@@ -465,6 +487,10 @@
                 .await?;
             continue;
         }
+        if let Fault::LateRefusal(refusal) = fault {
+            refuse_late(&mut stream, request, own_id, kind, refusal, state).await?;
+            continue;
+        }
         request.has_run = true;
         state.received.lock().push(request.clone());
         let work_time = *state.work_time.lock();
@@ -523,6 +549,48 @@
     Ok(())
 }
 
+/// Runs a request and refuses it. An error ends the connection.
+async fn refuse_late(
+    stream: &mut SilentStream,
+    mut request: Received,
+    own_id: &str,
+    kind: Kind,
+    refusal: LateRefusal,
+    state: &State,
+) -> std::io::Result<()> {
+    let LateRefusal { status, form } = refusal;
+    let mut text = format!("HTTP/1.1 {status} Refused\r\n");
+    if kind != Kind::Stage {
+        text.push_str(&format!("Request-Id: {}\r\n", request.id));
+    }
+    if kind != Kind::Stage && form != RefusalForm::Unsigned {
+        text.push_str(&format!("Response-Signature: {own_id}.1\r\n"));
+    }
+    text.push_str(&state.extra_headers.lock());
+    text.push_str("Content-Length: 8\r\n\r\n");
+    text.push_str(if form == RefusalForm::Cut {
+        "too"
+    } else {
+        "too late"
+    });
+    let work_time = *state.work_time.lock();
+    if form == RefusalForm::First {
+        let written = stream.write_all(text.as_bytes()).await;
+        tokio::time::sleep(work_time).await;
+        request.has_run = true;
+        state.received.lock().push(request);
+        return written;
+    }
+    request.has_run = true;
+    state.received.lock().push(request);
+    tokio::time::sleep(work_time).await;
+    stream.write_all(text.as_bytes()).await?;
+    match form {
+        RefusalForm::Cut => Err(std::io::ErrorKind::ConnectionAborted.into()),
+        _ => Ok(()),
+    }
+}
+
 /// Resets a connection, as when the process behind it dies.
 fn reset(stream: &SilentStream) -> std::io::Result<()> {
     rustix::net::sockopt::set_socket_linger(&stream.stream, Some(Duration::ZERO))?;
