fix(fleet): answer 502 where an endpoint refuses a request without stating that it has not run

Cause: `classify` took each signed answer without `Not-Executed` as one to pass on, whatever its status. The statuses 408, 421, 429 and 503 promise callers that the request has not run, and an endpoint's 503 was passed on as this VM's promise. For the same reason a 429 or 408 ended a request that another endpoint could have served: only 5xx was repeated.

Change: such an answer is a class of its own (`UnconfirmedRefusal`). The request may have run: one that may run once ends with 502, others go to another endpoint within `MaxAttempts` and the limit on retries, and end with 502 if there is none.

Why it works: whether a request has run is known only from what endpoints state, and now no other path leads from an endpoint's status to a caller's.

--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -246,6 +246,11 @@
     classify(head.status, &head.headers, id)
 }
 
+/// Returns the reason, for the log, why a refusal of an endpoint counts as a failure.
+pub fn unconfirmed_refusal(status: StatusCode) -> String {
+    format!("refused {status} without stating that it has not run")
+}
+
 /// Builds the request to an endpoint. `inputs` are the stage results that it reads, and
 /// `last_event` is the number of the event after which a stream is resumed.
 pub fn build_request(
--- a/src/fleet/dispatcher.rs
+++ b/src/fleet/dispatcher.rs
@@ -624,7 +624,9 @@
         ResponseClass::NotRun | ResponseClass::OtherEndpoint => {
             return Err(refused(format!("the endpoint answered {status}")));
         }
-        ResponseClass::Invalid => return Err(broken(format!("the endpoint answered {status}"))),
+        ResponseClass::UnconfirmedRefusal | ResponseClass::Invalid => {
+            return Err(broken(format!("the endpoint answered {status}")));
+        }
     }
     let body = read_body(response.into_body())
         .await
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::http::response;
 use hyper::{Request, StatusCode};
 use slog::info;
 use tokio::time::{sleep, timeout};
@@ -16,6 +17,7 @@
 use crate::fleet::attempts::{
     Attempts, Awaited, MIN_ATTEMPT_TIME, NOT_RUN_RETRY_AFTER, await_or_replace, build_request,
     next_connection, read_head, refuse_quarantined, replacement_pauses, retry_after, timed_out,
+    unconfirmed_refusal,
 };
 use crate::fleet::crash_reports::check_engine;
 use crate::fleet::endpoint_client::{CallFailure, Connection, read_body};
@@ -221,33 +223,39 @@
             check_engine(node, admitted, endpoint);
             (AttemptEnd::Broken, failure.message, outcome)
         }
-        Ok((ResponseClass::Answer, reply)) => {
+        Ok((ResponseClass::Answer, head, body)) => {
             node.note_pass(admitted);
-            let status = reply.status();
-            let end = if status.is_server_error() {
+            let end = if head.status.is_server_error() {
                 AttemptEnd::Error
             } else {
                 AttemptEnd::Answered(Some(took))
             };
+            let headers = returned_headers(&head.headers);
+            let reply = reply::relayed(head.status, headers, reply::whole_body(body));
             (
                 end,
-                format!("answered {status}"),
+                format!("answered {}", head.status),
                 AttemptOutcome::Answer(reply),
             )
         }
-        Ok((ResponseClass::NotRun, reply)) => (
+        Ok((ResponseClass::NotRun, head, _)) => (
             AttemptEnd::Full,
-            format!("refused {}", reply.status()),
+            format!("refused {}", head.status),
             AttemptOutcome::NotRun,
         ),
-        Ok((ResponseClass::OtherEndpoint, _)) => (
+        Ok((ResponseClass::OtherEndpoint, ..)) => (
             AttemptEnd::Broken,
             "another endpoint has the address".to_owned(),
             AttemptOutcome::NotRun,
         ),
-        Ok((ResponseClass::Invalid, reply)) => (
+        Ok((ResponseClass::UnconfirmedRefusal, head, _)) => (
+            AttemptEnd::Error,
+            unconfirmed_refusal(head.status),
+            AttemptOutcome::Unknown,
+        ),
+        Ok((ResponseClass::Invalid, head, _)) => (
             AttemptEnd::Broken,
-            format!("not an answer to this request: {}", reply.status()),
+            format!("not an answer to this request: {}", head.status),
             AttemptOutcome::Unknown,
         ),
     }
@@ -305,7 +313,7 @@
     endpoint: &Endpoint,
     connection: Connection,
     request: Request<Full<Bytes>>,
-) -> Result<(ResponseClass, Reply), CallFailure> {
+) -> Result<(ResponseClass, response::Parts, Bytes), CallFailure> {
     let (head, body) = connection.send(request).await?.into_parts();
     let class = read_head(node, admitted, endpoint, &head);
     let body = if class == ResponseClass::Answer {
@@ -313,7 +321,5 @@
     } else {
         Bytes::new()
     };
-    let headers = returned_headers(&head.headers);
-    let reply = reply::relayed(head.status, headers, reply::whole_body(body));
-    Ok((class, reply))
+    Ok((class, head, body))
 }
--- a/src/fleet/reply.rs
+++ b/src/fleet/reply.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
 
-use crate::platform::endpoint_call::RETRY_AFTER;
+use crate::platform::endpoint_call::{RETRY_AFTER, promises_not_run};
 
 /// Body of an answer. An error in the body closes the connection, so that the caller never takes a
 /// partial body for a complete one.
@@ -44,8 +44,14 @@
     reply
 }
 
-/// Makes an answer that relays the status, headers and body of an endpoint.
+/// Makes an answer that relays the status, headers and body of an endpoint. A status that promises that the request
+/// has not run is never relayed: callers rely on it, and only this VM knows whether it holds for all endpoints that
+/// got the request.
 pub fn relayed(status: StatusCode, headers: HeaderMap, body: ReplyBody) -> Reply {
+    debug_assert!(
+        !promises_not_run(status),
+        "an endpoint's {status} is relayed"
+    );
     let mut reply = Response::new(body);
     *reply.status_mut() = status;
     *reply.headers_mut() = headers;
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -25,7 +25,7 @@
 use crate::fleet::attempts::{
     Attempts, Awaited, MAX_FAILED_CONNECTIONS, MIN_ATTEMPT_TIME, await_or_replace, build_request,
     choose, generation_work, next_connection, quarantined, read_head, refuse_quarantined,
-    replacement_pauses, retry_after, timed_out,
+    replacement_pauses, retry_after, timed_out, unconfirmed_refusal,
 };
 use crate::fleet::crash_reports::check_engine;
 use crate::fleet::dispatcher::JobFailure;
@@ -138,8 +138,8 @@
     Error(StatusCode, HeaderMap, Result<Bytes, CallFailure>),
     /// The engine has not run the request.
     NotRun(AttemptEnd, String),
-    /// Not an answer to this request.
-    Invalid(StatusCode),
+    /// The engine has not answered this request, or has refused it without stating that it has not run.
+    Failed(AttemptEnd, String),
     /// The connection or the answer broke off.
     Broken(CallFailure),
 }
@@ -196,7 +196,13 @@
             let reason = "another endpoint has the address".to_owned();
             return Opening::NotRun(AttemptEnd::Broken, reason);
         }
-        ResponseClass::Invalid => return Opening::Invalid(status),
+        ResponseClass::UnconfirmedRefusal => {
+            return Opening::Failed(AttemptEnd::Error, unconfirmed_refusal(status));
+        }
+        ResponseClass::Invalid => {
+            let reason = format!("not an answer to this request: {status}");
+            return Opening::Failed(AttemptEnd::Broken, reason);
+        }
     }
     let mut stream = EngineStream::new(Arc::clone(endpoint), body);
     match stream.next_event(last_event).await {
@@ -585,9 +591,9 @@
                 self.end_attempt(end);
                 OpenOutcome::Failed(reason)
             }
-            Opening::Invalid(status) => {
-                self.end_attempt(AttemptEnd::Broken);
-                OpenOutcome::Failed(format!("not an answer to this request: {status}"))
+            Opening::Failed(end, reason) => {
+                self.end_attempt(end);
+                OpenOutcome::Failed(reason)
             }
             Opening::Broken(failure) => {
                 if failure.ran == Execution::NotRun {
--- a/src/platform/endpoint_call.rs
+++ b/src/platform/endpoint_call.rs
@@ -151,6 +151,9 @@
     OtherEndpoint,
     /// The endpoint ran this request; its answer goes to the caller as it is.
     Answer,
+    /// The status promises that the request has not run, which the endpoint does not state. It may have run, so the
+    /// status must not reach the caller.
+    UnconfirmedRefusal,
     /// Not a valid answer to this request: it has no signature, has a content encoding, does not have this request's
     /// id, or has a status that ends no request; for a stage call, any status but 200.
     Invalid,
@@ -235,10 +238,10 @@
     let is_genuine = headers.contains_key(SIGNATURE)
         && answered_id == AnsweredId::Own
         && !headers.contains_key("content-encoding");
-    if is_genuine {
-        ResponseClass::Answer
-    } else {
-        ResponseClass::Invalid
+    match is_genuine {
+        true if promises_not_run(status) => ResponseClass::UnconfirmedRefusal,
+        true => ResponseClass::Answer,
+        false => ResponseClass::Invalid,
     }
 }
 
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -1,5 +1,6 @@
-//! Guards callers against answers that an endpoint broke off or that are no HTTP: a part of an answer must not look
-//! complete, and a status that does not exist must not reach a caller.
+//! Guards callers against answers that an endpoint broke off, that are no HTTP, or that belong to another request: a
+//! part of an answer must not look complete, a status that does not exist must not reach a caller, and the refusal of
+//! another request must not count for this one.
 
 mod users_platform;
 
@@ -200,3 +201,104 @@
         }
     }
 }
+
+/// An endpoint that refuses a request while its body is still on its way may go on to run it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_during_the_upload_counts_for_what_it_states() {
+    struct Case {
+        status: u16,
+        /// Further headers of the answer.
+        headers: &'static str,
+        expected: u16,
+    }
+    let statuses = [503, 429, 408];
+    let cases = statuses.into_iter().flat_map(|status| {
+        let case = |headers, expected| Case {
+            status,
+            headers,
+            expected,
+        };
+        [case("", 502), case("not-executed: 1\r\n", 503)]
+    });
+    for case in cases {
+        let fleet = fleet_for_large_bodies().await;
+        let answer = move |id: &str| {
+            format!(
+                "HTTP/1.1 {} Early\r\nrequest-id: {id}\r\nresponse-signature: s\r\n{}content-length: 4\r\n\r\nbody",
+                case.status, case.headers
+            )
+        };
+        let pause = Duration::from_millis(200);
+        let endpoint = RawEndpoint::start(&fleet, answer, Some(pause)).await;
+        for (number, path) in ["/pay/x", "/look/x"].into_iter().enumerate() {
+            let id = format!("r-{number}");
+            let body = Bytes::from(vec![b'x'; LARGE_BODY_BYTES]);
+            let answer = send(&fleet, path, &id, body).await.expect("the VM answers");
+            let name = format!("{} {:?} {path}", case.status, case.headers);
+            expect_that!(answer.status, eq(case.expected), "{name}");
+            expect_that!(answer.is_signed, eq(false), "{name}");
+        }
+        let requests = endpoint.requests.load(Ordering::Relaxed);
+        expect_that!(requests, eq(2), "{} {:?}", case.status, case.headers);
+    }
+}
+
+/// An endpoint may send the refusal of another request, after a complete answer or in its place. It names the other
+/// request or none.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_refusal_of_another_request_counts_for_no_request() {
+    struct Case {
+        /// Header with which the refusal names its request.
+        name: &'static str,
+        is_after_answer: bool,
+        expected: u16,
+    }
+    let cases = [
+        Case {
+            name: "request-id: another\r\n",
+            is_after_answer: true,
+            expected: 200,
+        },
+        Case {
+            name: "",
+            is_after_answer: true,
+            expected: 200,
+        },
+        Case {
+            name: "request-id: another\r\n",
+            is_after_answer: false,
+            expected: 502,
+        },
+    ];
+    for case in cases {
+        let fleet = Fleet::start(1).await;
+        let refusal = format!(
+            "HTTP/1.1 503 Full\r\n{}not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+            case.name
+        );
+        let answer = move |id: &str| {
+            let own = format!(
+                "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: s\r\ncontent-length: 4\r\n\r\nbody"
+            );
+            match case.is_after_answer {
+                true => own + &refusal,
+                false => refusal.clone() + &own,
+            }
+        };
+        let endpoint = RawEndpoint::start(&fleet, answer, None).await;
+        for number in 0..6 {
+            let (path, id) = (["/pay/x", "/look/x"][number % 2], format!("r-{number}"));
+            let answer = send(&fleet, path, &id, Bytes::from_static(b"{}")).await;
+            let status = answer.expect("the VM answers").status;
+            expect_that!(status, eq(case.expected), "{:?} {path}", case.name);
+        }
+        expect_that!(
+            endpoint.requests.load(Ordering::Relaxed),
+            eq(6),
+            "{:?}",
+            case.name
+        );
+    }
+}
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -323,12 +323,54 @@
             headers: &[],
             class: ResponseClass::Invalid,
         },
+        Case {
+            name: "signed 503 that does not state that the request has not run",
+            status: 503,
+            headers: &[SIGNED, OWN_ID],
+            class: ResponseClass::UnconfirmedRefusal,
+        },
+        Case {
+            name: "signed 429 that does not state that the request has not run",
+            status: 429,
+            headers: &[SIGNED, OWN_ID, ("retry-after", "1")],
+            class: ResponseClass::UnconfirmedRefusal,
+        },
+        Case {
+            name: "signed 408 that does not state that the request has not run",
+            status: 408,
+            headers: &[SIGNED, OWN_ID],
+            class: ResponseClass::UnconfirmedRefusal,
+        },
+        Case {
+            name: "signed 429 that states that the request has not run",
+            status: 429,
+            headers: &[SIGNED, OWN_ID, ("not-executed", "1")],
+            class: ResponseClass::NotRun,
+        },
+        Case {
+            name: "signed timeout of the endpoint",
+            status: 504,
+            headers: &[SIGNED, OWN_ID],
+            class: ResponseClass::Answer,
+        },
         Case {
             name: "another endpoint at the address",
             status: 421,
             headers: &[],
             class: ResponseClass::OtherEndpoint,
         },
+        Case {
+            name: "421 with signature and id",
+            status: 421,
+            headers: &[SIGNED, OWN_ID],
+            class: ResponseClass::OtherEndpoint,
+        },
+        Case {
+            name: "421 to another request",
+            status: 421,
+            headers: &[("request-id", "q")],
+            class: ResponseClass::Invalid,
+        },
     ];
     for case in cases {
         let status = StatusCode::from_u16(case.status).unwrap();
--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -136,6 +136,8 @@
     /// Time at which its connection was accepted. An endpoint that was silent reads a request long after
     /// it was sent.
     pub connected_at: Instant,
+    /// Time at which its caller closed the connection, if [`RefusalForm::First`] answered it.
+    pub left_at: Option<Instant>,
 }
 
 impl Received {
@@ -446,6 +448,7 @@
         has_run: false,
         at: Instant::now(),
         connected_at: stream.connected_at,
+        left_at: None,
     })
 }
 
@@ -575,8 +578,11 @@
     });
     let work_time = *state.work_time.lock();
     if form == RefusalForm::First {
+        let done_at = tokio::time::Instant::now() + work_time;
         let written = stream.write_all(text.as_bytes()).await;
-        tokio::time::sleep(work_time).await;
+        let left = tokio::time::timeout_at(done_at, stream.read(&mut [0])).await;
+        request.left_at = left.is_ok().then(Instant::now);
+        tokio::time::sleep_until(done_at).await;
         request.has_run = true;
         state.received.lock().push(request);
         return written;
