fix(choice): count an unconfirmed refusal of an endpoint as its failure

What callers saw: an endpoint that refuses at once what it has run drew payouts to itself.

Change: `AttemptEnd::UnconfirmedRefusal` opens circuits like a broken answer, counts as a failure in reported loads, and requests that may run once avoid its endpoint for 3 s after it, since each of them is lost to its caller. It has a label of its own in primrosewalk_attempts_total.

--- a/src/decisions/endpoint_choice.rs
+++ b/src/decisions/endpoint_choice.rs
@@ -103,6 +103,9 @@
     Broken,
     /// The endpoint refused the request because it is full.
     Full,
+    /// The endpoint refused the request without stating that it has not run, so that it may have failed after its
+    /// work. One that refuses at once must not count as fast.
+    UnconfirmedRefusal,
     /// The caller left, or the attempt says nothing about the endpoint for another reason.
     Inconclusive,
 }
@@ -138,7 +141,7 @@
     cold_sent_at: SmallVec<[Time; 4]>,
     /// Times at which requests chose the cold endpoint that are sent once their connections are open.
     cold_reserved_at: SmallVec<[Time; 4]>,
-    /// Time of the last attempt that ended as [`AttemptEnd::Broken`].
+    /// Time of the last attempt that ended as [`AttemptEnd::Broken`] or [`AttemptEnd::UnconfirmedRefusal`].
     failed_at: Option<Time>,
 }
 
@@ -364,8 +367,11 @@
                     state.observed_at = now;
                 }
             }
-            AttemptEnd::Broken | AttemptEnd::Error if started.is_silent => {}
-            AttemptEnd::Broken => self.record_failure(now, &started),
+            AttemptEnd::Broken | AttemptEnd::UnconfirmedRefusal | AttemptEnd::Error
+                if started.is_silent => {}
+            AttemptEnd::Broken | AttemptEnd::UnconfirmedRefusal => {
+                self.record_failure(now, &started);
+            }
             AttemptEnd::Error => state.circuit.on_failure(now, started.role, &config.circuit),
             AttemptEnd::Full => {
                 state.full_until = now + FULL_PAUSE;
--- a/src/fleet/load_reports.rs
+++ b/src/fleet/load_reports.rs
@@ -72,7 +72,7 @@
     pub fn on_attempt_end(&self, process: ProcessKey, end: AttemptEnd) {
         let has_failed = match end {
             AttemptEnd::Answered(_) => false,
-            AttemptEnd::Error | AttemptEnd::Broken => true,
+            AttemptEnd::Error | AttemptEnd::Broken | AttemptEnd::UnconfirmedRefusal => true,
             AttemptEnd::Full | AttemptEnd::Inconclusive => return,
         };
         let now = clock::now();
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -95,6 +95,7 @@
         AttemptEnd::Error => "error",
         AttemptEnd::Broken => "broken",
         AttemptEnd::Full => "full",
+        AttemptEnd::UnconfirmedRefusal => "unconfirmed_refusal",
         AttemptEnd::Inconclusive => "cancelled",
     };
     counter!("primrosewalk_attempts_total", "end" => end).increment(1);
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -249,7 +249,7 @@
             AttemptOutcome::NotRun,
         ),
         Ok((ResponseClass::UnconfirmedRefusal, head, _)) => (
-            AttemptEnd::Error,
+            AttemptEnd::UnconfirmedRefusal,
             unconfirmed_refusal(head.status),
             AttemptOutcome::Unknown,
         ),
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -197,7 +197,7 @@
             return Opening::NotRun(AttemptEnd::Broken, reason);
         }
         ResponseClass::UnconfirmedRefusal => {
-            return Opening::Failed(AttemptEnd::Error, unconfirmed_refusal(status));
+            return Opening::Failed(AttemptEnd::UnconfirmedRefusal, unconfirmed_refusal(status));
         }
         ResponseClass::Invalid => {
             let reason = format!("not an answer to this request: {status}");
--- a/tests/endpoint_refusals.rs
+++ b/tests/endpoint_refusals.rs
@@ -4,7 +4,7 @@
 mod users_platform;
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -360,6 +360,32 @@
     }
 }
 
+/// An endpoint that refuses at once looks fast. Payouts must not gather there, since each is lost to its caller.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn payouts_avoid_an_endpoint_that_refuses_what_it_runs() {
+    /// Time for which requests that may run once avoid an endpoint after a failure.
+    const AVOIDANCE: Duration = Duration::from_secs(3);
+    for status in REFUSAL_STATUSES {
+        let fleet = Fleet::start(1).await;
+        let vm = fleet.vms[0].caller_address();
+        let endpoints: Vec<_> = fleet.backends_of("plain").collect();
+        endpoints[0].set_fault(refuse_late(status, RefusalForm::Signed));
+        endpoints[0].set_work_time(Duration::ZERO);
+        endpoints[1].set_work_time(Duration::from_millis(20));
+        let started = Instant::now();
+        for number in 0..40 {
+            let id = format!("{status}-{number}");
+            request(vm, "/pay/x", &id, "key-1")
+                .await
+                .expect("the VM answers");
+        }
+        let refused = endpoints[0].received().len();
+        let allowed = 1 + started.elapsed().as_millis() / AVOIDANCE.as_millis();
+        expect_that!(refused as u128, le(allowed), "{status}");
+    }
+}
+
 /// A call of a batch that is refused so may have run; its items run again, and the request is refused only if no engine
 /// has begun it. VMs send their jobs to the VM that owns the queue.
 #[gtest]
--- a/tests/fleet_rules/choice.rs
+++ b/tests/fleet_rules/choice.rs
@@ -107,38 +107,49 @@
 /// An endpoint is avoided after two failures and tried again after a pause.
 #[gtest]
 fn a_failing_endpoint_is_passed_over_and_tried_again() {
-    let endpoints = [endpoint("near", "a"), endpoint("far", "b")];
-    let mut choice = EndpointChoice::new(ChoiceConfig::default());
-    for _ in 0..2 {
-        let started = choice.start(at(0), &endpoints[0], 0);
-        choice.finish(at(0), started, AttemptEnd::Broken);
+    for end in [
+        AttemptEnd::Broken,
+        AttemptEnd::Error,
+        AttemptEnd::UnconfirmedRefusal,
+    ] {
+        let endpoints = [endpoint("near", "a"), endpoint("far", "b")];
+        let mut choice = EndpointChoice::new(ChoiceConfig::default());
+        for _ in 0..2 {
+            let started = choice.start(at(0), &endpoints[0], 0);
+            choice.finish(at(0), started, end);
+        }
+        expect_that!(
+            choose(&choice, 10, &endpoints, &[], true, Work::Plain),
+            some(eq("far")),
+            "{end:?}"
+        );
+        expect_that!(
+            choose(&choice, 700, &endpoints, &[], true, Work::Plain),
+            some(eq("near")),
+            "{end:?}"
+        );
     }
-    let plain_work = Work::Plain;
-    expect_that!(
-        choose(&choice, 10, &endpoints, &[], true, plain_work),
-        some(eq("far"))
-    );
-    expect_that!(
-        choose(&choice, 700, &endpoints, &[], true, plain_work),
-        some(eq("near"))
-    );
 }
 
 /// Requests that run at most once avoid an endpoint after its first failure.
 #[gtest]
 fn one_failure_suffices_for_requests_that_run_at_most_once() {
-    let endpoints = [endpoint("near", "a"), endpoint("far", "b")];
-    let mut choice = EndpointChoice::new(ChoiceConfig::default());
-    let started = choice.start(at(0), &endpoints[0], 0);
-    choice.finish(at(0), started, AttemptEnd::Broken);
-    expect_that!(
-        choose(&choice, 10, &endpoints, &[], true, Work::Plain),
-        some(eq("near"))
-    );
-    expect_that!(
-        choose(&choice, 10, &endpoints, &[], false, Work::Plain),
-        some(eq("far"))
-    );
+    for end in [AttemptEnd::Broken, AttemptEnd::UnconfirmedRefusal] {
+        let endpoints = [endpoint("near", "a"), endpoint("far", "b")];
+        let mut choice = EndpointChoice::new(ChoiceConfig::default());
+        let started = choice.start(at(0), &endpoints[0], 0);
+        choice.finish(at(0), started, end);
+        expect_that!(
+            choose(&choice, 10, &endpoints, &[], true, Work::Plain),
+            some(eq("near")),
+            "{end:?}"
+        );
+        expect_that!(
+            choose(&choice, 10, &endpoints, &[], false, Work::Plain),
+            some(eq("far")),
+            "{end:?}"
+        );
+    }
 }
 
 /// An endpoint that becomes slow is avoided. It is tried again after a while, so that its recovery
