fix(fleet): name the time to come back when all endpoints of a request want a pause

What callers saw: an idempotent request that both endpoints of a service had refused with 503 and Retry-After, without stating that it had not run, ended with 502 and no time. Its caller repeats it at once, is refused for certain (503 of this VM until the first endpoint takes requests again), and most callers repeat only once.

Cause: only refusals that promise "not run" carried the time.

Change: a 502 carries the time until the first endpoint takes requests again, if all have asked for a pause and the route allows a repeat. One for a request that may run once never does. The tests also fix what a pause is learned from: any 503 with Retry-After, whatever it states, and no other status.

Result: an_endpoint_that_refused_with_a_time_gets_nothing_until_then failed before (1 check: no Retry-After) and passes; the other new checks passed before, too.

--- a/src/fleet/attempts.rs
+++ b/src/fleet/attempts.rs
@@ -21,7 +21,7 @@
 use crate::fleet::metric;
 use crate::fleet::model::{Endpoint, RouteKind};
 use crate::fleet::node::Node;
-use crate::fleet::reply;
+use crate::fleet::reply::{self, Reply};
 use crate::platform::endpoint_call::{
     EndpointHeaders, ResponseClass, classify, endpoint_headers, refusal_of,
 };
@@ -129,9 +129,20 @@
 /// Returns the time after which a caller should retry a request that no endpoint takes: `usual`, or that
 /// until the first endpoint takes requests again if all have asked for a pause.
 pub fn retry_after(node: &Node, admitted: &AdmittedRequest, usual: Duration) -> Duration {
+    pause_of_all(node, admitted).map_or(usual, |pause| pause.max(usual))
+}
+
+/// Returns the time until the first endpoint takes requests again, if all have asked for a pause.
+fn pause_of_all(node: &Node, admitted: &AdmittedRequest) -> Option<Duration> {
     let view = node.view();
-    let pause = node.notices.pause(view.usable_endpoints(&admitted.service));
-    pause.map_or(usual, |pause| pause.max(usual))
+    node.notices.pause(view.usable_endpoints(&admitted.service))
+}
+
+/// Returns the reply for a request that may have run and that no endpoint has answered. Its caller may repeat it if
+/// its route allows that, and has no use for a repeat before an endpoint takes requests again.
+pub fn failed(node: &Node, admitted: &AdmittedRequest) -> Reply {
+    let pause = pause_of_all(node, admitted).filter(|_| admitted.route.may_retry());
+    reply::may_have_run("the endpoint failed", pause)
 }
 
 /// Connects to the best endpoint that can be reached. Returns `None` when no endpoint is left or
--- a/src/fleet/plain.rs
+++ b/src/fleet/plain.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Request;
 use hyper::http::response;
-use hyper::{Request, StatusCode};
 use slog::info;
 use tokio::time::{sleep, timeout};
 
@@ -16,8 +16,8 @@
 use crate::fleet::admission::{AdmittedRequest, RequestEnd};
 use crate::fleet::attempts::{
     Attempts, Awaited, MIN_ATTEMPT_TIME, NOT_RUN_RETRY_AFTER, await_or_replace, build_request,
-    next_connection, read_head, refuse_quarantined, replacement_pauses, retry_after, timed_out,
-    unconfirmed_refusal,
+    failed, next_connection, read_head, refuse_quarantined, replacement_pauses, retry_after,
+    timed_out, unconfirmed_refusal,
 };
 use crate::fleet::crash_reports::check_engine;
 use crate::fleet::endpoint_client::{CallFailure, Connection, read_body};
@@ -128,10 +128,7 @@
     }
     match fallback.take() {
         Some(reply) => RequestEnd::relayed(reply, format!("error of the endpoint; {last_reason}")),
-        None if attempts.runs > 0 => RequestEnd::new(
-            reply::text(StatusCode::BAD_GATEWAY, "the endpoint failed"),
-            last_reason,
-        ),
+        None if attempts.runs > 0 => RequestEnd::new(failed(node, admitted), last_reason),
         None => RequestEnd::new(
             reply::not_run(
                 "no endpoint took the request",
--- a/src/fleet/reply.rs
+++ b/src/fleet/reply.rs
@@ -36,7 +36,21 @@
 /// Makes a refusal (503) that promises that the request has not run and will not run. The caller
 /// should retry it after `retry_after`.
 pub fn not_run(message: &str, retry_after: Duration) -> Reply {
-    let mut reply = text(StatusCode::SERVICE_UNAVAILABLE, message);
+    let reply = text(StatusCode::SERVICE_UNAVAILABLE, message);
+    with_retry_after(reply, retry_after)
+}
+
+/// Makes an answer (502) that promises nothing. A caller that may repeat the request should do so after
+/// `retry_after`, or at once.
+pub fn may_have_run(message: &str, retry_after: Option<Duration>) -> Reply {
+    let reply = text(StatusCode::BAD_GATEWAY, message);
+    match retry_after {
+        Some(retry_after) => with_retry_after(reply, retry_after),
+        None => reply,
+    }
+}
+
+fn with_retry_after(mut reply: Reply, retry_after: Duration) -> Reply {
     let seconds = format!("{:.2}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         reply.headers_mut().insert(RETRY_AFTER, value);
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -24,7 +24,7 @@
 use crate::fleet::admission::{AdmittedRequest, RequestEnd};
 use crate::fleet::attempts::{
     Attempts, Awaited, MAX_FAILED_CONNECTIONS, MIN_ATTEMPT_TIME, await_or_replace, build_request,
-    choose, generation_work, next_connection, quarantined, read_head, refuse_quarantined,
+    choose, failed, generation_work, next_connection, quarantined, read_head, refuse_quarantined,
     replacement_pauses, retry_after, timed_out, unconfirmed_refusal,
 };
 use crate::fleet::crash_reports::check_engine;
@@ -334,8 +334,7 @@
             return timed_out(&self.attempts);
         }
         if self.attempts.runs > 0 {
-            let reply = reply::text(StatusCode::BAD_GATEWAY, "the engine failed");
-            return RequestEnd::new(reply, reason);
+            return RequestEnd::new(failed(&self.node, &self.admitted), reason);
         }
         RequestEnd::new(
             reply::not_run(
--- a/tests/endpoint_refusals.rs
+++ b/tests/endpoint_refusals.rs
@@ -386,6 +386,58 @@
     }
 }
 
+/// Starts a VM before plain endpoints that run requests and refuse them with a time.
+async fn fleet_that_refuses_with_a_time(pause: Duration) -> Fleet {
+    let fleet = Fleet::start(1).await;
+    for backend in fleet.backends_of("plain") {
+        backend.add_header("Retry-After", &pause.as_secs_f64().to_string());
+        backend.set_fault(refuse_late(503, RefusalForm::Signed));
+    }
+    fleet
+}
+
+/// A time to come back would invite the caller of a payout to send it again.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_payout_that_may_have_run_gets_no_time_to_come_back() {
+    let fleet = fleet_that_refuses_with_a_time(Duration::from_secs(5)).await;
+    for (number, _) in fleet.backends_of("plain").enumerate() {
+        let id = format!("r-{number}");
+        let answer = request(fleet.vms[0].caller_address(), "/pay/x", &id, "key-1").await;
+        let answer = answer.expect("the VM answers");
+        expect_that!(answer.status, eq(502), "{id}");
+        expect_that!(answer.retry_after_s, none(), "{id}");
+        expect_that!(fleet.runs_of(&id), eq(1), "{id}");
+    }
+}
+
+/// A 503 names a time until which the endpoint wants nothing, whether or not the request has run. A caller whose
+/// repeat would be refused until then is told so.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_refused_with_a_time_gets_nothing_until_then() {
+    /// Time of the endpoint, and the part of it after which the rules count.
+    const PAUSE: Duration = Duration::from_millis(2_500);
+    const SLACK: Duration = Duration::from_millis(500);
+    let fleet = fleet_that_refuses_with_a_time(PAUSE).await;
+    let vm = fleet.vms[0].caller_address();
+    let refused_at = Instant::now();
+    let answer = request(vm, "/look/x", "both", "key-1").await.unwrap();
+    expect_that!(answer.status, eq(502));
+    expect_that!(sends_of(&fleet, "plain", "both"), eq(2));
+    expect_that!(answer.retry_after_s, some(gt(SLACK.as_secs_f64())));
+    while refused_at.elapsed() < PAUSE - SLACK {
+        for (number, path) in ["/look/x", "/pay/x"].into_iter().enumerate() {
+            let id = format!("paused-{number}-{:?}", refused_at.elapsed());
+            let answer = request(vm, path, &id, "key-1").await.unwrap();
+            expect_that!(answer.status, eq(503), "{id}");
+            expect_that!(answer.retry_after_s, some(gt(0.0)), "{id}");
+            expect_that!(sends_of(&fleet, "plain", &id), eq(0), "{id}");
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// A call of a batch that is refused so may have run; its items run again, and the request is refused only if no engine
 /// has begun it. VMs send their jobs to the VM that owns the queue.
 #[gtest]
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -595,6 +595,31 @@
             headers: &[("retry-after", "inf")],
             expected: Notice::default(),
         },
+        NoticeCase {
+            status: 503,
+            headers: &[("retry-after", "0.25"), ("response-signature", "x")],
+            expected: paused(250),
+        },
+        NoticeCase {
+            status: 503,
+            headers: &[("retry-after", "0.25"), ("not-executed", "1")],
+            expected: paused(250),
+        },
+        NoticeCase {
+            status: 429,
+            headers: &[("retry-after", "0.25")],
+            expected: Notice::default(),
+        },
+        NoticeCase {
+            status: 408,
+            headers: &[("retry-after", "0.25")],
+            expected: Notice::default(),
+        },
+        NoticeCase {
+            status: 421,
+            headers: &[("retry-after", "0.25")],
+            expected: Notice::default(),
+        },
     ];
     for case in cases {
         let status = hyper::StatusCode::from_u16(case.status).unwrap();
