--- a/tests/traffic_cases/at_most_once.rs
+++ b/tests/traffic_cases/at_most_once.rs
@@ -50,6 +50,60 @@
     );
 }
 
+/// A refusal must count as "not run" only if the endpoint says so, whatever its status, also where another VM passes the
+/// request on to the owner of its id.
+#[gtest]
+#[tokio::test]
+async fn refusal_that_does_not_say_not_run_leaves_the_outcome_unknown() {
+    struct Case {
+        status: &'static str,
+        headers: &'static str,
+    }
+    let statuses = [
+        "503 Service Unavailable",
+        "429 Too Many Requests",
+        "408 Request Timeout",
+        "421 Misdirected Request",
+    ];
+    let without_statement = statuses.map(|status| Case {
+        status,
+        headers: "",
+    });
+    // A refusal of another attempt says nothing about this one.
+    let of_another = statuses.map(|status| Case {
+        status,
+        headers: "x-not-run: true\r\nx-attempt-id: another\r\n",
+    });
+    for case in without_statement.into_iter().chain(of_another) {
+        let name = format!("{} {:?}", case.status, case.headers);
+        let refusal = Step::Answer(case.status, case.headers, "{}");
+        let pay = [
+            FakeEndpoint::start(std::slice::from_ref(&refusal)).await,
+            FakeEndpoint::start(std::slice::from_ref(&refusal)).await,
+        ];
+        let endpoints = vec![("pay", pay[0].clone()), ("pay", pay[1].clone())];
+        let owner = Vm::start(Setup::new(endpoints.clone())).await;
+        let other_setup = Setup {
+            vm: "vm-2",
+            ..Setup::new(endpoints)
+        };
+        let other = Vm::start(other_setup).await;
+        let list = Arc::new(vm_list(&[("vm-1", owner.caller), ("vm-2", other.caller)]));
+        other.publish(|snapshot| snapshot.vms = list);
+        for vm in [&owner, &other] {
+            let sent_before = pay[0].requests().len() + pay[1].requests().len();
+            let id = owner.issue_request_id().await;
+            for _ in 0..2 {
+                let reply = run(vm, "payout", &[("x-request-id", &id)], "{}").await;
+                let expected = "502 outcome_unknown unknown";
+                expect_that!(reply.refusal(), eq(expected), "{name}");
+            }
+            let sent = pay[0].requests().len() + pay[1].requests().len() - sent_before;
+            expect_that!(sent, eq(1), "{name}");
+        }
+    }
+}
+
 /// A payout that its only endpoint did not run must be refused with the outcome "not run".
 #[gtest]
 #[tokio::test]
--- a/tests/traffic_cases/stages.rs
+++ b/tests/traffic_cases/stages.rs
@@ -22,6 +22,9 @@
     let failures = [
         Step::Cut,
         Step::Answer("500 Failed", "", "{}"),
+        Step::Answer("503 Service Unavailable", "", "{}"),
+        Step::Answer("429 Too Many Requests", "", "{}"),
+        Step::Answer("408 Request Timeout", "", "{}"),
         Step::Answer("200 OK", "x-attempt-id: another\r\n", r#"{"output":1}"#),
         Step::Answer("200 OK", "", "no JSON"),
     ];
