test(soak): endpoints that fail requests after their work is done

The models of endpoints knew no refusal of a request that has run: the stand-ins of the users' platform refused truthfully or answered 500, and those of the product's own interface failed before the run.

The soak now draws late refusals (503, 429, 408; signed, unsigned, cut, or before the run; with Retry-After or without; one endpoint or a whole service) from a random sequence of their own, and takes a failed handler for a violation, so that the assertion in `reply::relayed` counts. Its callers sent requests of a route to the same VM as long as the directory named four; they go to all now. `primrosewalk-standins` has /control/fail-after-work, and a payout refused so must be unknown at all VMs and run once (passes, also before the fix: the product's own interface was never affected).

--- a/standins/endpoint.rs
+++ b/standins/endpoint.rs
@@ -15,7 +15,7 @@
 
 use crate::http::{self, Call, Reply};
 use crate::ledger::OrderEntry;
-use crate::run::{self, Endpoint};
+use crate::run::{self, Endpoint, InjectedFailure};
 
 /// Flags of `endpoint`.
 #[derive(Args)]
@@ -184,7 +184,13 @@
     let number_or = |name, default| call.query_number(name).unwrap_or(default);
     match call.path.as_str() {
         "/control/cold" => endpoint.turn_cold(),
-        "/control/fail" => endpoint.fail_next(number_or("count", 1), number_or("status", 500)),
+        "/control/fail" | "/control/fail-after-work" => {
+            let failure = InjectedFailure {
+                status: u16::try_from(number_or("status", 500)).unwrap_or(500),
+                is_after_work: call.path.ends_with("after-work"),
+            };
+            endpoint.fail_next(number_or("count", 1), failure);
+        }
         "/control/slow" => endpoint.set_added_service_time(number_or("ms", 0)),
         "/control/pause" => endpoint.set_paused(true),
         "/control/resume" => endpoint.set_paused(false),
--- a/standins/main.rs
+++ b/standins/main.rs
@@ -36,7 +36,8 @@
     /// Serves one endpoint.
     ///
     /// Control: POST /control/cold, /control/fail?count=N&status=S (status 0 closes the
-    /// connection), /control/slow?ms=N (added to each run), /control/pause, /control/resume.
+    /// connection), /control/fail-after-work (the same for runs that have taken place),
+    /// /control/slow?ms=N (added to each run), /control/pause, /control/resume.
     /// GET /ledger returns runs in order of arrival with their ids, refusals in a cold start
     /// and the parts of requests that held an API key; GET /control/state returns the load
     /// report without the lag of --load-lag-ms.
--- a/standins/run.rs
+++ b/standins/run.rs
@@ -44,7 +44,7 @@
     models: Vec<String>,
     loading: Vec<String>,
     /// Status codes with which the next runs fail; 0 closes the connection instead.
-    injected_failures: VecDeque<u16>,
+    injected_failures: VecDeque<InjectedFailure>,
     /// Time added to every run by `/control/slow`.
     added_service_time: Duration,
     /// Load reports, each with the time since which it is current. Older ones are kept as
@@ -63,6 +63,15 @@
     loading: Vec<String>,
 }
 
+/// Failure of a run that a test has asked for.
+#[derive(Clone, Copy)]
+pub struct InjectedFailure {
+    /// Status of the answer; 0 closes the connection without one.
+    pub status: u16,
+    /// Whether the run takes place before it fails.
+    pub is_after_work: bool,
+}
+
 /// Body of `POST /v1/run`.
 #[derive(Deserialize)]
 struct RunBody {
@@ -102,11 +111,10 @@
         self.record_report(&mut state);
     }
 
-    /// Makes the next `count` runs fail with `status`.
-    pub fn fail_next(&self, count: u64, status: u64) {
-        let status = u16::try_from(status).unwrap_or(500);
+    /// Makes the next `count` runs fail.
+    pub fn fail_next(&self, count: u64, failure: InjectedFailure) {
         let count = usize::try_from(count.min(1_000_000)).unwrap_or_default();
-        self.state.lock().injected_failures = std::iter::repeat_n(status, count).collect();
+        self.state.lock().injected_failures = std::iter::repeat_n(failure, count).collect();
     }
 
     pub fn set_added_service_time(&self, added_ms: u64) {
@@ -319,14 +327,16 @@
 async fn serve_run(mut in_flight: InFlight, body: RunBody, request: String) -> Option<Reply> {
     let endpoint = in_flight.endpoint.clone();
     let failure = endpoint.state.lock().injected_failures.pop_front();
-    if let Some(status) = failure {
+    // Status 0 is not a valid status code, so it gives `None`, which closes the connection without
+    // an answer.
+    let answer_failure =
+        |failure: InjectedFailure| Some(http::status(StatusCode::from_u16(failure.status).ok()?));
+    if let Some(failure) = failure.filter(|failure| !failure.is_after_work) {
         in_flight.outcome = Outcome::Failed;
-        // Status 0 is not a valid status code, so it returns `None` here, which closes the
-        // connection without an answer.
-        return Some(http::status(StatusCode::from_u16(status).ok()?));
+        return answer_failure(failure);
     }
     let output = output_of(&request, &body);
-    if endpoint.options.kind == StageKind::Generate {
+    if endpoint.options.kind == StageKind::Generate && failure.is_none() {
         return Some(stream_tokens(in_flight, output));
     }
     let slot = endpoint.acquire_slot().await?;
@@ -334,6 +344,9 @@
     endpoint.wait_until_resumed().await;
     drop(slot);
     in_flight.outcome = Outcome::Done;
+    if let Some(failure) = failure {
+        return answer_failure(failure);
+    }
     let is_cold = endpoint.is_cold(&mut endpoint.state.lock());
     let reply = http::json(StatusCode::OK, &json!({ "output": output }));
     Some(endpoint.add_headers(reply, is_cold))
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -130,6 +130,31 @@
     expect_that!(fleet.runs_of(SERVICE, &id).await, eq(1));
 }
 
+/// Guards against "not run" for a payment that its endpoint refuses after it has run it.
+#[gtest]
+#[tokio::test]
+async fn a_payout_that_its_endpoint_refuses_after_its_run_is_not_sent_again() {
+    let fleet = Fleet::start(&plan()).await;
+    for status in [503, 429, 408] {
+        for endpoint in fleet.service(SERVICE) {
+            let command = format!("/control/fail-after-work?status={status}&count=9");
+            fleet.control_endpoint(&endpoint.name, &command).await;
+        }
+        let (id, sending) = start_payout(&fleet, 0).await;
+        let answer = sending.await.unwrap().unwrap();
+        expect_that!(
+            (answer.code(), answer.outcome()),
+            eq(("outcome_unknown", "unknown")),
+            "{status}"
+        );
+        for vm in [0, 1, 2] {
+            let retry = retry_payout(&fleet, vm, &id).await;
+            expect_that!(retry.outcome(), eq("unknown"), "{status}");
+        }
+        expect_that!(fleet.runs_of(SERVICE, &id).await, eq(1), "{status}");
+    }
+}
+
 /// Guards against a second run at another VM while the process of the owner is stopped by SIGSTOP,
 /// and against losing the stored answer of the owner after SIGCONT.
 #[gtest]
--- a/tests/fleet_soak/main.rs
+++ b/tests/fleet_soak/main.rs
@@ -5,8 +5,8 @@
 //! restarts of VMs, outages of the store for all VMs or for one, faults, restarts, departures and
 //! silence of endpoints, new configurations, evacuations, and a loopback proxy that delays, cuts or
 //! silences the connections between VMs and one endpoint. Endpoints say that they leave, refuse with
-//! a time, or announce neither length nor chunks, and some requests crash the engines that answer
-//! them. Half of the callers keep their connections open until a VM closes them. The guarantees of
+//! a time, refuse what they have run, or announce neither length nor chunks, and some requests crash the
+//! engines that answer them. Half of the callers keep their connections open until a VM closes them. The guarantees of
 //! the system are checked from what callers and endpoints see, and each VM that runs has to answer.
 //! Runs without unplanned faults (`planned`) have seeds of their own, and so have those in which the store comes back
 //! from an older copy (`restores`).
@@ -42,7 +42,7 @@
 use rand_chacha::ChaCha8Rng;
 use restores::soak_restores;
 use serde_json::json;
-use steps::{Step, apply, draw_answers, draw_series, draw_silence};
+use steps::{Step, apply, draw_answers, draw_late_refusals, draw_series, draw_silence};
 use unanswered::count_by_cause;
 use users_platform::backend::Fault;
 use users_platform::caller::{KeptConnection, request};
@@ -65,6 +65,8 @@
 const MAX_FAULT_GAP_MS: u64 = 900;
 /// Upper bound of the time between two silences of endpoints.
 const MAX_SILENCE_GAP_MS: u64 = 4_000;
+/// Upper bound of the time between two refusals of requests that endpoints run.
+const MAX_LATE_REFUSAL_GAP_MS: u64 = 1_000;
 /// Number of seeds that run at the same time, each with a fleet of its own.
 const SIDE_BY_SIDE: usize = 3;
 /// Timeout for requests to be served again after all faults have ended.
@@ -85,7 +87,8 @@
         let id = format!("{number}-{round}");
         let address = {
             let addresses = directory.lock();
-            addresses[(number + round) % addresses.len()]
+            // Each VM gets requests of each route, also where there are as many VMs as routes.
+            addresses[(number + round + round / 4) % addresses.len()]
         };
         observations.sent.fetch_add(1, Ordering::Relaxed);
         let answer = match number % 2 {
@@ -221,6 +224,7 @@
     let mut answers_rng = ChaCha8Rng::seed_from_u64(!seed);
     // Differs from the sequences above, which listed seeds have failed with.
     let mut silence_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    let mut late_refusal_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
     let mut fleet = start_fleet(vm_count).await;
     let engines = add_engines(&mut fleet).await;
     let services: Vec<String> = fleet
@@ -262,7 +266,7 @@
         Arc::clone(&stop),
     ));
     let started = Instant::now();
-    let (mut next_answers, mut next_silence) = (started, started);
+    let (mut next_answers, mut next_silence, mut next_late_refusal) = (started, started, started);
     let mut steps = Vec::new();
     let mut scheduled: Vec<(Instant, Step)> = Vec::new();
     let mut next_draw = started;
@@ -293,6 +297,15 @@
             let gap_ms = silence_rng.random_range(0..MAX_SILENCE_GAP_MS);
             next_silence = now + Duration::from_millis(gap_ms);
         }
+        if now >= next_late_refusal {
+            let mut at = now;
+            for (step, pause) in draw_late_refusals(&mut late_refusal_rng, &services) {
+                scheduled.push((at, step));
+                at += pause;
+            }
+            let gap_ms = late_refusal_rng.random_range(0..MAX_LATE_REFUSAL_GAP_MS);
+            next_late_refusal = at + Duration::from_millis(gap_ms);
+        }
         scheduled.sort_by_key(|(at, _)| *at);
         let due = scheduled.partition_point(|(at, _)| *at <= now);
         for (_, step) in scheduled.drain(..due) {
@@ -327,6 +340,7 @@
         ));
     }
     observations.check_runs(&fleet);
+    observations.check_handlers(&fleet);
     check_crashing_requests(&fleet, &engines, &crashing_sent.lock(), &observations);
     let (sent, succeeded) = (&observations.sent, &observations.succeeded);
     let (sent, succeeded) = (
--- a/tests/fleet_soak/observations.rs
+++ b/tests/fleet_soak/observations.rs
@@ -82,6 +82,17 @@
         }
     }
 
+    /// Checks that no handler of a request failed, as at an assertion of the program itself.
+    pub fn check_handlers(&self, fleet: &Fleet) {
+        for vm in &fleet.vms {
+            for line in vm.log().lines() {
+                if line.contains("request: its handler failed") {
+                    self.record_violation(format!("{}: {line}", vm.name));
+                }
+            }
+        }
+    }
+
     /// Checks the requests that endpoints received and ran against the answers that callers got.
     pub fn check_runs(&self, fleet: &Fleet) {
         let mut runs: HashMap<String, usize> = HashMap::new();
--- a/tests/fleet_soak/steps.rs
+++ b/tests/fleet_soak/steps.rs
@@ -9,7 +9,7 @@
 
 use crate::crashing::DIRECT_ENGINE_COUNT;
 use crate::liveness::VmStates;
-use crate::users_platform::backend::{Fault, UnframedEnd};
+use crate::users_platform::backend::{Fault, LateRefusal, RefusalForm, UnframedEnd};
 use crate::users_platform::store::Mode;
 use crate::users_platform::{DATA_CENTRES, Fleet};
 
@@ -59,6 +59,8 @@
     Renew(usize),
     /// The endpoint refuses with a time (`true`), or no longer.
     RefuseWithTime(usize, bool),
+    /// The endpoint refuses requests that it runs, with a time or without, or no longer.
+    RefuseLate(usize, Option<LateRefusal>, bool),
     /// The endpoint is silent for that long.
     Silence(usize, Duration),
     /// Publishes a configuration with the other one of two sets of limits.
@@ -150,6 +152,47 @@
     steps.into_iter().map(|step| (step, pause)).collect()
 }
 
+/// Draws refusals of requests that endpoints run, at one endpoint of a service or at all, with the pause after each
+/// step. Has a random sequence of its own, like [`draw_answers`].
+pub fn draw_late_refusals(rng: &mut ChaCha8Rng, services: &[String]) -> Vec<(Step, Duration)> {
+    const STATUSES: [u16; 3] = [503, 429, 408];
+    const FORMS: [RefusalForm; 4] = [
+        RefusalForm::Signed,
+        RefusalForm::Unsigned,
+        RefusalForm::Cut,
+        RefusalForm::First,
+    ];
+    let refusal = LateRefusal {
+        status: STATUSES[rng.random_range(0..STATUSES.len())],
+        form: FORMS[rng.random_range(0..FORMS.len())],
+    };
+    let has_time = rng.random_bool(0.3);
+    let service = ["plain", "lm", "plain", "first", "second"][rng.random_range(0..5)];
+    let is_whole_service = rng.random_bool(0.5);
+    let duration = Duration::from_millis(rng.random_range(200..1_500));
+    let mut endpoints: Vec<usize> = (0..services.len())
+        .filter(|endpoint| services[*endpoint] == service)
+        .collect();
+    if !is_whole_service {
+        endpoints = vec![endpoints[rng.random_range(0..endpoints.len())]];
+    }
+    let begin = |endpoint: &usize| Step::RefuseLate(*endpoint, Some(refusal), has_time);
+    let end = |endpoint: &usize| Step::RefuseLate(*endpoint, None, false);
+    let mut steps: Vec<(Step, Duration)> = endpoints
+        .iter()
+        .map(|endpoint| (begin(endpoint), Duration::ZERO))
+        .collect();
+    if let Some((_, pause)) = steps.last_mut() {
+        *pause = duration;
+    }
+    steps.extend(
+        endpoints
+            .iter()
+            .map(|endpoint| (end(endpoint), Duration::ZERO)),
+    );
+    steps
+}
+
 /// Draws the silence of one endpoint, of all endpoints of a service or of all, at once or one after the
 /// other, with the pause after each step. Has a random sequence of its own, like [`draw_answers`].
 pub fn draw_silence(rng: &mut ChaCha8Rng, services: &[String]) -> Vec<(Step, Duration)> {
@@ -297,6 +340,14 @@
                 backend.set_fault(Fault::Full);
             }
         }
+        Step::RefuseLate(endpoint, refusal, has_time) => {
+            let backend = &fleet.backends[endpoint];
+            backend.remove_headers();
+            backend.set_fault(refusal.map_or(Fault::None, Fault::LateRefusal));
+            if has_time {
+                backend.add_header("Retry-After", "0.8");
+            }
+        }
         Step::Silence(endpoint, duration) => fleet.backends[endpoint].fall_silent(duration),
         Step::ChangeLimits => fleet.change_configuration(|configuration| {
             let is_low = configuration["Limits"]["IdleTimeoutMs"] == json!(1_000);
