--- a/standins/run.rs
+++ b/standins/run.rs
@@ -43,7 +43,7 @@
     completed_while_cold: u32,
     models: Vec<String>,
     loading: Vec<String>,
-    /// Status codes with which the next runs fail; 0 closes the connection instead.
+    /// Failures of the next runs.
     injected_failures: VecDeque<InjectedFailure>,
     /// Time added to every run by `/control/slow`.
     added_service_time: Duration,
