--- a/tests/fleet_soak/main.rs
+++ b/tests/fleet_soak/main.rs
@@ -218,6 +218,18 @@
     fleet
 }
 
+/// Schedules steps from a time on, each after the pause of the one before. Returns the end of the last pause.
+fn schedule(
+    scheduled: &mut Vec<(Instant, Step)>,
+    from: Instant,
+    steps: Vec<(Step, Duration)>,
+) -> Instant {
+    steps.into_iter().fold(from, |at, (step, pause)| {
+        scheduled.push((at, step));
+        at + pause
+    })
+}
+
 /// Runs the fault series of one seed and returns the violations found.
 async fn soak(seed: u64, vm_count: usize, fault_duration: Duration) -> Vec<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -273,38 +285,24 @@
     while started.elapsed() < fault_duration {
         let now = Instant::now();
         if now >= next_draw {
-            let mut at = now;
-            for (step, pause) in draw_series(&mut rng, vm_count) {
-                scheduled.push((at, step));
-                at += pause;
-            }
+            schedule(&mut scheduled, now, draw_series(&mut rng, vm_count));
             next_draw = now + Duration::from_millis(rng.random_range(0..MAX_FAULT_GAP_MS));
         }
         if now >= next_answers {
-            let mut at = now;
-            for (step, pause) in draw_answers(&mut answers_rng) {
-                scheduled.push((at, step));
-                at += pause;
-            }
+            schedule(&mut scheduled, now, draw_answers(&mut answers_rng));
             next_answers = now + Duration::from_millis(answers_rng.random_range(0..1_500));
         }
         if now >= next_silence {
-            let mut at = now;
-            for (step, pause) in draw_silence(&mut silence_rng, &services) {
-                scheduled.push((at, step));
-                at += pause;
-            }
+            let steps = draw_silence(&mut silence_rng, &services);
+            schedule(&mut scheduled, now, steps);
             let gap_ms = silence_rng.random_range(0..MAX_SILENCE_GAP_MS);
             next_silence = now + Duration::from_millis(gap_ms);
         }
         if now >= next_late_refusal {
-            let mut at = now;
-            for (step, pause) in draw_late_refusals(&mut late_refusal_rng, &services) {
-                scheduled.push((at, step));
-                at += pause;
-            }
+            let steps = draw_late_refusals(&mut late_refusal_rng, &services);
+            let end = schedule(&mut scheduled, now, steps);
             let gap_ms = late_refusal_rng.random_range(0..MAX_LATE_REFUSAL_GAP_MS);
-            next_late_refusal = at + Duration::from_millis(gap_ms);
+            next_late_refusal = end + Duration::from_millis(gap_ms);
         }
         scheduled.sort_by_key(|(at, _)| *at);
         let due = scheduled.partition_point(|(at, _)| *at <= now);
--- a/tests/traffic_cases/at_most_once.rs
+++ b/tests/traffic_cases/at_most_once.rs
@@ -7,6 +7,19 @@
 use crate::traffic_fixture::endpoint::{FakeEndpoint, OK, Step};
 use crate::traffic_fixture::*;
 
+/// Starts two VMs of which the second knows the first, and so forwards requests with its ids.
+async fn start_two_vms(endpoints: Vec<(&'static str, FakeEndpoint)>) -> (Vm, Vm) {
+    let owner = Vm::start(Setup::new(endpoints.clone())).await;
+    let other_setup = Setup {
+        vm: "vm-2",
+        ..Setup::new(endpoints)
+    };
+    let other = Vm::start(other_setup).await;
+    let list = Arc::new(vm_list(&[("vm-1", owner.caller), ("vm-2", other.caller)]));
+    other.publish(|snapshot| snapshot.vms = list);
+    (owner, other)
+}
+
 /// A payout must not be sent again after its connection broke, because the endpoint may have run
 /// it (P8).
 #[gtest]
@@ -82,14 +95,7 @@
             FakeEndpoint::start(std::slice::from_ref(&refusal)).await,
         ];
         let endpoints = vec![("pay", pay[0].clone()), ("pay", pay[1].clone())];
-        let owner = Vm::start(Setup::new(endpoints.clone())).await;
-        let other_setup = Setup {
-            vm: "vm-2",
-            ..Setup::new(endpoints)
-        };
-        let other = Vm::start(other_setup).await;
-        let list = Arc::new(vm_list(&[("vm-1", owner.caller), ("vm-2", other.caller)]));
-        other.publish(|snapshot| snapshot.vms = list);
+        let (owner, other) = start_two_vms(endpoints).await;
         for vm in [&owner, &other] {
             let sent_before = pay[0].requests().len() + pay[1].requests().len();
             let id = owner.issue_request_id().await;
@@ -235,14 +241,7 @@
     let pay = FakeEndpoint::start(&[OK]).await;
     let engine = FakeEndpoint::start(&[Step::Stream(&["a", "b"])]).await;
     let endpoints = vec![("pay", pay.clone()), ("engine", engine.clone())];
-    let owner = Vm::start(Setup::new(endpoints.clone())).await;
-    let other_setup = Setup {
-        vm: "vm-2",
-        ..Setup::new(endpoints)
-    };
-    let other = Vm::start(other_setup).await;
-    let list = Arc::new(vm_list(&[("vm-1", owner.caller), ("vm-2", other.caller)]));
-    other.publish(|snapshot| snapshot.vms = list);
+    let (owner, other) = start_two_vms(endpoints).await;
     let id = owner.issue_request_id().await;
     let forwarded = run(&other, "payout", &[("x-request-id", &id)], "{}").await;
     let direct = run(&owner, "payout", &[("x-request-id", &id)], "{}").await;
