--- a/tests/endpoint_refusals/answers.rs
+++ b/tests/endpoint_refusals/answers.rs
@@ -6,33 +6,40 @@
 use googletest::prelude::*;
 use serde_json::json;
 
-use crate::users_platform::Vm;
 use crate::users_platform::backend::{Backend, EVENTS, Fault, Kind, LateRefusal, RefusalForm};
-use crate::users_platform::caller::{request, request_with};
-use crate::users_platform::eventually;
+use crate::users_platform::caller::{CallerAnswer, request, request_with};
+use crate::users_platform::{Fleet, Vm, eventually};
 use crate::{
-    PROMISES, REFUSAL_STATUSES, fleet_with_stages, late_refusals, refuse_late, sends_of,
+    PROMISES, REFUSAL_STATUSES, fleet_with_stages, late_refusals, refuse_late, send, sends_of,
     set_fault_of,
 };
 
+/// Names a case by its refusal and route.
+fn name_of(refusal: LateRefusal, path: &str) -> String {
+    let LateRefusal { status, form } = refusal;
+    format!("{status}-{form:?}{}", path.replace('/', "-"))
+}
+
+/// Sends a stream with a prompt of its own, so that streams begin at different engines.
+async fn send_prompt(fleet: &Fleet, number: usize, id: &str) -> CallerAnswer {
+    let vm = fleet.vms[0].caller_address();
+    let prompt = format!("a{number}:80,b{number}:40");
+    let headers = [("prefix-hash", prompt.as_str())];
+    let body = Bytes::from_static(b"{}");
+    let answer = request_with(vm, "/stream/x", id, "key-1", &headers, body, 6_000);
+    answer.await.expect("the VM answers")
+}
+
 /// A payout that ran and is answered "not run" is sent again by its caller, and paid twice (review/9).
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_may_run_once_is_not_refused_once_an_endpoint_runs_it() {
     let fleet = fleet_with_stages(1).await;
-    let vm = fleet.vms[0].caller_address();
     for refusal in late_refusals() {
         set_fault_of(&fleet, &["plain", "lm"], Fault::LateRefusal(refusal));
         for path in ["/pay/x", "/once-stream/x", "/once-staged/x"] {
-            let id = format!(
-                "{}-{:?}{}",
-                refusal.status,
-                refusal.form,
-                path.replace('/', "-")
-            );
-            let answer = request(vm, path, &id, "key-1")
-                .await
-                .expect("the VM answers");
+            let id = name_of(refusal, path);
+            let answer = send(&fleet, path, &id).await;
             expect_that!(answer.status, eq(502), "{id}");
             expect_that!(answer.is_signed, eq(false), "{id}");
             expect_that!(answer.retry_after_s, none(), "{id}");
@@ -48,30 +55,20 @@
 async fn a_request_that_may_be_repeated_goes_on_after_a_refusal_of_an_endpoint_that_ran_it() {
     for refusal in late_refusals() {
         let fleet = fleet_with_stages(1).await;
-        let vm = fleet.vms[0].caller_address();
         for (path, service) in [("/look/x", "plain"), ("/stream/x", "lm")] {
-            let case = format!(
-                "{}-{:?}{}",
-                refusal.status,
-                refusal.form,
-                path.replace('/', "-")
-            );
+            let case = name_of(refusal, path);
             let first = fleet.backends_of(service).next().unwrap();
             first.set_fault(Fault::LateRefusal(refusal));
             for number in 0..4 {
                 let id = format!("{case}-{number}");
-                let answer = request(vm, path, &id, "key-1")
-                    .await
-                    .expect("the VM answers");
+                let answer = send(&fleet, path, &id).await;
                 expect_that!(answer.status, eq(200), "{id}");
                 expect_that!(answer.is_complete, eq(true), "{id}");
                 expect_that!(sends_of(&fleet, service, &id), le(2), "{id}");
             }
             set_fault_of(&fleet, &[service], Fault::LateRefusal(refusal));
             let id = format!("{case}-none");
-            let answer = request(vm, path, &id, "key-1")
-                .await
-                .expect("the VM answers");
+            let answer = send(&fleet, path, &id).await;
             expect_that!(answer.status, eq(502), "{id}");
             expect_that!(answer.is_signed, eq(false), "{id}");
         }
@@ -90,24 +87,19 @@
         "/once-staged/x",
     ] {
         let fleet = fleet_with_stages(1).await;
-        let vm = fleet.vms[0].caller_address();
         for service in ["plain", "lm"] {
             let first = fleet.backends_of(service).next().unwrap();
             first.set_fault(Fault::Other);
         }
         for number in 0..4 {
             let id = format!("one{}-{number}", path.replace('/', "-"));
-            let answer = request(vm, path, &id, "key-1")
-                .await
-                .expect("the VM answers");
+            let answer = send(&fleet, path, &id).await;
             expect_that!(answer.status, eq(200), "{id}");
             expect_that!(fleet.runs_of(&id), eq(1), "{id}");
         }
         set_fault_of(&fleet, &["plain", "lm"], Fault::Other);
         let id = format!("all{}", path.replace('/', "-"));
-        let answer = request(vm, path, &id, "key-1")
-            .await
-            .expect("the VM answers");
+        let answer = send(&fleet, path, &id).await;
         expect_that!(answer.status, eq(503), "{id}");
         expect_that!(fleet.runs_of(&id), eq(0), "{id}");
     }
@@ -130,20 +122,8 @@
         engines[0].set_work_time(WORK_TIME);
         let ids: Vec<String> = (0..6).map(|number| format!("{status}-{number}")).collect();
         for (number, id) in ids.iter().enumerate() {
-            let vm = fleet.vms[0].caller_address();
-            let prompt = format!("a{number}:80,b{number}:40");
-            let headers = [("prefix-hash", prompt.as_str())];
-            let answer = request_with(
-                vm,
-                "/stream/x",
-                id,
-                "key-1",
-                &headers,
-                Bytes::from_static(b"{}"),
-                6_000,
-            )
-            .await;
-            expect_that!(answer.unwrap().status, eq(200), "{id}");
+            let answer = send_prompt(&fleet, number, id).await;
+            expect_that!(answer.status, eq(200), "{id}");
         }
         tokio::time::sleep(WORK_TIME).await;
         let mut moved = 0;
@@ -185,31 +165,15 @@
                 fleet.add_backend("lm", Kind::Model).await;
             }
             tokio::time::sleep(Duration::from_millis(700)).await;
-            let vm = fleet.vms[0].caller_address();
             for number in 0..6 {
                 let id = format!("{status}-{has_third_engine}-{number}");
-                let prompt = format!("a{number}:80,b{number}:40");
-                let headers = [("prefix-hash", prompt.as_str())];
-                let body = Bytes::from_static(b"{}");
-                let answer = request_with(vm, "/stream/x", &id, "key-1", &headers, body, 6_000);
-                let answer = answer.await.expect("the VM answers");
+                let answer = send_prompt(&fleet, number, &id).await;
                 let events = answer.body.matches("id: ").count() as u64;
-                expect_that!(
-                    answer.is_complete,
-                    eq(answer.status == 200 && events == EVENTS),
-                    "{id}"
-                );
-                expect_that!(
-                    PROMISES.contains(&answer.status),
-                    eq(false),
-                    "{id}: {}",
-                    answer.status
-                );
-                expect_that!(
-                    answer.is_complete,
-                    eq(has_third_engine),
-                    "{id}: {events} events"
-                );
+                let is_whole = answer.status == 200 && answer.is_complete;
+                expect_that!(is_whole, eq(events == EVENTS), "{id}: {events} events");
+                expect_that!(is_whole, eq(has_third_engine), "{id}: {events} events");
+                let is_promise = PROMISES.contains(&answer.status);
+                expect_that!(is_promise, eq(false), "{id}: {}", answer.status);
             }
         }
     }
--- a/tests/endpoint_refusals/learned.rs
+++ b/tests/endpoint_refusals/learned.rs
@@ -6,8 +6,7 @@
 
 use crate::users_platform::Fleet;
 use crate::users_platform::backend::RefusalForm;
-use crate::users_platform::caller::request;
-use crate::{REFUSAL_STATUSES, refuse_late, sends_of, set_fault_of};
+use crate::{REFUSAL_STATUSES, refuse_late, send, sends_of, set_fault_of};
 
 /// Repeats after such refusals are repeats like any others.
 #[gtest]
@@ -19,15 +18,14 @@
     const RESERVE: f64 = 52.0;
     for status in REFUSAL_STATUSES {
         let fleet = Fleet::start(1).await;
-        let vm = fleet.vms[0].caller_address();
         set_fault_of(&fleet, &["plain"], refuse_late(status, RefusalForm::Signed));
         let ids: Vec<String> = (0..REQUESTS)
             .map(|number| format!("{status}-{number}"))
             .collect();
         for ids in ids.chunks(16) {
-            let sends = ids.iter().map(|id| request(vm, "/look/x", id, "key-1"));
+            let sends = ids.iter().map(|id| send(&fleet, "/look/x", id));
             for answer in futures::future::join_all(sends).await {
-                expect_that!(answer.unwrap().status, eq(502), "{status}");
+                expect_that!(answer.status, eq(502), "{status}");
             }
         }
         let sends: usize = ids.iter().map(|id| sends_of(&fleet, "plain", id)).sum();
@@ -44,7 +42,6 @@
     const AVOIDANCE: Duration = Duration::from_secs(3);
     for status in REFUSAL_STATUSES {
         let fleet = Fleet::start(1).await;
-        let vm = fleet.vms[0].caller_address();
         let endpoints: Vec<_> = fleet.backends_of("plain").collect();
         endpoints[0].set_fault(refuse_late(status, RefusalForm::Signed));
         endpoints[0].set_work_time(Duration::ZERO);
@@ -52,9 +49,7 @@
         let started = Instant::now();
         for number in 0..40 {
             let id = format!("{status}-{number}");
-            request(vm, "/pay/x", &id, "key-1")
-                .await
-                .expect("the VM answers");
+            send(&fleet, "/pay/x", &id).await;
         }
         let refused = endpoints[0].received().len();
         let allowed = 1 + started.elapsed().as_millis() / AVOIDANCE.as_millis();
@@ -79,8 +74,7 @@
     let fleet = fleet_that_refuses_with_a_time(Duration::from_secs(5)).await;
     for (number, _) in fleet.backends_of("plain").enumerate() {
         let id = format!("r-{number}");
-        let answer = request(fleet.vms[0].caller_address(), "/pay/x", &id, "key-1").await;
-        let answer = answer.expect("the VM answers");
+        let answer = send(&fleet, "/pay/x", &id).await;
         expect_that!(answer.status, eq(502), "{id}");
         expect_that!(answer.retry_after_s, none(), "{id}");
         expect_that!(fleet.runs_of(&id), eq(1), "{id}");
@@ -96,16 +90,15 @@
     const PAUSE: Duration = Duration::from_millis(2_500);
     const SLACK: Duration = Duration::from_millis(500);
     let fleet = fleet_that_refuses_with_a_time(PAUSE).await;
-    let vm = fleet.vms[0].caller_address();
     let refused_at = Instant::now();
-    let answer = request(vm, "/look/x", "both", "key-1").await.unwrap();
+    let answer = send(&fleet, "/look/x", "both").await;
     expect_that!(answer.status, eq(502));
     expect_that!(sends_of(&fleet, "plain", "both"), eq(2));
     expect_that!(answer.retry_after_s, some(gt(SLACK.as_secs_f64())));
     while refused_at.elapsed() < PAUSE - SLACK {
         for (number, path) in ["/look/x", "/pay/x"].into_iter().enumerate() {
             let id = format!("paused-{number}-{:?}", refused_at.elapsed());
-            let answer = request(vm, path, &id, "key-1").await.unwrap();
+            let answer = send(&fleet, path, &id).await;
             expect_that!(answer.status, eq(503), "{id}");
             expect_that!(answer.retry_after_s, some(gt(0.0)), "{id}");
             expect_that!(sends_of(&fleet, "plain", &id), eq(0), "{id}");
--- a/tests/endpoint_refusals/logs.rs
+++ b/tests/endpoint_refusals/logs.rs
@@ -6,10 +6,9 @@
 use googletest::prelude::*;
 use serde_json::Value;
 
-use crate::refuse_late;
 use crate::users_platform::backend::{Fault, RefusalForm};
-use crate::users_platform::caller::request;
 use crate::users_platform::{Fleet, eventually};
+use crate::{refuse_late, send};
 
 /// Returns the lines that a VM has logged of a request with a message.
 fn lines_of(fleet: &Fleet, id: &str, message: &str) -> Vec<Value> {
@@ -71,8 +70,7 @@
         }
         for path in ["/pay/x", "/once-stream/x"] {
             let id = format!("r-{number}{}", path.replace('/', "-"));
-            let vm = fleet.vms[0].caller_address();
-            request(vm, path, &id, "key-1").await.unwrap();
+            send(&fleet, path, &id).await;
             // Lines are written behind the answer, in their order.
             eventually("the answer is logged", || async {
                 !lines_of(&fleet, &id, "request: answered").is_empty()
--- a/tests/endpoint_refusals/main.rs
+++ b/tests/endpoint_refusals/main.rs
@@ -9,6 +9,7 @@
 
 use serde_json::json;
 use users_platform::backend::{Fault, LateRefusal, RefusalForm};
+use users_platform::caller::{CallerAnswer, request};
 use users_platform::{Fleet, eventually};
 
 /// Statuses with which an endpoint refuses a request, but for 421, which states by itself that it has not run it.
@@ -50,6 +51,12 @@
     fleet
 }
 
+/// Sends a request to the first VM, which has to answer it.
+pub async fn send(fleet: &Fleet, path: &str, id: &str) -> CallerAnswer {
+    let answer = request(fleet.vms[0].caller_address(), path, id, "key-1").await;
+    answer.expect("the VM answers")
+}
+
 pub fn set_fault_of(fleet: &Fleet, services: &[&str], fault: Fault) {
     for service in services {
         for backend in fleet.backends_of(service) {
