fix(traffic): a late refusal on a kept connection says nothing about the next attempt

What callers would see, on the product's own interface: the outcome "not run" for a request of which an idempotent stage has run.

Cause: idempotent stages share pooled connections, on which a second, late answer of an attempt comes where that of the next one is expected. An answer with another attempt id was dropped; one without an id was taken for that of the attempt that waited, `x-not-run: true` included.

Evidence: late_refusal_on_a_kept_connection_is_not_that_of_the_next_request failed before: `502 stage_failed not_run` for a request that the endpoint had run, where the refusal named no attempt. With another id it held.

Change: on a pooled connection `x-not-run` counts only with the attempt id, which answers repeat by the interface; calls that are not idempotent have connections of their own. The stand-ins and the fake endpoint of the tests, which keeps connections now, repeat the ids in refusals.

Why it works: without the id the stage counts as one that may have run, and is retried like any other.

--- a/src/traffic/endpoint_client.rs
+++ b/src/traffic/endpoint_client.rs
@@ -265,10 +265,14 @@
             return Err(CallError::transient(Execution::MayHaveRun, message));
         }
         if !head.status.is_success() {
+            // On a pooled connection, a late answer of an earlier attempt may come first. A connection of its
+            // own carries no other attempt.
+            let is_own = answered_attempt_id.is_some() || !call.stage.idempotent;
+            let states_not_run = is_own && header_is(&head.headers, "x-not-run", "true");
             return Err(classify_refusal(
                 call.stage,
                 head.status,
-                &head.headers,
+                states_not_run,
                 is_cold,
             ));
         }
@@ -314,14 +318,14 @@
     header.is_some_and(|header| header.as_bytes().eq_ignore_ascii_case(value.as_bytes()))
 }
 
-/// Classifies an answer whose status is not a success.
+/// Classifies an answer whose status is not a success. `states_not_run` says whether the endpoint states that
+/// it has not run this attempt.
 fn classify_refusal(
     stage: &Stage,
     status: StatusCode,
-    headers: &HeaderMap,
+    states_not_run: bool,
     is_cold: bool,
 ) -> CallError {
-    let not_run = header_is(headers, "x-not-run", "true");
     let class = match status {
         _ if is_cold => Some(FailureClass::Cold),
         StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => Some(FailureClass::Permanent),
@@ -335,7 +339,7 @@
     };
     CallError {
         class,
-        execution: if not_run {
+        execution: if states_not_run {
             Execution::NotRun
         } else {
             Execution::MayHaveRun
@@ -343,7 +347,7 @@
         is_cold,
         // `None` means that the endpoint rejected the request itself, which any other endpoint
         // would reject too. An attempt that did not run may be retried even so.
-        can_retry: class.is_some() || not_run,
+        can_retry: class.is_some() || states_not_run,
         message: format!("the endpoint answered {status}"),
     }
 }
--- a/standins/run.rs
+++ b/standins/run.rs
@@ -291,8 +291,17 @@
     }
 }
 
-/// Runs one stage; `None` closes the connection without an answer.
+/// Runs one stage; `None` closes the connection without an answer. Each answer repeats the ids of the run.
 pub async fn run(endpoint: Arc<Endpoint>, call: Call) -> Option<Reply> {
+    let attempt = call.header("x-attempt-id");
+    let request = call.header("x-request-id");
+    let mut reply = admit_and_serve(endpoint, call).await?;
+    http::set_header(&mut reply, "x-attempt-id", &attempt);
+    http::set_header(&mut reply, "x-request-id", &request);
+    Some(reply)
+}
+
+async fn admit_and_serve(endpoint: Arc<Endpoint>, call: Call) -> Option<Reply> {
     let body: RunBody = match serde_json::from_slice(&call.body) {
         Ok(body) => body,
         Err(error) => return Some(http::bytes(StatusCode::BAD_REQUEST, error.to_string())),
@@ -308,20 +317,15 @@
         Ok(in_flight) => in_flight,
         Err(refusal) => return Some(*refusal),
     };
-    let attempt = call.header("x-attempt-id");
     let request = call.header("x-request-id");
-    let mut reply = if endpoint.options.kind == StageKind::Plain {
+    if endpoint.options.kind == StageKind::Plain {
         // A task of its own lets the run of a plain service complete even if the caller
         // disconnects.
-        tokio::spawn(serve_run(in_flight, body, request.clone()))
+        return tokio::spawn(serve_run(in_flight, body, request))
             .await
-            .ok()??
-    } else {
-        serve_run(in_flight, body, request.clone()).await?
-    };
-    http::set_header(&mut reply, "x-attempt-id", &attempt);
-    http::set_header(&mut reply, "x-request-id", &request);
-    Some(reply)
+            .ok()?;
+    }
+    serve_run(in_flight, body, request).await
 }
 
 async fn serve_run(mut in_flight: InFlight, body: RunBody, request: String) -> Option<Reply> {
--- a/tests/traffic_cases/at_most_once.rs
+++ b/tests/traffic_cases/at_most_once.rs
@@ -110,6 +110,27 @@
     }
 }
 
+/// A refusal that comes late on a kept connection belongs to another request, whether it names that or none. It must
+/// not make the outcome of the next one "not run".
+#[gtest]
+#[tokio::test]
+async fn late_refusal_on_a_kept_connection_is_not_that_of_the_next_request() {
+    for headers in ["", "x-attempt-id: another\r\n"] {
+        let full = Step::Answer("503 Busy", "x-not-run: true\r\n", "{}");
+        let first = FakeEndpoint::start(&[Step::RefuseNext(headers), full]).await;
+        let vm = Vm::start(Setup::new(vec![("first", first.clone())])).await;
+        let reply = run(&vm, "simple", &[], "{}").await;
+        expect_that!(reply.status, eq(200), "{headers:?}");
+        let reply = run(&vm, "simple", &[], "{}").await;
+        expect_that!(
+            reply.refusal(),
+            eq("502 stage_failed unknown"),
+            "{headers:?}"
+        );
+        expect_that!(first.requests().len(), ge(2), "{headers:?}");
+    }
+}
+
 /// A payout that its only endpoint did not run must be refused with the outcome "not run".
 #[gtest]
 #[tokio::test]
--- a/tests/traffic_fixture/endpoint.rs
+++ b/tests/traffic_fixture/endpoint.rs
@@ -13,8 +13,12 @@
 /// How the fake endpoint treats one attempt.
 #[derive(Debug, Clone)]
 pub enum Step {
-    /// Answers with this status line, these header lines and this body.
+    /// Answers with this status line, these header lines and this body. The answer repeats the attempt id
+    /// unless the header lines hold one.
     Answer(&'static str, &'static str, &'static str),
+    /// Answers with 200 and keeps the connection, then runs the next request on it and answers that with a late
+    /// refusal of another one, which has these header lines.
+    RefuseNext(&'static str),
     /// Closes the connection without an answer after the request was read.
     Cut,
     /// Answers with 200 after this many milliseconds.
@@ -97,11 +101,27 @@
         let Some(request) = read_request(&mut stream).await else {
             return;
         };
+        let attempt_id = attempt_id_line(&request);
         self.requests.lock().unwrap().push(request);
         self.arrived.notify_one();
         let _ = match step {
             Step::Answer(status, headers, body) => {
-                write_answer(&mut stream, status, headers, body).await
+                let attempt_id = match headers.contains("x-attempt-id") {
+                    true => "",
+                    false => &attempt_id,
+                };
+                let headers = format!("{headers}{attempt_id}");
+                write_answer(&mut stream, status, &headers, body).await
+            }
+            Step::RefuseNext(headers) => {
+                let answer = "HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n{\"output\":1}";
+                let _ = stream.write_all(answer.as_bytes()).await;
+                let Some(request) = read_request(&mut stream).await else {
+                    return;
+                };
+                self.requests.lock().unwrap().push(request);
+                let headers = format!("x-not-run: true\r\n{headers}");
+                write_answer(&mut stream, "503 Service Unavailable", &headers, "{}").await
             }
             Step::Cut => Ok(()),
             Step::Slow(time_ms) => {
@@ -140,6 +160,13 @@
     }
 }
 
+/// Returns the header line with which an answer repeats the attempt id of a request.
+fn attempt_id_line(request: &str) -> String {
+    let mut lines = request.lines();
+    let line = lines.find(|line| line.to_ascii_lowercase().starts_with("x-attempt-id:"));
+    line.map_or(String::new(), |line| format!("{line}\r\n"))
+}
+
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     loop {
