feat(fleet): how long a change took from the store to a VM, and by which way

Logs and metrics did not tell how old a change was when it arrived, so that a VM that turned to silent sources one after the other looked like one that was slow.

A line "store: changes arrived" and primrosewalk_store_change_seconds say the way (watch, check, listing, relay, state of another VM) and an upper bound of the time: since this VM last had word of all changes. Changes that VMs pass on carry the time since a VM read them from the store.

--- a/src/decisions/change_log.rs
+++ b/src/decisions/change_log.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use crate::units::{StoreEra, StorePosition};
+use crate::units::{StoreEra, StorePosition, Time};
 
 /// Largest number of changes that the log keeps.
 const MAX_CHANGES: usize = 2_000;
@@ -21,6 +21,8 @@
     pub revision: u64,
     /// Size of the change.
     pub bytes: usize,
+    /// When a VM read it from the store.
+    pub read_at: Time,
     /// The changed item.
     pub item: T,
 }
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -84,6 +84,7 @@
         stopping,
         peer_is_newer: Notify::new(),
         lag: Mutex::default(),
+        word_at: Mutex::default(),
         crashes: publications.crashes,
         loads: publications.loads,
     });
--- a/src/fleet/control_state.rs
+++ b/src/fleet/control_state.rs
@@ -17,6 +17,7 @@
 use crate::fleet::settings::FleetSettings;
 use crate::fleet::store_feed::StoreFeed;
 use crate::fleet::view::FleetView;
+use crate::units::Time;
 
 /// State that the tasks of the control thread share.
 pub(super) struct Control {
@@ -32,6 +33,8 @@
     // Notified when a VM reports a newer revision of the store than this VM's.
     pub(super) peer_is_newer: Notify,
     pub(super) lag: Mutex<RevisionLag>,
+    // When the store or a VM that this one listens to last gave word of all changes.
+    pub(super) word_at: Mutex<Option<Time>>,
     pub(super) crashes: Arc<CrashBoard>,
     pub(super) loads: Arc<LoadBoard>,
 }
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -144,6 +144,11 @@
     histogram!("primrosewalk_store_word_gap_seconds").record(gap.as_secs_f64());
 }
 
+/// Records how long a change took at most from the store to this VM, by the way on which it came.
+pub fn store_change_arrived(way: &'static str, at_most: Duration) {
+    histogram!("primrosewalk_store_change_seconds", "through" => way).record(at_most.as_secs_f64());
+}
+
 /// Counts an answer of the store, or word of it from another VM, that was not applied.
 pub fn store_word_dropped(reason: &'static str) {
     counter!("primrosewalk_store_words_dropped_total", "reason" => reason).increment(1);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod attempts;
 pub mod caller_connection;
 pub mod caller_memory;
+mod change_delay;
 mod connection_activity;
 pub mod control;
 mod control_state;
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -64,6 +64,8 @@
     memory_mb: f64,
     #[serde(default)]
     max_descriptors: f64,
+    #[serde(default)]
+    change_bound_ms: f64,
 }
 
 fn default_retry_window_s() -> f64 {
@@ -116,6 +118,8 @@
     pub memory_bytes: Option<usize>,
     /// Number of descriptors that the process may have open; `None` if it is not known.
     pub max_descriptors: Option<usize>,
+    /// Longest time from the store's acknowledgement of a change until it is in force here; `None` if it is not known.
+    pub change_bound: Option<Duration>,
 }
 
 /// Reads and checks a settings file.
@@ -197,6 +201,7 @@
         ("link_mbit_per_s", document.link_mbit_per_s),
         ("memory_mb", document.memory_mb),
         ("max_descriptors", document.max_descriptors),
+        ("change_bound_ms", document.change_bound_ms),
     ] {
         if !value.is_finite() || value < 0.0 {
             findings.add(place, format!("{value} is not a number of 0 or more"));
@@ -229,6 +234,7 @@
         },
         memory_bytes: known(document.memory_mb * 1_000_000.0),
         max_descriptors: known(document.max_descriptors),
+        change_bound: known(document.change_bound_ms).map(|ms| Duration::from_millis(ms as u64)),
     })
 }
 
--- a/src/fleet/store_feed.rs
+++ b/src/fleet/store_feed.rs
@@ -103,11 +103,12 @@
     }
 }
 
-/// Returns an item with its size, for the log of changes.
+/// Returns an item that has just been read with its size, for the log of changes.
 pub fn logged(item: StoreItem) -> LoggedChange<StoreItem> {
     LoggedChange {
         revision: item.revision,
         bytes: item.value.as_ref().map_or(0, |value| value.len()),
+        read_at: clock::now(),
         item,
     }
 }
@@ -125,6 +126,7 @@
         name,
         revision: item.revision,
         value: item.value.clone(),
+        read_age_ms: clock::now().since(change.read_at).as_millis() as u64,
     }
 }
 
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -17,6 +17,7 @@
 use crate::decisions::change_log::ChangeLog;
 use crate::decisions::store_source::{Source, StoreSource, has_listeners, watches_store};
 use crate::decisions::store_view::StoreChange;
+use crate::fleet::change_delay::{Way, note_changes};
 use crate::fleet::control_state::Control;
 use crate::fleet::metric;
 use crate::fleet::model::{Endpoint, FleetVm};
@@ -83,7 +84,6 @@
         answering_since: None,
         may_watch: false,
         unanswered_since: None,
-        last_word_at: None,
         wants_state: false,
         control,
     };
@@ -192,8 +192,6 @@
     may_watch: bool,
     /// When the store last may have answered, if the last watch ended without an answer.
     unanswered_since: Option<Time>,
-    /// When the store or a relay last answered.
-    last_word_at: Option<Time>,
     /// Whether the next call to a relay asks for the whole state: a change of the era was noticed.
     wants_state: bool,
 }
@@ -216,7 +214,10 @@
             Source::Store => {
                 self.source.on_store_failed(now);
                 self.may_watch = false;
-                let since = self.unanswered_since.take().or(self.last_word_at);
+                let since = self
+                    .unanswered_since
+                    .take()
+                    .or(*self.control.word_at.lock());
                 self.note_unreachable(since, error);
                 self.publish_feed(false);
             }
@@ -284,13 +285,15 @@
         if !self.may_watch || self.unanswered_since.is_some() {
             metric::store_called("check");
             let outcome = client.check("", after).await?;
-            self.apply_outcome(client, after, outcome).await?;
+            self.apply_outcome(client, after, Way::Check, outcome)
+                .await?;
             return Ok(Progress::Checked);
         }
         let began_at = clock::now();
         match self.watch(client, after).await {
             Ok(outcome) => {
-                self.apply_outcome(client, after, outcome).await?;
+                self.apply_outcome(client, after, Way::Watch, outcome)
+                    .await?;
                 // A watch may also end at once without changes, or with changes of items that are not used here.
                 let took = clock::now().since(began_at);
                 sleep(CHANGES_PAUSE.saturating_sub(took)).await;
@@ -370,7 +373,8 @@
             }
         }
         if let Some((ip, state)) = best {
-            apply_state(control, ip, state);
+            // This VM has only started, so that no change is late.
+            let _ = apply_state(control, ip, state);
         }
     }
 
@@ -379,8 +383,10 @@
         &mut self,
         client: StoreClient,
         after: StorePosition,
+        way: Way,
         outcome: WatchOutcome,
     ) -> anyhow::Result<()> {
+        let known_at = *self.control.word_at.lock();
         self.note_answer();
         let answer = match outcome {
             WatchOutcome::Changes(answer) => answer,
@@ -400,6 +406,7 @@
         let is_any_newer = apply_changes(&self.control, answer.items, answer.position);
         self.publish_feed(true);
         if is_any_newer {
+            note_changes(&self.control, way, known_at, Some(Duration::ZERO));
             sleep(CHANGES_PAUSE).await;
         }
         Ok(())
@@ -415,7 +422,7 @@
     /// Notes that the store answers this VM or a relay, and has done so since `since` at the latest.
     fn note_word(&mut self, since: Time) {
         let now = clock::now();
-        if let Some(before) = self.last_word_at.replace(now) {
+        if let Some(before) = self.control.word_at.lock().replace(now) {
             metric::store_word_gap(now.since(before));
         }
         let known = self.answering_since.unwrap_or(since);
@@ -445,6 +452,7 @@
             metric::store_word_dropped("older_listing");
             bail!("the store lists {position}, which is before {known}");
         }
+        let known_at = *self.control.word_at.lock();
         self.note_answer();
         let control = &self.control;
         let items = operator.items.into_iter().chain(endpoints.items);
@@ -457,6 +465,7 @@
             .apply_listing(clock::now(), changes, position);
         info!(control.logger, "store: listed"; "position" => %position, "known" => %known);
         control.publish_store();
+        note_changes(control, Way::Listing, known_at, Some(Duration::ZERO));
         self.changes.reset(position);
         self.publish_feed(true);
         Ok(())
@@ -489,25 +498,33 @@
                 if position.era < own.era {
                     bail!("the relay is in an earlier era of the store, or its build knows none");
                 }
+                let known_at = *control.word_at.lock();
                 self.note_word(answering_since(news.answering_ms));
                 self.wants_state = position.era != own.era;
+                let read_age = news.changes.iter().map(|change| change.read_age_ms).max();
                 let items = news.changes.into_iter().map(decode_item);
-                apply_changes(&self.control, items, position);
+                if apply_changes(&self.control, items, position) {
+                    let read_age = read_age.map(Duration::from_millis);
+                    note_changes(&self.control, Way::Relay(ip), known_at, read_age);
+                }
                 Ok(())
             }
             Body::StoreNews(news) => {
                 let error = anyhow!("the relay does not reach the store");
                 if news.has_lost_store {
                     // A relay vouches for some time for what it has learned before.
-                    let since = self.last_word_at.map(|at| at - MAX_ANSWER_AGE);
+                    let since = self.control.word_at.lock().map(|at| at - MAX_ANSWER_AGE);
                     self.note_unreachable(since, &error);
                 }
                 Err(error)
             }
             Body::State(state) => {
+                let known_at = *control.word_at.lock();
                 self.note_word(answering_since(state.answering_ms));
                 self.wants_state = false;
-                apply_state(&self.control, ip, state);
+                if apply_state(&self.control, ip, state) {
+                    note_changes(&self.control, Way::Relay(ip), known_at, None);
+                }
                 Ok(())
             }
             _ => bail!("the relay sent an answer of the wrong type"),
@@ -537,8 +554,8 @@
     is_any_newer
 }
 
-/// Applies the state that another VM sent, if it is newer than that of this VM.
-fn apply_state(control: &Control, ip: Ipv4Addr, state: FleetState) {
+/// Applies the state that another VM sent, if it is newer than that of this VM. Returns whether it is.
+fn apply_state(control: &Control, ip: Ipv4Addr, state: FleetState) -> bool {
     let now = clock::now();
     let snapshot = decode_state(&control.logger, now, state);
     let position = snapshot.position;
@@ -553,6 +570,7 @@
     } else {
         metric::store_word_dropped("older_state");
     }
+    is_newer
 }
 
 /// Asks a VM for its state of the store.
@@ -693,8 +711,11 @@
         let Some(ip) = control.lag.lock().take_newest() else {
             continue;
         };
-        if let Some(state) = fetch_state(&control, ip).await {
-            apply_state(&control, ip, state);
+        let known_at = *control.word_at.lock();
+        if let Some(state) = fetch_state(&control, ip).await
+            && apply_state(&control, ip, state)
+        {
+            note_changes(&control, Way::State(ip), known_at, None);
         }
         sleep(STATE_REQUEST_INTERVAL).await;
     }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -511,6 +511,9 @@
     /// Value of the item; absent when it was removed.
     #[prost(bytes = "bytes", optional, tag = "4")]
     pub value: Option<bytes::Bytes>,
+    /// Time since a VM read the change from the store, in milliseconds; 0 from earlier builds.
+    #[prost(uint64, tag = "5")]
+    pub read_age_ms: u64,
 }
 
 /// State of the platform's store as one VM knows it.
--- a/tests/fleet_rules/settings.rs
+++ b/tests/fleet_rules/settings.rs
@@ -56,10 +56,12 @@
     let settings = check_settings(VALID).unwrap();
     expect_that!(settings.memory_bytes, none());
     expect_that!(settings.max_descriptors, none());
-    let text = format!("{VALID}\nmemory_mb = 160\nmax_descriptors = 4100");
+    expect_that!(settings.change_bound, none());
+    let text = format!("{VALID}\nmemory_mb = 160\nmax_descriptors = 4100\nchange_bound_ms = 2000");
     let settings = check_settings(&text).unwrap();
     expect_that!(settings.memory_bytes, some(eq(160_000_000)));
     expect_that!(settings.max_descriptors, some(eq(4_100)));
+    expect_that!(settings.change_bound, some(eq(Duration::from_secs(2))));
     let findings = check_settings(&format!("{VALID}\nmemory_mb = -1")).unwrap_err();
     expect_that!(findings.items()[0].place.as_str(), eq("memory_mb"));
 }
--- a/tests/fleet_rules/store_eras.rs
+++ b/tests/fleet_rules/store_eras.rs
@@ -379,6 +379,7 @@
     let change = |revision| LoggedChange {
         revision,
         bytes: 1,
+        read_at: at(0),
         item: revision,
     };
     let mut log = ChangeLog::default();
--- a/tests/fleet_rules/store_source.rs
+++ b/tests/fleet_rules/store_source.rs
@@ -218,6 +218,7 @@
     LoggedChange {
         revision,
         bytes: 100,
+        read_at: at(0),
         item: revision,
     }
 }
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -202,6 +202,7 @@
             name: generator.text(),
             revision: generator.number(),
             value: generator.0.random_bool(0.5).then(|| generator.bytes()),
+            read_age_ms: generator.number(),
         };
         StoreNews {
             is_current: self.0.random(),
