test(store): changes beside VMs that are silent; failing tests (CONFIG)

24 VMs as real processes; relays and those after them are stopped, cut off by a proxy between VMs, or killed as a configuration, a withdrawn key, an endpoint that leaves and an evacuation are written: one, a data centre's, all, and all that a VM may ask; each next relay as it is elected; relays that wake; sources that lose the store. The soak learns the class: series of versions beside VMs that stand still, die, start, stop or lose the store.

--- a/tests/fleet_soak/main.rs
+++ b/tests/fleet_soak/main.rs
@@ -9,7 +9,7 @@
 //! engines that answer them. Half of the callers keep their connections open until a VM closes them. The guarantees of
 //! the system are checked from what callers and endpoints see, and each VM that runs has to answer.
 //! Runs without unplanned faults (`planned`) have seeds of their own, and so have those in which the store comes back
-//! from an older copy (`restores`).
+//! from an older copy (`restores`), and those in which most VMs are silent (`silent_sources`).
 //!
 //! `SOAK_SEED` is the first seed, `SOAK_RUNS` the number of seeds, `SOAK_SECONDS` the time
 //! during which faults occur for each seed and `SOAK_VMS` the number of VMs. `SOAK_SEEDS.txt` beside
@@ -22,6 +22,7 @@
 mod observations;
 mod planned;
 mod restores;
+mod silent_sources;
 mod steps;
 mod unanswered;
 #[path = "../users_platform/mod.rs"]
@@ -42,6 +43,7 @@
 use rand_chacha::ChaCha8Rng;
 use restores::soak_restores;
 use serde_json::json;
+use silent_sources::soak_silent_sources;
 use steps::{Step, apply, draw_answers, draw_late_refusals, draw_series, draw_silence};
 use unanswered::count_by_cause;
 use users_platform::backend::Fault;
@@ -421,3 +423,9 @@
 async fn restores_of_the_store_bring_nothing_back() {
     run_seeds(1..=4, soak_restores).await;
 }
+
+/// Guards against VMs that learn late of changes because others do not answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_sources_delay_no_change() {
+    run_seeds(1..=3, soak_silent_sources).await;
+}
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -6,8 +6,11 @@
 
 pub mod backend;
 pub mod caller;
+pub mod peer_proxy;
+pub mod ranks;
 pub mod silence;
 pub mod store;
+pub mod versions;
 
 use std::ffi::OsString;
 use std::fs::File;
