--- a/src/decisions/revision_lag.rs
+++ b/src/decisions/revision_lag.rs
@@ -1,4 +1,4 @@
-//! Whether this VM's state of the platform's store is behind that of other VMs, and which VM to ask for its
+//! Whether this VM's state of the platform's store is behind that of other VMs, and which VMs to ask for their
 //! state then.
 //!
 //! Under a series of changes some other VM is nearly always ahead by a moment, since watches pause
@@ -7,6 +7,8 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use crate::units::{StorePosition, Time};
 
 /// How far a VM has followed the store.
@@ -43,12 +45,17 @@
     at: Time,
 }
 
+/// Number of VMs that are asked for their state together: some of them may not answer.
+const MAX_ASKED: usize = 3;
+
 /// Reports of what this VM has not reached.
 #[derive(Debug, Default)]
 pub struct RevisionLag {
     /// The report since which this VM is behind.
     oldest: Option<Report>,
     newest: Option<Report>,
+    /// The last reports of other VMs, the last one first.
+    others: SmallVec<[Report; MAX_ASKED]>,
 }
 
 impl RevisionLag {
@@ -72,8 +79,16 @@
         };
         self.oldest.get_or_insert(report);
         let is_newest = |newest: Report| progress.is_ahead_of(&newest.progress);
-        if self.newest.is_none_or(is_newest) {
-            self.newest = Some(report);
+        let other = if self.newest.is_none_or(is_newest) {
+            self.newest.replace(report)
+        } else {
+            Some(report)
+        };
+        self.others.retain(|known| known.vm != vm);
+        let newest_vm = self.newest.map(|newest| newest.vm);
+        if let Some(other) = other.filter(|other| Some(other.vm) != newest_vm) {
+            self.others.insert(0, other);
+            self.others.truncate(MAX_ASKED - 1);
         }
         true
     }
@@ -90,16 +105,18 @@
             .is_some_and(|newest| newest.progress.configuration_version > own.configuration_version)
     }
 
-    /// Returns the VM with the newest report, and removes the report: if it does not answer,
-    /// the next report names the VM to ask.
-    pub fn take_newest(&mut self) -> Option<Ipv4Addr> {
+    /// Returns the VM with the newest report and after it some that reported lately, and removes their reports: if none
+    /// of them answers, the next reports name the VMs to ask.
+    pub fn take_newest(&mut self) -> SmallVec<[Ipv4Addr; MAX_ASKED]> {
         self.oldest = None;
-        self.newest.take().map(|report| report.vm)
+        let reports = self.newest.take().into_iter().chain(self.others.drain(..));
+        reports.map(|report| report.vm).collect()
     }
 
     fn drop_reached(&mut self, own: &StoreProgress) {
         let is_unreached = |report: &Report| report.progress.is_ahead_of(own);
         self.newest = self.newest.filter(is_unreached);
+        self.others.retain(|report| is_unreached(report));
         // Reports between the two are not kept: a watch that reaches one of them is not stuck.
         self.oldest = self.oldest.filter(is_unreached).or(self.newest);
     }
--- a/src/decisions/store_source.rs
+++ b/src/decisions/store_source.rs
@@ -1,170 +1,345 @@
-//! Decides from whom a VM learns of changes of the platform's store.
+//! Decides from whom a VM learns of changes of the platform's store, so that it has each of them within a bounded
+//! time.
 //!
 //! Each change ends the watch of every VM that watches the store, so a fleet of hundreds cannot all
-//! watch it. A few VMs in each data centre do, the relays; the others learn of changes from a relay,
-//! and turn to another one or to the store itself as soon as its word is late. This handles large
-//! fleets under a series of changes, relays that die, freeze or are cut off, and a store that serves
-//! some VMs and not others (`docs/platform.md`, "Word of the store").
+//! watch it. A few VMs in each data centre do, the relays; the others learn of changes from a relay.
+//!
+//! What a VM knows has an age: the time since the store showed that the VM had all of its changes. A relay passes the
+//! age on with what it knows, so it stays true over any number of VMs. Only the age decides when a VM turns to
+//! others, and it asks all of them at once: the time to a source that answers does not grow with the number of
+//! those that don't. This handles relays that die, freeze, wake or are cut off, one at a time or all at once, and a
+//! store that serves some VMs and not others (`docs/platform.md`, "The way of a change").
+
+mod order;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{HashMap, HashSet};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use smallvec::SmallVec;
+pub use order::{Role, SourceList, SourceOrder, watches_store};
 
-use crate::decisions::stage_groups::weight_of;
-use crate::fleet::model::FleetVm;
-use crate::units::{DataCentreName, Time, VmId};
+use crate::units::Time;
 
-/// Largest fleet in which every VM watches the store itself.
-const MAX_DIRECT_VMS: usize = 12;
-/// Number of relays in each data centre.
-const RELAYS_PER_DATA_CENTRE: usize = 2;
-/// Number of relays in other data centres that a VM turns to when those of its own have failed.
-const REMOTE_RELAYS: usize = 2;
-/// Time for which a relay whose word was late is avoided.
+/// Age of the word of the store from which a VM also listens to others than its source. Two probes of a relay in a
+/// row have to fail for it.
+pub const DOUBT_AGE: Duration = Duration::from_millis(900);
+/// Time that all sources have to answer before a VM asks the store itself.
+const SOURCES_TIMEOUT: Duration = Duration::from_millis(300);
+/// The same for a VM that has just started: its whole fleet may start, and the relays have to list the store first.
+const START_SOURCES_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The same for a deputy, for whose word the others wait.
+const DEPUTY_SOURCES_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time over which the VMs of a fleet spread their own calls.
+const OWN_CALL_SPREAD: Duration = Duration::from_millis(350);
+/// Largest age of a VM's word when it asks the store itself at the latest, however many sources do not answer.
+pub const MAX_WORD_AGE: Duration =
+    DOUBT_AGE.saturating_add(SOURCES_TIMEOUT.saturating_add(OWN_CALL_SPREAD));
+/// Number of sources that have asked the store in vain from which a VM takes it for down.
+const MIN_WITNESSES: usize = 2;
+/// Calls per second to a store that is taken for down, of all VMs but relays and deputies together.
+const FLEET_CALLS_PER_S: f64 = 30.0;
+/// Shortest time between two such calls of a VM.
+const MIN_CALL_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time between two calls of a VM that does not know whether the store is down, since no source answers.
+const MAX_LONELY_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Initial pause of a VM that watches the store after a failed call; it doubles with each further failure.
+const INITIAL_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Maximum pause after a failed call.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(900);
+/// Time for which a deputy that has asked the store watches it.
+const DEPUTY_PERIOD: Duration = Duration::from_secs(4);
+/// Time for which a source that failed is not chosen.
 const AVOID_PERIOD: Duration = Duration::from_millis(1_500);
-/// Time for which a VM asks the store itself after all its relays have failed.
-const DIRECT_PERIOD: Duration = Duration::from_secs(4);
-/// Longest time from the failure of all relays until a VM asks the store itself. Each VM waits a part of
-/// it, so that not all of a large fleet press on a store that is down.
-const MAX_DIRECT_DELAY: Duration = Duration::from_millis(1_000);
-/// Time after a failed call until a VM that is no relay asks the store again.
-const DIRECT_RETRY_PERIOD: Duration = Duration::from_secs(5);
-
-/// Time for which a relay whose own call to the store has failed listens to other relays.
-const LISTEN_PERIOD: Duration = Duration::from_secs(1);
-
-/// From whom a VM learns of changes.
+/// Time until a source that had no word is asked again.
+const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which a VM that offered its word is listened to in doubt.
+const OFFER_PERIOD: Duration = Duration::from_secs(4);
+/// Time for which a VM offers its word to sources that have none.
+const OFFERING_PERIOD: Duration = Duration::from_secs(1);
+/// Number of VMs whose offers are kept.
+const MAX_OFFERS: usize = 4;
+/// Longest time until a plan is made again, since VMs come and go.
+const MAX_PLAN_TIME: Duration = Duration::from_secs(1);
+
+/// How a VM asks the store itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreCall {
+    /// Waits for changes.
+    Watch,
+    /// Asks for the changes so far, which is answered at once.
+    Check,
+}
+
+/// What a VM does now to learn of changes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// The VMs to listen to.
+    pub listen_to: SourceList,
+    /// The call to the store itself that is to be in progress.
+    pub store_call: Option<StoreCall>,
+    /// Whether this VM asks all its sources, since its word of the store is late.
+    pub is_in_doubt: bool,
+    /// When time alone changes the plan.
+    pub next_at: Time,
+}
+
+/// What another VM says of its word of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Source {
-    /// The store itself.
-    Store,
-    /// The relay at this address.
-    Relay(Ipv4Addr),
-    /// Nobody until this time: all have failed.
-    Nobody(Time),
+pub struct SourceWord {
+    /// Whether its word is recent.
+    pub is_recent: bool,
+    /// Whether the store has not answered its own calls.
+    pub has_lost_store: bool,
+    /// Whether it asks the store itself.
+    pub asks_store: bool,
 }
 
 /// What a VM remembers of its sources.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StoreSource {
-    avoided_until: HashMap<Ipv4Addr, Time>,
-    /// Until when this VM asks the store itself, although it is no relay.
-    direct_until: Option<Time>,
-    /// When this VM may ask the store itself, since all its relays have failed.
-    direct_from: Option<Time>,
-    /// Until when this VM listens to others, although it is a relay.
-    listens_until: Option<Time>,
+    started_at: Time,
+    /// The VM that this one listens to while all is well.
     current: Option<Ipv4Addr>,
+    /// Sources that failed, which are not chosen until then.
+    avoided_until: HashMap<Ipv4Addr, Time>,
+    /// Sources without word, which are not asked until then.
+    paused_until: HashMap<Ipv4Addr, Time>,
+    /// Other VMs that had word of the store when this one had none, and until when they are listened to.
+    offers: HashMap<Ipv4Addr, Time>,
+    /// Whether the source, or a call of this VM, has failed since the last word.
+    is_doubted: bool,
+    in_doubt_since: Option<Time>,
+    /// Sources that have asked the store in vain in this doubt.
+    witnesses: HashSet<Ipv4Addr>,
+    /// Sources that are to learn that this VM has word of the store.
+    offers_to: SourceList,
+    offers_until: Time,
+    /// Whether the store has answered this VM's last call, and has given no cause for doubt since.
+    knows_store: bool,
+    /// Number of own calls in a row that failed.
+    failures: u32,
+    last_call_ended_at: Option<Time>,
+    /// When a VM that watches the store may call it.
+    retry_at: Time,
+    /// Until when this VM watches the store as a deputy.
+    acts_until: Time,
 }
 
 impl StoreSource {
-    /// Returns the source to ask next. A relay that has not failed is kept while it is one, so that a
-    /// relay that returns from a cut gets listeners only when another one fails.
-    pub fn choose(&mut self, now: Time, own: &FleetVm, vms: &BTreeMap<VmId, FleetVm>) -> Source {
-        self.avoided_until.retain(|_, until| now < *until);
-        let is_active = |until: Option<Time>| until.is_some_and(|until| now < until);
-        let is_relay = watches_store(own, vms) && !is_active(self.listens_until);
-        if vms.len() <= MAX_DIRECT_VMS || is_relay || is_active(self.direct_until) {
-            self.current = None;
-            return Source::Store;
+    /// Returns the state of a VM that starts now.
+    pub fn new(now: Time) -> Self {
+        Self {
+            started_at: now,
+            current: None,
+            avoided_until: HashMap::new(),
+            paused_until: HashMap::new(),
+            offers: HashMap::new(),
+            is_doubted: false,
+            in_doubt_since: None,
+            witnesses: HashSet::new(),
+            offers_to: SourceList::new(),
+            offers_until: Time::ZERO,
+            knows_store: false,
+            failures: 0,
+            last_call_ended_at: None,
+            retry_at: now,
+            acts_until: Time::ZERO,
         }
-        let relays = relays_for(own, vms);
-        let is_fit = |ip: &Ipv4Addr| !self.avoided_until.contains_key(ip);
-        let kept = self.current.filter(|ip| relays.contains(ip) && is_fit(ip));
-        self.current = kept.or_else(|| relays.iter().copied().find(is_fit));
-        if let Some(ip) = self.current {
-            return Source::Relay(ip);
+    }
+
+    /// Returns what to do. `word_at` is the time up to which this VM has all changes; `None` before its first word.
+    pub fn plan(&mut self, now: Time, order: &SourceOrder, word_at: Option<Time>) -> Plan {
+        for times in [
+            &mut self.avoided_until,
+            &mut self.paused_until,
+            &mut self.offers,
+        ] {
+            times.retain(|_, until| now < *until);
+        }
+        let mut doubt_at = word_at.map_or(self.started_at, |at| at + DOUBT_AGE);
+        if order.role == Role::Direct && self.knows_store {
+            // Its own watch brings the changes, and nobody else depends on it.
+            doubt_at = now + MAX_PLAN_TIME;
         }
-        let is_relay = watches_store(own, vms);
-        let first_try = || match is_relay {
-            true => now,
-            false => now + MAX_DIRECT_DELAY.mul_f64(own_share(own)),
+        let is_in_doubt = self.is_doubted || now >= doubt_at;
+        let mut next_at = now + MAX_PLAN_TIME;
+        if is_in_doubt {
+            self.knows_store = false;
+        } else {
+            self.in_doubt_since = None;
+            self.witnesses.clear();
+            next_at = next_at.min(doubt_at);
+        }
+        let in_doubt_since = is_in_doubt.then(|| *self.in_doubt_since.get_or_insert(now));
+        let watches = self.watches(now, order, in_doubt_since, word_at, &mut next_at);
+        let store_call = match in_doubt_since {
+            _ if watches => self.watcher_call(now, &mut next_at),
+            Some(since) => {
+                let call_at = self.own_call_at(order, since, word_at);
+                if now < call_at {
+                    next_at = next_at.min(call_at);
+                }
+                (now >= call_at).then_some(StoreCall::Check)
+            }
+            None => None,
+        };
+        let is_starting = word_at.is_none() && self.failures == 0;
+        let mut listen_to = if is_starting && matches!(order.role, Role::Direct | Role::Relay) {
+            // The first call takes the state of the VMs that have run for longest, which other relays that have just
+            // started do not know.
+            SourceList::new()
+        } else if is_in_doubt {
+            let mut all: SourceList = order.sources().collect();
+            all.extend(self.offers.keys().copied());
+            all.retain(|ip| !self.paused_until.contains_key(ip));
+            let paused = self.paused_until.values().copied();
+            next_at = paused.fold(next_at, Time::min);
+            all
+        } else if watches && self.knows_store {
+            self.current = None;
+            SourceList::new()
+        } else {
+            self.choose(order);
+            self.current.into_iter().collect()
         };
-        let direct_from = *self.direct_from.get_or_insert_with(first_try);
-        if now >= direct_from {
-            self.direct_until = Some(now + DIRECT_PERIOD);
-            return Source::Store;
+        if now < self.offers_until {
+            listen_to.extend(self.offers_to.iter().copied());
+        }
+        listen_to.sort_unstable();
+        listen_to.dedup();
+        Plan {
+            listen_to,
+            store_call,
+            is_in_doubt,
+            next_at,
         }
-        let retries = self.avoided_until.values().copied();
-        let own_retry = self.listens_until.filter(|_| is_relay);
-        let next = retries.chain(own_retry).min();
-        Source::Nobody(next.map_or(direct_from, |at| at.min(direct_from)))
     }
 
-    /// Records that a relay or the store answered.
-    pub fn on_answer(&mut self) {
-        self.direct_from = None;
+    /// Returns whether this VM watches the store: as a relay, or as a deputy whose sources have no word of it.
+    fn watches(
+        &mut self,
+        now: Time,
+        order: &SourceOrder,
+        in_doubt_since: Option<Time>,
+        word_at: Option<Time>,
+        next_at: &mut Time,
+    ) -> bool {
+        match order.role {
+            Role::Direct | Role::Relay => return true,
+            Role::Listener => return false,
+            Role::Deputy => {}
+        }
+        if let Some(since) = in_doubt_since {
+            let acts_at = since
+                + match word_at {
+                    Some(_) => DEPUTY_SOURCES_TIMEOUT,
+                    None => START_SOURCES_TIMEOUT,
+                };
+            if now >= acts_at {
+                self.acts_until = now + DEPUTY_PERIOD;
+            } else {
+                *next_at = (*next_at).min(acts_at);
+            }
+        }
+        now < self.acts_until
     }
 
-    /// Records that a relay did not answer in time, or cannot reach the store.
-    pub fn on_relay_failed(&mut self, now: Time, ip: Ipv4Addr) {
-        self.avoided_until.insert(ip, now + AVOID_PERIOD);
+    fn watcher_call(&self, now: Time, next_at: &mut Time) -> Option<StoreCall> {
+        if self.knows_store {
+            return Some(StoreCall::Watch);
+        }
+        if now < self.retry_at {
+            *next_at = (*next_at).min(self.retry_at);
+            return None;
+        }
+        Some(StoreCall::Check)
     }
 
-    /// Records that a call of this VM to the store failed: it may be cut off alone, and a relay may
-    /// reach the store.
-    pub fn on_store_failed(&mut self, now: Time) {
-        self.direct_until = None;
-        self.direct_from = Some(now + DIRECT_RETRY_PERIOD);
-        self.listens_until = Some(now + LISTEN_PERIOD);
+    /// Returns when a VM that does not watch the store asks it, in doubt since `since`.
+    fn own_call_at(&self, order: &SourceOrder, since: Time, word_at: Option<Time>) -> Time {
+        let timeout = match word_at {
+            Some(_) => SOURCES_TIMEOUT,
+            None => START_SOURCES_TIMEOUT,
+        };
+        let fleet_interval = Duration::from_secs_f64(order.fleet_size as f64 / FLEET_CALLS_PER_S);
+        let interval = fleet_interval.max(MIN_CALL_INTERVAL);
+        let is_down = self.witnesses.len() >= MIN_WITNESSES;
+        let last_call = self.last_call_ended_at.filter(|at| *at >= since);
+        match (last_call, is_down) {
+            (Some(at), true) => at + interval,
+            (Some(at), false) => at + interval.min(MAX_LONELY_INTERVAL),
+            (None, true) => since + timeout + interval.mul_f64(order.share),
+            (None, false) => since + timeout + OWN_CALL_SPREAD.mul_f64(order.share),
+        }
     }
-}
 
-/// Returns whether a VM watches the store itself while all is well.
-pub fn watches_store(own: &FleetVm, vms: &BTreeMap<VmId, FleetVm>) -> bool {
-    vms.len() <= MAX_DIRECT_VMS || relays_in(&own.data_centre, vms).contains(&own.ip)
-}
+    /// Chooses the VM to listen to. A relay that works is kept, so that one that returns from a cut gets listeners
+    /// only when another one fails; another VM is kept only while no relay works.
+    fn choose(&mut self, order: &SourceOrder) {
+        let is_fit = |ip: &Ipv4Addr| !self.avoided_until.contains_key(ip);
+        let current = self.current.filter(is_fit);
+        let relay = current.filter(|ip| order.relays.contains(ip));
+        self.current = relay
+            .or_else(|| order.relays.iter().copied().find(is_fit))
+            .or(current)
+            .or_else(|| order.sources().find(is_fit))
+            .or_else(|| order.sources().next());
+    }
 
-/// Returns whether other VMs learn of changes of the store from this one.
-pub fn has_listeners(own: &FleetVm, vms: &BTreeMap<VmId, FleetVm>) -> bool {
-    vms.len() > MAX_DIRECT_VMS && watches_store(own, vms)
-}
+    /// Records that a source has answered.
+    pub fn on_source_word(&mut self, now: Time, ip: Ipv4Addr, word: SourceWord) {
+        if word.is_recent {
+            self.avoided_until.remove(&ip);
+            if self.is_doubted || self.in_doubt_since.is_some() {
+                self.current = Some(ip);
+            }
+            self.is_doubted = false;
+            return;
+        }
+        if word.has_lost_store || word.asks_store {
+            self.witnesses.insert(ip);
+        }
+        self.on_source_failed(now, ip);
+    }
 
-/// Returns a number from 0 to 1 that differs among VMs.
-fn own_share(own: &FleetVm) -> f64 {
-    weight_of(&own.name.as_str()) as f64 / u64::MAX as f64
-}
+    /// Records that a source did not answer, or has no word of the store.
+    pub fn on_source_failed(&mut self, now: Time, ip: Ipv4Addr) {
+        self.avoided_until.insert(ip, now + AVOID_PERIOD);
+        self.paused_until.insert(ip, now + ASK_AGAIN_PAUSE);
+        self.is_doubted |= self.current == Some(ip);
+    }
 
-/// Returns the relays that a VM may ask, in order: those of its data centre, then some of others.
-fn relays_for(
-    own: &FleetVm,
-    vms: &BTreeMap<VmId, FleetVm>,
-) -> SmallVec<[Ipv4Addr; RELAYS_PER_DATA_CENTRE + REMOTE_RELAYS]> {
-    // Each VM has an order of its own, which divides the VMs among the relays.
-    let own_order = |ip: &Ipv4Addr| std::cmp::Reverse(weight_of(&(own.name.as_str(), ip)));
-    let mut near = relays_in(&own.data_centre, vms);
-    near.sort_by_cached_key(own_order);
-    let mut others: Vec<&DataCentreName> = vms
-        .values()
-        .map(|vm| &vm.data_centre)
-        .filter(|name| **name != own.data_centre)
-        .collect();
-    others.sort();
-    others.dedup();
-    let remote = others.into_iter().flat_map(|name| relays_in(name, vms));
-    let mut remote: Vec<Ipv4Addr> = remote.collect();
-    remote.sort_by_cached_key(own_order);
-    near.into_iter()
-        .chain(remote.into_iter().take(REMOTE_RELAYS))
-        .filter(|ip| *ip != own.ip)
-        .collect()
-}
+    /// Records that another VM has a later word of the store than this one.
+    pub fn on_offer(&mut self, now: Time, ip: Ipv4Addr) {
+        if self.in_doubt_since.is_some() && self.offers.len() < MAX_OFFERS {
+            self.offers.insert(ip, now + OFFER_PERIOD);
+        }
+    }
 
-/// Returns the relays of a data centre: of the larger VMs, those with the highest weights.
-fn relays_in(
-    data_centre: &DataCentreName,
-    vms: &BTreeMap<VmId, FleetVm>,
-) -> SmallVec<[Ipv4Addr; RELAYS_PER_DATA_CENTRE]> {
-    let local = || vms.values().filter(|vm| vm.data_centre == *data_centre);
-    let largest = local().map(|vm| vm.size.link_mbit_per_s).max().unwrap_or(0);
-    let rank = |vm: &&FleetVm| {
-        let is_large = vm.size.link_mbit_per_s * 2 > largest;
-        (is_large, weight_of(&("relay", vm.name.as_str())))
-    };
-    let mut ranked: Vec<&FleetVm> = local().collect();
-    ranked.sort_by_cached_key(|vm| std::cmp::Reverse(rank(vm)));
-    let relays = ranked.into_iter().take(RELAYS_PER_DATA_CENTRE);
-    relays.map(|vm| vm.ip).collect()
+    /// Records that the store has answered a call of this VM.
+    pub fn on_store_answer(&mut self, now: Time) {
+        self.knows_store = true;
+        self.is_doubted = false;
+        self.failures = 0;
+        self.last_call_ended_at = Some(now);
+        self.offers_to = self.witnesses.iter().copied().collect();
+        self.offers_until = now + OFFERING_PERIOD;
+    }
+
+    /// Records that it is not known whether the store answers: a watch ended without an answer, which a sound store
+    /// may do, or does not bring a change that is known to be there.
+    pub fn on_store_unsure(&mut self) {
+        self.knows_store = false;
+    }
+
+    /// Records that the store did not answer a call of this VM. `jitter`, from 0 to 1, spreads the next calls of
+    /// several VMs.
+    pub fn on_store_failed(&mut self, now: Time, jitter: f64) {
+        self.knows_store = false;
+        self.is_doubted |= self.failures == 0;
+        let pause = INITIAL_RETRY_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
+        self.retry_at = now + pause.min(MAX_RETRY_PAUSE).mul_f64(0.5 + jitter / 2.0);
+        self.failures += 1;
+        self.last_call_ended_at = Some(now);
+    }
 }
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -22,8 +22,10 @@
 use crate::fleet::model::FleetVm;
 use crate::fleet::peers::Peers;
 use crate::fleet::settings::FleetSettings;
-use crate::fleet::store_feed::StoreFeed;
-use crate::fleet::store_follow::{expire_entries, fetch_newer_peer_state, follow_store};
+use crate::fleet::store_apply::expire_entries;
+use crate::fleet::store_calls::fetch_newer_peer_state;
+use crate::fleet::store_feed::{StoreFeed, WordOffers};
+use crate::fleet::store_follow::follow_store;
 use crate::fleet::supervise::supervise;
 use crate::fleet::view::FleetView;
 use crate::fleet::wire::{decode_gossip, encode_gossip};
@@ -42,6 +44,8 @@
     pub view: watch::Sender<Arc<FleetView>>,
     /// Word of the store for other VMs.
     pub feed: watch::Sender<Arc<StoreFeed>>,
+    /// VMs that had a later word of the store than this one when they listened to it.
+    pub offers: Arc<WordOffers>,
     /// Evidence of crashed engines, which the control thread shares with other VMs.
     pub crashes: Arc<CrashBoard>,
     /// Loads of endpoints, which the control thread exchanges with other VMs.
@@ -81,6 +85,7 @@
         gossip: Mutex::new(gossip),
         view: publications.view,
         feed: publications.feed,
+        offers: publications.offers,
         stopping,
         peer_is_newer: Notify::new(),
         lag: Mutex::default(),
--- a/src/fleet/control_state.rs
+++ b/src/fleet/control_state.rs
@@ -15,7 +15,7 @@
 use crate::fleet::model::FleetVm;
 use crate::fleet::peers::Peers;
 use crate::fleet::settings::FleetSettings;
-use crate::fleet::store_feed::StoreFeed;
+use crate::fleet::store_feed::{StoreFeed, WordOffers};
 use crate::fleet::view::FleetView;
 use crate::units::Time;
 
@@ -33,8 +33,10 @@
     // Notified when a VM reports a newer revision of the store than this VM's.
     pub(super) peer_is_newer: Notify,
     pub(super) lag: Mutex<RevisionLag>,
-    // When the store or a VM that this one listens to last gave word of all changes.
+    // Time up to which this VM has all changes of the store; `None` before its first word of it.
     pub(super) word_at: Mutex<Option<Time>>,
+    // VMs that had a later word of the store than this one.
+    pub(super) offers: Arc<WordOffers>,
     pub(super) crashes: Arc<CrashBoard>,
     pub(super) loads: Arc<LoadBoard>,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -33,6 +33,8 @@
 pub mod settings;
 pub mod stage_jobs;
 pub mod stages;
+mod store_apply;
+mod store_calls;
 pub mod store_feed;
 mod store_follow;
 pub mod stream;
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -33,7 +33,7 @@
 use crate::fleet::request_progress::LossCause;
 use crate::fleet::settings::FleetSettings;
 use crate::fleet::stages::min_time_to_first_event;
-use crate::fleet::store_feed::StoreFeed;
+use crate::fleet::store_feed::{StoreFeed, WordOffers};
 use crate::fleet::supervise::supervise;
 use crate::fleet::view::FleetView;
 use crate::platform::caller::CallerRequest;
@@ -55,8 +55,10 @@
     pub logger: Logger,
     /// Latest view that the control thread published.
     pub view: watch::Receiver<Arc<FleetView>>,
-    /// What this VM has learned from the store itself, for other VMs.
+    /// What this VM knows of the store, for other VMs.
     pub feed: watch::Receiver<Arc<StoreFeed>>,
+    /// VMs that had a later word of the store than this one when they listened to it.
+    pub offers: Arc<WordOffers>,
     /// Becomes true when a planned stop begins.
     pub stopping: watch::Receiver<bool>,
     /// Evidence of requests that crash engines.
@@ -130,8 +132,10 @@
 pub struct Subscriptions {
     /// The view that requests are served from.
     pub view: watch::Receiver<Arc<FleetView>>,
-    /// What this VM has learned from the store itself.
+    /// What this VM knows of the store, for other VMs.
     pub feed: watch::Receiver<Arc<StoreFeed>>,
+    /// VMs that had a later word of the store than this one when they listened to it.
+    pub offers: Arc<WordOffers>,
     /// Becomes true when a planned stop begins.
     pub stopping: watch::Receiver<bool>,
     /// Evidence of requests that crash engines.
@@ -151,6 +155,7 @@
         let Subscriptions {
             view,
             feed,
+            offers,
             stopping,
             crashes,
             loads,
@@ -169,6 +174,7 @@
             logger,
             view,
             feed,
+            offers,
             stopping,
             crashes,
             loads,
--- a/src/fleet/run.rs
+++ b/src/fleet/run.rs
@@ -29,7 +29,7 @@
 use crate::fleet::peers::serve_peers;
 use crate::fleet::settings::{FleetSettings, read_settings};
 use crate::fleet::stage_jobs::{self, serve_peer_call};
-use crate::fleet::store_feed::StoreFeed;
+use crate::fleet::store_feed::{StoreFeed, WordOffers};
 use crate::fleet::view::FleetView;
 use crate::logger::build_stdout_logger;
 use crate::recorder::{AGGREGATION_PERIOD, aggregate_samples};
@@ -99,18 +99,21 @@
     let (feed, feed_receiver) = watch::channel(Arc::new(StoreFeed::default()));
     let (stop, stopping) = watch::channel(false);
     let (reload, reloaded) = watch::channel(None);
+    let offers = Arc::new(WordOffers::default());
     let crashes = Arc::new(CrashBoard::default());
     let loads = Arc::new(LoadBoard::default());
     // The control thread owns `alive`, so `control_ended` resolves when it ends for any reason.
     let (alive, control_ended) = oneshot::channel::<()>();
     let control = {
         let (settings, logger, stopping) = (settings.clone(), logger.clone(), stopping.clone());
+        let offers = Arc::clone(&offers);
         let (crashes, loads) = (Arc::clone(&crashes), Arc::clone(&loads));
         let run = move || {
             let _alive = alive;
             let publications = Publications {
                 view,
                 feed,
+                offers,
                 crashes,
                 loads,
             };
@@ -133,6 +136,7 @@
         let subscriptions = Subscriptions {
             view: view_receiver,
             feed: feed_receiver,
+            offers,
             stopping,
             crashes,
             loads,
--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -173,7 +173,8 @@
         }
         Body::ListenToStore(call) => {
             let (feed, view) = (node.feed.clone(), node.view.clone());
-            Some(answer_listener(feed, view, call).await)
+            let offers = Arc::clone(&node.offers);
+            Some(answer_listener(feed, view, offers, call).await)
         }
         Body::GroupLoad(report) => {
             if let Ok(group) = report.group.parse() {
--- /dev/null
+++ b/src/fleet/store_apply.rs
@@ -0,0 +1,151 @@
+//! Applies what this VM learns of the store: changes, listings and the states of other VMs.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{error, info, warn};
+use tokio::time::timeout;
+
+use crate::clock;
+use crate::decisions::store_view::StoreChange;
+use crate::fleet::control_state::Control;
+use crate::fleet::metric;
+use crate::fleet::model::Endpoint;
+use crate::fleet::peer_state::decode_state;
+use crate::fleet::wire::FleetState;
+use crate::platform::configuration::decode_configuration;
+use crate::platform::endpoint_entry::decode_endpoint;
+use crate::platform::store::{StoreItem, StoreKey};
+use crate::units::StorePosition;
+
+/// Applies all changes from the ones before up to `position`, and returns whether any was new.
+pub(super) fn apply_changes(
+    control: &Control,
+    items: impl IntoIterator<Item = StoreItem>,
+    position: StorePosition,
+) -> bool {
+    let changes = items
+        .into_iter()
+        .filter_map(|item| decode_change(control, item));
+    let changes: Vec<StoreChange> = changes.collect();
+    let (is_any_newer, is_later) = {
+        let mut store = control.store.lock();
+        let before = store.position;
+        let is_any_newer = store.apply_changes(clock::now(), changes, position);
+        (is_any_newer, store.position > before)
+    };
+    if is_any_newer || is_later {
+        control.publish_store();
+    }
+    is_any_newer
+}
+
+/// Applies the state that another VM sent, if it is newer than that of this VM. Returns whether it is.
+pub(super) fn apply_state(control: &Control, ip: Ipv4Addr, state: FleetState) -> bool {
+    let now = clock::now();
+    let snapshot = decode_state(&control.logger, now, state);
+    let position = snapshot.position;
+    let (own, is_newer, progress) = {
+        let mut store = control.store.lock();
+        let own = store.progress();
+        (own, store.apply_snapshot(now, snapshot), store.progress())
+    };
+    if progress.configuration_version > own.configuration_version {
+        info!(control.logger, "configuration: received"; "version" => progress.configuration_version,
+            "in_force" => own.configuration_version, "vm" => %ip);
+    }
+    info!(control.logger, "store: received the state of another VM"; "vm" => %ip,
+        "position" => %position, "own_position" => %own.position, "is_newer" => is_newer);
+    if is_newer {
+        control.publish_store();
+    } else {
+        metric::store_word_dropped("older_state");
+    }
+    is_newer
+}
+
+/// Decodes an item of the store. Returns `None` for items that this system ignores, and for a
+/// removed or invalid configuration, which leaves the former one in force.
+pub(super) fn decode_change(control: &Control, item: StoreItem) -> Option<StoreChange> {
+    let StoreItem {
+        key,
+        revision,
+        value,
+    } = item;
+    match key {
+        StoreKey::Configuration => match decode_configuration(value?) {
+            Ok(configuration) => {
+                let in_force = control
+                    .store
+                    .lock()
+                    .configuration()
+                    .map(|known| known.version);
+                info!(control.logger, "configuration: received";
+                    "version" => configuration.version, "revision" => revision,
+                    "in_force" => in_force, "bytes" => configuration.document.len());
+                Some(StoreChange::Configuration(Arc::new(configuration)))
+            }
+            Err(error) => {
+                error!(control.logger, "configuration: cannot be decoded, the former one stays";
+                    "revision" => revision, "error" => format!("{error:#}"));
+                None
+            }
+        },
+        StoreKey::Evacuation(data_centre) => {
+            info!(control.logger, "evacuation: changed"; "data_centre" => &data_centre,
+                "evacuated" => value.is_some(), "revision" => revision);
+            Some(StoreChange::Evacuation {
+                data_centre,
+                revision,
+                is_evacuated: value.is_some(),
+            })
+        }
+        StoreKey::Endpoint(id) => {
+            let endpoint = value.and_then(|value| {
+                let decoded = decode_endpoint(&id, &value, clock::now());
+                decoded
+                    .map_err(|error| {
+                        warn!(control.logger, "endpoints: an entry cannot be used";
+                            "endpoint" => &id, "error" => format!("{error:#}"));
+                    })
+                    .ok()
+            });
+            log_endpoint(control, &id, revision, endpoint.as_ref());
+            Some(StoreChange::Endpoint {
+                id,
+                revision,
+                endpoint: endpoint.map(Arc::new),
+            })
+        }
+        StoreKey::Other => None,
+    }
+}
+
+fn log_endpoint(control: &Control, id: &str, revision: u64, endpoint: Option<&Endpoint>) {
+    let state = match endpoint {
+        None => "gone",
+        Some(endpoint) if !endpoint.is_ready => "leaving",
+        Some(endpoint) if endpoint.cold_until > clock::now() => "cold",
+        Some(_) => "ready",
+    };
+    info!(control.logger, "endpoints: an entry changed"; "endpoint" => id,
+        "state" => state, "revision" => revision);
+}
+
+/// Applies what the view has scheduled: removes endpoints that did not register again after an outage of the
+/// store, and ends what is held against a store that came back from an older copy.
+pub(super) async fn expire_entries(control: Arc<Control>) {
+    let mut view = control.view.subscribe();
+    loop {
+        let next_expiry = control.store.lock().next_expiry();
+        let wait = next_expiry.map_or(Duration::MAX, |at| at.since(clock::now()));
+        // A change may bring an earlier expiry.
+        if let Ok(Err(_)) = timeout(wait, view.changed()).await {
+            return;
+        }
+        if control.store.lock().expire(clock::now()) {
+            control.publish_store();
+        }
+    }
+}
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -1,42 +1,38 @@
-//! Follows the platform's store: through a relay or with calls of this VM, and through the state of
-//! other VMs while neither brings changes in time.
+//! Follows the platform's store for one VM: listens to other VMs and calls the store, as `store_source` plans it.
+//!
+//! All calls run at the same time as tasks of their own, so that one that is not answered delays no other
+//! (`docs/platform.md`, "The way of a change").
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context as _, anyhow, bail};
+use anyhow::{Context as _, anyhow};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use slog::{error, info, warn};
-use smallvec::SmallVec;
+use slog::{info, warn};
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
 use crate::clock;
-use crate::decisions::change_log::ChangeLog;
-use crate::decisions::store_source::{Source, StoreSource, has_listeners, watches_store};
-use crate::decisions::store_view::StoreChange;
+use crate::decisions::change_log::{ChangeLog, LoggedChange};
+use crate::decisions::store_source::{
+    DOUBT_AGE, Plan, Role, SourceOrder, SourceWord, StoreCall, StoreSource, watches_store,
+};
 use crate::fleet::change_delay::{Way, note_changes};
 use crate::fleet::control_state::Control;
 use crate::fleet::metric;
-use crate::fleet::model::{Endpoint, FleetVm};
-use crate::fleet::peer_state::decode_state;
-use crate::fleet::store_feed::{HOLD_TIME, MAX_ANSWER_AGE, StoreFeed, decode_item, logged};
-use crate::fleet::wire::{Body, Empty, FleetState, ListenToStore};
-use crate::platform::configuration::decode_configuration;
-use crate::platform::endpoint_entry::decode_endpoint;
-use crate::platform::store::{
-    ENDPOINTS_PREFIX, OPERATOR_PREFIX, StoreClient, StoreItem, StoreKey, WatchOutcome,
-};
+use crate::fleet::model::FleetVm;
+use crate::fleet::store_apply::{apply_changes, apply_state, decode_change};
+use crate::fleet::store_calls::{StoreNewsOfCall, WATCH_WAIT, call_store};
+use crate::fleet::store_feed::{DOUBT_HOLD_TIME, HOLD_TIME, StoreFeed, decode_item, logged};
+use crate::fleet::wire::{Body, FleetState, ListenToStore, StoreNews};
+use crate::platform::store::StoreItem;
 use crate::units::{StoreEra, StorePosition, Time, VmId};
 
-/// Time that a watch of the store waits for changes. A watch whose connection no longer delivers
-/// changes is detected when another VM reports a newer revision ([`MAX_WATCH_LAG`]), and otherwise
-/// when this time has passed.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-/// Timeout of a call that listens to a relay, which answers within [`HOLD_TIME`].
-const LISTEN_TIMEOUT: Duration = HOLD_TIME.saturating_add(Duration::from_millis(600));
+/// Time that an answer of another VM may take beyond the time for which that one holds the call.
+const LISTEN_SLACK: Duration = Duration::from_millis(600);
 /// Time for which a VM of a fleet that starts for the first time waits for VMs that know the store.
 const FIRST_START_WAIT: Duration = Duration::from_millis(3_000);
 /// Time after which the relays of such a fleet go ahead: the VMs have met by then.
@@ -45,85 +41,41 @@
 const START_WAIT: Duration = Duration::from_millis(150);
 /// Longest such wait of a VM that has heard of no other VM yet.
 const ALONE_WAIT: Duration = Duration::from_millis(1_000);
-/// Time from its start in which a VM asks for the state of another one as soon as that one reports a newer
-/// configuration: it may have read an older copy of the store.
-const YOUNG_PERIOD: Duration = Duration::from_secs(4);
 /// Pause from the first record of another VM until the records of all VMs are there.
 const RECORDS_PAUSE: Duration = Duration::from_millis(30);
-/// Time for which this VM waits for its own watch to reach a revision that another VM reported,
-/// before it asks for the state of a VM. The watch may be behind because it pauses
-/// for [`CHANGES_PAUSE`] after a change, and because reports take a period of gossip.
-const MAX_WATCH_LAG: Duration = Duration::from_millis(800);
 /// Pause after a watch that brought changes, and shortest time between the starts of two watches, so that a series of
 /// changes takes few calls. It has to be short: within two seconds a new configuration must be in force, and an
 /// endpoint that was removed must get no more requests.
 const CHANGES_PAUSE: Duration = Duration::from_millis(450);
-/// Interval at which a relay probes the store while its watch waits.
+/// Longest time without an answer of the store until a VM that watches it probes it.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
-/// Number of probes in a row without an answer after which a relay no longer vouches for what it knows. A single
-/// answer may be lost.
-const MAX_FAILED_PROBES: u32 = 2;
-/// Initial pause after a failed call to the store; it doubles with each further failure.
-const INITIAL_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Maximum pause after a failed call to the store.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(900);
-/// Number of VMs that a VM asks for their state at its start before it lists the store.
-const MAX_ASKED_AT_START: usize = 3;
-/// Delay, while the store cannot be reached, from another VM's report of a newer revision until
-/// a VM is asked for its state.
-const STATE_REQUEST_DELAY: Duration = Duration::from_millis(300);
-/// Minimum interval between two requests for another VM's state of the store.
-const STATE_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Follows the store, through a relay or with calls of this VM.
+/// Time from the begin of a watch until a probe. In a series of changes each watch is answered at once.
+const PROBE_DELAY: Duration = Duration::from_millis(100);
+/// Time that a watch has to bring a change that a probe has shown.
+const PROBED_CHANGE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Shortest wait between two rounds of the loop.
+const MIN_ROUND: Duration = Duration::from_millis(2);
+
+/// Follows the store until the process ends.
 pub(super) async fn follow_store(control: Arc<Control>) {
     wait_for_fleet(&control).await;
-    let mut follower = Follower {
-        source: StoreSource::default(),
-        changes: ChangeLog::default(),
-        answering_since: None,
-        may_watch: false,
-        unanswered_since: None,
-        wants_state: false,
-        control,
-    };
-    let mut pause = INITIAL_RETRY_PAUSE;
-    let mut last_source = None;
-    let mut rng = ChaCha8Rng::seed_from_u64(u64::from(u32::from(follower.control.own_vm.ip)));
+    let mut follower = Follower::new(control);
     loop {
-        let source = follower.choose_source();
-        let is_nobody = matches!(source, Source::Nobody(_));
-        if !is_nobody && last_source.replace(source) != Some(source) {
-            info!(follower.control.logger, "store: following it";
-                "through" => format!("{source:?}"));
-        }
-        let outcome = match source {
-            Source::Store => follower.ask_store().await,
-            Source::Relay(ip) => {
-                let listened = follower.listen_once(ip).await;
-                listened.map(|()| Progress::Followed)
-            }
-            Source::Nobody(until) => {
-                sleep(until.since(clock::now())).await;
-                continue;
-            }
-        };
-        match outcome {
-            Ok(Progress::Followed) => {
-                follower.source.on_answer();
-                pause = INITIAL_RETRY_PAUSE;
-                continue;
-            }
-            Ok(Progress::Checked) => {
-                follower.source.on_answer();
-                continue;
-            }
-            Ok(Progress::Unanswered) => {}
-            Err(error) => follower.on_failure(source, &error),
-        }
-        if source == Source::Store {
-            sleep(pause.mul_f64(rng.random_range(0.5..1.0))).await;
-            pause = (pause * 2).min(MAX_RETRY_PAUSE);
+        let plan = follower.plan();
+        let wake_at = follower.carry_out(&plan);
+        follower.note_outage();
+        follower.publish_feed(&plan);
+        let wait = wake_at.since(clock::now()).max(MIN_ROUND);
+        let offers = Arc::clone(&follower.control.offers);
+        tokio::select! {
+            Some(event) = follower.tasks.join_next() => match event {
+                Ok(event) => follower.handle(event),
+                Err(error) if error.is_panic() => std::panic::resume_unwind(error.into_panic()),
+                // The task was aborted.
+                Err(_) => {}
+            },
+            () = sleep(wait) => {}
+            () = offers.is_new.notified() => follower.take_offers(),
         }
     }
 }
@@ -171,552 +123,647 @@
     live.map(|vm| (vm.name.clone(), vm.clone())).collect()
 }
 
-/// Outcome of one call to a source.
-enum Progress {
-    /// A watch or a relay answered.
-    Followed,
-    /// The store answered a call without a wait.
-    Checked,
-    /// A watch ended without an answer, which a sound store may do. The next call shows whether it answers.
-    Unanswered,
+/// End of a call that ran as a task.
+enum Event {
+    /// Another VM answered, or did not.
+    Heard {
+        ip: Ipv4Addr,
+        called_at: Time,
+        /// Position after which changes were asked for.
+        after: StorePosition,
+        answer: anyhow::Result<Body>,
+    },
+    /// The store answered, or did not.
+    Called {
+        number: u64,
+        call: StoreCall,
+        began_at: Time,
+        answer: anyhow::Result<StoreNewsOfCall>,
+    },
+    /// The store answered a probe, or did not.
+    Probed {
+        began_at: Time,
+        position: anyhow::Result<StorePosition>,
+    },
+}
+
+/// Call to the store that is in progress.
+struct CallInProgress {
+    number: u64,
+    call: StoreCall,
+    began_at: Time,
+    task: AbortHandle,
 }
 
 /// Follows the store for one VM.
 struct Follower {
     control: Arc<Control>,
     source: StoreSource,
-    changes: ChangeLog<StoreItem>,
-    /// Since when the store has answered this VM or its relays without a break; `None` while it does not.
+    order: SourceOrder,
+    /// Version of the membership that `order` is of.
+    order_version: u64,
+    changes: Arc<ChangeLog<StoreItem>>,
+    /// Since when the store has answered this VM or its sources without a break; `None` while it does not.
     answering_since: Option<Time>,
-    /// Whether the store has answered the last call of this VM, and no other source was used since.
-    may_watch: bool,
-    /// When the store last may have answered, if the last watch ended without an answer.
-    unanswered_since: Option<Time>,
-    /// Whether the next call to a relay asks for the whole state: a change of the era was noticed.
+    /// When the store, or a source with recent word of it, last answered.
+    answered_at: Time,
+    /// When the store last may have answered this VM: a watch that waits does not show it.
+    maybe_answered_at: Time,
+    /// Since when the store does not answer this VM.
+    lost_since: Option<Time>,
+    /// Whether a source has said, since the last word, that the store does not answer it.
+    heard_of_loss: bool,
+    /// Whether the next call to a source asks for the whole state: a change of the era was noticed.
     wants_state: bool,
+    tasks: JoinSet<Event>,
+    /// Sources that have not answered yet.
+    listening_to: HashSet<Ipv4Addr>,
+    call: Option<CallInProgress>,
+    last_call_number: u64,
+    /// When the next watch may begin.
+    watch_from: Time,
+    is_probing: bool,
+    /// When the last call began that the store has answered, or the last probe.
+    asked_at: Time,
+    /// A probe whose position has not been reached, with its begin and its end.
+    unreached_probe: Option<(StorePosition, Time, Time)>,
+    /// Sources whose failure has been logged since this VM last had recent word.
+    reported: HashSet<Ipv4Addr>,
+    was_in_doubt: bool,
+    followed: Option<String>,
+    last_note_at: Option<Time>,
+    rng: ChaCha8Rng,
 }
 
 impl Follower {
-    /// Returns the source to ask next. A VM that no longer watches the store tells its listeners.
-    fn choose_source(&mut self) -> Source {
-        let vms = live_vms(&self.control);
-        let source = self.source.choose(clock::now(), &self.control.own_vm, &vms);
-        if source != Source::Store {
-            self.may_watch = false;
-            self.publish_feed(false);
-        }
-        source
-    }
-
-    fn on_failure(&mut self, source: Source, error: &anyhow::Error) {
+    fn new(control: Arc<Control>) -> Self {
         let now = clock::now();
-        match source {
-            Source::Store => {
-                self.source.on_store_failed(now);
-                self.may_watch = false;
-                let since = self
-                    .unanswered_since
-                    .take()
-                    .or(*self.control.word_at.lock());
-                self.note_unreachable(since, error);
-                self.publish_feed(false);
-            }
-            Source::Nobody(_) => {}
-            Source::Relay(ip) => {
-                self.source.on_relay_failed(now, ip);
-                info!(self.control.logger, "store: a relay has no word of it"; "vm" => %ip,
-                    "error" => format!("{error:#}"));
-            }
+        let order_version = control.gossip.lock().version();
+        let order = SourceOrder::new(&control.own_vm, &live_vms(&control));
+        Self {
+            source: StoreSource::new(now),
+            order,
+            order_version,
+            changes: Arc::default(),
+            answering_since: None,
+            answered_at: now,
+            maybe_answered_at: now,
+            lost_since: None,
+            heard_of_loss: false,
+            wants_state: false,
+            tasks: JoinSet::new(),
+            listening_to: HashSet::new(),
+            call: None,
+            last_call_number: 0,
+            watch_from: now,
+            is_probing: false,
+            asked_at: now,
+            unreached_probe: None,
+            reported: HashSet::new(),
+            was_in_doubt: false,
+            followed: None,
+            last_note_at: None,
+            rng: ChaCha8Rng::seed_from_u64(u64::from(u32::from(control.own_vm.ip))),
+            control,
         }
     }
 
-    /// Notes that the store does not answer this VM, or a relay that it listens to, and has not done so since
-    /// `since` at the earliest.
-    fn note_unreachable(&mut self, since: Option<Time>, error: &anyhow::Error) {
-        self.answering_since = None;
-        let now = clock::now();
-        let mut store = self.control.store.lock();
-        if store.on_unreachable(now, since.unwrap_or(now)) {
-            warn!(self.control.logger, "store: cannot be reached";
-                "error" => format!("{error:#}"), "position" => %store.position);
+    fn plan(&mut self) -> Plan {
+        let version = self.control.gossip.lock().version();
+        if self.order_version != version {
+            self.order_version = version;
+            self.order = SourceOrder::new(&self.control.own_vm, &live_vms(&self.control));
         }
+        let word_at = *self.control.word_at.lock();
+        let plan = self.source.plan(clock::now(), &self.order, word_at);
+        self.log_source(&plan, word_at);
+        plan
     }
 
-    /// Publishes the changes for listeners; `is_current` says that the store has just answered.
-    fn publish_feed(&self, is_current: bool) {
-        let feed = &self.control.feed;
-        let answered_at = is_current.then(clock::now);
-        let has_lost_store = self.control.store.lock().is_unreachable();
-        let is_known = {
-            let known = feed.borrow();
-            known.answered_at.is_none() && known.has_lost_store == has_lost_store
-        };
-        if answered_at.is_none() && is_known {
+    /// Logs a change of whom this VM follows.
+    fn log_source(&mut self, plan: &Plan, word_at: Option<Time>) {
+        let logger = &self.control.logger;
+        if plan.is_in_doubt {
+            if !self.was_in_doubt {
+                let age = word_at.map(|at| clock::now().since(at).as_millis() as u64);
+                info!(logger, "store: its word is late, asking all sources"; "age_ms" => age,
+                    "sources" => plan.listen_to.len());
+            }
+            self.was_in_doubt = true;
+            self.followed = None;
             return;
         }
-        feed.send_replace(Arc::new(StoreFeed {
-            changes: self.changes.clone(),
-            answered_at,
-            answering_since: self.answering_since,
-            has_lost_store,
-        }));
+        self.was_in_doubt = false;
+        self.reported.clear();
+        let through = match plan.store_call {
+            Some(StoreCall::Watch) => "store".to_owned(),
+            _ => {
+                let listen_to: Vec<String> =
+                    plan.listen_to.iter().map(ToString::to_string).collect();
+                listen_to.join(" ")
+            }
+        };
+        if self.followed.as_ref() != Some(&through) {
+            info!(logger, "store: following it"; "through" => &through);
+            self.followed = Some(through);
+        }
     }
 
-    /// Makes one call to the store: a listing, a watch, or a check if it is not known that the store answers.
-    ///
-    /// While a watch waits, nothing shows whether the store is there. So no watch is made until a check has been
-    /// answered, and a watch that ends without an answer is followed by a check.
-    async fn ask_store(&mut self) -> anyhow::Result<Progress> {
-        let client = {
-            let settings = self.control.settings.lock();
-            StoreClient {
-                address: settings.platform_address,
-                own_ip: settings.ip,
+    /// Starts and ends calls according to the plan, and returns when to plan again at the latest.
+    fn carry_out(&mut self, plan: &Plan) -> Time {
+        let now = clock::now();
+        let mut wake_at = plan.next_at;
+        for ip in &plan.listen_to {
+            if self.listening_to.insert(*ip) {
+                self.listen(*ip, plan.is_in_doubt);
             }
-        };
-        if self.control.store.lock().position == StorePosition::default() {
-            self.take_fleet_state().await;
         }
-        let after = self.control.store.lock().position;
-        if after == StorePosition::default() {
-            self.list(client).await?;
-            return Ok(Progress::Checked);
+        let in_progress = self.call.as_ref().map(|call| call.call);
+        if in_progress == Some(StoreCall::Watch) && plan.store_call != in_progress {
+            self.abort_call();
+        }
+        match plan.store_call {
+            Some(StoreCall::Watch) if self.call.is_none() && now < self.watch_from => {
+                wake_at = wake_at.min(self.watch_from);
+            }
+            Some(call) if self.call.is_none() => self.call_store(call),
+            _ => {}
         }
-        if !self.may_watch || self.unanswered_since.is_some() {
-            metric::store_called("check");
-            let outcome = client.check("", after).await?;
-            self.apply_outcome(client, after, Way::Check, outcome)
-                .await?;
-            return Ok(Progress::Checked);
+        if plan.store_call == Some(StoreCall::Watch) && self.order.role != Role::Direct {
+            wake_at = wake_at.min(self.probe(now));
         }
-        let began_at = clock::now();
-        match self.watch(client, after).await {
-            Ok(outcome) => {
-                self.apply_outcome(client, after, Way::Watch, outcome)
-                    .await?;
-                // A watch may also end at once without changes, or with changes of items that are not used here.
-                let took = clock::now().since(began_at);
-                sleep(CHANGES_PAUSE.saturating_sub(took)).await;
-                Ok(Progress::Followed)
+        wake_at
+    }
+
+    /// Listens to another VM until it has changes or a later word, or says that there are none.
+    fn listen(&mut self, ip: Ipv4Addr, is_in_doubt: bool) {
+        metric::store_called("relay");
+        let called_at = clock::now();
+        let (after, is_unreachable) = {
+            let store = self.control.store.lock();
+            (store.position, store.is_unreachable())
+        };
+        let hold_time = if is_in_doubt {
+            DOUBT_HOLD_TIME
+        } else {
+            HOLD_TIME
+        };
+        let word_at = *self.control.word_at.lock();
+        let call = ListenToStore {
+            after: if self.wants_state { 0 } else { after.revision },
+            at_once: is_unreachable,
+            era: after.era.map(|era| era.0),
+            hold_ms: Some(hold_time.as_millis() as u64),
+            word_age_ms: word_at.map(|at| called_at.since(at).as_millis() as u64),
+            listener_ip: u32::from(self.control.own_vm.ip),
+        };
+        let peers = Arc::clone(&self.control.peers);
+        self.tasks.spawn(async move {
+            let answer = peers.call(ip, Body::ListenToStore(call));
+            let answer = timeout(hold_time + LISTEN_SLACK, answer).await;
+            let answer = answer
+                .context("no answer in time")
+                .and_then(|answer| answer);
+            Event::Heard {
+                ip,
+                called_at,
+                after,
+                answer,
             }
-            Err(error) => {
-                let now = clock::now();
-                let was_silent = now.since(began_at) > WATCH_WAIT;
-                let since = if was_silent { began_at } else { now };
-                self.unanswered_since.get_or_insert(since);
-                info!(self.control.logger, "store: a watch ended without an answer";
-                    "error" => format!("{error:#}"), "after" => %after);
-                Ok(Progress::Unanswered)
+        });
+    }
+
+    fn call_store(&mut self, call: StoreCall) {
+        self.last_call_number += 1;
+        let number = self.last_call_number;
+        let began_at = clock::now();
+        let control = Arc::clone(&self.control);
+        let task = self.tasks.spawn(async move {
+            let answer = call_store(&control, call).await;
+            Event::Called {
+                number,
+                call,
+                began_at,
+                answer,
             }
+        });
+        self.call = Some(CallInProgress {
+            number,
+            call,
+            began_at,
+            task,
+        });
+    }
+
+    fn abort_call(&mut self) {
+        if let Some(call) = self.call.take() {
+            call.task.abort();
         }
     }
 
-    /// Watches the store. A relay probes it meanwhile, and gives the watch up when the store no longer answers: it
-    /// would go on telling its listeners that nothing changed.
-    async fn watch(
-        &mut self,
-        client: StoreClient,
-        after: StorePosition,
-    ) -> anyhow::Result<WatchOutcome> {
-        metric::store_called("watch");
-        let watch = client.watch("", after, WATCH_WAIT);
-        let vms = live_vms(&self.control);
-        if !has_listeners(&self.control.own_vm, &vms) {
-            return watch.await;
-        }
-        let lost = async {
-            let mut answered_at = clock::now();
-            let mut failures = 0;
-            while failures < MAX_FAILED_PROBES {
-                if failures == 0 {
-                    sleep(PROBE_INTERVAL).await;
+    /// Probes the store while a watch waits, which shows nothing until a change comes: a VM that has lost the store would
+    /// go on telling its listeners that nothing changed. Returns when there is something to do.
+    fn probe(&mut self, now: Time) -> Time {
+        let due_at =
+            |asked_at: Time| (asked_at + PROBE_INTERVAL).max(self.watch_from + PROBE_DELAY);
+        let mut next_at = due_at(self.asked_at);
+        if now >= next_at && !self.is_probing {
+            next_at = due_at(now);
+            metric::store_called("probe");
+            self.asked_at = now;
+            self.is_probing = true;
+            let client = self.control.store_client();
+            self.tasks.spawn(async move {
+                Event::Probed {
+                    began_at: now,
+                    position: client.probe().await,
                 }
-                metric::store_called("probe");
-                if client.answers().await {
-                    (answered_at, failures) = (clock::now(), 0);
-                } else {
-                    failures += 1;
-                }
-            }
-            answered_at
+            });
+        }
+        let watch = self
+            .call
+            .as_ref()
+            .filter(|call| call.call == StoreCall::Watch);
+        if self.is_probing {
+            next_at = next_at.max(now + PROBE_INTERVAL);
+        }
+        let (Some(watch), Some((_, _, ended_at))) = (watch, self.unreached_probe) else {
+            return next_at;
         };
-        tokio::select! {
-            outcome = watch => outcome,
-            answered_at = lost => {
-                self.unanswered_since = Some(answered_at);
-                self.publish_feed(false);
-                bail!("the store answers no probe while the watch waits")
-            }
+        let overdue_at = watch.began_at.max(ended_at) + PROBED_CHANGE_TIMEOUT;
+        if now >= overdue_at {
+            // The connection of the watch carries nothing any more, or the store has forgotten it.
+            info!(
+                self.control.logger,
+                "store: a watch does not bring a change that is there"
+            );
+            self.unreached_probe = None;
+            self.source.on_store_unsure();
+            return now;
         }
+        overdue_at.min(next_at)
     }
 
-    /// Takes the state of the VM that has run for longest: it knows what the store has lost if it came back from an
-    /// older copy lately. VMs of earlier builds do not tell, and are passed over while there are others.
-    async fn take_fleet_state(&self) {
-        let control = &self.control;
-        let oldest: SmallVec<[Ipv4Addr; MAX_ASKED_AT_START]> = {
-            let gossip = control.gossip.lock();
-            let vms = gossip.oldest_serving(MAX_ASKED_AT_START);
-            vms.map(|vm| vm.ip).collect()
-        };
-        let mut best = None;
-        for ip in oldest {
-            let Some(state) = fetch_state(control, ip).await else {
-                continue;
-            };
-            let states_era = state.era.is_some();
-            if best.is_none() || states_era {
-                best = Some((ip, state));
+    fn take_offers(&mut self) {
+        for ip in self.control.offers.take() {
+            self.source.on_offer(clock::now(), ip);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Heard {
+                ip,
+                called_at,
+                after,
+                answer,
+            } => {
+                self.listening_to.remove(&ip);
+                if let Err(error) = self.on_heard(ip, called_at, after, answer) {
+                    self.source.on_source_failed(clock::now(), ip);
+                    self.report(ip, &error);
+                }
             }
-            if states_era {
-                break;
+            Event::Called {
+                number,
+                call,
+                began_at,
+                answer,
+            } => {
+                self.call.take_if(|call| call.number == number);
+                match answer {
+                    Ok(news) => self.on_store_news(call, began_at, news),
+                    Err(error) => self.on_store_failure(call, began_at, &error),
+                }
+            }
+            Event::Probed { began_at, position } => {
+                self.is_probing = false;
+                if let Ok(position) = position {
+                    self.on_probed(began_at, position);
+                }
             }
-        }
-        if let Some((ip, state)) = best {
-            // This VM has only started, so that no change is late.
-            let _ = apply_state(control, ip, state);
         }
     }
 
-    /// Applies the answer to a watch or a check after the position `after`.
-    async fn apply_outcome(
-        &mut self,
-        client: StoreClient,
-        after: StorePosition,
-        way: Way,
-        outcome: WatchOutcome,
-    ) -> anyhow::Result<()> {
+    fn on_store_news(&mut self, call: StoreCall, began_at: Time, news: StoreNewsOfCall) {
+        let now = clock::now();
         let known_at = *self.control.word_at.lock();
-        self.note_answer();
-        let answer = match outcome {
-            WatchOutcome::Changes(answer) => answer,
-            WatchOutcome::HistoryLost => {
-                info!(self.control.logger,
-                    "store: the history after the revision is gone, listing again"; "after" => %after);
-                return self.list(client).await;
+        self.asked_at = self.asked_at.max(began_at);
+        self.source.on_store_answer(now);
+        self.maybe_answered_at = now;
+        // Entries that lapsed in an outage have to be known as such when their removal is applied.
+        self.note_answering(now);
+        if let Some(since) = self.lost_since.take() {
+            info!(self.control.logger, "store: answers again";
+                "outage_ms" => now.since(since).as_millis() as u64);
+        }
+        let (is_any_newer, way) = match news {
+            StoreNewsOfCall::Changes(after, answer) => {
+                let logged = answer.items.iter().cloned().map(|item| logged(item, now));
+                self.extend_log(after, answer.position.revision, logged);
+                let is_any_newer = apply_changes(&self.control, answer.items, answer.position);
+                let way = match call {
+                    StoreCall::Watch => Way::Watch,
+                    StoreCall::Check => Way::Check,
+                };
+                (is_any_newer, way)
             }
-            WatchOutcome::EraChanged(era) => {
-                warn!(self.control.logger, "store: it came back from an older copy, listing again";
-                    "era" => %era, "after" => %after);
-                return self.list(client).await;
+            StoreNewsOfCall::Listing(position, items) => {
+                self.apply_listing(position, items);
+                (true, Way::Listing)
             }
         };
-        let logged = answer.items.iter().cloned().map(logged);
-        self.changes.extend(after, answer.position.revision, logged);
-        let is_any_newer = apply_changes(&self.control, answer.items, answer.position);
-        self.publish_feed(true);
+        // A watch may also end at once without changes, or with changes of items that are not used here.
+        self.watch_from = match way {
+            Way::Watch | Way::Check if is_any_newer => now + CHANGES_PAUSE,
+            Way::Watch => began_at + CHANGES_PAUSE,
+            _ => now,
+        };
+        self.note_word(began_at);
         if is_any_newer {
             note_changes(&self.control, way, known_at, Some(Duration::ZERO));
-            sleep(CHANGES_PAUSE).await;
         }
-        Ok(())
     }
 
-    /// Notes that the store has answered this VM.
-    fn note_answer(&mut self) {
-        self.may_watch = true;
-        self.unanswered_since = None;
-        self.note_word(clock::now());
+    fn apply_listing(&mut self, position: StorePosition, items: Vec<StoreItem>) {
+        let control = &self.control;
+        let changes = items.into_iter();
+        let changes = changes
+            .filter_map(|item| decode_change(control, item))
+            .collect();
+        let mut store = control.store.lock();
+        let known = store.position;
+        store.apply_listing(clock::now(), changes, position);
+        drop(store);
+        info!(control.logger, "store: listed"; "position" => %position, "known" => %known);
+        control.publish_store();
+        Arc::make_mut(&mut self.changes).reset(position);
     }
 
-    /// Notes that the store answers this VM or a relay, and has done so since `since` at the latest.
-    fn note_word(&mut self, since: Time) {
+    fn on_store_failure(&mut self, call: StoreCall, began_at: Time, error: &anyhow::Error) {
         let now = clock::now();
-        if let Some(before) = self.control.word_at.lock().replace(now) {
-            metric::store_word_gap(now.since(before));
+        if call == StoreCall::Watch {
+            let was_silent = now.since(began_at) > WATCH_WAIT;
+            let maybe_answered_at = if was_silent { began_at } else { now };
+            self.maybe_answered_at = self.maybe_answered_at.max(maybe_answered_at);
+            info!(self.control.logger, "store: a watch ended without an answer";
+                "error" => format!("{error:#}"));
+            self.source.on_store_unsure();
+            return;
         }
-        let known = self.answering_since.unwrap_or(since);
-        self.answering_since = Some(known.min(since));
-        let outage = self.control.store.lock().on_answer(now, since);
-        if let Some(outage) = outage {
-            info!(self.control.logger, "store: answers again"; "outage_ms" => outage.as_millis() as u64);
+        self.source.on_store_failed(now, self.rng.random());
+        if self
+            .lost_since
+            .replace(self.lost_since.unwrap_or(now))
+            .is_none()
+        {
+            warn!(self.control.logger, "store: cannot be reached"; "error" => format!("{error:#}"),
+                "position" => %self.control.store.lock().position);
         }
     }
 
-    async fn list(&mut self, client: StoreClient) -> anyhow::Result<()> {
-        metric::store_called("list");
-        let known = self.control.store.lock().position;
-        let (operator, endpoints) =
-            tokio::try_join!(client.list(OPERATOR_PREFIX), client.list(ENDPOINTS_PREFIX))?;
-        if operator.position.era != endpoints.position.era {
-            bail!("the store came back from an older copy between two listings");
-        }
-        // The watch starts at the lower revision, so that it reports the changes that were made
-        // between the two listings.
-        let listed = operator.position.min(endpoints.position);
-        let position = StorePosition {
-            era: listed.era.or(known.era),
-            ..listed
-        };
-        if position < known {
-            metric::store_word_dropped("older_listing");
-            bail!("the store lists {position}, which is before {known}");
+    /// Takes the position that a probe has shown: all changes up to it that this VM has were there when the probe began.
+    fn on_probed(&mut self, began_at: Time, position: StorePosition) {
+        let known = self.changes.position();
+        if position.era > known.era {
+            self.source.on_store_unsure();
+        } else if position.era < known.era {
+            metric::store_word_dropped("earlier_era");
+        } else if position.revision <= known.revision {
+            self.unreached_probe = None;
+            self.note_word(began_at);
+        } else {
+            self.unreached_probe = Some((position, began_at, clock::now()));
         }
-        let known_at = *self.control.word_at.lock();
-        self.note_answer();
-        let control = &self.control;
-        let items = operator.items.into_iter().chain(endpoints.items);
-        let changes = items
-            .filter_map(|item| decode_change(control, item))
-            .collect();
-        control
-            .store
-            .lock()
-            .apply_listing(clock::now(), changes, position);
-        info!(control.logger, "store: listed"; "position" => %position, "known" => %known);
-        control.publish_store();
-        note_changes(control, Way::Listing, known_at, Some(Duration::ZERO));
-        self.changes.reset(position);
-        self.publish_feed(true);
-        Ok(())
     }
 
-    /// Listens to a relay until it has changes or says that there are none.
-    async fn listen_once(&mut self, ip: Ipv4Addr) -> anyhow::Result<()> {
-        let control = &self.control;
-        let call = {
-            let store = control.store.lock();
-            ListenToStore {
-                after: match self.wants_state {
-                    true => 0,
-                    false => store.position.revision,
-                },
-                at_once: store.is_unreachable(),
-                era: store.position.era.map(|era| era.0),
-            }
-        };
-        let call = Body::ListenToStore(call);
-        metric::store_called("relay");
-        let answer = timeout(LISTEN_TIMEOUT, control.peers.call(ip, call)).await;
-        match answer.context("the relay did not answer in time")?? {
-            Body::StoreNews(news) if news.is_current => {
-                let own = control.store.lock().position;
-                let position = StorePosition {
-                    era: news.era.map(StoreEra),
-                    revision: news.revision,
-                };
-                if position.era < own.era {
-                    bail!("the relay is in an earlier era of the store, or its build knows none");
-                }
-                let known_at = *control.word_at.lock();
-                self.note_word(answering_since(news.answering_ms));
-                self.wants_state = position.era != own.era;
-                let read_age = news.changes.iter().map(|change| change.read_age_ms).max();
-                let items = news.changes.into_iter().map(decode_item);
-                if apply_changes(&self.control, items, position) {
-                    let read_age = read_age.map(Duration::from_millis);
-                    note_changes(&self.control, Way::Relay(ip), known_at, read_age);
-                }
-                Ok(())
-            }
-            Body::StoreNews(news) => {
-                let error = anyhow!("the relay does not reach the store");
-                if news.has_lost_store {
-                    // A relay vouches for some time for what it has learned before.
-                    let since = self.control.word_at.lock().map(|at| at - MAX_ANSWER_AGE);
-                    self.note_unreachable(since, &error);
-                }
-                Err(error)
-            }
+    /// Adds changes to the log for listeners. A log that lacks some before them starts again.
+    fn extend_log(
+        &mut self,
+        after: StorePosition,
+        revision: u64,
+        changes: impl IntoIterator<Item = LoggedChange<StoreItem>>,
+    ) {
+        let known = self.changes.position();
+        let is_known = after.era == known.era && after.revision.max(revision) <= known.revision;
+        if !is_known {
+            Arc::make_mut(&mut self.changes).extend(after, revision, changes);
+        }
+        let known = self.changes.position();
+        if let Some((_, began_at, _)) = self
+            .unreached_probe
+            .take_if(|(position, ..)| *position <= known)
+        {
+            self.note_word(began_at);
+        }
+    }
+
+    fn on_heard(
+        &mut self,
+        ip: Ipv4Addr,
+        called_at: Time,
+        after: StorePosition,
+        answer: anyhow::Result<Body>,
+    ) -> anyhow::Result<()> {
+        match answer? {
+            Body::StoreNews(news) => self.on_source_news(ip, called_at, after, news),
             Body::State(state) => {
-                let known_at = *control.word_at.lock();
-                self.note_word(answering_since(state.answering_ms));
-                self.wants_state = false;
-                if apply_state(&self.control, ip, state) {
-                    note_changes(&self.control, Way::Relay(ip), known_at, None);
-                }
+                self.on_source_state(ip, called_at, state);
                 Ok(())
             }
-            _ => bail!("the relay sent an answer of the wrong type"),
+            _ => Err(anyhow!("an answer of the wrong type")),
         }
     }
-}
 
-/// Applies all changes from the ones before up to `position`, and returns whether any was new.
-fn apply_changes(
-    control: &Control,
-    items: impl IntoIterator<Item = StoreItem>,
-    position: StorePosition,
-) -> bool {
-    let changes = items
-        .into_iter()
-        .filter_map(|item| decode_change(control, item));
-    let changes: Vec<StoreChange> = changes.collect();
-    let (is_any_newer, is_later) = {
-        let mut store = control.store.lock();
-        let before = store.position;
-        let is_any_newer = store.apply_changes(clock::now(), changes, position);
-        (is_any_newer, store.position > before)
-    };
-    if is_any_newer || is_later {
-        control.publish_store();
+    fn on_source_news(
+        &mut self,
+        ip: Ipv4Addr,
+        called_at: Time,
+        after: StorePosition,
+        news: StoreNews,
+    ) -> anyhow::Result<()> {
+        let now = clock::now();
+        let own = self.control.store.lock().position;
+        let position = StorePosition {
+            era: news.era.map(StoreEra),
+            revision: news.revision,
+        };
+        let word = |is_recent| SourceWord {
+            is_recent,
+            has_lost_store: news.has_lost_store,
+            asks_store: news.asks_store,
+        };
+        // An earlier build sends no changes when its word is old.
+        let word_at = match news.word_offset_ms {
+            Some(offset_ms) => Some(offset_by(called_at, offset_ms)),
+            None => news.is_current.then_some(called_at),
+        };
+        let Some(word_at) = word_at.filter(|_| position.era >= own.era) else {
+            self.heard_of_loss |= news.has_lost_store;
+            self.source.on_source_word(now, ip, word(false));
+            self.report(
+                ip,
+                &anyhow!("it has no word, or is in an earlier era of the store"),
+            );
+            return Ok(());
+        };
+        self.wants_state = position.era != own.era;
+        if self.wants_state {
+            // What lies between is not known; the next call brings the whole state.
+            return Ok(());
+        }
+        let is_recent = now.since(word_at) < DOUBT_AGE;
+        if is_recent {
+            self.note_answering(now - Duration::from_millis(news.answering_ms));
+        }
+        let known_at = *self.control.word_at.lock();
+        let read_age = news.changes.iter().map(|change| change.read_age_ms).max();
+        let changes = news.changes.into_iter().map(|change| {
+            let read_at = now - Duration::from_millis(change.read_age_ms);
+            (decode_item(change), read_at)
+        });
+        let changes: Vec<(StoreItem, Time)> = changes.collect();
+        let logged = changes
+            .iter()
+            .map(|(item, read_at)| logged(item.clone(), *read_at));
+        self.extend_log(after, position.revision, logged);
+        let items = changes.into_iter().map(|(item, _)| item);
+        let is_any_newer = apply_changes(&self.control, items, position);
+        self.note_word(word_at);
+        if is_any_newer {
+            let read_age = read_age.map(Duration::from_millis);
+            note_changes(&self.control, Way::Relay(ip), known_at, read_age);
+        }
+        self.heard_of_loss |= !is_recent && news.has_lost_store;
+        self.source.on_source_word(now, ip, word(is_recent));
+        if !is_recent {
+            self.report(ip, &anyhow!("its word is {:?} old", now.since(word_at)));
+        }
+        Ok(())
     }
-    is_any_newer
-}
 
-/// Applies the state that another VM sent, if it is newer than that of this VM. Returns whether it is.
-fn apply_state(control: &Control, ip: Ipv4Addr, state: FleetState) -> bool {
-    let now = clock::now();
-    let snapshot = decode_state(&control.logger, now, state);
-    let position = snapshot.position;
-    let (own, is_newer) = {
-        let mut store = control.store.lock();
-        (store.position, store.apply_snapshot(now, snapshot))
-    };
-    info!(control.logger, "store: received the state of another VM"; "vm" => %ip,
-        "position" => %position, "own_position" => %own, "is_newer" => is_newer);
-    if is_newer {
-        control.publish_store();
-    } else {
-        metric::store_word_dropped("older_state");
+    fn on_source_state(&mut self, ip: Ipv4Addr, called_at: Time, state: FleetState) {
+        let now = clock::now();
+        let known_at = *self.control.word_at.lock();
+        self.wants_state = false;
+        let word_at = match state.word_offset_ms {
+            Some(offset_ms) => offset_by(called_at, offset_ms),
+            None => called_at,
+        };
+        let is_recent = now.since(word_at) < DOUBT_AGE;
+        if is_recent {
+            self.note_answering(now - Duration::from_millis(state.answering_ms));
+        }
+        let position = StorePosition {
+            era: state.era.map(StoreEra),
+            revision: state.store_revision,
+        };
+        let is_any_newer = apply_state(&self.control, ip, state);
+        let own = self.control.store.lock().position;
+        if own >= position {
+            // Without this, the log would have the word and lack changes before it.
+            Arc::make_mut(&mut self.changes).reset(own);
+            self.note_word(word_at);
+        }
+        if is_any_newer {
+            note_changes(&self.control, Way::Relay(ip), known_at, None);
+        }
+        let word = SourceWord {
+            is_recent,
+            has_lost_store: false,
+            asks_store: false,
+        };
+        self.source.on_source_word(now, ip, word);
     }
-    is_newer
-}
 
-/// Asks a VM for its state of the store.
-async fn fetch_state(control: &Control, ip: Ipv4Addr) -> Option<FleetState> {
-    match control.peers.call(ip, Body::StateRequest(Empty {})).await {
-        Ok(Body::State(state)) => Some(state),
-        Ok(_) => {
-            warn!(control.logger, "store: another VM did not answer with its state"; "vm" => %ip);
-            None
+    /// Logs once that a source has no word, until this VM has recent word again.
+    fn report(&mut self, ip: Ipv4Addr, error: &anyhow::Error) {
+        if self.reported.insert(ip) {
+            info!(self.control.logger, "store: a relay has no word of it"; "vm" => %ip,
+                "error" => format!("{error:#}"));
         }
-        // `Peers::call` has already logged the failure.
-        Err(_) => None,
     }
-}
 
-/// Returns since when the store has answered a relay that says for how long it has.
-fn answering_since(answering_ms: u64) -> Time {
-    clock::now() - Duration::from_millis(answering_ms)
-}
-
-/// Decodes an item of the store. Returns `None` for items that this system ignores, and for a
-/// removed or invalid configuration, which leaves the former one in force.
-fn decode_change(control: &Control, item: StoreItem) -> Option<StoreChange> {
-    let StoreItem {
-        key,
-        revision,
-        value,
-    } = item;
-    match key {
-        StoreKey::Configuration => match decode_configuration(value?) {
-            Ok(configuration) => {
-                let in_force = control
-                    .store
-                    .lock()
-                    .configuration()
-                    .map(|known| known.version);
-                info!(control.logger, "configuration: received";
-                    "version" => configuration.version, "revision" => revision,
-                    "in_force" => in_force, "bytes" => configuration.document.len());
-                Some(StoreChange::Configuration(Arc::new(configuration)))
-            }
-            Err(error) => {
-                error!(control.logger, "configuration: cannot be decoded, the former one stays";
-                    "revision" => revision, "error" => format!("{error:#}"));
-                None
+    /// Notes that this VM has all changes up to `word_at`.
+    fn note_word(&mut self, word_at: Time) {
+        {
+            let mut known_at = self.control.word_at.lock();
+            if *known_at >= Some(word_at) {
+                return;
             }
-        },
-        StoreKey::Evacuation(data_centre) => {
-            info!(control.logger, "evacuation: changed"; "data_centre" => &data_centre,
-                "evacuated" => value.is_some(), "revision" => revision);
-            Some(StoreChange::Evacuation {
-                data_centre,
-                revision,
-                is_evacuated: value.is_some(),
-            })
-        }
-        StoreKey::Endpoint(id) => {
-            let endpoint = value.and_then(|value| {
-                let decoded = decode_endpoint(&id, &value, clock::now());
-                decoded
-                    .map_err(|error| {
-                        warn!(control.logger, "endpoints: an entry cannot be used";
-                            "endpoint" => &id, "error" => format!("{error:#}"));
-                    })
-                    .ok()
-            });
-            log_endpoint(control, &id, revision, endpoint.as_ref());
-            Some(StoreChange::Endpoint {
-                id,
-                revision,
-                endpoint: endpoint.map(Arc::new),
-            })
-        }
-        StoreKey::Other => None,
+            *known_at = Some(word_at);
+        }
+        let now = clock::now();
+        if let Some(before) = self.last_note_at.replace(now) {
+            metric::store_word_gap(now.since(before));
+        }
     }
-}
 
-fn log_endpoint(control: &Control, id: &str, revision: u64, endpoint: Option<&Endpoint>) {
-    let state = match endpoint {
-        None => "gone",
-        Some(endpoint) if !endpoint.is_ready => "leaving",
-        Some(endpoint) if endpoint.cold_until > clock::now() => "cold",
-        Some(_) => "ready",
-    };
-    info!(control.logger, "endpoints: an entry changed"; "endpoint" => id,
-        "state" => state, "revision" => revision);
-}
+    /// Notes that the store answers this VM or a source, and has done so since `since` at the latest.
+    fn note_answering(&mut self, since: Time) {
+        let now = clock::now();
+        self.answered_at = now;
+        self.heard_of_loss = false;
+        if matches!(self.order.role, Role::Deputy | Role::Listener) {
+            // This VM does not ask the store any more, and does not know whether it answers.
+            self.lost_since = None;
+        }
+        let since = self.answering_since.map_or(since, |known| known.min(since));
+        self.answering_since = Some(since);
+        let outage = self.control.store.lock().on_answer(now, since);
+        if let Some(outage) = outage {
+            info!(self.control.logger, "store: word of it again";
+                "outage_ms" => outage.as_millis() as u64);
+        }
+    }
 
-/// Applies what the view has scheduled: removes endpoints that did not register again after an outage of the
-/// store, and ends what is held against a store that came back from an older copy.
-pub(super) async fn expire_entries(control: Arc<Control>) {
-    let mut view = control.view.subscribe();
-    loop {
-        let next_expiry = control.store.lock().next_expiry();
-        let wait = next_expiry.map_or(Duration::MAX, |at| at.since(clock::now()));
-        // A change may bring an earlier expiry.
-        if let Ok(Err(_)) = timeout(wait, view.changed()).await {
+    /// Notes an outage of the store once it answers neither this VM nor a source.
+    fn note_outage(&mut self) {
+        let now = clock::now();
+        let word_at = *self.control.word_at.lock();
+        let is_late = word_at.is_none_or(|at| now.since(at) >= DOUBT_AGE);
+        let is_lost = self
+            .lost_since
+            .is_some_and(|at| is_late || at > self.answered_at);
+        let is_outage = is_lost || (is_late && self.heard_of_loss);
+        if !is_outage {
             return;
         }
-        if control.store.lock().expire(clock::now()) {
-            control.publish_store();
+        self.answering_since = None;
+        let since = self.maybe_answered_at.max(word_at.unwrap_or(Time::ZERO));
+        let mut store = self.control.store.lock();
+        if store.on_unreachable(now, since) {
+            warn!(self.control.logger, "store: no word of it"; "position" => %store.position);
         }
     }
-}
 
-/// Asks another VM for its state of the store while this VM cannot reach the store, or while its
-/// watch does not deliver changes that the other VM already has.
-pub(super) async fn fetch_newer_peer_state(control: Arc<Control>) {
-    let started_at = clock::now();
-    loop {
-        let (own, max_lag) = {
-            let store = control.store.lock();
-            let is_unreachable = store.is_unreachable();
-            let own = store.progress();
-            let is_young = clock::now().since(started_at) < YOUNG_PERIOD;
-            let may_have_read_copy = is_young && own.configuration_version > 0;
-            let max_lag = if may_have_read_copy && control.lag.lock().lacks_configuration(&own) {
-                Duration::ZERO
-            } else if is_unreachable {
-                STATE_REQUEST_DELAY
-            } else {
-                MAX_WATCH_LAG
-            };
-            (own, max_lag)
+    /// Publishes what this VM knows for listeners, if it has changed.
+    fn publish_feed(&self, plan: &Plan) {
+        let next = StoreFeed {
+            changes: Arc::clone(&self.changes),
+            word_at: *self.control.word_at.lock(),
+            answering_since: self.answering_since,
+            has_lost_store: self.lost_since.is_some() || self.control.store.lock().is_unreachable(),
+            asks_store: plan.store_call.is_some(),
         };
-        let due_at = control.lag.lock().due_at(own, max_lag);
-        match due_at {
-            None => {
-                control.peer_is_newer.notified().await;
-                continue;
+        self.control.feed.send_if_modified(|feed| {
+            let is_same = feed.word_at == next.word_at
+                && Arc::ptr_eq(&feed.changes, &next.changes)
+                && feed.has_lost_store == next.has_lost_store
+                && feed.asks_store == next.asks_store;
+            if !is_same {
+                *feed = Arc::new(next);
             }
-            Some(at) if at > clock::now() => {
-                sleep(at.since(clock::now())).await;
-                continue;
-            }
-            Some(_) => {}
-        }
-        let Some(ip) = control.lag.lock().take_newest() else {
-            continue;
-        };
-        let known_at = *control.word_at.lock();
-        if let Some(state) = fetch_state(&control, ip).await
-            && apply_state(&control, ip, state)
-        {
-            note_changes(&control, Way::State(ip), known_at, None);
-        }
-        sleep(STATE_REQUEST_INTERVAL).await;
+            !is_same
+        });
+    }
+}
+
+/// Returns the time that is `offset_ms` after `time`, or before it if that is below 0.
+fn offset_by(time: Time, offset_ms: i64) -> Time {
+    let offset = Duration::from_millis(offset_ms.unsigned_abs());
+    match offset_ms < 0 {
+        true => time - offset,
+        false => time + offset,
     }
 }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -467,13 +467,23 @@
     /// Era of `after`; absent if the store states none, and from earlier builds.
     #[prost(uint64, optional, tag = "3")]
     pub era: Option<u64>,
+    /// Longest time for which the answer may wait for changes or a later word, in milliseconds; absent from earlier
+    /// builds.
+    #[prost(uint64, optional, tag = "4")]
+    pub hold_ms: Option<u64>,
+    /// Age of the sender's word of the store, in milliseconds; absent before its first one, and from earlier builds.
+    #[prost(uint64, optional, tag = "5")]
+    pub word_age_ms: Option<u64>,
+    /// IPv4 address of the sender; 0 from earlier builds.
+    #[prost(fixed32, tag = "6")]
+    pub listener_ip: u32,
 }
 
 /// Changes of the platform's store.
 #[derive(Clone, PartialEq, Message)]
 pub struct StoreNews {
-    /// Whether the sender watches the store and has had an answer from it lately. If not, only
-    /// `has_lost_store` is set.
+    /// Whether the sender has recent word of the store. If not, `changes` may be missing, and earlier builds set only
+    /// `has_lost_store`.
     #[prost(bool, tag = "1")]
     pub is_current: bool,
     /// Revision up to which the message has all changes after the one that was asked for.
@@ -493,6 +503,13 @@
     /// Era of `revision`; absent if the store states none, and from earlier builds.
     #[prost(uint64, optional, tag = "6")]
     pub era: Option<u64>,
+    /// Time from the arrival of the call until that up to which the sender has all changes, in milliseconds, below 0 if
+    /// it was before; absent if the message has no changes, and from earlier builds.
+    #[prost(sint64, optional, tag = "7")]
+    pub word_offset_ms: Option<i64>,
+    /// Whether the sender asks the store itself.
+    #[prost(bool, tag = "8")]
+    pub asks_store: bool,
 }
 
 /// A change of an item of the platform's store.
@@ -545,6 +562,9 @@
     /// before them.
     #[prost(message, repeated, tag = "8")]
     pub held_evacuations: Vec<WireHeldEvacuation>,
+    /// In the answer to a listener, as in [`StoreNews`].
+    #[prost(sint64, optional, tag = "9")]
+    pub word_offset_ms: Option<i64>,
 }
 
 /// An endpoint that the sender does not use yet although the store lists it.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -29,13 +29,13 @@
 const CHECK_WAIT: Duration = Duration::from_millis(1);
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Key that a probe reads. It need not exist; a missing item makes the shortest answer.
-const PROBE_KEY: &str = "op/probe";
+/// Prefix that a probe lists. No key has it, which makes the shortest answer.
+const PROBE_PREFIX: &str = "op/probe/";
 /// Time that a watch may take beyond the wait that it asks for, before it times out.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
 /// A key of the store, decoded to what its item describes.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum StoreKey {
     /// The key of the operator's configuration.
     Configuration,
@@ -186,14 +186,26 @@
         self.changes(prefix, after, CHECK_WAIT, CHECK_TIMEOUT).await
     }
 
-    /// Returns whether the store answers now. A stale read does, which is cheaper than a check and counts toward
-    /// no limit.
-    pub async fn answers(&self) -> bool {
-        let path = format!("/api/kv-key?Key={PROBE_KEY}&AllowStale=1");
-        let Ok(answer) = self.get(&path, PROBE_TIMEOUT).await else {
-            return false;
-        };
-        matches!(answer.status(), StatusCode::OK | StatusCode::NOT_FOUND)
+    /// Returns a position that the store has reached. A stale read tells it, which is cheaper than a check and counts
+    /// toward no limit; it may be behind by seconds.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store cannot be reached, takes too long, answers with another status than 200, or does not state
+    /// its revision.
+    pub async fn probe(&self) -> anyhow::Result<StorePosition> {
+        let path = format!("/api/kv-range?PathPrefix={PROBE_PREFIX}&AllowStale=1");
+        let answer = self.get(&path, PROBE_TIMEOUT).await?;
+        let status = answer.status();
+        if status != StatusCode::OK {
+            bail!("the store answered {status} to a probe");
+        }
+        let page: WireRange = serde_json::from_slice(answer.body())
+            .context("the answer of the store to a probe cannot be decoded")?;
+        Ok(StorePosition {
+            era: era_of(&answer),
+            revision: page.store_revision,
+        })
     }
 
     async fn changes(
--- a/tests/fleet_rules/revision_lag.rs
+++ b/tests/fleet_rules/revision_lag.rs
@@ -29,7 +29,7 @@
 }
 
 #[gtest]
-fn a_vm_whose_watch_is_stuck_asks_the_vm_with_the_newest_revision() {
+fn a_vm_whose_watch_is_stuck_asks_the_vms_with_the_newest_revisions() {
     let mut lag = RevisionLag::default();
     expect_that!(lag.on_report(at(0), 5, vm(1), 5), eq(false));
     expect_that!(lag.due_at(5, MAX_LAG), none());
@@ -37,7 +37,8 @@
         lag.on_report(at(at_ms), 5, vm(number), revision);
     }
     expect_that!(lag.due_at(5, MAX_LAG), some(eq(at(900))));
-    expect_that!(lag.take_newest(), some(eq(vm(2))));
+    // The one with the newest revision comes first, and then those that reported last.
+    expect_that!(lag.take_newest().to_vec(), eq(&vec![vm(2), vm(4), vm(3)]));
     expect_that!(lag.due_at(5, MAX_LAG), none());
 }
 
--- a/tests/fleet_rules/store_source.rs
+++ b/tests/fleet_rules/store_source.rs
@@ -2,12 +2,16 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use googletest::prelude::*;
 use primrosewalk::decisions::change_log::{ChangeLog, LoggedChange};
-use primrosewalk::decisions::store_source::{Source, StoreSource, watches_store};
+use primrosewalk::decisions::store_source::{
+    DOUBT_AGE, MAX_WORD_AGE, Plan, Role, SourceOrder, SourceWord, StoreCall, StoreSource,
+    watches_store,
+};
 use primrosewalk::fleet::model::{FleetVm, VmSize};
-use primrosewalk::units::VmId;
+use primrosewalk::units::{Time, VmId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -33,15 +37,49 @@
         .collect()
 }
 
-/// Returns how many listeners each relay has, and how many VMs watch the store.
+/// What a source with recent word says.
+const RECENT: SourceWord = SourceWord {
+    is_recent: true,
+    has_lost_store: false,
+    asks_store: true,
+};
+/// What a source says that the store does not answer.
+const LOST: SourceWord = SourceWord {
+    is_recent: false,
+    has_lost_store: true,
+    asks_store: true,
+};
+
+/// Returns the first VM with a role, and its sources.
+fn vm_with(role: Role, vms: &BTreeMap<VmId, FleetVm>) -> (&FleetVm, SourceOrder) {
+    let mut orders = vms.values().map(|vm| (vm, SourceOrder::new(vm, vms)));
+    orders.find(|(_, order)| order.role == role).unwrap()
+}
+
+/// Returns the only VM that a plan listens to.
+fn single(plan: &Plan) -> Ipv4Addr {
+    assert_eq!(plan.listen_to.len(), 1, "{plan:?}");
+    plan.listen_to[0]
+}
+
+/// Returns how many listeners each relay has while all is well, and how many VMs watch the store.
 fn listeners(vms: &BTreeMap<VmId, FleetVm>) -> (HashMap<Ipv4Addr, usize>, usize) {
     let mut listeners = HashMap::new();
     let mut watching = 0;
     for vm in vms.values() {
-        match StoreSource::default().choose(at(0), vm, vms) {
-            Source::Store => watching += 1,
-            Source::Nobody(_) => panic!("no relay has failed"),
-            Source::Relay(ip) => *listeners.entry(ip).or_default() += 1,
+        let order = SourceOrder::new(vm, vms);
+        let mut source = StoreSource::new(at(0));
+        if watches_store(vm, vms) {
+            source.on_store_answer(at(0));
+        }
+        let plan = source.plan(at(0), &order, Some(at(0)));
+        match plan.store_call {
+            Some(call) => {
+                assert_eq!(call, StoreCall::Watch);
+                assert!(plan.listen_to.is_empty());
+                watching += 1;
+            }
+            None => *listeners.entry(single(&plan)).or_default() += 1,
         }
     }
     (listeners, watching)
@@ -79,9 +117,12 @@
 fn relays_have_fast_links_and_are_near_their_listeners() {
     let vms = vms(295);
     for vm in vms.values() {
-        let Source::Relay(ip) = StoreSource::default().choose(at(0), vm, &vms) else {
+        let order = SourceOrder::new(vm, &vms);
+        if order.role == Role::Relay {
             continue;
-        };
+        }
+        let plan = StoreSource::new(at(0)).plan(at(0), &order, Some(at(0)));
+        let ip = single(&plan);
         let relay = vms.values().find(|relay| relay.ip == ip).unwrap();
         expect_that!(relay.size.link_mbit_per_s, eq(200));
         expect_that!(relay.data_centre, eq(&vm.data_centre));
@@ -89,33 +130,107 @@
     }
 }
 
-/// Relays fail one after the other, as when they freeze or lose the store: the VM turns to each of the
-/// others at once, then to the store, and to relays again after a while.
+/// No source of a VM answers, whatever their number: it asks all of them at once, in two data centres at least, and
+/// the store within the bound.
 #[gtest]
-fn a_vm_whose_relays_fail_asks_the_store_itself() {
-    let vms = vms(295);
-    let listener = vms.values().find(|vm| !watches_store(vm, &vms)).unwrap();
-    let mut source = StoreSource::default();
-    let mut asked = HashSet::new();
-    while let Source::Relay(ip) = source.choose(at(0), listener, &vms) {
-        expect_that!(asked.insert(ip), eq(true), "{ip} had failed");
-        source.on_relay_failed(at(0), ip);
+fn a_vm_whose_sources_are_silent_asks_the_store_itself_in_time() {
+    for role in [Role::Relay, Role::Deputy, Role::Listener] {
+        let vms = vms(295);
+        let (_, order) = vm_with(role, &vms);
+        let mut source = StoreSource::new(at(0));
+        if role == Role::Relay {
+            source.on_store_answer(at(0));
+        }
+        let word_at = Some(at(1_000));
+        let calm = source.plan(at(1_000), &order, word_at);
+        expect_that!(calm.is_in_doubt, eq(false), "{role:?}");
+        expect_that!(calm.listen_to.len(), le(1), "{role:?}");
+        expect_that!(calm.next_at, le(at(1_000) + DOUBT_AGE), "{role:?}");
+        let doubt = source.plan(at(1_000) + DOUBT_AGE, &order, word_at);
+        let all: HashSet<Ipv4Addr> = order.sources().collect();
+        let asked: HashSet<Ipv4Addr> = doubt.listen_to.iter().copied().collect();
+        expect_that!(asked, eq(&all), "{role:?}");
+        let of_asked = |vm: &&FleetVm| asked.contains(&vm.ip);
+        let data_centres = vms.values().filter(of_asked).map(|vm| &vm.data_centre);
+        expect_that!(
+            data_centres.collect::<HashSet<_>>().len(),
+            ge(2),
+            "{role:?}"
+        );
+        let latest = source.plan(at(1_000) + MAX_WORD_AGE, &order, word_at);
+        expect_that!(latest.store_call, some(eq(StoreCall::Check)), "{role:?}");
+        source.on_store_answer(at(2_600));
+        let after = source.plan(at(2_600), &order, Some(at(2_590)));
+        expect_that!(after.is_in_doubt, eq(false), "{role:?}");
     }
-    expect_that!(asked.len(), eq(4));
-    let data_centres: HashSet<_> = vms
-        .values()
-        .filter(|vm| asked.contains(&vm.ip))
-        .map(|vm| &vm.data_centre)
-        .collect();
-    expect_that!(data_centres.len(), ge(2));
-    for ip in asked {
-        source.on_relay_failed(at(1_400), ip);
+}
+
+/// Sources answer, fail, say that they have no word or stay silent, at random, 200 times: the word of a VM whose calls
+/// the store answers never gets older than the bound, unless two sources say that the store is down.
+#[gtest]
+fn the_age_of_the_word_is_bounded_whatever_sources_do() {
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let vms = vms([30, 61, 295][seed as usize % 3]);
+        let own = vms.values().nth(rng.random_range(0..vms.len())).unwrap();
+        let order = SourceOrder::new(own, &vms);
+        let mut source = StoreSource::new(at(0));
+        let mut word_at = at(0);
+        let mut now = at(0);
+        let witness = rng
+            .random_bool(0.5)
+            .then(|| order.sources().next())
+            .flatten();
+        let end = at(20_000);
+        while now < end {
+            let plan = source.plan(now, &order, Some(word_at));
+            expect_that!(plan.next_at, gt(now), "seed {seed}");
+            for ip in &plan.listen_to {
+                match rng.random_range(0..12) {
+                    0 => source.on_source_failed(now, *ip),
+                    // A source whose word is as old as the one known here.
+                    1 if now.since(word_at) < DOUBT_AGE => source.on_source_word(now, *ip, RECENT),
+                    2 if witness == Some(*ip) => source.on_source_word(now, *ip, LOST),
+                    3 if rng.random_bool(0.05) => {
+                        word_at = now;
+                        source.on_source_word(now, *ip, RECENT);
+                    }
+                    _ => {}
+                }
+            }
+            if plan.store_call == Some(StoreCall::Check) {
+                word_at = now;
+                source.on_store_answer(now);
+            }
+            // A watch says nothing here, as one whose connection is silent.
+            let age = now.since(word_at);
+            expect_that!(
+                age,
+                le(MAX_WORD_AGE),
+                "seed {seed}, {:?} at {now}",
+                order.role
+            );
+            now = (now + Duration::from_millis(rng.random_range(1..80))).min(plan.next_at);
+        }
     }
-    expect_that!(source.choose(at(2_500), listener, &vms), eq(Source::Store));
-    source.on_answer();
-    expect_that!(source.choose(at(6_400), listener, &vms), eq(Source::Store));
-    let later = source.choose(at(6_600), listener, &vms);
-    expect_that!(later, matches_pattern!(Source::Relay(anything())));
+}
+
+/// A VM of a small fleet waits for its own watch, and asks the others once its calls fail.
+#[gtest]
+fn a_vm_of_a_small_fleet_depends_on_no_other() {
+    let vms = vms(9);
+    let (_, order) = vm_with(Role::Direct, &vms);
+    let mut source = StoreSource::new(at(0));
+    source.on_store_answer(at(0));
+    let plan = source.plan(at(2_500), &order, Some(at(0)));
+    expect_that!(plan.store_call, some(eq(StoreCall::Watch)));
+    expect_that!(plan.listen_to, is_empty());
+    source.on_store_unsure();
+    let plan = source.plan(at(2_700), &order, Some(at(0)));
+    expect_that!(plan.store_call, some(eq(StoreCall::Check)));
+    source.on_store_failed(at(2_800), 0.5);
+    let plan = source.plan(at(2_800), &order, Some(at(0)));
+    expect_that!(plan.listen_to.len(), ge(3));
 }
 
 /// A relay returns from a cut while its former listeners follow another one: it gets none of them,
@@ -123,75 +238,195 @@
 #[gtest]
 fn a_relay_that_works_is_kept() {
     let vms = vms(295);
-    let listener = vms.values().find(|vm| !watches_store(vm, &vms)).unwrap();
-    let mut source = StoreSource::default();
-    let Source::Relay(first) = source.choose(at(0), listener, &vms) else {
-        panic!("the VM is a relay itself");
-    };
-    source.on_relay_failed(at(0), first);
-    let second = source.choose(at(10), listener, &vms);
-    expect_that!(second, not(eq(Source::Relay(first))));
-    expect_that!(source.choose(at(60_000), listener, &vms), eq(second));
+    let (_, order) = vm_with(Role::Listener, &vms);
+    let mut source = StoreSource::new(at(0));
+    let first = single(&source.plan(at(0), &order, Some(at(0))));
+    source.on_source_failed(at(0), first);
+    let doubt = source.plan(at(0), &order, Some(at(0)));
+    let second = *doubt
+        .listen_to
+        .iter()
+        .find(|ip| order.relays.contains(ip))
+        .unwrap();
+    expect_that!(second, not(eq(first)));
+    source.on_source_word(at(10), second, RECENT);
+    expect_that!(
+        single(&source.plan(at(10), &order, Some(at(10)))),
+        eq(second)
+    );
+    let later = source.plan(at(60_000), &order, Some(at(60_000)));
+    expect_that!(single(&later), eq(second));
+}
+
+/// A deputy that has helped out keeps no listeners once a relay can be tried again: it is a small VM.
+#[gtest]
+fn a_vm_returns_from_a_deputy_to_a_relay() {
+    let vms = vms(295);
+    let (_, order) = vm_with(Role::Listener, &vms);
+    let mut source = StoreSource::new(at(0));
+    let _ = source.plan(at(0), &order, Some(at(0)));
+    for relay in &order.relays {
+        source.on_source_failed(at(0), *relay);
+    }
+    let _ = source.plan(at(0), &order, Some(at(0)));
+    let deputy = order.deputies[0];
+    source.on_source_word(at(100), deputy, RECENT);
+    expect_that!(
+        single(&source.plan(at(100), &order, Some(at(100)))),
+        eq(deputy)
+    );
+    let later = source.plan(at(2_000), &order, Some(at(2_000)));
+    expect_that!(order.relays.contains(&single(&later)), eq(true));
 }
 
 /// The store turns away one relay and serves the others.
 #[gtest]
 fn a_relay_that_the_store_turns_away_listens_to_others() {
     let vms = vms(295);
-    let relay = vms.values().find(|vm| watches_store(vm, &vms)).unwrap();
-    let mut source = StoreSource::default();
-    expect_that!(source.choose(at(0), relay, &vms), eq(Source::Store));
-    source.on_store_failed(at(0));
-    let other = source.choose(at(10), relay, &vms);
-    expect_that!(other, matches_pattern!(Source::Relay(not(eq(relay.ip)))));
-    expect_that!(source.choose(at(1_100), relay, &vms), eq(Source::Store));
+    let (relay, order) = vm_with(Role::Relay, &vms);
+    let mut source = StoreSource::new(at(0));
+    source.on_store_answer(at(0));
+    let plan = source.plan(at(0), &order, Some(at(0)));
+    expect_that!(plan.store_call, some(eq(StoreCall::Watch)));
+    source.on_store_failed(at(10), 1.0);
+    let doubt = source.plan(at(10), &order, Some(at(0)));
+    expect_that!(doubt.store_call, none());
+    expect_that!(doubt.listen_to.len(), eq(order.sources().count()));
+    let other = order.relays[0];
+    source.on_source_word(at(12), other, RECENT);
+    let plan = source.plan(at(12), &order, Some(at(11)));
+    expect_that!(single(&plan), all![eq(other), not(eq(relay.ip))]);
+    // It tries the store again meanwhile, and watches it as soon as it answers.
+    let plan = source.plan(at(120), &order, Some(at(100)));
+    expect_that!(plan.store_call, some(eq(StoreCall::Check)));
+    source.on_store_answer(at(125));
+    let plan = source.plan(at(125), &order, Some(at(120)));
+    expect_that!(plan.store_call, some(eq(StoreCall::Watch)));
 }
 
-/// Load pattern: the store is down for all for 16 s and a call to it takes 1 s. Few VMs but the relays
-/// press on it, and each VM asks a relay again soon, since a relay notices the return first.
+/// A deputy that had to ask the store watches it for a while, so that others learn of changes from it.
 #[gtest]
-fn few_vms_press_on_a_store_that_is_down() {
+fn a_deputy_takes_the_place_of_silent_relays() {
     let vms = vms(295);
-    let mut direct_calls = 0;
-    let listeners = vms.values().filter(|vm| !watches_store(vm, &vms));
-    let listeners: Vec<_> = listeners.step_by(10).collect();
-    for vm in &listeners {
-        let mut source = StoreSource::default();
-        let mut now_ms = 0;
-        let mut asked_relay_ms = 0;
-        while now_ms < 16_000 {
-            match source.choose(at(now_ms), vm, &vms) {
-                Source::Relay(ip) => {
-                    expect_that!(now_ms - asked_relay_ms, le(2_600), "{}", vm.name);
-                    asked_relay_ms = now_ms;
-                    source.on_relay_failed(at(now_ms), ip);
-                }
-                Source::Store => {
-                    direct_calls += 1;
-                    now_ms += 1_000;
-                    source.on_store_failed(at(now_ms));
-                }
-                Source::Nobody(until) => {
-                    let until_ms = until.since(at(0)).as_millis() as u64 + 1;
-                    expect_that!(until_ms, gt(now_ms));
-                    now_ms = until_ms;
+    let (_, order) = vm_with(Role::Deputy, &vms);
+    let mut source = StoreSource::new(at(0));
+    let calm = source.plan(at(0), &order, Some(at(0)));
+    expect_that!(calm.store_call, none());
+    let _ = source.plan(at(900), &order, Some(at(0)));
+    let plan = source.plan(at(1_000), &order, Some(at(0)));
+    expect_that!(plan.store_call, some(eq(StoreCall::Check)));
+    source.on_store_answer(at(1_010));
+    let plan = source.plan(at(1_010), &order, Some(at(1_000)));
+    expect_that!(plan.store_call, some(eq(StoreCall::Watch)));
+    let later = source.plan(at(5_100), &order, Some(at(5_000)));
+    expect_that!(later.store_call, none());
+}
+
+/// VMs of which two sources say that the store is down learn from one that reaches it.
+#[gtest]
+fn a_vm_that_reaches_a_store_that_is_taken_for_down_offers_its_word() {
+    let vms = vms(295);
+    let (_, order) = vm_with(Role::Listener, &vms);
+    let mut source = StoreSource::new(at(0));
+    let _ = source.plan(at(900), &order, Some(at(0)));
+    for relay in &order.relays {
+        source.on_source_word(at(950), *relay, LOST);
+    }
+    source.on_store_answer(at(2_000));
+    let plan = source.plan(at(2_000), &order, Some(at(1_990)));
+    for relay in &order.relays {
+        expect_that!(plan.listen_to.contains(relay), eq(true));
+    }
+    let (_, order) = vm_with(Role::Relay, &vms);
+    let mut relay = StoreSource::new(at(0));
+    let offering = Ipv4Addr::new(10, 9, 9, 9);
+    relay.on_offer(at(10), offering);
+    relay.on_store_failed(at(20), 1.0);
+    let plan = relay.plan(at(20), &order, Some(at(0)));
+    expect_that!(
+        plan.listen_to.contains(&offering),
+        eq(false),
+        "not in doubt"
+    );
+    relay.on_offer(at(30), offering);
+    let plan = relay.plan(at(30), &order, Some(at(0)));
+    expect_that!(plan.listen_to.contains(&offering), eq(true));
+}
+
+/// Load pattern: the store is down for all for 16 s, and sources say so, one at a time. Returns the times of the calls
+/// that a VM makes, of which each takes 1 s.
+fn calls_of(vm: &FleetVm, vms: &BTreeMap<VmId, FleetVm>) -> Vec<Time> {
+    let order = SourceOrder::new(vm, vms);
+    let mut source = StoreSource::new(at(0));
+    let mut calls: Vec<Time> = Vec::new();
+    let mut asked_at: HashMap<Ipv4Addr, Time> = HashMap::new();
+    let mut last_asked_at = at(0);
+    let mut now = at(0);
+    while now < at(16_000) {
+        let plan = source.plan(now, &order, Some(at(0)));
+        for ip in &plan.listen_to {
+            // A call is held for 200 ms.
+            let last = asked_at.insert(*ip, now);
+            if last.is_none_or(|last| now.since(last) >= Duration::from_millis(200)) {
+                last_asked_at = now;
+                source.on_source_word(now, *ip, LOST);
+            }
+        }
+        let pause = now.since(last_asked_at);
+        expect_that!(pause, le(Duration::from_millis(2_600)), "{}", vm.name);
+        let ends_at = calls.last().map(|at| *at + Duration::from_secs(1));
+        if let Some(ends_at) = ends_at.filter(|ends_at| *ends_at == now) {
+            source.on_store_failed(ends_at, 0.5);
+        } else if plan.store_call.is_some() && ends_at.is_none_or(|ends_at| ends_at < now) {
+            calls.push(now);
+        }
+        let running = calls.last().map(|at| *at + Duration::from_secs(1));
+        let running = running.filter(|ends_at| *ends_at > now);
+        let next =
+            (now + Duration::from_millis(20)).min(plan.next_at.max(now + Duration::from_millis(1)));
+        now = running.map_or(next, |ends_at| next.min(ends_at));
+    }
+    calls
+}
+
+/// The rate of calls to a store that is down does not grow with the fleet, and not all VMs call it at once.
+#[gtest]
+fn few_vms_press_on_a_store_that_is_down() {
+    for count in [30, 100, 295] {
+        let vms = vms(count);
+        let mut by_half_second: BTreeMap<u64, usize> = BTreeMap::new();
+        let (mut watchers, mut others) = (0, 0);
+        for vm in vms.values() {
+            let calls = calls_of(vm, &vms);
+            match SourceOrder::new(vm, &vms).role {
+                Role::Listener => {
+                    others += calls.len();
+                    for call in &calls {
+                        let half_second = call.since(at(0)).as_millis() as u64 / 500;
+                        *by_half_second.entry(half_second).or_default() += 1;
+                    }
                 }
+                Role::Direct | Role::Relay | Role::Deputy => watchers += 1,
             }
         }
+        expect_that!(watchers, le(20), "{count} VMs");
+        // 30 calls a second for 16 s, and no more than twice that in a half second.
+        expect_that!(others, le(16 * 30), "{count} VMs");
+        let most = by_half_second.values().copied().max().unwrap_or(0);
+        expect_that!(most, le(30), "{count} VMs");
     }
-    // The first call, and one in 6 s after it.
-    expect_that!(direct_calls, le(listeners.len() * 4));
 }
 
-/// Random members come and go 300 times while relays fail: a VM never listens to itself, to a VM that
-/// is gone or to one that does not watch the store.
+/// Random members come and go 300 times while sources fail: a VM never listens to itself, to a VM that
+/// is gone or to one that is no source of its own.
 #[gtest]
-fn a_vm_listens_only_to_relays() {
+fn a_vm_listens_only_to_its_sources() {
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     let all = vms(100);
     let mut members = all.clone();
     let own = all.values().nth(17).unwrap();
-    let mut source = StoreSource::default();
+    let mut source = StoreSource::new(at(0));
+    let mut failed_at: HashMap<Ipv4Addr, Time> = HashMap::new();
     for step in 0..300 {
         let index = rng.random_range(0..all.len());
         let (name, vm) = all.iter().nth(index).unwrap();
@@ -199,17 +434,27 @@
             members.insert(name.clone(), vm.clone());
         }
         let now = at(step * 100);
-        let Source::Relay(ip) = source.choose(now, own, &members) else {
-            continue;
-        };
-        let relay = members.values().find(|vm| vm.ip == ip);
-        expect_that!(
-            relay.is_some_and(|vm| watches_store(vm, &members)),
-            eq(true)
-        );
-        expect_that!(ip, not(eq(own.ip)));
-        if rng.random_bool(0.2) {
-            source.on_relay_failed(now, ip);
+        let order = SourceOrder::new(own, &members);
+        let plan = source.plan(now, &order, Some(now));
+        for ip in &plan.listen_to {
+            let listened = members.values().find(|vm| vm.ip == *ip).unwrap();
+            let is_relay = watches_store(listened, &members);
+            let is_near = listened.data_centre == own.data_centre;
+            expect_that!(is_relay || is_near, eq(true), "{ip}");
+            let has_failed = |ip: &Ipv4Addr| {
+                let at = failed_at.get(ip);
+                at.is_some_and(|at| now.since(*at) <= Duration::from_millis(1_500))
+            };
+            let has_no_relay = order.relays.iter().all(has_failed);
+            let may_be_deputy = plan.is_in_doubt || has_no_relay;
+            expect_that!(is_relay || may_be_deputy, eq(true), "{ip}");
+            expect_that!(*ip, not(eq(own.ip)));
+            if rng.random_bool(0.2) {
+                failed_at.insert(*ip, now);
+                source.on_source_failed(now, *ip);
+            } else if plan.is_in_doubt {
+                source.on_source_word(now, *ip, RECENT);
+            }
         }
     }
 }
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -170,6 +170,7 @@
             expires_in_ms: generator.0.random_bool(0.5).then(|| generator.number()),
         };
         FleetState {
+            word_offset_ms: self.0.random_bool(0.5).then(|| self.0.random()),
             store_revision: self.number(),
             configuration: self.bytes(),
             evacuated: self.texts(),
@@ -211,6 +212,8 @@
             answering_ms: self.number(),
             has_lost_store: self.0.random(),
             era: self.era(),
+            word_offset_ms: self.0.random_bool(0.5).then(|| self.0.random()),
+            asks_store: self.0.random(),
         }
     }
 
