--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -190,7 +190,7 @@
     /// Sources whose failure has been logged since this VM last had recent word.
     reported: HashSet<Ipv4Addr>,
     was_in_doubt: bool,
-    followed: Option<String>,
+    followed: Option<Way>,
     last_note_at: Option<Time>,
     rng: ChaCha8Rng,
 }
@@ -255,17 +255,17 @@
         }
         self.was_in_doubt = false;
         self.reported.clear();
-        let through = match plan.store_call {
-            Some(StoreCall::Watch) => "store".to_owned(),
-            _ => {
-                let listen_to: Vec<String> =
-                    plan.listen_to.iter().map(ToString::to_string).collect();
-                listen_to.join(" ")
-            }
+        let through = match (plan.store_call, plan.listen_to.first()) {
+            (Some(StoreCall::Watch), _) => Way::Watch,
+            (_, Some(ip)) => Way::Relay(*ip),
+            (_, None) => return,
         };
-        if self.followed.as_ref() != Some(&through) {
-            info!(logger, "store: following it"; "through" => &through);
-            self.followed = Some(through);
+        if self.followed.replace(through) != Some(through) {
+            let through = match through {
+                Way::Relay(ip) => format!("Relay({ip})"),
+                _ => "Store".to_owned(),
+            };
+            info!(logger, "store: following it"; "through" => through);
         }
     }
 
