fix(stages): several silent owners cost a request their time once

Callers waited for each silent owner of each stage in turn: 0.7 to 0.95 s for every one of two owners tried, and again for the next stage, whose owners are others. With five of six VMs stopped a request of two stages took 1.7 to 3.2 s.

A VM learned that an owner is silent only by a call that fails.

When an owner gives no sign of life for 0.3 s, the owners of all groups are asked for one at the same time, and those that give none within 0.4 s are avoided as after a failed call.

--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::future::pending;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -87,6 +87,8 @@
     pub active_requests: AtomicUsize,
     /// Number of stage jobs in progress for other VMs.
     pub active_peer_jobs: AtomicUsize,
+    /// Whether the owners of all groups are being asked for a sign of life.
+    pub checks_owners: AtomicBool,
     /// Number of open connections to this VM's listeners for callers, the directory, readiness checks
     /// and metrics.
     pub open_connections: AtomicUsize,
@@ -188,6 +190,7 @@
             started_at: clock::now(),
             active_requests: AtomicUsize::new(0),
             active_peer_jobs: AtomicUsize::new(0),
+            checks_owners: AtomicBool::new(false),
             open_connections: AtomicUsize::new(0),
             accepted_connections: AtomicUsize::new(0),
             planned_stop: Mutex::default(),
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -56,6 +56,8 @@
     // Queue of frames to send; closed when the connection has ended.
     frames: mpsc::Sender<Frame>,
     pending: Pending,
+    /// When the last frame from the other VM came.
+    heard_at: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Link {
@@ -137,9 +139,7 @@
         let result = self.call_once(ip, body).await;
         if let Err(error) = &result {
             warn!(self.logger, "peers: a call failed"; "vm" => %ip, "error" => format!("{error:#}"));
-            self.avoided_until
-                .lock()
-                .insert(ip, Instant::now() + AVOID_PERIOD);
+            self.avoid(ip);
         }
         result
     }
@@ -180,6 +180,24 @@
         }
     }
 
+    /// Avoids a VM for a while, as after a failed call.
+    pub fn avoid(&self, ip: Ipv4Addr) {
+        let until = Instant::now() + AVOID_PERIOD;
+        self.avoided_until.lock().insert(ip, until);
+    }
+
+    /// Asks a VM for a sign of life, without waiting for it.
+    pub fn ping(self: &Arc<Self>, ip: Ipv4Addr) {
+        self.send_one_way(ip, Body::Ping(Empty {}));
+    }
+
+    /// Returns whether anything came from a VM since `at`.
+    pub fn has_heard(&self, ip: Ipv4Addr, at: Instant) -> bool {
+        let links = self.links.lock();
+        let heard_at = links.get(&ip).and_then(|link| *link.heard_at.lock());
+        heard_at.is_some_and(|heard_at| heard_at >= at)
+    }
+
     /// Returns the open connection to a VM, or starts a new one.
     fn link(self: &Arc<Self>, ip: Ipv4Addr) -> Link {
         let mut links = self.links.lock();
@@ -190,14 +208,15 @@
         let link = Link {
             frames,
             pending: Pending::default(),
+            heard_at: Arc::default(),
         };
         links.insert(ip, link.clone());
         let peers = Arc::clone(self);
-        let pending = Arc::clone(&link.pending);
+        let (pending, heard_at) = (Arc::clone(&link.pending), Arc::clone(&link.heard_at));
         tokio::spawn(async move {
             let address = SocketAddr::from((ip, peers.port));
             let _guard = PendingGuard(Arc::clone(&pending));
-            let result = run_link(address, queued_frames, &pending).await;
+            let result = run_link(address, queued_frames, &pending, &heard_at).await;
             let lost_calls = pending.lock().len();
             match result {
                 Ok(()) => info!(peers.logger, "peers: closed an idle connection"; "vm" => %ip),
@@ -216,6 +235,7 @@
     address: SocketAddr,
     mut frames: mpsc::Receiver<Frame>,
     pending: &Pending,
+    heard_at: &Mutex<Option<Instant>>,
 ) -> anyhow::Result<()> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
@@ -243,6 +263,7 @@
             bytes = framed.next() => {
                 let bytes = bytes.context("the other VM closed the connection")??;
                 last_received_at = Instant::now();
+                *heard_at.lock() = Some(last_received_at);
                 let frame = decode(bytes)?;
                 if let (Some(sender), Some(body)) = (pending.lock().remove(&frame.call), frame.body) {
                     // Fails if the call was dropped meanwhile; its answer is then not needed.
--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -1,6 +1,6 @@
 //! Sends stage jobs to the VMs that own their groups of endpoints, and serves those of other VMs.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 use smallvec::SmallVec;
 use tokio::sync::{Mutex, mpsc};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::clock;
 use crate::decisions::batching::{ItemFailure, ItemInput, Job, JobId, endpoint_address};
@@ -27,6 +27,11 @@
 
 /// Maximum number of other VMs that are asked to run a job before this VM runs it itself.
 const MAX_OWNERS_TRIED: usize = 2;
+/// Time without a sign of life of the owner of a group, which sends one each 250 ms, until the other owners are asked
+/// for one.
+const SIGN_OF_LIFE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time that these have for it. The call to the first one fails later.
+const OWNERS_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of groups that a job is sent to because groups before had no endpoint left.
 const MAX_GROUPS_TRIED: usize = 3;
 /// Interval between two reports of the load of a group.
@@ -114,7 +119,7 @@
             is_forwarded,
             ..encode_job(group, job, may_move, clock::now())
         });
-        match node.peers.call(vm.ip, call).await {
+        match call_owner(node, vm.ip, call).await {
             Ok(Body::Results(results)) => return Ok(results.handles),
             Ok(Body::JobFailed(failed)) if failed.is_stopping => {
                 job.is_retry |= failed.may_have_run;
@@ -159,6 +164,43 @@
     outcome
 }
 
+/// Calls the owner of a group. If it gives no sign of life, all other owners are asked for one meanwhile, so that the
+/// silence of several of them costs a request its time once.
+async fn call_owner(node: &Arc<Node>, ip: Ipv4Addr, call: Body) -> anyhow::Result<Body> {
+    let called_at = Instant::now();
+    let mut answer = std::pin::pin!(node.peers.call(ip, call));
+    if let Ok(answer) = timeout(SIGN_OF_LIFE_TIMEOUT, answer.as_mut()).await {
+        return answer;
+    }
+    if !node.peers.has_heard(ip, called_at) && !node.checks_owners.swap(true, Ordering::Relaxed) {
+        let node = Arc::clone(node);
+        tokio::spawn(async move {
+            avoid_silent_owners(&node).await;
+            node.checks_owners.store(false, Ordering::Relaxed);
+        });
+    }
+    answer.await
+}
+
+/// Asks the owners of all groups for a sign of life, and avoids those that give none.
+async fn avoid_silent_owners(node: &Arc<Node>) {
+    let view = node.view();
+    let owners = view.stage_groups.iter().flat_map(|group| &group.owners);
+    let others = owners.filter(|vm| vm.name != node.settings.vm && !node.peers.is_avoided(vm.ip));
+    let ips: BTreeSet<Ipv4Addr> = others.map(|vm| vm.ip).collect();
+    let asked_at = Instant::now();
+    for ip in &ips {
+        node.peers.ping(*ip);
+    }
+    sleep(OWNERS_TIMEOUT).await;
+    for ip in ips {
+        if !node.peers.has_heard(ip, asked_at) {
+            info!(node.logger, "stages: an owner gives no sign of life"; "vm" => %ip);
+            node.peers.avoid(ip);
+        }
+    }
+}
+
 /// Serves a call of another VM. Returns no answer for a message that needs none or is not a call.
 pub async fn serve_peer_call(node: Arc<Node>, body: Body) -> Option<Body> {
     match body {
