fix(store): a VM that has read an older copy takes over what others hold against it

A VM that started while the store had come back from an older copy, and met only VMs that had just started, sent requests to endpoints that had left until their entries lapsed.

Cause: it had read the copy itself, so that the state of a VM that knew better was of no later position, and only its configuration counted. It asked for that state only if it had met that VM before its first call.

A VM asks for the state of one that had run before it as soon as it hears of one, in its first 4 s, if it does not have one yet; and a state of the same era brings what it holds, unless the store has reported a change since.

--- a/src/decisions/gossip.rs
+++ b/src/decisions/gossip.rs
@@ -237,6 +237,18 @@
         serving.into_iter().take(count).map(|record| &record.vm)
     }
 
+    /// Returns the VMs that take requests and started at least `age` before this one, by the VMs' times of day.
+    pub fn older_serving(&self, age: Duration) -> impl Iterator<Item = &FleetVm> {
+        let age_micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        let own = self.own_record.incarnation;
+        let records = self.members.values().map(|member| &member.record);
+        let older = records.filter(move |record| {
+            let is_serving = record.state == VmState::Alive && record.is_serving;
+            is_serving && record.incarnation.saturating_add(age_micros) <= own
+        });
+        older.map(|record| &record.vm)
+    }
+
     /// Returns the number of known VMs, including this one and VMs that died or left recently.
     pub fn known_count(&self) -> usize {
         self.members.len() + 1
--- a/src/decisions/store_view.rs
+++ b/src/decisions/store_view.rs
@@ -412,15 +412,19 @@
         }
     }
 
-    /// Applies another VM's state of the store if it is newer than this one, and its configuration if that is.
-    /// Returns whether anything was applied.
+    /// Applies another VM's state of the store if it is newer than this one. Of any other, its configuration counts if
+    /// that is newer, and what it holds against a store that came back from an older copy. Returns whether anything was
+    /// applied.
     pub fn apply_snapshot(&mut self, now: Time, snapshot: StoreSnapshot) -> bool {
         let position = snapshot.position;
         let configuration = snapshot.configuration.map(StoreChange::Configuration);
         let is_configuration_newer =
             configuration.is_some_and(|configuration| self.apply(now, configuration));
         if position <= self.position {
-            return is_configuration_newer;
+            let may_hold = position.era == self.position.era;
+            let holds =
+                may_hold && self.take_over_holds(snapshot.entries, snapshot.held_evacuations);
+            return is_configuration_newer || holds;
         }
         let is_starting = self.position == StorePosition::default();
         let restored = self.enter_era(now, position.era);
@@ -604,6 +608,41 @@
         self.apply_endpoint(now, id, revision, Some(endpoint));
     }
 
+    /// Holds what another VM in this era holds: this VM may have read the copy when it started. What the store has
+    /// reported since stays. Returns whether there was anything.
+    fn take_over_holds(
+        &mut self,
+        entries: Vec<SnapshotEntry>,
+        evacuations: Vec<(String, Time)>,
+    ) -> bool {
+        let mut has_changed = false;
+        for held in entries {
+            let is_held = held
+                .next
+                .as_ref()
+                .is_some_and(|next| next.endpoint.is_some());
+            let Some(entry) = self.entries.get_mut(&held.id).filter(|_| is_held) else {
+                continue;
+            };
+            if entry.revision == held.revision && entry.next.is_none() {
+                entry.set_endpoint(held.endpoint);
+                entry.next = held.next;
+                has_changed = true;
+            }
+        }
+        for (data_centre, ends_at) in evacuations {
+            self.evacuations.entry(data_centre).or_insert_with(|| {
+                has_changed = true;
+                Evacuation {
+                    revision: 0,
+                    is_evacuated: true,
+                    ends_at: Some(ends_at),
+                }
+            });
+        }
+        has_changed
+    }
+
     /// Applies an entry that another VM holds as it was before the store came back from an older copy.
     fn apply_held(
         &mut self,
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use parking_lot::Mutex;
 use rand::SeedableRng;
@@ -23,7 +24,7 @@
 use crate::fleet::peers::Peers;
 use crate::fleet::settings::FleetSettings;
 use crate::fleet::store_apply::expire_entries;
-use crate::fleet::store_calls::fetch_newer_peer_state;
+use crate::fleet::store_calls::{fetch_newer_peer_state, take_older_state};
 use crate::fleet::store_feed::{StoreFeed, WordOffers};
 use crate::fleet::store_follow::follow_store;
 use crate::fleet::supervise::supervise;
@@ -90,12 +91,14 @@
         peer_is_newer: Notify::new(),
         lag: Mutex::default(),
         word_at: Mutex::default(),
+        knows_older_state: AtomicBool::new(false),
         crashes: publications.crashes,
         loads: publications.loads,
     });
     tokio::spawn(metric::measure_thread("control"));
     spawn_supervised(&control, "store", follow_store);
     spawn_supervised(&control, "state of other VMs", fetch_newer_peer_state);
+    spawn_supervised(&control, "state of older VMs", take_older_state);
     spawn_supervised(&control, "expiry", expire_entries);
     spawn_supervised(&control, "crash reports", share_crash_reports);
     tokio::spawn({
--- a/src/fleet/control_state.rs
+++ b/src/fleet/control_state.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of the control thread share.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use parking_lot::Mutex;
 use slog::Logger;
@@ -35,6 +36,8 @@
     pub(super) lag: Mutex<RevisionLag>,
     // Time up to which this VM has all changes of the store; `None` before its first word of it.
     pub(super) word_at: Mutex<Option<Time>>,
+    // Whether this VM has the state of one that had run before it started.
+    pub(super) knows_older_state: AtomicBool,
     // VMs that had a later word of the store than this one.
     pub(super) offers: Arc<WordOffers>,
     pub(super) crashes: Arc<CrashBoard>,
--- a/src/fleet/store_apply.rs
+++ b/src/fleet/store_apply.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use slog::{error, info, warn};
@@ -41,9 +42,21 @@
     is_any_newer
 }
 
+/// Time between the starts of two VMs from which one is taken to have run before the other. The VMs of a fleet that starts
+/// do so within a fraction of a second.
+pub(super) const OLDER_BY: Duration = Duration::from_secs(2);
+
 /// Applies the state that another VM sent, if it is newer than that of this VM. Returns whether it is.
 pub(super) fn apply_state(control: &Control, ip: Ipv4Addr, state: FleetState) -> bool {
     let now = clock::now();
+    if control
+        .gossip
+        .lock()
+        .older_serving(OLDER_BY)
+        .any(|vm| vm.ip == ip)
+    {
+        control.knows_older_state.store(true, Ordering::Relaxed);
+    }
     let snapshot = decode_state(&control.logger, now, state);
     let position = snapshot.position;
     let (own, is_newer, progress) = {
--- a/src/fleet/store_calls.rs
+++ b/src/fleet/store_calls.rs
@@ -3,6 +3,7 @@
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anyhow::bail;
@@ -17,7 +18,7 @@
 use crate::fleet::change_delay::{Way, note_changes};
 use crate::fleet::control_state::Control;
 use crate::fleet::metric;
-use crate::fleet::store_apply::apply_state;
+use crate::fleet::store_apply::{OLDER_BY, apply_state};
 use crate::fleet::wire::{Body, Empty, FleetState};
 use crate::platform::store::{
     ENDPOINTS_PREFIX, OPERATOR_PREFIX, StoreAnswer, StoreClient, StoreItem, WatchOutcome,
@@ -32,6 +33,8 @@
 const START_STATE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for which it waits, once one has answered, for one that has run for longer.
 const OLDER_STATE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time in which the first calls of a VM that starts bring the state of another one.
+const START_PAUSE: Duration = Duration::from_millis(200);
 /// Time from its start in which a VM asks for the state of another one as soon as that one reports a newer
 /// configuration: it may have read an older copy of the store.
 const YOUNG_PERIOD: Duration = Duration::from_secs(4);
@@ -172,6 +175,30 @@
     }
 }
 
+/// Takes the state of a VM that had run before this one started, as soon as there is one, unless this VM has it
+/// from its start: the store that it has read, or other VMs that have just started, may have come back from an older copy.
+pub(super) async fn take_older_state(control: Arc<Control>) {
+    let started_at = clock::now();
+    let mut view = control.view.subscribe();
+    while clock::now().since(started_at) < YOUNG_PERIOD {
+        let has_older = control
+            .gossip
+            .lock()
+            .older_serving(OLDER_BY)
+            .next()
+            .is_some();
+        if has_older {
+            // The first calls of this VM may bring it.
+            sleep(START_PAUSE).await;
+            if !control.knows_older_state.load(Ordering::Relaxed) {
+                take_fleet_state(&control).await;
+            }
+            return;
+        }
+        let _ = timeout(START_PAUSE, view.changed()).await;
+    }
+}
+
 /// Asks a VM for its state of the store.
 async fn fetch_state(control: &Control, ip: Ipv4Addr) -> Option<FleetState> {
     match control.peers.call(ip, Body::StateRequest(Empty {})).await {
--- a/tests/fleet_rules/store_eras.rs
+++ b/tests/fleet_rules/store_eras.rs
@@ -404,3 +404,38 @@
         expect_that!(text.parse::<StorePosition>(), err(anything()), "{text:?}");
     }
 }
+
+/// Guards against endpoints that left and data centres that are evacuated, which a VM uses because it started while the
+/// store had come back from an older copy, and read that before it met a VM that knew better.
+#[gtest]
+fn a_vm_that_has_read_the_copy_takes_over_what_others_hold() {
+    let ready = endpoint_with("e-1", true, 7);
+    let copy = || {
+        vec![
+            entry("e-1", 90, Some(&ready)),
+            entry("e-2", 91, Some(&endpoint("e-2", "c"))),
+        ]
+    };
+    let mut known = followed(vec![entry("e-1", 90, Some(&ready))]);
+    known.apply(at(100), entry("e-1", 95, None));
+    known.apply(at(100), entry("e-2", 96, Some(&endpoint("e-2", "c"))));
+    known.apply(at(100), evacuation(97, true));
+    known.apply_listing(at(1_000), copy(), position(2, 92));
+    let mut started = StoreView::new(StoreViewConfig::default());
+    started.apply_listing(at(1_200), copy(), position(2, 93));
+    expect_that!(usable_endpoints(&started), eq(&vec!["e-1", "e-2"]));
+    send_state(1_300, &known, &mut started);
+    expect_that!(usable_endpoints(&started), eq(&vec!["e-2"]));
+    expect_that!(started.evacuated().collect::<Vec<_>>(), eq(&vec!["a"]));
+    // What the store reports ends the hold, and so does its time.
+    let mut told = StoreView::new(StoreViewConfig::default());
+    told.apply_listing(at(1_200), copy(), position(2, 93));
+    told.apply_changes(at(1_250), [entry("e-1", 94, Some(&ready))], position(2, 94));
+    told.apply_changes(at(1_250), [evacuation(95, false)], position(2, 95));
+    send_state(1_300, &known, &mut told);
+    expect_that!(usable_endpoints(&told), eq(&vec!["e-1", "e-2"]));
+    expect_that!(told.evacuated().count(), eq(0));
+    started.expire(at(7_100));
+    expect_that!(usable_endpoints(&started), eq(&vec!["e-1", "e-2"]));
+    expect_that!(started.evacuated().count(), eq(0));
+}
