--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -241,6 +241,11 @@
     Proxy { control, child }
 }
 
+/// Number of VMs with addresses of one subnet; the endpoints' follow.
+const MAX_VMS_OF_SUBNET: usize = 99;
+/// Largest number of VMs that a directory names.
+const MAX_NAMED_VMS: usize = 64;
+
 /// Data centres to which VMs and endpoints are assigned in turn.
 pub const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
 
@@ -301,7 +306,12 @@
         let files = tempfile::tempdir().unwrap();
         let store =
             Store::start((Ipv4Addr::new(127, subnet[0], subnet[1], 250), 8624).into()).await;
-        let ip = |index: usize| Ipv4Addr::new(127, subnet[0], subnet[1], index as u8 + 1);
+        // Large fleets have further addresses, and run alone.
+        let ip = |index: usize| {
+            let block = (index / MAX_VMS_OF_SUBNET) as u8;
+            let host = (index % MAX_VMS_OF_SUBNET) as u8 + 1;
+            Ipv4Addr::new(127, subnet[0] + block, subnet[1], host)
+        };
         let seeds: Vec<String> = (0..vms.min(3)).map(|n| format!("{}:8628", ip(n))).collect();
         let vms = (0..vms)
             .map(|index| {
@@ -391,7 +401,8 @@
         }
         let running = self.vms.iter().filter(|vm| vm.is_running()).count();
         for vm in self.vms.iter().filter(|vm| vm.is_running()) {
-            let names_all = || async { vm.addresses("nowhere").await.len() == running };
+            let named = running.min(MAX_NAMED_VMS);
+            let names_all = || async { vm.addresses("nowhere").await.len() == named };
             eventually("the directory names all running VMs", names_all).await;
         }
     }
--- a/tests/users_platform/store.rs
+++ b/tests/users_platform/store.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -50,6 +50,8 @@
     /// Modes that replace `mode` for single callers.
     modes_by_caller: HashMap<IpAddr, Mode>,
     call_counts: HashMap<IpAddr, u64>,
+    /// When each call came, and whether a stale answer would do.
+    calls: Vec<(Instant, bool)>,
     /// Number of times that the waiting watches were cut.
     watch_cuts: u64,
 }
@@ -73,6 +75,7 @@
             mode: Mode::Up,
             modes_by_caller: HashMap::new(),
             call_counts: HashMap::new(),
+            calls: Vec::new(),
             watch_cuts: 0,
         }));
         let changed = Arc::new(Notify::new());
@@ -179,6 +182,16 @@
         state.call_counts.get(&ip).copied().unwrap_or(0)
     }
 
+    /// Returns the times of the calls since a moment: of those that wait for an answer of the present state, and of
+    /// those for which a stale answer would do.
+    pub fn calls_since(&self, moment: Instant) -> [Vec<Instant>; 2] {
+        let state = self.state.lock();
+        let calls = state.calls.iter().filter(|(at, _)| *at >= moment);
+        let (stale, present): (Vec<_>, Vec<_>) =
+            calls.copied().partition(|(_, is_stale)| *is_stale);
+        [present, stale].map(|calls| calls.into_iter().map(|(at, _)| at).collect())
+    }
+
     /// Returns the number of calls since the start of the store.
     pub fn call_count(&self) -> u64 {
         self.state.lock().call_counts.values().sum()
@@ -225,6 +238,10 @@
     let mode = {
         let mut state = state.lock();
         *state.call_counts.entry(from).or_default() += 1;
+        let query = request.uri().query().unwrap_or_default();
+        state
+            .calls
+            .push((Instant::now(), query.contains("AllowStale=1")));
         let own_mode = state.modes_by_caller.get(&from).copied();
         own_mode.unwrap_or(state.mode)
     };
