fix(store): listeners of relays of earlier builds do not fall into doubt each second

An earlier relay holds a call for a second and does not say how old its word is. A listener took the word for as old as its call, and asked all its sources each 0.9 s.

--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -299,10 +299,7 @@
     fn listen(&mut self, ip: Ipv4Addr, is_in_doubt: bool) {
         metric::store_called("relay");
         let called_at = clock::now();
-        let (after, is_unreachable) = {
-            let store = self.control.store.lock();
-            (store.position, store.is_unreachable())
-        };
+        let after = self.control.store.lock().position;
         let hold_time = if is_in_doubt {
             DOUBT_HOLD_TIME
         } else {
@@ -311,7 +308,7 @@
         let word_at = *self.control.word_at.lock();
         let call = ListenToStore {
             after: if self.wants_state { 0 } else { after.revision },
-            at_once: is_unreachable,
+            at_once: is_in_doubt,
             era: after.era.map(|era| era.0),
             hold_ms: Some(hold_time.as_millis() as u64),
             word_age_ms: word_at.map(|at| called_at.since(at).as_millis() as u64),
@@ -593,10 +590,10 @@
             has_lost_store: news.has_lost_store,
             asks_store: news.asks_store,
         };
-        // An earlier build sends no changes when its word is old.
+        // An earlier build does not say how old its word is, and sends no changes when it is old.
         let word_at = match news.word_offset_ms {
             Some(offset_ms) => Some(offset_by(called_at, offset_ms)),
-            None => news.is_current.then_some(called_at),
+            None => news.is_current.then_some(now),
         };
         let Some(word_at) = word_at.filter(|_| position.era >= own.era) else {
             self.heard_of_loss |= news.has_lost_store;
@@ -648,7 +645,7 @@
         self.wants_state = false;
         let word_at = match state.word_offset_ms {
             Some(offset_ms) => offset_by(called_at, offset_ms),
-            None => called_at,
+            None => now,
         };
         let is_recent = now.since(word_at) < DOUBT_AGE;
         if is_recent {
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -460,8 +460,8 @@
     /// Revision up to which the sender has all changes.
     #[prost(uint64, tag = "1")]
     pub after: u64,
-    /// Whether the answer must not wait for changes: the sender has no word of the store, and needs to know
-    /// whether it is back.
+    /// Whether the answer must not wait for changes: the sender's word of the store is late. For earlier builds, which
+    /// do not know `hold_ms`.
     #[prost(bool, tag = "2")]
     pub at_once: bool,
     /// Era of `after`; absent if the store states none, and from earlier builds.
