fix(store): a relay probes in the pause after a single change

After a single change a relay made no probe for up to 0.95 s, which put it in doubt. A probe now waits only for a watch that begins within 0.1 s, as in a series of changes.

--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -49,8 +49,9 @@
 const CHANGES_PAUSE: Duration = Duration::from_millis(450);
 /// Longest time without an answer of the store until a VM that watches it probes it.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
-/// Time from the begin of a watch until a probe. In a series of changes each watch is answered at once.
-const PROBE_DELAY: Duration = Duration::from_millis(100);
+/// Time for which a probe waits for a watch that is about to begin. In a series of changes each watch is answered at
+/// once, and no probe is needed.
+const WATCH_FIRST_PERIOD: Duration = Duration::from_millis(100);
 /// Time that a watch has to bring a change that a probe has shown.
 const PROBED_CHANGE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Shortest wait between two rounds of the loop.
@@ -361,8 +362,16 @@
     /// Probes the store while a watch waits, which shows nothing until a change comes: a VM that has lost the store would
     /// go on telling its listeners that nothing changed. Returns when there is something to do.
     fn probe(&mut self, now: Time) -> Time {
-        let due_at =
-            |asked_at: Time| (asked_at + PROBE_INTERVAL).max(self.watch_from + PROBE_DELAY);
+        let watch_from = self.watch_from;
+        let due_at = |asked_at: Time| {
+            let at = asked_at + PROBE_INTERVAL;
+            let is_watch_next = at < watch_from && watch_from.since(at) <= WATCH_FIRST_PERIOD;
+            if is_watch_next {
+                watch_from + WATCH_FIRST_PERIOD
+            } else {
+                at
+            }
+        };
         let mut next_at = due_at(self.asked_at);
         if now >= next_at && !self.is_probing {
             next_at = due_at(now);
