--- a/src/fleet/ingress.rs
+++ b/src/fleet/ingress.rs
@@ -154,7 +154,7 @@
         return text(StatusCode::SERVICE_UNAVAILABLE, "this VM has just started");
     }
     let port = node.settings.caller_address.port();
-    let list = directory_addresses(&view, caller_data_centre(query), port);
+    let list = directory_addresses(&view, caller_data_centre(query).as_deref(), port);
     if list.is_empty() {
         return text(StatusCode::SERVICE_UNAVAILABLE, "no VM takes requests");
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod manifest;
 pub mod peer;
 pub mod platform;
+pub mod query;
 pub mod recorder;
 pub mod settings;
 pub mod status;
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -1,9 +1,12 @@
 //! Paths, query and answer of the address directory, where callers look up the VMs to connect to.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 
 use serde::Serialize;
 
+use crate::query::value_of;
+
 /// Path of the call that looks up addresses.
 pub const DIRECTORY_PATH: &str = "/api/resolve";
 /// Path of the call by which the platform checks whether a VM is ready.
@@ -17,8 +20,8 @@
 }
 
 /// Returns the data centre that the caller names in its query.
-pub fn caller_data_centre(query: &str) -> Option<&str> {
-    query.split('&').find_map(|pair| pair.strip_prefix("Zone="))
+pub fn caller_data_centre(query: &str) -> Option<Cow<'_, str>> {
+    value_of(query, "Zone")
 }
 
 /// Encodes the addresses and their time to live, `ttl_s`, for which a caller may cache them.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,12 +11,15 @@
 use serde::Deserialize;
 
 use crate::http::{Call, fetch_response};
+use crate::query::target;
 use crate::units::{StoreEra, StorePosition};
 
 /// Prefix of the keys of endpoint entries; the endpoint's id follows.
 pub const ENDPOINTS_PREFIX: &str = "servers/";
 /// Prefix of all keys that the operator publishes.
 pub const OPERATOR_PREFIX: &str = "op/";
+const RANGE_PATH: &str = "/api/kv-range";
+const WATCH_PATH: &str = "/api/kv-watch";
 /// Header of all answers with the era of the store.
 const ERA_HEADER: &str = "store-era";
 const CONFIGURATION_KEY: &str = "op/config";
@@ -132,12 +135,9 @@
         let mut position = None;
         let mut after = String::new();
         loop {
-            let mut path = format!("/api/kv-range?PathPrefix={prefix}");
-            if !after.is_empty() {
-                path.push_str("&After=");
-                path.push_str(&after);
-            }
-            let answer = self.get(&path, READ_TIMEOUT).await?;
+            let query = [("PathPrefix", prefix)].into_iter();
+            let query = query.chain((!after.is_empty()).then_some(("After", after.as_str())));
+            let answer = self.get(&target(RANGE_PATH, query), READ_TIMEOUT).await?;
             let status = answer.status();
             if status != StatusCode::OK {
                 bail!("the store answered {status} to a listing of {prefix:?}");
@@ -194,8 +194,8 @@
     /// Fails when the store cannot be reached, takes too long, answers with another status than 200, or does not state
     /// its revision.
     pub async fn probe(&self) -> anyhow::Result<StorePosition> {
-        let path = format!("/api/kv-range?PathPrefix={PROBE_PREFIX}&AllowStale=1");
-        let answer = self.get(&path, PROBE_TIMEOUT).await?;
+        let query = [("PathPrefix", PROBE_PREFIX), ("AllowStale", "1")];
+        let answer = self.get(&target(RANGE_PATH, query), PROBE_TIMEOUT).await?;
         let status = answer.status();
         if status != StatusCode::OK {
             bail!("the store answered {status} to a probe");
@@ -215,10 +215,13 @@
         wait: Duration,
         max_time: Duration,
     ) -> anyhow::Result<WatchOutcome> {
-        let wait_ms = wait.as_millis();
-        let revision = after.revision;
-        let path = format!("/api/kv-watch?PathPrefix={prefix}&After={revision}&WaitMs={wait_ms}");
-        let answer = self.get(&path, max_time).await?;
+        let (revision, wait_ms) = (after.revision.to_string(), wait.as_millis().to_string());
+        let query = [
+            ("PathPrefix", prefix),
+            ("After", revision.as_str()),
+            ("WaitMs", wait_ms.as_str()),
+        ];
+        let answer = self.get(&target(WATCH_PATH, query), max_time).await?;
         let era = era_of(&answer).or(after.era);
         if era < after.era {
             bail!("the answer of the store is from before it came back from an older copy");
--- a/tests/platform_decoders.rs
+++ b/tests/platform_decoders.rs
@@ -399,11 +399,19 @@
 
 #[gtest]
 fn directory_queries_are_decoded_and_address_lists_encoded() {
-    expect_that!(
-        caller_data_centre("Name=h&Region=r&Zone=dar-a"),
-        some(eq("dar-a"))
-    );
-    expect_that!(caller_data_centre("Name=h"), none());
+    for query in [
+        "Name=h&Region=r&Zone=dar-a",
+        "Name=h&Zone=dar%2Da&Region=r",
+        "Name=h%26Zone=x&Zone=dar%2da",
+        "%5Aone=dar-a",
+        "Name=%zz&Zone=dar-a&Zone=dar-b",
+    ] {
+        let data_centre = caller_data_centre(query);
+        expect_that!(data_centre.as_deref(), some(eq("dar-a")), "{query}");
+    }
+    for query in ["Name=h", "Name=Zone=dar-a", "zone=dar-a", ""] {
+        expect_that!(caller_data_centre(query), none(), "{query}");
+    }
     let body = encode_addresses(&["10.1.0.41:8625".parse().unwrap()], 2.0);
     let text = String::from_utf8(body).unwrap();
     expect_that!(text, eq(r#"{"Addresses":["10.1.0.41:8625"],"TtlS":2.0}"#));
