--- a/src/decisions/mod.rs
+++ b/src/decisions/mod.rs
@@ -17,6 +17,7 @@
 pub mod generation_times;
 pub mod gossip;
 pub mod group_choice;
+pub mod listing;
 pub mod load_cost;
 pub mod membership;
 pub mod ownership_keys;
--- a/src/decisions/store_source.rs
+++ b/src/decisions/store_source.rs
@@ -347,6 +347,13 @@
         self.knows_store = false;
     }
 
+    /// Records that the store answered a part of a call, such as some pages of a listing, and not all of it. `jitter`
+    /// is as in [`StoreSource::on_store_failed`].
+    pub fn on_call_interrupted(&mut self, now: Time, jitter: f64) {
+        self.failures = 0;
+        self.on_store_failed(now, jitter);
+    }
+
     /// Records that the store did not answer a call of this VM. `jitter`, from 0 to 1, spreads the next calls of
     /// several VMs.
     pub fn on_store_failed(&mut self, now: Time, jitter: f64) {
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -28,6 +28,7 @@
 use crate::fleet::store_feed::{StoreFeed, WordOffers};
 use crate::fleet::store_follow::follow_store;
 use crate::fleet::supervise::supervise;
+use crate::fleet::unreadable_items::Reports;
 use crate::fleet::view::FleetView;
 use crate::fleet::wire::{decode_gossip, encode_gossip};
 use crate::units::Incarnation;
@@ -92,6 +93,8 @@
         lag: Mutex::default(),
         word_at: Mutex::default(),
         knows_older_state: AtomicBool::new(false),
+        listing: Mutex::default(),
+        reports: Reports::default(),
         crashes: publications.crashes,
         loads: publications.loads,
     });
--- a/src/fleet/control_state.rs
+++ b/src/fleet/control_state.rs
@@ -17,6 +17,8 @@
 use crate::fleet::peers::Peers;
 use crate::fleet::settings::FleetSettings;
 use crate::fleet::store_feed::{StoreFeed, WordOffers};
+use crate::fleet::store_listing::FullListing;
+use crate::fleet::unreadable_items::Reports;
 use crate::fleet::view::FleetView;
 use crate::units::Time;
 
@@ -40,6 +42,10 @@
     pub(super) knows_older_state: AtomicBool,
     // VMs that had a later word of the store than this one.
     pub(super) offers: Arc<WordOffers>,
+    /// Listing of the store that is in progress; it outlives the calls that bring its pages.
+    pub(super) listing: Mutex<FullListing>,
+    /// Items of the store that have been reported as unreadable.
+    pub(super) reports: Reports,
     pub(super) crashes: Arc<CrashBoard>,
     pub(super) loads: Arc<LoadBoard>,
 }
--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -131,6 +131,16 @@
     counter!("primrosewalk_store_calls_total", "call" => call).increment(1);
 }
 
+/// Counts a call that did not complete a listing of the platform's store, by what kept it from doing so.
+pub fn listing_failed(cause: &'static str) {
+    counter!("primrosewalk_store_listing_failures_total", "cause" => cause).increment(1);
+}
+
+/// Counts a change of an item of the platform's store that cannot be used, by what the item should describe.
+pub fn item_unreadable(kind: &'static str) {
+    counter!("primrosewalk_unreadable_items_total", "kind" => kind).increment(1);
+}
+
 /// Sets how far this VM has followed the platform's store; the era of a store that states none is 0.
 pub fn store_known(progress: &StoreProgress) {
     let StorePosition { era, revision } = progress.position;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -37,8 +37,10 @@
 mod store_calls;
 pub mod store_feed;
 mod store_follow;
+mod store_listing;
 pub mod stream;
 pub mod supervise;
+mod unreadable_items;
 pub mod view;
 pub mod wire;
 
--- a/src/fleet/store_apply.rs
+++ b/src/fleet/store_apply.rs
@@ -17,8 +17,8 @@
 use crate::fleet::wire::FleetState;
 use crate::platform::configuration::decode_configuration;
 use crate::platform::endpoint_entry::decode_endpoint;
-use crate::platform::store::{StoreItem, StoreKey};
-use crate::units::StorePosition;
+use crate::platform::store::{StoreItem, StoreKey, UnreadableItem};
+use crate::units::{DataCentreName, StorePosition};
 
 /// Applies all changes from the ones before up to `position`, and returns whether any was new.
 pub(super) fn apply_changes(
@@ -100,12 +100,26 @@
                 Some(StoreChange::Configuration(Arc::new(configuration)))
             }
             Err(error) => {
-                error!(control.logger, "configuration: cannot be decoded, the former one stays";
-                    "revision" => revision, "error" => format!("{error:#}"));
+                if control.reports.is_new(("configuration", revision)) {
+                    metric::item_unreadable("configuration");
+                    error!(control.logger, "configuration: cannot be decoded, the former one stays";
+                        "revision" => revision, "error" => format!("{error:#}"));
+                }
                 None
             }
         },
         StoreKey::Evacuation(data_centre) => {
+            if let Err(error) = data_centre.parse::<DataCentreName>() {
+                if control
+                    .reports
+                    .is_new(("evacuation", &data_centre, revision))
+                {
+                    metric::item_unreadable("evacuation");
+                    warn!(control.logger, "evacuation: no data centre has this name";
+                        "data_centre" => &data_centre, "error" => %error);
+                }
+                return None;
+            }
             info!(control.logger, "evacuation: changed"; "data_centre" => &data_centre,
                 "evacuated" => value.is_some(), "revision" => revision);
             Some(StoreChange::Evacuation {
@@ -115,16 +129,17 @@
             })
         }
         StoreKey::Endpoint(id) => {
-            let endpoint = value.and_then(|value| {
-                let decoded = decode_endpoint(&id, &value, clock::now());
-                decoded
-                    .map_err(|error| {
-                        warn!(control.logger, "endpoints: an entry cannot be used";
-                            "endpoint" => &id, "error" => format!("{error:#}"));
-                    })
-                    .ok()
-            });
-            log_endpoint(control, &id, revision, endpoint.as_ref());
+            let endpoint = match value.map(|value| decode_endpoint(&id, &value, clock::now())) {
+                Some(Err(error)) => {
+                    report_endpoint(control, &id, revision, &error);
+                    None
+                }
+                decoded => {
+                    let endpoint = decoded.and_then(Result::ok);
+                    log_endpoint(control, &id, revision, endpoint.as_ref());
+                    endpoint
+                }
+            };
             Some(StoreChange::Endpoint {
                 id,
                 revision,
@@ -135,6 +150,25 @@
     }
 }
 
+/// Reports an endpoint's entry that cannot be used. Whoever had an earlier state of it stops using the endpoint.
+fn report_endpoint(control: &Control, id: &str, revision: u64, error: &anyhow::Error) {
+    if control.reports.is_new(("endpoint", id, revision)) {
+        metric::item_unreadable("endpoint");
+        warn!(control.logger, "endpoints: an entry cannot be used"; "endpoint" => id,
+            "revision" => revision, "error" => format!("{error:#}"));
+    }
+}
+
+/// Reports items of which not even the key can be read.
+pub(super) fn report_unreadable(control: &Control, items: &[UnreadableItem]) {
+    for UnreadableItem { excerpt, error } in items {
+        if control.reports.is_new(("item", excerpt)) {
+            metric::item_unreadable("item");
+            warn!(control.logger, "store: an item cannot be read"; "item" => excerpt, "error" => error);
+        }
+    }
+}
+
 fn log_endpoint(control: &Control, id: &str, revision: u64, endpoint: Option<&Endpoint>) {
     let state = match endpoint {
         None => "gone",
--- a/src/fleet/store_calls.rs
+++ b/src/fleet/store_calls.rs
@@ -6,11 +6,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use anyhow::bail;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use slog::{info, warn};
 use smallvec::SmallVec;
+use thiserror::Error;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::clock;
@@ -19,10 +19,9 @@
 use crate::fleet::control_state::Control;
 use crate::fleet::metric;
 use crate::fleet::store_apply::{OLDER_BY, apply_state};
+use crate::fleet::store_listing::{IncompleteListing, Listed, list};
 use crate::fleet::wire::{Body, Empty, FleetState};
-use crate::platform::store::{
-    ENDPOINTS_PREFIX, OPERATOR_PREFIX, StoreAnswer, StoreClient, StoreItem, WatchOutcome,
-};
+use crate::platform::store::{StoreAnswer, StoreClient, StoreError, WatchOutcome};
 use crate::units::{StorePosition, Time};
 
 /// Time that a watch of the store waits for changes.
@@ -55,7 +54,23 @@
     /// All changes after a position.
     Changes(StorePosition, StoreAnswer),
     /// All items.
-    Listing(StorePosition, Vec<StoreItem>),
+    Listing(Listed),
+}
+
+/// A call to the store that failed.
+#[derive(Debug, Error)]
+pub(super) enum CallFault {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error(transparent)]
+    Listing(#[from] IncompleteListing),
+}
+
+impl CallFault {
+    /// Returns whether the store answered a part of the call.
+    pub(super) fn has_progressed(&self) -> bool {
+        matches!(self, Self::Listing(listing) if listing.has_progressed)
+    }
 }
 
 impl Control {
@@ -77,61 +92,47 @@
 pub(super) async fn call_store(
     control: &Control,
     call: StoreCall,
-) -> anyhow::Result<StoreNewsOfCall> {
+) -> Result<StoreNewsOfCall, CallFault> {
     if control.store.lock().position == StorePosition::default() {
         take_fleet_state(control).await;
     }
     let client = control.store_client();
     let after = control.store.lock().position;
     if after == StorePosition::default() {
-        return list(control, client).await;
+        return Ok(StoreNewsOfCall::Listing(list(control, client).await?));
     }
     let outcome = match call {
         StoreCall::Watch => {
             metric::store_called("watch");
-            client.watch("", after, WATCH_WAIT).await?
+            client.watch("", after, WATCH_WAIT).await
         }
         StoreCall::Check => {
             metric::store_called("check");
-            client.check("", after).await?
+            client.check("", after).await
         }
     };
     match outcome {
-        WatchOutcome::Changes(answer) => return Ok(StoreNewsOfCall::Changes(after, answer)),
-        WatchOutcome::HistoryLost => {
+        Ok(WatchOutcome::Changes(answer)) => return Ok(StoreNewsOfCall::Changes(after, answer)),
+        Ok(WatchOutcome::HistoryLost) => {
             info!(control.logger,
                 "store: the history after the revision is gone, listing again"; "after" => %after);
         }
-        WatchOutcome::EraChanged(era) => {
+        Ok(WatchOutcome::EraChanged(era)) => {
             warn!(control.logger, "store: it came back from an older copy, listing again";
                 "era" => %era, "after" => %after);
         }
+        // A watch may be cut at any time.
+        Err(error @ StoreError::Incomplete(_)) if call == StoreCall::Watch => {
+            return Err(error.into());
+        }
+        // The same call would bring the same answer. Pages of a listing are smaller.
+        Err(error @ (StoreError::Unreadable(_) | StoreError::Incomplete(_))) => {
+            warn!(control.logger, "store: its changes cannot be read, listing again";
+                "after" => %after, "error" => %error);
+        }
+        Err(error) => return Err(error.into()),
     }
-    list(control, client).await
-}
-
-async fn list(control: &Control, client: StoreClient) -> anyhow::Result<StoreNewsOfCall> {
-    metric::store_called("list");
-    let known = control.store.lock().position;
-    let (operator, endpoints) =
-        tokio::try_join!(client.list(OPERATOR_PREFIX), client.list(ENDPOINTS_PREFIX))?;
-    if operator.position.era != endpoints.position.era {
-        bail!("the store came back from an older copy between two listings");
-    }
-    // The watch starts at the lower revision, so that it reports the changes that were made
-    // between the two listings.
-    let listed = operator.position.min(endpoints.position);
-    let position = StorePosition {
-        era: listed.era.or(known.era),
-        ..listed
-    };
-    if position < known {
-        metric::store_word_dropped("older_listing");
-        bail!("the store lists {position}, which is before {known}");
-    }
-    let mut items = operator.items;
-    items.extend(endpoints.items);
-    Ok(StoreNewsOfCall::Listing(position, items))
+    Ok(StoreNewsOfCall::Listing(list(control, client).await?))
 }
 
 /// Takes the state of the VM that has run for longest: it knows what the store has lost if it came back from an
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -24,11 +24,12 @@
 use crate::fleet::control_state::Control;
 use crate::fleet::metric;
 use crate::fleet::model::FleetVm;
-use crate::fleet::store_apply::{apply_changes, apply_state, decode_change};
-use crate::fleet::store_calls::{StoreNewsOfCall, WATCH_WAIT, call_store};
+use crate::fleet::store_apply::{apply_changes, apply_state, report_unreadable};
+use crate::fleet::store_calls::{CallFault, StoreNewsOfCall, WATCH_WAIT, call_store};
 use crate::fleet::store_feed::{DOUBT_HOLD_TIME, HOLD_TIME, StoreFeed, decode_item, logged};
+use crate::fleet::store_listing::Listed;
 use crate::fleet::wire::{Body, FleetState, ListenToStore, StoreNews};
-use crate::platform::store::StoreItem;
+use crate::platform::store::{StoreError, StoreItem};
 use crate::units::{StoreEra, StorePosition, Time, VmId};
 
 /// Time that an answer of another VM may take beyond the time for which that one holds the call.
@@ -139,12 +140,12 @@
         number: u64,
         call: StoreCall,
         began_at: Time,
-        answer: anyhow::Result<StoreNewsOfCall>,
+        answer: Result<StoreNewsOfCall, CallFault>,
     },
     /// The store answered a probe, or did not.
     Probed {
         began_at: Time,
-        position: anyhow::Result<StorePosition>,
+        position: Result<StorePosition, StoreError>,
     },
 }
 
@@ -463,8 +464,10 @@
             info!(self.control.logger, "store: answers again";
                 "outage_ms" => now.since(since).as_millis() as u64);
         }
+        let mut read_at = began_at;
         let (is_any_newer, way) = match news {
             StoreNewsOfCall::Changes(after, answer) => {
+                report_unreadable(&self.control, &answer.unreadable);
                 let logged = answer.items.iter().cloned().map(|item| logged(item, now));
                 self.extend_log(after, answer.position.revision, logged);
                 let is_any_newer = apply_changes(&self.control, answer.items, answer.position);
@@ -474,8 +477,9 @@
                 };
                 (is_any_newer, way)
             }
-            StoreNewsOfCall::Listing(position, items) => {
-                self.apply_listing(position, items);
+            StoreNewsOfCall::Listing(listed) => {
+                read_at = listed.read_at;
+                self.apply_listing(listed);
                 (true, Way::Listing)
             }
         };
@@ -485,18 +489,17 @@
             Way::Watch => began_at + CHANGES_PAUSE,
             _ => now,
         };
-        self.note_word(began_at);
+        self.note_word(read_at);
         if is_any_newer {
             note_changes(&self.control, way, known_at, Some(Duration::ZERO));
         }
     }
 
-    fn apply_listing(&mut self, position: StorePosition, items: Vec<StoreItem>) {
+    fn apply_listing(&mut self, listed: Listed) {
+        let Listed {
+            position, changes, ..
+        } = listed;
         let control = &self.control;
-        let changes = items.into_iter();
-        let changes = changes
-            .filter_map(|item| decode_change(control, item))
-            .collect();
         let mut store = control.store.lock();
         let known = store.position;
         store.apply_listing(clock::now(), changes, position);
@@ -506,14 +509,19 @@
         Arc::make_mut(&mut self.changes).reset(position);
     }
 
-    fn on_store_failure(&mut self, call: StoreCall, began_at: Time, error: &anyhow::Error) {
+    fn on_store_failure(&mut self, call: StoreCall, began_at: Time, error: &CallFault) {
         let now = clock::now();
+        if error.has_progressed() {
+            self.maybe_answered_at = now;
+            self.source.on_call_interrupted(now, self.rng.random());
+            return;
+        }
         if call == StoreCall::Watch {
             let was_silent = now.since(began_at) > WATCH_WAIT;
             let maybe_answered_at = if was_silent { began_at } else { now };
             self.maybe_answered_at = self.maybe_answered_at.max(maybe_answered_at);
             info!(self.control.logger, "store: a watch ended without an answer";
-                "error" => format!("{error:#}"));
+                "error" => %error);
             self.source.on_store_unsure();
             return;
         }
@@ -523,7 +531,7 @@
             .replace(self.lost_since.unwrap_or(now))
             .is_none()
         {
-            warn!(self.control.logger, "store: cannot be reached"; "error" => format!("{error:#}"),
+            warn!(self.control.logger, "store: cannot be reached"; "error" => %error,
                 "position" => %self.control.store.lock().position);
         }
     }
--- /dev/null
+++ b/src/fleet/store_listing.rs
@@ -0,0 +1,256 @@
+//! Lists the platform's store for one VM: the operator's keys and the entries of the endpoints, each page by page.
+//!
+//! A listing outlives the calls that bring its pages. When a page fails, the next call goes on from the pages that are
+//! there, as soon as `store_source` plans it (`docs/platform.md`, "Listings").
+
+use std::time::Duration;
+
+use slog::{error, warn};
+use thiserror::Error;
+
+use crate::clock;
+use crate::decisions::listing::{Listing, ListingFault, ListingPage};
+use crate::decisions::store_view::StoreChange;
+use crate::fleet::control_state::Control;
+use crate::fleet::metric;
+use crate::fleet::store_apply::{decode_change, report_unreadable};
+use crate::platform::store::{ENDPOINTS_PREFIX, OPERATOR_PREFIX, StoreClient, StoreError};
+use crate::units::{StorePosition, Time};
+
+/// Age of its first page from which a listing begins again: the store may no longer have the changes since.
+const MAX_LISTING_AGE: Duration = Duration::from_secs(30);
+
+/// Listings of all keys that this system reads, in progress.
+#[derive(Debug, Default)]
+pub(super) struct FullListing {
+    operator: Listing<StoreChange>,
+    endpoints: Listing<StoreChange>,
+}
+
+impl FullListing {
+    fn part(&mut self, part: Part) -> &mut Listing<StoreChange> {
+        match part {
+            Part::Operator => &mut self.operator,
+            Part::Endpoints => &mut self.endpoints,
+        }
+    }
+
+    fn pages(&self) -> usize {
+        self.operator.pages() + self.endpoints.pages()
+    }
+
+    /// Returns whether the pages may be used at `now` by a VM that knows the store up to `known`.
+    fn is_fresh(&self, now: Time, known: StorePosition) -> bool {
+        let first = [self.operator.first(), self.endpoints.first()];
+        first
+            .into_iter()
+            .flatten()
+            .all(|(position, asked_at)| now.since(asked_at) < MAX_LISTING_AGE && position >= known)
+    }
+}
+
+/// One of the two listings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    Operator,
+    Endpoints,
+}
+
+impl Part {
+    fn prefix(self) -> &'static str {
+        match self {
+            Self::Operator => OPERATOR_PREFIX,
+            Self::Endpoints => ENDPOINTS_PREFIX,
+        }
+    }
+}
+
+/// A complete listing.
+pub(super) struct Listed {
+    /// Position from which a watch reports all changes since.
+    pub(super) position: StorePosition,
+    /// Time up to which the listing has all changes.
+    pub(super) read_at: Time,
+    /// All items, decoded.
+    pub(super) changes: Vec<StoreChange>,
+}
+
+/// Says why a page did not add to a listing.
+#[derive(Debug, Error)]
+enum PageFault {
+    #[error("{0}")]
+    Store(#[from] StoreError),
+    #[error("{0}")]
+    Listing(#[from] ListingFault),
+    #[error("the store came back from an older copy between two listings")]
+    ErasDiffer,
+    #[error("the store lists {listed}, which is before {known}")]
+    Older {
+        listed: StorePosition,
+        known: StorePosition,
+    },
+}
+
+impl PageFault {
+    /// Returns the name of the cause in metrics.
+    fn cause(&self) -> &'static str {
+        match self {
+            Self::Store(StoreError::Status(_)) => "status",
+            Self::Store(StoreError::Unreadable(_) | StoreError::Incomplete(_)) => "unreadable",
+            Self::Store(_) => "no_answer",
+            Self::Listing(ListingFault::NoProgress { .. }) => "no_progress",
+            Self::Listing(ListingFault::EraChanged) | Self::ErasDiffer => "era",
+            Self::Older { .. } => "older",
+        }
+    }
+}
+
+/// A call that did not complete a listing.
+#[derive(Debug, Error)]
+#[error("{error}")]
+pub(super) struct IncompleteListing {
+    /// Whether it brought a page.
+    pub(super) has_progressed: bool,
+    error: PageFault,
+}
+
+/// Lists the store, from the pages on that earlier calls have brought. Both parts are listed at the same time, and a
+/// page of one that fails does not end the other.
+///
+/// # Errors
+///
+/// Fails if a page does. The pages that are there stay for the next call, unless the store has gone back since.
+pub(super) async fn list(
+    control: &Control,
+    client: StoreClient,
+) -> Result<Listed, IncompleteListing> {
+    metric::store_called("list");
+    let known = control.store.lock().position;
+    let pages_before = {
+        let mut listing = control.listing.lock();
+        if !listing.is_fresh(clock::now(), known) {
+            *listing = FullListing::default();
+        }
+        listing.pages()
+    };
+    let (operator, endpoints) = tokio::join!(
+        list_part(control, client, Part::Operator),
+        list_part(control, client, Part::Endpoints)
+    );
+    let listed = match operator.and(endpoints) {
+        Ok(()) => take_listed(control, known),
+        Err(error) => Err(error),
+    };
+    listed.map_err(|error| {
+        metric::listing_failed(error.cause());
+        let listing = control.listing.lock();
+        report_fault(control, &listing, &error);
+        IncompleteListing {
+            has_progressed: listing.pages() > pages_before,
+            error,
+        }
+    })
+}
+
+/// Asks for pages until there are no more, or one fails.
+async fn list_part(control: &Control, client: StoreClient, part: Part) -> Result<(), PageFault> {
+    loop {
+        let after = {
+            let mut listing = control.listing.lock();
+            let listing = listing.part(part);
+            if listing.is_complete() {
+                return Ok(());
+            }
+            listing.after().map(str::to_owned)
+        };
+        metric::store_called("page");
+        let asked_at = clock::now();
+        let answer = client.page(part.prefix(), after.as_deref()).await;
+        let (page, unreadable) = match answer {
+            Ok(answer) => answer,
+            // The store rejects the key, which is not that of a plain item.
+            Err(StoreError::Status(status)) if is_rejection(status) && after.is_some() => {
+                control.listing.lock().part(part).step_back()?;
+                continue;
+            }
+            Err(error) => return Err(error.into()),
+        };
+        report_unreadable(control, &unreadable);
+        let items = page.items.into_iter();
+        let page = ListingPage {
+            items: items
+                .filter_map(|item| decode_change(control, item))
+                .collect(),
+            last_key: page.last_key,
+            last_plain_key: page.last_plain_key,
+            has_more: page.has_more,
+            position: page.position,
+        };
+        control.listing.lock().part(part).add(asked_at, page)?;
+    }
+}
+
+/// Returns whether a status rejects the call itself, so that the same call is rejected again.
+fn is_rejection(status: hyper::StatusCode) -> bool {
+    use hyper::StatusCode;
+    let may_pass = [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS];
+    status.is_client_error() && !may_pass.contains(&status)
+}
+
+/// Takes a listing of which all pages are there.
+fn take_listed(control: &Control, known: StorePosition) -> Result<Listed, PageFault> {
+    let FullListing {
+        operator,
+        endpoints,
+    } = std::mem::take(&mut *control.listing.lock());
+    let (Some((operator_at, operator_asked_at)), Some((endpoints_at, endpoints_asked_at))) =
+        (operator.first(), endpoints.first())
+    else {
+        return Err(PageFault::ErasDiffer);
+    };
+    if operator_at.era != endpoints_at.era {
+        return Err(PageFault::ErasDiffer);
+    }
+    // The watch starts at the lower revision, so that it reports the changes that were made
+    // between the two listings.
+    let listed = operator_at.min(endpoints_at);
+    let position = StorePosition {
+        era: listed.era.or(known.era),
+        ..listed
+    };
+    if position < known {
+        metric::store_word_dropped("older_listing");
+        return Err(PageFault::Older {
+            listed: position,
+            known,
+        });
+    }
+    let mut changes = operator.into_items();
+    changes.extend(endpoints.into_items());
+    Ok(Listed {
+        position,
+        read_at: operator_asked_at.min(endpoints_asked_at),
+        changes,
+    })
+}
+
+/// Logs why a listing is not complete: at once and as an error if the store does not let it go on, and as long as
+/// this VM knows nothing else of the store.
+fn report_fault(control: &Control, listing: &FullListing, fault: &PageFault) {
+    let after = match fault {
+        PageFault::Listing(ListingFault::NoProgress { after }) => Some(after.as_str()),
+        _ => None,
+    };
+    let is_first = control.store.lock().position == StorePosition::default();
+    if !control.reports.is_new(("listing", fault.cause(), after)) {
+        return;
+    }
+    let logger = &control.logger;
+    if is_first || after.is_some() {
+        error!(logger, "store: a listing cannot be completed"; "pages" => listing.pages(),
+            "cause" => fault.cause(), "error" => %fault);
+    } else {
+        warn!(logger, "store: a listing was interrupted"; "pages" => listing.pages(),
+            "cause" => fault.cause(), "error" => %fault);
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -13,8 +13,9 @@
 use hyper::client::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use thiserror::Error;
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 /// Maximum size of an answer body that [`fetch`] reads.
@@ -108,6 +109,14 @@
     Ok((sender.send_request(request).await?, connection))
 }
 
+/// The head of an answer arrived, and its body did not arrive whole.
+#[derive(Debug, Error)]
+#[error("{path}: the body is not complete: {reason}")]
+pub struct IncompleteBody {
+    path: String,
+    reason: String,
+}
+
 /// Sends a call and reads its whole answer.
 ///
 /// # Errors
@@ -115,25 +124,40 @@
 /// Fails like [`send`], and also if the body breaks off, is larger than 16 MiB or takes longer
 /// than `body_timeout`.
 pub async fn fetch(call: &Call<'_>, body_timeout: Duration) -> anyhow::Result<(StatusCode, Bytes)> {
-    let (head, body) = fetch_response(call, body_timeout).await?.into_parts();
+    let (response, _connection) = open(call).await?;
+    let answer = read_body(call, response, Instant::now() + body_timeout).await?;
+    let (head, body) = answer.into_parts();
     Ok((head.status, body))
 }
 
-/// Like [`fetch`], with the headers of the answer.
+/// Like [`fetch`], with the headers of the answer, all of which has to arrive within `max_time`.
 ///
 /// # Errors
 ///
-/// Fails like [`fetch`].
+/// Fails like [`fetch`]; with [`IncompleteBody`] if only the body is missing.
 pub async fn fetch_response(
     call: &Call<'_>,
-    body_timeout: Duration,
+    max_time: Duration,
 ) -> anyhow::Result<Response<Bytes>> {
+    let deadline = Instant::now() + max_time;
     let (response, _connection) = open(call).await?;
+    Ok(read_body(call, response, deadline).await?)
+}
+
+async fn read_body(
+    call: &Call<'_>,
+    response: Response<Incoming>,
+    deadline: Instant,
+) -> Result<Response<Bytes>, IncompleteBody> {
+    let incomplete = |reason: String| IncompleteBody {
+        path: call.path.to_owned(),
+        reason,
+    };
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
-    let body = timeout(body_timeout, body).await;
-    let body = body
-        .with_context(|| format!("{}: body incomplete after {body_timeout:?}", call.path))?
-        .map_err(|error| anyhow::anyhow!("{}: {error}", call.path))?;
+    let body = timeout_at(deadline, body)
+        .await
+        .map_err(|_| incomplete("the timeout passed".to_owned()))?
+        .map_err(|error| incomplete(error.to_string()))?;
     Ok(Response::from_parts(head, body.to_bytes()))
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,14 +3,17 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use anyhow::{Context as _, bail};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
 use serde::Deserialize;
+use serde_json::Value;
+use serde_json::value::RawValue;
+use thiserror::Error;
 
-use crate::http::{Call, fetch_response};
+use crate::decisions::listing::ListingPage;
+use crate::http::{Call, IncompleteBody, fetch_response};
 use crate::query::target;
 use crate::units::{StoreEra, StorePosition};
 
@@ -37,6 +40,12 @@
 /// Time that a watch may take beyond the wait that it asks for, before it times out.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
+/// Largest value of an endpoint's entry, which has some hundred bytes. A larger one names no endpoint, and would fill
+/// the links between VMs.
+const MAX_ENTRY_BYTES: usize = 16 * 1024;
+/// Length of the part of an unreadable item that is kept, in characters.
+const MAX_EXCERPT_CHARS: usize = 160;
+
 /// A key of the store, decoded to what its item describes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum StoreKey {
@@ -61,15 +70,46 @@
     pub value: Option<Bytes>,
 }
 
+/// An item of an answer whose key cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnreadableItem {
+    /// First part of the item's text.
+    pub excerpt: String,
+    /// What is wrong with it.
+    pub error: String,
+}
+
 /// Items or changes, with the position of the store that they reflect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreAnswer {
-    /// Items of a listing, or changes of a watch in the order of the answer.
+    /// Items of a page of a listing, or changes of a watch in the order of the answer.
     pub items: Vec<StoreItem>,
+    /// Items that were left out.
+    pub unreadable: Vec<UnreadableItem>,
     /// Position of the store that the items reflect.
     pub position: StorePosition,
 }
 
+/// Says why a call to the store brought nothing.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// The store answered with a status that its page does not name for the call, or refused it.
+    #[error("the store answered {0}")]
+    Status(StatusCode),
+    /// The store answered, and the answer as a whole cannot be read: it is no document of the platform.
+    #[error("the answer of the store cannot be read: {0}")]
+    Unreadable(serde_json::Error),
+    /// The answer of the store began and did not arrive whole.
+    #[error("{0}")]
+    Incomplete(IncompleteBody),
+    /// The answer is from before the store came back from an older copy.
+    #[error("the answer of the store is from before it came back from an older copy")]
+    EarlierEra,
+    /// The store did not answer in time.
+    #[error("{0:#}")]
+    Unreachable(anyhow::Error),
+}
+
 /// Outcome of a watch call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchOutcome {
@@ -94,11 +134,20 @@
     deleted: bool,
 }
 
+/// What is read of an item whose other fields are not those of the page.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-struct WireRange {
+struct WireKey {
+    key: String,
     #[serde(default)]
-    entries: Vec<WireItem>,
+    revision: Value,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireRange<'a> {
+    #[serde(borrow, default)]
+    entries: Option<Vec<&'a RawValue>>,
     #[serde(default)]
     has_more: bool,
     store_revision: u64,
@@ -106,10 +155,10 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-struct WireEvents {
+struct WireEvents<'a> {
     // Named in lower case on the wire, unlike its neighbours.
-    #[serde(default, rename = "events")]
-    events: Vec<WireItem>,
+    #[serde(borrow, default, rename = "events")]
+    events: Option<Vec<&'a RawValue>>,
     store_revision: u64,
 }
 
@@ -123,41 +172,23 @@
 }
 
 impl StoreClient {
-    /// Lists all items whose keys start with `prefix`, page by page. The returned position is
-    /// that of the first page, so that a watch from there reports changes made between pages.
+    /// Returns one page of the items whose keys start with `prefix`: the first one, or the one after the key `after`.
     ///
     /// # Errors
     ///
-    /// Fails when the store cannot be reached, takes too long, answers with another status than
-    /// 200, sends a listing that cannot be decoded, or begins a new era between two pages.
-    pub async fn list(&self, prefix: &str) -> anyhow::Result<StoreAnswer> {
-        let mut items = Vec::new();
-        let mut position = None;
-        let mut after = String::new();
-        loop {
-            let query = [("PathPrefix", prefix)].into_iter();
-            let query = query.chain((!after.is_empty()).then_some(("After", after.as_str())));
-            let answer = self.get(&target(RANGE_PATH, query), READ_TIMEOUT).await?;
-            let status = answer.status();
-            if status != StatusCode::OK {
-                bail!("the store answered {status} to a listing of {prefix:?}");
-            }
-            let page: WireRange = serde_json::from_slice(answer.body())
-                .context("the listing of the store cannot be decoded")?;
-            let era = era_of(&answer);
-            let position = *position.get_or_insert(StorePosition {
-                era,
-                revision: page.store_revision,
-            });
-            if position.era != era {
-                bail!("the store came back from an older copy during a listing of {prefix:?}");
-            }
-            let last_key = page.entries.last().map(|item| item.key.clone());
-            items.extend(page.entries.into_iter().map(decode_item));
-            match last_key {
-                Some(key) if page.has_more => after = key,
-                _ => return Ok(StoreAnswer { items, position }),
-            }
+    /// Fails when the store cannot be reached, takes too long, answers with another status than 200, or sends a page
+    /// that as a whole cannot be read.
+    pub async fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<(ListingPage<StoreItem>, Vec<UnreadableItem>), StoreError> {
+        let query = [("PathPrefix", prefix)].into_iter();
+        let query = query.chain(after.map(|after| ("After", after)));
+        let answer = self.get(&target(RANGE_PATH, query), READ_TIMEOUT).await?;
+        match answer.status() {
+            StatusCode::OK => decode_page(answer.body(), era_of(&answer)),
+            status => Err(StoreError::Status(status)),
         }
     }
 
@@ -172,7 +203,7 @@
         prefix: &str,
         after: StorePosition,
         wait: Duration,
-    ) -> anyhow::Result<WatchOutcome> {
+    ) -> Result<WatchOutcome, StoreError> {
         self.changes(prefix, after, wait, wait + WATCH_SLACK).await
     }
 
@@ -182,7 +213,11 @@
     /// # Errors
     ///
     /// Fails like [`StoreClient::watch`].
-    pub async fn check(&self, prefix: &str, after: StorePosition) -> anyhow::Result<WatchOutcome> {
+    pub async fn check(
+        &self,
+        prefix: &str,
+        after: StorePosition,
+    ) -> Result<WatchOutcome, StoreError> {
         self.changes(prefix, after, CHECK_WAIT, CHECK_TIMEOUT).await
     }
 
@@ -193,19 +228,15 @@
     ///
     /// Fails when the store cannot be reached, takes too long, answers with another status than 200, or does not state
     /// its revision.
-    pub async fn probe(&self) -> anyhow::Result<StorePosition> {
+    pub async fn probe(&self) -> Result<StorePosition, StoreError> {
         let query = [("PathPrefix", PROBE_PREFIX), ("AllowStale", "1")];
         let answer = self.get(&target(RANGE_PATH, query), PROBE_TIMEOUT).await?;
-        let status = answer.status();
-        if status != StatusCode::OK {
-            bail!("the store answered {status} to a probe");
+        match answer.status() {
+            StatusCode::OK => {}
+            status => return Err(StoreError::Status(status)),
         }
-        let page: WireRange = serde_json::from_slice(answer.body())
-            .context("the answer of the store to a probe cannot be decoded")?;
-        Ok(StorePosition {
-            era: era_of(&answer),
-            revision: page.store_revision,
-        })
+        let (page, _) = decode_page(answer.body(), era_of(&answer))?;
+        Ok(page.position)
     }
 
     async fn changes(
@@ -214,7 +245,7 @@
         after: StorePosition,
         wait: Duration,
         max_time: Duration,
-    ) -> anyhow::Result<WatchOutcome> {
+    ) -> Result<WatchOutcome, StoreError> {
         let (revision, wait_ms) = (after.revision.to_string(), wait.as_millis().to_string());
         let query = [
             ("PathPrefix", prefix),
@@ -224,33 +255,126 @@
         let answer = self.get(&target(WATCH_PATH, query), max_time).await?;
         let era = era_of(&answer).or(after.era);
         if era < after.era {
-            bail!("the answer of the store is from before it came back from an older copy");
+            return Err(StoreError::EarlierEra);
         }
         match answer.status() {
             StatusCode::OK | StatusCode::GONE if era != after.era => {
-                return Ok(WatchOutcome::EraChanged(era.unwrap_or_default()));
+                Ok(WatchOutcome::EraChanged(era.unwrap_or_default()))
             }
-            StatusCode::OK => {}
-            StatusCode::GONE => return Ok(WatchOutcome::HistoryLost),
-            status => bail!("the store answered {status} to a watch after revision {after}"),
+            StatusCode::OK => {
+                let after = StorePosition { era, ..after };
+                decode_events(answer.body(), after).map(WatchOutcome::Changes)
+            }
+            StatusCode::GONE => Ok(WatchOutcome::HistoryLost),
+            status => Err(StoreError::Status(status)),
         }
-        let events: WireEvents = serde_json::from_slice(answer.body())
-            .context("the changes of a watch of the store cannot be decoded")?;
-        Ok(WatchOutcome::Changes(StoreAnswer {
-            items: events.events.into_iter().map(decode_item).collect(),
-            position: StorePosition {
-                era,
-                revision: events.store_revision,
-            },
-        }))
     }
 
-    async fn get(&self, path: &str, max_time: Duration) -> anyhow::Result<Response<Bytes>> {
+    async fn get(&self, path: &str, max_time: Duration) -> Result<Response<Bytes>, StoreError> {
         let mut call = Call::get(self.address, path, max_time);
         call.own_ip = Some(self.own_ip);
-        tokio::time::timeout(max_time, fetch_response(&call, max_time))
+        fetch_response(&call, max_time)
             .await
-            .with_context(|| format!("the store did not answer within {max_time:?}"))?
+            .map_err(|error| match error.downcast() {
+                Ok(incomplete) => StoreError::Incomplete(incomplete),
+                Err(error) => StoreError::Unreachable(error),
+            })
+    }
+}
+
+/// Decodes a page of a listing. Each item is decoded by itself, so that one that does not keep to the page costs no
+/// other.
+///
+/// # Errors
+///
+/// Fails if the text is no page as a whole.
+pub fn decode_page(
+    body: &[u8],
+    era: Option<StoreEra>,
+) -> Result<(ListingPage<StoreItem>, Vec<UnreadableItem>), StoreError> {
+    let text = String::from_utf8_lossy(body);
+    let page: WireRange<'_> = serde_json::from_str(&text).map_err(StoreError::Unreadable)?;
+    let revision = page.store_revision;
+    let mut decoded = DecodedItems::default();
+    for item in page.entries.unwrap_or_default() {
+        decoded.add(item, revision);
+    }
+    let is_plain = |key: &&String| {
+        key.bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"-_./".contains(&byte))
+    };
+    let last_plain_key = decoded.keys.iter().rev().find(is_plain);
+    let page = ListingPage {
+        last_plain_key: last_plain_key
+            .filter(|key| decoded.keys.last() != Some(key))
+            .cloned(),
+        last_key: decoded.keys.pop(),
+        items: decoded.items,
+        has_more: page.has_more,
+        position: StorePosition { era, revision },
+    };
+    Ok((page, decoded.unreadable))
+}
+
+/// Decodes the changes of a watch after a position, each by itself.
+///
+/// # Errors
+///
+/// Fails if the text is no answer to a watch as a whole.
+pub fn decode_events(body: &[u8], after: StorePosition) -> Result<StoreAnswer, StoreError> {
+    let text = String::from_utf8_lossy(body);
+    let answer: WireEvents<'_> = serde_json::from_str(&text).map_err(StoreError::Unreadable)?;
+    let mut decoded = DecodedItems::default();
+    // Changes are in order, so that one without a revision of its own comes after the one before.
+    let mut revision = after.revision.saturating_add(1);
+    for item in answer.events.unwrap_or_default() {
+        decoded.add(item, revision);
+        let last = decoded.items.last().map_or(0, |item| item.revision);
+        revision = revision.max(last);
+    }
+    Ok(StoreAnswer {
+        items: decoded.items,
+        unreadable: decoded.unreadable,
+        position: StorePosition {
+            era: after.era,
+            revision: answer.store_revision,
+        },
+    })
+}
+
+/// Items of an answer, decoded one by one.
+#[derive(Default)]
+struct DecodedItems {
+    /// Keys of `items`, as the store spells them.
+    keys: Vec<String>,
+    items: Vec<StoreItem>,
+    unreadable: Vec<UnreadableItem>,
+}
+
+impl DecodedItems {
+    /// Decodes an item. One of which only the key can be read has an empty value, whose decoder reports it, and
+    /// `revision` if its own cannot be read.
+    fn add(&mut self, raw: &RawValue, revision: u64) {
+        let item = serde_json::from_str(raw.get()).or_else(|error| {
+            let WireKey { key, revision: own } =
+                serde_json::from_str(raw.get()).map_err(|_| error)?;
+            Ok(WireItem {
+                key,
+                value: Some(String::new()),
+                revision: own.as_u64().unwrap_or(revision),
+                deleted: false,
+            })
+        });
+        match item {
+            Ok(item) => {
+                self.keys.push(item.key.clone());
+                self.items.push(decode_item(item));
+            }
+            Err(error) => self.unreadable.push(UnreadableItem {
+                excerpt: raw.get().chars().take(MAX_EXCERPT_CHARS).collect(),
+                error: serde_json::Error::to_string(&error),
+            }),
+        }
     }
 }
 
@@ -270,12 +394,17 @@
     } else {
         StoreKey::Other
     };
-    // A value that is not valid base64 becomes an empty one, whose decoder then reports the error
-    // together with the key.
-    let value = item
-        .value
-        .filter(|_| !item.deleted)
-        .map(|text| Bytes::from(STANDARD.decode(text).unwrap_or_default()));
+    // A value that is not valid base64, or too large, becomes an empty one, whose decoder then reports the error
+    // together with the key. Values that nothing reads are dropped.
+    let value = item.value.filter(|_| !item.deleted).map(|text| {
+        let is_read = match key {
+            StoreKey::Configuration => true,
+            StoreKey::Endpoint(_) => text.len() <= MAX_ENTRY_BYTES / 3 * 4,
+            StoreKey::Evacuation(_) | StoreKey::Other => false,
+        };
+        let text = if is_read { text } else { String::new() };
+        Bytes::from(STANDARD.decode(text).unwrap_or_default())
+    });
     StoreItem {
         key,
         revision: item.revision,
