fix(stages): one odd outcome in the answer to a batch costs only its item

Cause: the outcomes were decoded whole or not at all, although they belong to different requests. Change: each outcome is decoded by itself; one that cannot be read fails its item. An answer with another number of outcomes is still refused whole, since its order says nothing then.

--- a/src/platform/stage_call.rs
+++ b/src/platform/stage_call.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Context as _;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::decisions::batching::{ItemFailure, ItemInput, ItemSpec};
 
@@ -44,7 +45,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct RunAnswer {
-    entries: Vec<RunOutcome>,
+    /// Decoded one by one, since they belong to different requests.
+    entries: Vec<Value>,
 }
 
 #[derive(Deserialize)]
@@ -101,14 +103,21 @@
         "the answer has {} outcomes for {expected} items",
         answer.entries.len()
     );
-    let outcome = |entry: RunOutcome| match (entry.handle, entry.reason.as_deref()) {
+    Ok(answer.entries.into_iter().map(decode_outcome).collect())
+}
+
+/// An outcome that cannot be read fails its item alone.
+fn decode_outcome(entry: Value) -> Result<String, ItemFailure> {
+    let Ok(outcome) = serde_json::from_value::<RunOutcome>(entry) else {
+        return Err(ItemFailure::Failed);
+    };
+    match (outcome.handle, outcome.reason.as_deref()) {
         (Some(handle), None) => Ok(handle),
         (_, Some("late")) => Err(ItemFailure::Late),
         (_, Some("gone")) => Err(ItemFailure::InputGone),
         (_, Some("room")) => Err(ItemFailure::NoRoom),
         _ => Err(ItemFailure::Failed),
-    };
-    Ok(answer.entries.into_iter().map(outcome).collect())
+    }
 }
 
 /// Encodes the call that frees results that are no longer needed.
