fix(callers): ids and keys beyond ASCII are read

What callers would see (shown by the decoder's test; no VM was run): 400 for a request whose id is not ASCII, 401 with an API key that is not, although the configuration has it. Items of stages ran with an empty key in place of one that is not ASCII. Cause: `HeaderValue::to_str` refuses bytes beyond ASCII, and a refused text counted as a missing one. Change: headers of callers are read as UTF-8.

--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -74,7 +74,11 @@
 
 /// Decodes the headers of a caller's request.
 pub fn decode_caller(headers: &HeaderMap) -> CallerRequest {
-    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    // Ids and keys may go beyond ASCII, which `to_str` refuses.
+    let text = |name: &str| {
+        let value = headers.get(name)?;
+        std::str::from_utf8(value.as_bytes()).ok()
+    };
     let (prompt_tokens, output_tokens) = text("token-usage")
         .and_then(|usage| usage.split_once(','))
         .map_or((0, 0), |(prompt, output)| {
--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -1,9 +1,16 @@
 //! Guards that one part of a document or message which cannot be read, or names what nothing can have, costs
 //! nothing but itself.
 
+mod users_platform;
+
 use googletest::prelude::*;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, StatusCode};
 use primrosewalk::decisions::batching::ItemFailure;
+use primrosewalk::platform::caller::decode_caller;
+use primrosewalk::platform::endpoint_call::{ResponseClass, classify};
 use primrosewalk::platform::stage_call::decode_run;
+use users_platform::caller::request;
 
 /// Guards against one odd outcome that fails the items of all other requests in its batch.
 #[gtest]
@@ -33,3 +40,25 @@
         }
     }
 }
+
+/// Guards against a text beyond ASCII that is taken for a missing one: the request was refused with 400 or 401, or its
+/// items were run with another key.
+#[gtest]
+fn texts_of_callers_beyond_ascii_are_read() {
+    const TEXT: &str = "k-\u{e9}\u{4e16}";
+    let value = |text: &str| HeaderValue::from_bytes(text.as_bytes()).unwrap();
+    let mut headers = HeaderMap::new();
+    headers.insert("request-id", value(TEXT));
+    headers.insert("piece-key", value(TEXT));
+    headers.insert("authorization", value(&format!("Token {TEXT}")));
+    let caller = decode_caller(&headers);
+    expect_that!(caller.id, eq(TEXT));
+    expect_that!(caller.stage_key, some(eq(TEXT)));
+    expect_that!(caller.api_key, some(eq(TEXT)));
+    let signed = HeaderMap::from_iter([
+        (HeaderName::from_static("request-id"), value(TEXT)),
+        (HeaderName::from_static("response-signature"), value("x")),
+    ]);
+    let class = classify(StatusCode::OK, &signed, &caller.id);
+    expect_that!(class, eq(ResponseClass::Answer));
+}
