fix(gossip): a record that cannot be read costs only itself

What callers would see: nothing in a fleet of one build. With a VM of a later build whose name this build cannot read, all gossip that carried its record was dropped, and so was the evidence of all engines in a report with one odd crash. Cause: the records of a message were decoded whole or not at all. Change: records and crashes are decoded one by one. A message without a readable sender, or with an incarnation that cannot be refuted, is still dropped whole: no VM of a fleet sends one.

--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -254,20 +254,20 @@
 /// Returns what is wrong with the datagram; the caller drops it.
 pub fn decode_crash_report(datagram: &[u8]) -> anyhow::Result<(CrashReport, Option<u64>)> {
     let wire = WireCrashReport::decode(datagram)?;
-    let crashes = wire.crashes.into_iter().map(|crash| {
-        Ok(CrashEvidence {
-            endpoint: crash.endpoint.parse()?,
+    // One whose endpoint cannot be read names no engine of this build's fleet.
+    let crashes = wire.crashes.into_iter().filter_map(|crash| {
+        Some(CrashEvidence {
+            endpoint: crash.endpoint.parse().ok()?,
             age: Duration::from_millis(crash.age_ms),
             parts: crash.parts.into_iter().map(PartId).collect(),
         })
     });
-    let crashes: Result<Vec<_>, ParseError> = crashes.collect();
     let passes = wire.passes.into_iter().map(|pass| PassEvidence {
         part: PartId(pass.part),
         age: Duration::from_millis(pass.age_ms),
     });
     let report = CrashReport {
-        crashes: crashes?,
+        crashes: crashes.collect(),
         passes: passes.collect(),
     };
     Ok((report, wire.digest))
@@ -713,12 +713,16 @@
     };
     let sender = wire.sender.as_ref();
     let sender = sender.ok_or_else(|| anyhow::anyhow!("the gossip message has no sender"))?;
-    let records: Result<Vec<VmRecord>, _> = wire.records.iter().map(VmRecord::try_from).collect();
+    // A later build may know VMs whose names this one cannot read, and pass their records on in all its messages.
+    let records = wire
+        .records
+        .iter()
+        .filter_map(|record| record.try_into().ok());
     Ok(GossipMessage {
         kind,
         probe: wire.probe,
         sender: sender.try_into()?,
-        records: records?,
+        records: records.collect(),
         store: StoreProgress {
             position: StorePosition {
                 era: wire.store_era.map(StoreEra),
--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -7,9 +7,13 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 use primrosewalk::decisions::batching::ItemFailure;
+use primrosewalk::fleet::wire::{
+    WireCrash, WireCrashReport, WireGossip, WireRecord, decode_crash_report, decode_gossip,
+};
 use primrosewalk::platform::caller::decode_caller;
 use primrosewalk::platform::endpoint_call::{ResponseClass, classify};
 use primrosewalk::platform::stage_call::decode_run;
+use prost::Message;
 use users_platform::caller::request;
 
 /// Guards against one odd outcome that fails the items of all other requests in its batch.
@@ -62,3 +66,62 @@
     let class = classify(StatusCode::OK, &signed, &caller.id);
     expect_that!(class, eq(ResponseClass::Answer));
 }
+
+/// Guards against a record that this build cannot read, such as one of a later build, which cut all gossip that carried
+/// it, and against one crash that cost the evidence of all others.
+#[gtest]
+fn an_odd_record_between_vms_costs_only_itself() {
+    const ODD: [&str; 5] = ["", "a b", "ve.m-1", "\u{e9}", "vm\n"];
+    let record = |name: &str, data_centre: &str| WireRecord {
+        name: name.to_owned(),
+        data_centre: data_centre.to_owned(),
+        incarnation: 1,
+        ..WireRecord::default()
+    };
+    for odd in ODD {
+        let message = WireGossip {
+            sender: Some(record("vm-1", "a")),
+            records: vec![
+                record("vm-2", "a"),
+                record(odd, "a"),
+                record("vm-3", odd),
+                record("vm-4", "a"),
+            ],
+            ..WireGossip::default()
+        };
+        let decoded = decode_gossip(&message.encode_to_vec());
+        let names = decoded.map(|message| {
+            let records = message.records.iter();
+            records
+                .map(|record| record.vm.name.to_string())
+                .collect::<Vec<_>>()
+        });
+        expect_that!(
+            names.unwrap_or_default(),
+            eq(&vec!["vm-2".to_owned(), "vm-4".to_owned()])
+        );
+        let from_odd = WireGossip {
+            sender: Some(record(odd, "a")),
+            ..WireGossip::default()
+        };
+        expect_that!(decode_gossip(&from_odd.encode_to_vec()).is_err(), eq(true));
+
+        let crash = |endpoint: &str| WireCrash {
+            endpoint: endpoint.to_owned(),
+            parts: vec![7],
+            ..WireCrash::default()
+        };
+        let report = WireCrashReport {
+            crashes: vec![crash("i-1"), crash(odd), crash("i-2")],
+            digest: Some(5),
+            ..WireCrashReport::default()
+        };
+        let Ok((report, digest)) = decode_crash_report(&report.encode_to_vec()) else {
+            add_failure!("{odd:?}: the whole report is refused");
+            continue;
+        };
+        let endpoints = report.crashes.iter().map(|crash| crash.endpoint.as_str());
+        expect_that!(endpoints.collect::<Vec<_>>(), eq(&vec!["i-1", "i-2"]));
+        expect_that!(digest, some(eq(5)));
+    }
+}
