fix(configuration): an odd part costs only the requests that it concerns

What callers saw: with one organisation, route or service in a version that a VM cannot express or read, the whole version and all later ones were not in force within 2 s: the new key of each was not accepted. A stage that reads one which does not exist ended each request of its route with 500 (an index out of range). Cause: the document was decoded whole or not at all, and the numbers in `After` were not checked. Change: routes, services and organisations are decoded one by one ("Odd parts of a configuration" in docs/platform.md). What cannot be used gets 503; its route stays, so that no shorter prefix takes its requests. A version that hides whom a part concerns is still refused whole. A route without a service is refused before the body of the request is read.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -204,6 +204,10 @@
         let reply = reply::text(StatusCode::BAD_REQUEST, "the request has no id");
         return Err(RequestEnd::new(reply, "no id"));
     }
+    let Some(service) = pick_service(route, &caller.id) else {
+        let reply = reply::not_run("the route has no service", NO_SERVICE_RETRY_AFTER);
+        return Err(RequestEnd::new(reply, "no service"));
+    };
     let time_limit = caller
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
@@ -214,10 +218,6 @@
     let account = account.map_or_else(CallerAccount::unlimited, CallerAccount::clone);
     let limit_bytes = configuration.limits.max_body_bytes;
     let body = read_caller_body(body, limit_bytes, body_timeout, &account).await?;
-    let Some(service) = pick_service(route, &caller.id) else {
-        let reply = reply::not_run("the route has no service", NO_SERVICE_RETRY_AFTER);
-        return Err(RequestEnd::new(reply, "no service"));
-    };
     Ok(AdmittedRequest {
         headers: head.headers,
         method: head.method,
@@ -246,7 +246,7 @@
 }
 
 /// Returns the organisation of the API key. A request without a known API key is refused unless the
-/// route is public or requests need no key.
+/// route is public or requests need no key; one of an organisation that cannot be used is always refused.
 fn check_api_key(
     configuration: &Configuration,
     route: &Route,
@@ -256,6 +256,10 @@
         return Ok(None);
     };
     let api_key = caller.api_key.as_deref();
+    if api_key.is_some_and(|api_key| configuration.unusable_keys.contains(api_key)) {
+        let reply = reply::not_run("the organisation is not usable", NO_SERVICE_RETRY_AFTER);
+        return Err(RequestEnd::new(reply, "unusable organisation"));
+    }
     let organisation = api_key.and_then(|api_key| api_keys.get(api_key)).cloned();
     if organisation.is_none() && !route.is_public {
         let reply = reply::text(StatusCode::UNAUTHORIZED, "the key is not known");
--- a/src/fleet/model.rs
+++ b/src/fleet/model.rs
@@ -1,6 +1,6 @@
 //! Model of what the platform publishes: configuration, endpoints, and the VMs of the fleet.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use smallvec::SmallVec;
 
+use crate::findings::Findings;
 use crate::units::{DataCentreName, EndpointName, OrganisationName, ServiceName, Time, VmId};
 
 /// Says how often a request of a route may run.
@@ -136,8 +137,12 @@
     /// Organisations by API key. `None` if requests need no key; an empty table admits none but those on
     /// public routes.
     pub api_keys: Option<HashMap<String, Arc<Organisation>>>,
+    /// API keys of organisations that cannot be used. Requests with them are refused on all routes.
+    pub unusable_keys: HashSet<String>,
     /// Bounds on callers.
     pub limits: CallerLimits,
+    /// Parts of the document that cannot be used.
+    pub findings: Findings,
     /// The document as it was published, which is passed on to VMs that cannot reach the platform.
     pub document: Bytes,
 }
--- a/src/fleet/store_apply.rs
+++ b/src/fleet/store_apply.rs
@@ -12,7 +12,7 @@
 use crate::decisions::store_view::StoreChange;
 use crate::fleet::control_state::Control;
 use crate::fleet::metric;
-use crate::fleet::model::Endpoint;
+use crate::fleet::model::{Configuration, Endpoint};
 use crate::fleet::peer_state::decode_state;
 use crate::fleet::wire::FleetState;
 use crate::platform::configuration::decode_configuration;
@@ -59,6 +59,9 @@
     }
     let snapshot = decode_state(&control.logger, now, state);
     let position = snapshot.position;
+    if let Some(configuration) = &snapshot.configuration {
+        report_parts(control, configuration);
+    }
     let (own, is_newer, progress) = {
         let mut store = control.store.lock();
         let own = store.progress();
@@ -97,6 +100,7 @@
                 info!(control.logger, "configuration: received";
                     "version" => configuration.version, "revision" => revision,
                     "in_force" => in_force, "bytes" => configuration.document.len());
+                report_parts(control, &configuration);
                 Some(StoreChange::Configuration(Arc::new(configuration)))
             }
             Err(error) => {
@@ -150,6 +154,19 @@
     }
 }
 
+/// Reports parts of a configuration that cannot be used.
+fn report_parts(control: &Control, configuration: &Configuration) {
+    for finding in configuration.findings.items() {
+        let part = ("part", configuration.version, &finding.place);
+        if control.reports.is_new(part) {
+            metric::item_unreadable("configuration_part");
+            warn!(control.logger, "configuration: a part cannot be used, its requests are refused";
+                "version" => configuration.version, "part" => &finding.place,
+                "error" => &finding.problem);
+        }
+    }
+}
+
 /// Reports an endpoint's entry that cannot be used. Whoever had an earlier state of it stops using the endpoint.
 fn report_endpoint(control: &Control, id: &str, revision: u64, error: &anyhow::Error) {
     if control.reports.is_new(("endpoint", id, revision)) {
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,13 +1,16 @@
 //! Decodes the configuration document that the operator publishes in the platform's store.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context as _;
+use anyhow::{Context as _, ensure};
 use bytes::Bytes;
 use serde::{Deserialize, Deserializer};
+use serde_json::Value;
+use smallvec::SmallVec;
 
+use crate::findings::Findings;
 use crate::fleet::model::{
     BatchLimits, CallerLimits, Configuration, Organisation, Route, RouteKind, RouteStage, Service,
 };
@@ -30,26 +33,50 @@
 #[serde(rename_all = "PascalCase")]
 struct Document {
     version: u64,
-    routes: Vec<WireRoute>,
-    services: Vec<WireService>,
+    /// The parts of the lists are decoded one by one, so that an odd one costs only itself.
+    routes: Vec<Value>,
+    services: Vec<Value>,
     limits: WireLimits,
     /// `None` only without the field: an empty list means that no key is valid.
     #[serde(default, deserialize_with = "list_of_tenants")]
-    tenants: Option<Vec<WireTenant>>,
+    tenants: Option<Vec<Value>>,
 }
 
 /// Decodes a list that must not be null, which would turn the check of keys off.
 fn list_of_tenants<'de, D: Deserializer<'de>>(
     deserializer: D,
-) -> Result<Option<Vec<WireTenant>>, D::Error> {
+) -> Result<Option<Vec<Value>>, D::Error> {
     Vec::deserialize(deserializer).map(Some)
 }
 
+/// The requests that a route is for.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireRoutePlace {
+    host: String,
+    path_prefix: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireServiceName {
+    name: String,
+}
+
+/// The requests that an organisation makes.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireTenantKeys {
+    #[serde(default)]
+    api_keys: Vec<String>,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct WireRoute {
+    /// Decoded leniently, because only logs use it.
     #[serde(default)]
-    name: String,
+    name: Value,
     host: String,
     path_prefix: String,
     route_kind: WireRouteKind,
@@ -73,7 +100,7 @@
     /// Longest pause between events with which a stream is on time. It is decoded leniently because only
     /// streams use it, and a route works without it.
     #[serde(default)]
-    gap_target_ms: serde_json::Value,
+    gap_target_ms: Value,
 }
 
 fn one_attempt() -> u32 {
@@ -140,62 +167,170 @@
 struct WireTenant {
     name: OrganisationName,
     #[serde(default)]
-    api_keys: Vec<String>,
-    #[serde(default)]
     priority: Option<u8>,
 }
 
-/// Decodes a configuration document.
+/// Decodes a configuration document. A route, service or organisation that cannot be used costs only the requests that
+/// it concerns, which are refused (`docs/platform.md`, "Odd parts of a configuration").
 ///
 /// # Errors
 ///
-/// Returns what is wrong with the document. The caller then keeps the configuration that is in
-/// force.
+/// Returns what is wrong with the document as a whole, or with a part of which it cannot be read whom it concerns. The
+/// caller then keeps the configuration that is in force.
 pub fn decode_configuration(document: Bytes) -> anyhow::Result<Configuration> {
     let decoded: Document =
         serde_json::from_slice(&document).context("the configuration cannot be decoded")?;
-    let mut routes: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-    for route in decoded.routes {
-        let host = route.host.to_ascii_lowercase();
-        routes
-            .entry(host)
-            .or_default()
-            .push(Arc::new(decode_route(route)));
-    }
-    for routes in routes.values_mut() {
-        routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
-    }
+    let mut findings = Findings::default();
+    let services = decode_services(&decoded.services, &mut findings)?;
+    let routes = decode_routes(&decoded.routes, &services, &mut findings)?;
+    let tenants = decoded.tenants.as_deref();
+    let keys = tenants.map(|tenants| decode_keys(tenants, &mut findings));
+    let keys = keys.transpose()?.map(|keys| (keys.usable, keys.unusable));
+    let (api_keys, unusable_keys) = keys.unzip();
     let limits = CallerLimits {
         max_header_bytes: decoded.limits.max_header_bytes,
         max_body_bytes: decoded.limits.max_body_bytes,
         header_timeout: Duration::from_millis(decoded.limits.header_timeout_ms),
         idle_timeout: Duration::from_millis(decoded.limits.idle_timeout_ms),
     };
-    let services = decoded.services.into_iter().map(decode_service);
     Ok(Configuration {
         version: decoded.version,
         routes,
-        services: services
-            .map(|service| (service.name.clone(), service))
-            .collect(),
-        api_keys: decoded.tenants.map(index_api_keys),
+        services: services.usable,
+        api_keys,
+        unusable_keys: unusable_keys.unwrap_or_default(),
         limits,
+        findings,
         document,
     })
 }
 
-fn index_api_keys(tenants: Vec<WireTenant>) -> HashMap<String, Arc<Organisation>> {
-    let mut api_keys = HashMap::new();
-    for tenant in tenants {
-        let organisation = Arc::new(Organisation {
-            name: tenant.name,
-            priority: tenant.priority,
+struct Services {
+    usable: HashMap<ServiceName, Service>,
+    /// Names of services whose limits cannot be read. Without them, their endpoints might get too many requests.
+    unusable: HashSet<String>,
+}
+
+fn decode_services(parts: &[Value], findings: &mut Findings) -> anyhow::Result<Services> {
+    let mut services = Services {
+        usable: HashMap::new(),
+        unusable: HashSet::new(),
+    };
+    for (index, part) in parts.iter().enumerate() {
+        let place = format!("Services[{index}]");
+        let WireServiceName { name } =
+            WireServiceName::deserialize(part).with_context(|| place.clone())?;
+        match WireService::deserialize(part) {
+            Ok(service) => {
+                let service = decode_service(service);
+                services.usable.insert(service.name.clone(), service);
+            }
+            Err(error) => {
+                findings.add(place, error.to_string());
+                services.unusable.insert(name);
+            }
+        }
+    }
+    Ok(services)
+}
+
+fn decode_routes(
+    parts: &[Value],
+    services: &Services,
+    findings: &mut Findings,
+) -> anyhow::Result<HashMap<String, Vec<Arc<Route>>>> {
+    let mut routes: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+    for (index, part) in parts.iter().enumerate() {
+        let place = format!("Routes[{index}]");
+        let requests = WireRoutePlace::deserialize(part).with_context(|| place.clone())?;
+        let decoded = WireRoute::deserialize(part).map_err(anyhow::Error::from);
+        let route = decoded.and_then(|route| {
+            check_route(&route, services)?;
+            Ok(decode_route(route))
         });
-        for key in tenant.api_keys {
-            api_keys.insert(key, Arc::clone(&organisation));
+        let route = route.unwrap_or_else(|error| {
+            findings.add(place, error.to_string());
+            unusable_route(requests)
+        });
+        let host = route.host.clone();
+        routes.entry(host).or_default().push(Arc::new(route));
+    }
+    for routes in routes.values_mut() {
+        routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+    }
+    Ok(routes)
+}
+
+fn check_route(route: &WireRoute, services: &Services) -> anyhow::Result<()> {
+    let targets = route.split.iter().map(|target| &target.service);
+    let stages = route.stages.iter().map(|stage| &stage.service);
+    for service in targets.chain(&route.service).chain(stages) {
+        ensure!(
+            !services.unusable.contains(service.as_str()),
+            "the service {service} cannot be used"
+        );
+    }
+    for (number, stage) in route.stages.iter().enumerate() {
+        ensure!(
+            stage.after.iter().all(|before| *before < number),
+            "stage {number} reads results of stages that do not come before it"
+        );
+    }
+    Ok(())
+}
+
+struct Keys {
+    /// Organisations by API key.
+    usable: HashMap<String, Arc<Organisation>>,
+    /// API keys of organisations that cannot be used.
+    unusable: HashSet<String>,
+}
+
+fn decode_keys(parts: &[Value], findings: &mut Findings) -> anyhow::Result<Keys> {
+    let mut decoded = Keys {
+        usable: HashMap::new(),
+        unusable: HashSet::new(),
+    };
+    for (index, part) in parts.iter().enumerate() {
+        let place = format!("Tenants[{index}]");
+        let keys = WireTenantKeys::deserialize(part).with_context(|| place.clone())?;
+        match WireTenant::deserialize(part) {
+            Ok(tenant) => {
+                let organisation = Arc::new(Organisation {
+                    name: tenant.name,
+                    priority: tenant.priority,
+                });
+                let keys = keys.api_keys.into_iter();
+                let keys = keys.map(|key| (key, Arc::clone(&organisation)));
+                decoded.usable.extend(keys);
+            }
+            Err(error) => {
+                findings.add(place, error.to_string());
+                decoded.unusable.extend(keys.api_keys);
+            }
         }
     }
-    api_keys
+    Ok(decoded)
+}
+
+/// Returns a route that has no service, so that all its requests are refused, also those without a valid key. Without
+/// it, a route with a shorter prefix would take them.
+fn unusable_route(requests: WireRoutePlace) -> Route {
+    Route {
+        name: String::new(),
+        host: requests.host.to_ascii_lowercase(),
+        path_prefix: requests.path_prefix,
+        kind: RouteKind::NonIdempotent,
+        timeout: Duration::ZERO,
+        objective: Duration::ZERO,
+        priority: 0,
+        targets: SmallVec::new(),
+        max_attempts: 1,
+        stages: SmallVec::new(),
+        is_public: true,
+        is_resumable: false,
+        max_event_gap: None,
+    }
 }
 
 /// Returns how long callers of a route wait for the next event of a stream (`docs/platform.md`, "Requests").
@@ -212,7 +347,7 @@
 
 fn decode_route(route: WireRoute) -> Route {
     let max_event_gap = decode_event_gap(&route);
-    let mut targets: smallvec::SmallVec<[(ServiceName, u32); 2]> = route
+    let mut targets: SmallVec<[(ServiceName, u32); 2]> = route
         .split
         .into_iter()
         .map(|target| (target.service, target.weight))
@@ -226,7 +361,7 @@
         result_bytes: stage.payload_size.max(0.0) as u64,
     });
     Route {
-        name: route.name,
+        name: route.name.as_str().unwrap_or_default().to_owned(),
         host: route.host.to_ascii_lowercase(),
         path_prefix: route.path_prefix,
         kind: match route.route_kind {
--- a/tests/fleet_rules/store_view.rs
+++ b/tests/fleet_rules/store_view.rs
@@ -19,6 +19,8 @@
         routes: Default::default(),
         services: Default::default(),
         api_keys: Default::default(),
+        unusable_keys: Default::default(),
+        findings: Default::default(),
         limits: CallerLimits {
             max_header_bytes: 1,
             max_body_bytes: 1,
--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -3,6 +3,7 @@
 
 mod users_platform;
 
+use bytes::Bytes;
 use googletest::prelude::*;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
@@ -11,11 +12,20 @@
     WireCrash, WireCrashReport, WireGossip, WireRecord, decode_crash_report, decode_gossip,
 };
 use primrosewalk::platform::caller::decode_caller;
+use primrosewalk::platform::configuration::decode_configuration;
 use primrosewalk::platform::endpoint_call::{ResponseClass, classify};
 use primrosewalk::platform::stage_call::decode_run;
 use prost::Message;
+use serde_json::json;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+use users_platform::Fleet;
 use users_platform::caller::request;
 
+/// Time from the store's acknowledgement of a version within which it is in force, on the smaller deployments
+/// (`ConfigApplyMs`).
+const CHANGE_BOUND: Duration = Duration::from_secs(2);
+
 /// Guards against one odd outcome that fails the items of all other requests in its batch.
 #[gtest]
 fn an_odd_outcome_of_a_batch_costs_only_its_item() {
@@ -125,3 +135,201 @@
         expect_that!(digest, some(eq(5)));
     }
 }
+
+/// Odd parts of a configuration beside sound ones.
+struct OddParts {
+    /// The lists that they are added to, and the parts.
+    parts: &'static [(&'static str, &'static str)],
+    /// Path and API key of requests that they concern, which must get 503.
+    refused: &'static [(&'static str, &'static str)],
+}
+
+const ODD_PARTS: [OddParts; 9] = [
+    OddParts {
+        parts: &[("Tenants", r#"{"Name":"an org","ApiKeys":["odd-key"]}"#)],
+        refused: &[("/look/x", "odd-key"), ("/open/x", "odd-key")],
+    },
+    OddParts {
+        parts: &[(
+            "Tenants",
+            r#"{"Name":"org-3","ApiKeys":["odd-key"],"Priority":"first"}"#,
+        )],
+        refused: &[("/look/x", "odd-key")],
+    },
+    OddParts {
+        parts: &[
+            ("Tenants", r#"{"Name":"an org","ApiKeys":["odd-key"]}"#),
+            ("Tenants", r#"{"Name":"org-3","ApiKeys":["odd-key"]}"#),
+        ],
+        refused: &[("/look/x", "odd-key")],
+    },
+    OddParts {
+        parts: &[(
+            "Routes",
+            r#"{"Host":"h.example","PathPrefix":"/look/odd/","RouteKind":"idempotent","TimeoutMs":3000,
+            "Service":"a service"}"#,
+        )],
+        refused: &[("/look/odd/x", "key-1"), ("/look/odd/x", "no-key")],
+    },
+    OddParts {
+        parts: &[(
+            "Routes",
+            r#"{"Host":"H.example","PathPrefix":"/look/odd/","RouteKind":"later","TimeoutMs":3000,
+            "Service":"plain"}"#,
+        )],
+        refused: &[("/look/odd/x", "key-1")],
+    },
+    OddParts {
+        parts: &[(
+            "Routes",
+            r#"{"Host":"h.example","PathPrefix":"/look/odd/","RouteKind":"idempotent","TimeoutMs":3000,
+            "Split":[{"Service":"plain","Weight":9},{"Service":"pl.ain","Weight":1}]}"#,
+        )],
+        refused: &[("/look/odd/x", "key-1")],
+    },
+    OddParts {
+        parts: &[(
+            "Routes",
+            r#"{"Host":"h.example","PathPrefix":"/look/odd/","RouteKind":"streaming","TimeoutMs":3000,
+            "Service":"lm","Stages":[{"Service":"first","After":[4]}]}"#,
+        )],
+        refused: &[("/look/odd/x", "key-1")],
+    },
+    OddParts {
+        parts: &[
+            ("Services", r#"{"Name":"odd","ColdPerS":"few"}"#),
+            (
+                "Routes",
+                r#"{"Host":"h.example","PathPrefix":"/look/odd/","RouteKind":"idempotent","TimeoutMs":3000,
+                "Service":"odd"}"#,
+            ),
+            (
+                "Routes",
+                r#"{"Host":"h.example","PathPrefix":"/odd-stage/","RouteKind":"streaming","TimeoutMs":3000,
+                "Service":"lm","Stages":[{"Service":"odd"}]}"#,
+            ),
+        ],
+        refused: &[("/look/odd/x", "key-1"), ("/odd-stage/x", "key-1")],
+    },
+    OddParts {
+        parts: &[("Services", r#"{"Name":"a service"}"#)],
+        refused: &[],
+    },
+];
+
+/// Guards against one name or field that leaves a whole version out of force, and with it every change since: the requests
+/// that an odd part concerns are refused as not run, all others are served, and none is handled more widely.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_part_of_a_configuration_costs_only_itself() {
+    let mut fleet = Fleet::start(1).await;
+    let caller = fleet.vms[0].caller_address();
+    let mut number = 0;
+    let sound = fleet.configuration.clone();
+    for (index, odd) in ODD_PARTS.iter().enumerate() {
+        let (new_key, parts) = (format!("new-key-{index}"), odd.parts);
+        fleet.change_configuration(|configuration| {
+            for list in ["Routes", "Services", "Tenants"] {
+                configuration[list] = sound[list].clone();
+            }
+            let mut add = |list: &str, part| configuration[list].as_array_mut().unwrap().push(part);
+            for (list, part) in parts {
+                add(list, serde_json::from_str(part).unwrap());
+            }
+            add("Tenants", json!({ "Name": "org-9", "ApiKeys": [new_key] }));
+            let mut open = sound["Routes"][0].clone();
+            (open["PathPrefix"], open["Public"]) = (json!("/open/"), json!(true));
+            add("Routes", open);
+        });
+        let fleet = &fleet;
+        let mut status = async |path: &str, key: &str| {
+            number += 1;
+            let id = format!("odd-{number}");
+            let answer = request(caller, path, &id, key).await;
+            (answer.map_or(0, |answer| answer.status), fleet.runs_of(&id))
+        };
+        let in_force = async || status("/look/x", &new_key).await.0 == 200;
+        if !is_soon(in_force).await {
+            add_failure!("{parts:?}: the version is not in force");
+            continue;
+        }
+        for (path, key) in odd.refused {
+            let refused = status(path, key).await;
+            expect_that!(refused, eq((503, 0)), "{parts:?}: {path} {key}");
+        }
+        expect_that!(status("/look/x", "key-1").await.0, eq(200), "{parts:?}");
+        expect_that!(status("/stream/x", "key-2").await.0, eq(200), "{parts:?}");
+        expect_that!(status("/open/x", "").await.0, eq(200), "{parts:?}");
+        expect_that!(status("/look/x", "no-key").await.0, eq(401), "{parts:?}");
+    }
+}
+
+/// Returns whether a condition holds within the time in which a version has to be in force.
+async fn is_soon(mut holds: impl AsyncFnMut() -> bool) -> bool {
+    let started = Instant::now();
+    while started.elapsed() < CHANGE_BOUND {
+        if holds().await {
+            return true;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    false
+}
+
+/// Guards against a part that is left out although it is not known whom it concerns: a shorter prefix would take the
+/// requests of a route, and the keys of an organisation would be refused as unknown ones, and a service would run without its limits.
+#[gtest]
+fn a_configuration_that_hides_whom_a_part_concerns_is_refused() {
+    let route = |place: &str| {
+        format!(r#"{{{place},"RouteKind":"idempotent","TimeoutMs":9,"Service":"s"}}"#)
+    };
+    struct Case {
+        routes: String,
+        services: &'static str,
+        tenants: &'static str,
+        is_used: bool,
+    }
+    let case = |routes, services, tenants, is_used| Case {
+        routes,
+        services,
+        tenants,
+        is_used,
+    };
+    let sound = || route(r#""Host":"h","PathPrefix":"/""#);
+    let cases = [
+        case(sound(), "", r#"{"Name":"o","ApiKeys":["k"]}"#, true),
+        case(sound(), "", r#"{"Name":7,"ApiKeys":["k"]}"#, true),
+        case(sound(), "", r#"{"ApiKeys":["k"]}"#, true),
+        case(sound(), "", r#"{"Name":"o","ApiKeys":["k",7]}"#, false),
+        case(sound(), "", r#"{"Name":"o","ApiKeys":"k"}"#, false),
+        case(sound(), "", r#"{"Name":"o","ApiKeys":null}"#, false),
+        case(sound(), "", "7", false),
+        case(sound(), r#"{"Name":"s","ColdPerS":[]}"#, "", true),
+        case(sound(), r#"{"ColdPerS":12}"#, "", false),
+        case(sound(), r#"{"Name":["s"]}"#, "", false),
+        case(sound(), "null", "", false),
+        case(route(r#""Host":"h""#), "", "", false),
+        case(route(r#""PathPrefix":"/""#), "", "", false),
+        case(route(r#""Host":7,"PathPrefix":"/""#), "", "", false),
+        case(route(r#""Host":"h","PathPrefix":["/"]"#), "", "", false),
+        case("null".to_owned(), "", "", false),
+    ];
+    for Case {
+        routes,
+        services,
+        tenants,
+        is_used,
+    } in cases
+    {
+        let document = format!(
+            r#"{{"Version":1,"Routes":[{routes}],"Services":[{services}],"Limits":{{"MaxHeaderBytes":1,
+            "MaxBodyBytes":1,"HeaderTimeoutMs":1,"IdleTimeoutMs":1}},"Tenants":[{tenants}]}}"#
+        );
+        let decoded = decode_configuration(Bytes::from(document));
+        expect_that!(
+            decoded.is_ok(),
+            eq(is_used),
+            "{routes} {services} {tenants}"
+        );
+    }
+}
