fix(stages): a handle that cannot stand in a list is no result

What callers would see, from reading the code and the platform's page (no engine was run with such a handle): 503 after work in vain for a handle that a header cannot carry, since `Inputs` is left out then; a handle with a comma reads as two. Cause: handles were joined by commas as they came. Change: a handle is visible ASCII without commas; an item with any other has failed, like one without a result.

--- a/src/platform/stage_call.rs
+++ b/src/platform/stage_call.rs
@@ -112,7 +112,7 @@
         return Err(ItemFailure::Failed);
     };
     match (outcome.handle, outcome.reason.as_deref()) {
-        (Some(handle), None) => Ok(handle),
+        (Some(handle), None) if is_handle(&handle) => Ok(handle),
         (_, Some("late")) => Err(ItemFailure::Late),
         (_, Some("gone")) => Err(ItemFailure::InputGone),
         (_, Some("room")) => Err(ItemFailure::NoRoom),
@@ -120,6 +120,12 @@
     }
 }
 
+/// Returns whether a text can be one of the handles that an engine gets in a header, separated by commas.
+fn is_handle(text: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_graphic() && byte != b',';
+    !text.is_empty() && text.bytes().all(is_allowed)
+}
+
 /// Encodes the call that frees results that are no longer needed.
 pub fn encode_free(handles: &[String]) -> Vec<u8> {
     serde_json::to_vec(&FreeBody { handles }).unwrap_or_default()
--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -3,6 +3,8 @@
 
 mod users_platform;
 
+use std::time::{Duration, Instant};
+
 use bytes::Bytes;
 use googletest::prelude::*;
 use hyper::header::{HeaderName, HeaderValue};
@@ -17,7 +19,6 @@
 use primrosewalk::platform::stage_call::decode_run;
 use prost::Message;
 use serde_json::json;
-use std::time::{Duration, Instant};
 use tokio::time::sleep;
 use users_platform::Fleet;
 use users_platform::caller::request;
@@ -55,6 +56,27 @@
     }
 }
 
+/// Guards against a handle that reads as several, or breaks the header, once it stands in the list of inputs.
+#[gtest]
+fn a_handle_that_cannot_stand_in_a_list_is_no_result() {
+    let handles = [
+        "",
+        "10.1.64.7:8080/a,10.1.64.7:8080/b",
+        "10.1.64.7:8080/a b",
+        " 10.1.64.7:8080/a",
+        r"10.1.64.7:8080/a\n",
+        r"10.1.64.7:8080/a\r\nHold: 1",
+        r"10.1.64.7:8080/\u0000",
+        r"10.1.64.7:8080/\u007f",
+        "10.1.64.7:8080/\u{e9}",
+    ];
+    for handle in handles {
+        let answer = format!(r#"{{"Entries":[{{"Handle":"{handle}"}}]}}"#);
+        let outcomes = decode_run(answer.as_bytes(), 1).unwrap();
+        expect_that!(outcomes[0], err(eq(&ItemFailure::Failed)), "{handle:?}");
+    }
+}
+
 /// Guards against a text beyond ASCII that is taken for a missing one: the request was refused with 400 or 401, or its
 /// items were run with another key.
 #[gtest]
