fix(control): a digest that is none is not joined to the path of a read

What operators saw: a manifest whose index has an odd digest made the VM read other keys, or the same key with another query. Cause: `manifest/part/{sha256}` was joined to the path as it is. Change: a text that is no digest names no part and is refused as such; keys and queries of reads are escaped.

--- a/src/control/config.rs
+++ b/src/control/config.rs
@@ -16,7 +16,9 @@
 use crate::control::platform::{NextRead, PlatformReader, WatchReply, watch_key};
 use crate::control::state::{Control, ControlState, ManifestBytes};
 use crate::findings::Findings;
-use crate::manifest::{Manifest, ManifestIndex, PartReference, parse_manifest, part_digest};
+use crate::manifest::{
+    Manifest, ManifestIndex, PartReference, is_part_digest, parse_manifest, part_digest,
+};
 use crate::peer::calls::ManifestBundle;
 use crate::units::{Time, Version, VmId};
 
@@ -117,6 +119,13 @@
     reader: &mut PlatformReader,
     part: &PartReference,
 ) -> Option<Bytes> {
+    if !is_part_digest(&part.sha256) {
+        warn!(
+            control.logger(),
+            "config: manifest part {:?} not read: {:?} is not a digest", part.name, part.sha256
+        );
+        return None;
+    }
     let read = reader
         .value(&format!("manifest/part/{}", part.sha256))
         .await;
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::control::http::{HttpReader, ReadError};
 use crate::peer::backoff::{Backoff, BackoffConfig};
+use crate::query;
 use crate::units::{Time, Version};
 
 /// Settings of reads from the platform.
@@ -86,7 +87,7 @@
     /// Returns why the value could not be read.
     pub async fn value(&mut self, key: &str) -> Result<Bytes, PlatformError> {
         counter!("primrosewalk_control_platform_reads_total", "key" => "part").increment(1);
-        let path = format!("/v1/values/{key}");
+        let path = value_path(key);
         let reply = self.http.get(&path, self.config.reply_timeout).await?;
         if reply.status == StatusCode::OK {
             Ok(reply.body)
@@ -107,10 +108,9 @@
     ) -> Result<(Time, WatchReply), PlatformError> {
         counter!("primrosewalk_control_platform_reads_total", "key" => key).increment(1);
         let max_wait = self.config.max_wait;
-        let path = format!(
-            "/v1/values/{key}?after_version={after}&wait_ms={}",
-            max_wait.as_millis()
-        );
+        let (after_version, wait_ms) = (after.to_string(), max_wait.as_millis().to_string());
+        let query = [("after_version", &*after_version), ("wait_ms", &*wait_ms)];
+        let path = query::target(&value_path(key), query);
         let asked_at = clock::now();
         let timeout = max_wait + self.config.reply_timeout;
         let reply = self.http.get(&path, timeout).await?;
@@ -130,6 +130,12 @@
     }
 }
 
+/// Returns the path at which the platform serves a key, whose parts are separated by slashes.
+fn value_path(key: &str) -> String {
+    let segments: Vec<_> = key.split('/').map(query::segment).collect();
+    format!("/v1/values/{}", segments.join("/"))
+}
+
 /// How a watch continues after a reply was handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NextRead {
--- a/src/manifest/index.rs
+++ b/src/manifest/index.rs
@@ -33,3 +33,9 @@
 pub fn part_digest(bytes: &[u8]) -> String {
     hex::encode(Sha256::digest(bytes))
 }
+
+/// Returns whether a text is a digest as [`part_digest`] makes it. Any other is the key of no part.
+pub fn is_part_digest(text: &str) -> bool {
+    let is_digit = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+    text.len() == 64 && text.bytes().all(is_digit)
+}
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -11,4 +11,4 @@
     ApiKeyDigest, DataCentre, DataCentreState, Endpoint, EndpointState, Manifest, Model,
     Organisation, Pipeline, Stage, StageKind, VmEntry, VmList, VmState,
 };
-pub use index::{ManifestIndex, PartReference, part_digest};
+pub use index::{ManifestIndex, PartReference, is_part_digest, part_digest};
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -132,6 +132,32 @@
     vm.end();
 }
 
+/// Guards against a digest that is none, which was joined to the path of a read and asked for another key.
+#[gtest]
+fn a_part_without_a_digest_is_not_read() {
+    let platform = FakePlatform::start();
+    let mut vm = FakeVm::bind("vm-1");
+    platform.publish_vms(1, &[&vm]);
+    vm.start(&platform);
+    let digests = ["x?after_version=0", "../../vms", &"F".repeat(64)];
+    for (index, sha256) in digests.iter().enumerate() {
+        let parts = vec![PartReference {
+            name: "odd".to_owned(),
+            sha256: (*sha256).to_owned(),
+        }];
+        let version = Version(index as u64 + 1);
+        let index = serde_json::to_string(&ManifestIndex { version, parts }).unwrap();
+        let before = platform.reads("manifest");
+        platform.publish("manifest", version.0, index);
+        wait_for("a second try", || platform.reads("manifest") >= before + 2);
+    }
+    expect_that!(platform.part_reads(), eq(0));
+    platform.publish_manifest(20, &manifest_part(unused_address(), &["o-1"], 10.0));
+    vm.wait_for_manifest(20);
+    expect_that!(platform.part_reads(), eq(1));
+    vm.end();
+}
+
 #[gtest]
 fn a_peer_passes_on_a_newer_manifest_and_freshness_while_the_platform_is_down() {
     let (platform, cut_off) = (FakePlatform::start(), FakePlatform::start());
--- a/tests/control_fakes/mod.rs
+++ b/tests/control_fakes/mod.rs
@@ -104,6 +104,14 @@
         let state = self.state.lock().unwrap();
         state.reads.get(key).copied().unwrap_or(0)
     }
+
+    /// Returns how often anything below the key of the manifest's parts has been read.
+    pub fn part_reads(&self) -> u64 {
+        let state = self.state.lock().unwrap();
+        let parts = state.reads.iter();
+        let parts = parts.filter(|(key, _)| key.starts_with("manifest/part"));
+        parts.map(|(_, reads)| reads).sum()
+    }
 }
 
 async fn answer(state: Arc<Mutex<PlatformState>>, request: Request<Incoming>) -> (u16, u64, Bytes) {
