fix(traffic): names in paths and queries are decoded

What callers saw: 404 for a pipeline whose name they escaped, as any client may, and no decisions for an escaped id. Cause: paths and queries were compared as they were sent. Change: the name of a pipeline, the id of a request and `after` are decoded first.

--- a/src/query.rs
+++ b/src/query.rs
@@ -1,4 +1,4 @@
-//! Encodes texts as parts of the target of an HTTP request, and reads queries.
+//! Encodes texts as parts of the target of an HTTP request, and reads paths and queries.
 //!
 //! Names come from other writers and may hold any character (`docs/platform.md`, "Entries of other writers"), so no
 //! target is built by joining them as they are.
@@ -6,7 +6,7 @@
 use std::borrow::Cow;
 use std::fmt::Write as _;
 
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_decode_str, utf8_percent_encode};
 
 /// What is escaped in a segment of a path: all but the unreserved characters of RFC 3986.
 const SEGMENT: &AsciiSet = &NON_ALPHANUMERIC
@@ -36,6 +36,11 @@
     utf8_percent_encode(text, SEGMENT).into()
 }
 
+/// Returns a text that stands in a path, decoded. Bytes that are no UTF-8 are replaced, as no name has them.
+pub fn path_text(text: &str) -> Cow<'_, str> {
+    percent_decode_str(text).decode_utf8_lossy()
+}
+
 /// Returns the first value of a name in a query, decoded.
 pub fn value_of<'a>(query: &'a str, name: &str) -> Option<Cow<'a, str>> {
     let mut parts = form_urlencoded::parse(query.as_bytes());
--- a/src/traffic/caller.rs
+++ b/src/traffic/caller.rs
@@ -18,6 +18,7 @@
 use crate::clock;
 use crate::decisions::at_most_once::Begin;
 use crate::manifest::Pipeline;
+use crate::query::path_text;
 use crate::traffic::api_key::{self, Caller, ConnectionApiKeys};
 use crate::traffic::http_body::{self, Answer};
 use crate::traffic::refusal::{Outcome, Refusal, RefusalCode};
@@ -47,8 +48,8 @@
         (&Method::GET, "/v1/address") => address::serve_address(&traffic, request.headers()),
         (&Method::POST, "/v1/request-ids") => address::serve_request_id(&traffic),
         (&Method::POST, path) if path.starts_with("/v1/pipelines/") => {
-            let name = &path["/v1/pipelines/".len()..];
-            serve_pipeline(&traffic, &connection, name, request).await
+            let name = path_text(&path["/v1/pipelines/".len()..]);
+            serve_pipeline(&traffic, &connection, &name, request).await
         }
         _ => {
             let message = format!("nothing is served at {path}");
--- a/src/traffic/operator.rs
+++ b/src/traffic/operator.rs
@@ -9,6 +9,7 @@
 use crate::blackboard::{Catalogue, Snapshot};
 use crate::clock;
 use crate::manifest::{Endpoint, VmState};
+use crate::query::{path_text, value_of};
 use crate::status::{CircuitStatus, EndpointStatus, OrganisationStatus, PeerStatus, Status};
 use crate::traffic::api_key::ConnectionApiKeys;
 use crate::traffic::http_body::{self, Answer};
@@ -42,7 +43,7 @@
             Err(problem) => http_body::text(StatusCode::BAD_REQUEST, problem),
         },
         path => match path.strip_prefix("/v1/explain/") {
-            Some(id) => http_body::json(StatusCode::OK, &decisions.for_request(id)),
+            Some(id) => http_body::json(StatusCode::OK, &decisions.for_request(&path_text(id))),
             None => http_body::text(StatusCode::NOT_FOUND, format!("nothing is at {path}\n")),
         },
     }
@@ -50,8 +51,7 @@
 
 /// Reads the sequence number `after` from a query, 0 if it is missing.
 fn parse_after(query: Option<&str>) -> Result<u64, &'static str> {
-    let mut pairs = query.unwrap_or_default().split('&');
-    let Some(value) = pairs.find_map(|pair| pair.strip_prefix("after=")) else {
+    let Some(value) = value_of(query.unwrap_or_default(), "after") else {
         return Ok(0);
     };
     value
--- a/tests/traffic_cases/operators.rs
+++ b/tests/traffic_cases/operators.rs
@@ -57,3 +57,24 @@
     let ready = send(vm.operator, "GET", "/readyz", &[], "").await;
     expect_that!(ready.status, eq(200));
 }
+
+/// Guards against names that are compared as they stand in a path or query, where a caller may escape any character.
+#[gtest]
+#[tokio::test]
+async fn escaped_paths_and_queries_are_decoded() {
+    let first = FakeEndpoint::start(&[OK]).await;
+    let vm = Vm::start(Setup::new(vec![("first", first)])).await;
+    let reply = run(&vm, "simpl%65", &[], "{}").await;
+    expect_that!(reply.status, eq(200));
+    let unknown = run(&vm, "simple%2Fx", &[], "{}").await;
+    expect_that!(unknown.status, eq(404));
+    let id = reply.json()["request_id"].as_str().unwrap().to_owned();
+    let path = format!("/v1/explain/{}", id.replace('.', "%2E"));
+    let lines = vm.operator_json(&path).await.to_string();
+    expect_that!(lines, contains_substring("quota: admitted"));
+    let decisions = vm.operator_json("/v1/decisions").await;
+    let last = &decisions.as_array().unwrap().last().unwrap()["sequence"];
+    let path = format!("/v1/decisions?%61fter={last}");
+    let later = vm.operator_json(&path).await;
+    expect_that!(later.as_array().map(Vec::len), some(eq(0)));
+}
