--- a/standins/http.rs
+++ b/standins/http.rs
@@ -88,14 +88,11 @@
     let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
         return Ok(status(StatusCode::PAYLOAD_TOO_LARGE));
     };
-    let pairs = head.uri.query().unwrap_or_default().split('&');
-    let query = pairs.filter_map(|pair| pair.split_once('='));
+    let query = form_urlencoded::parse(head.uri.query().unwrap_or_default().as_bytes());
     let call = Call {
         method: head.method,
         path: head.uri.path().to_owned(),
-        query: query
-            .map(|(name, value)| (name.to_owned(), value.to_owned()))
-            .collect(),
+        query: query.into_owned().collect(),
         headers: head.headers,
         body: body.to_bytes(),
     };
--- a/standins/platform.rs
+++ b/standins/platform.rs
@@ -11,6 +11,7 @@
 use clap::Args;
 use hyper::{Method, StatusCode};
 use parking_lot::Mutex;
+use primrosewalk::query::path_text;
 use tokio::sync::watch;
 
 use crate::http::{self, Call, Reply};
@@ -286,6 +287,7 @@
     let Some(key) = call.path.strip_prefix("/v1/values/") else {
         return Some(platform.control(&call));
     };
+    let key = &*path_text(key);
     if call.method != Method::GET {
         return Some(http::status(StatusCode::METHOD_NOT_ALLOWED));
     }
--- a/tests/standins.rs
+++ b/tests/standins.rs
@@ -106,6 +106,25 @@
     std::fs::rename(dir.join("next"), dir.join("manifest.json")).unwrap();
 }
 
+/// Guards against a stand-in that compares keys and queries as they are sent: it would share the mistake of a client that
+/// does not escape them.
+#[gtest]
+fn the_platform_decodes_keys_and_queries() {
+    let (dir, fleet, _) = generate_fleet(&[]);
+    let address = fleet["platform_address"].as_str().unwrap();
+    let dir = path_text(dir.path());
+    let _platform = start(&["platform", "--listen", address, "--dir", dir], address);
+    let manifest = get(address, "/v1/values/m%61nifest");
+    expect_that!(manifest.status(), eq("200"));
+    let index: ManifestIndex = serde_json::from_slice(&manifest.body).unwrap();
+    let (first, rest) = index.parts[0].sha256.split_at(1);
+    let escaped = format!("%{:02X}{rest}", first.as_bytes()[0]);
+    let part = get(address, &format!("/v1/values/manifest/part/{escaped}"));
+    expect_that!(part_digest(&part.body), eq(&index.parts[0].sha256));
+    let unchanged = get(address, "/v1/values/manifest?%61fter_version=%31&wait_ms=1");
+    expect_that!(unchanged.status(), eq("304"));
+}
+
 #[gtest]
 fn platform_serves_parts_that_make_up_the_manifest() {
     let (dir, fleet, manifest) = generate_fleet(&["--organisations", "9000"]);
