test(peers): the state of many entries fits a frame

5,000 endpoints with the longest names, all about to change, 5,000 evacuations and a configuration of a megabyte stay below the 8 MiB of a frame. It guards what was so before; no change was needed.

--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -3,6 +3,7 @@
 
 mod users_platform;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,6 +11,9 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 use primrosewalk::decisions::batching::ItemFailure;
+use primrosewalk::decisions::store_view::{ScheduledEntry, SnapshotEntry, StoreSnapshot};
+use primrosewalk::fleet::model::Endpoint;
+use primrosewalk::fleet::peer_state::encode_state;
 use primrosewalk::fleet::wire::{
     WireCrash, WireCrashReport, WireGossip, WireRecord, decode_crash_report, decode_gossip,
 };
@@ -17,6 +21,7 @@
 use primrosewalk::platform::configuration::decode_configuration;
 use primrosewalk::platform::endpoint_call::{ResponseClass, classify};
 use primrosewalk::platform::stage_call::decode_run;
+use primrosewalk::units::Time;
 use prost::Message;
 use serde_json::json;
 use tokio::time::sleep;
@@ -355,3 +360,46 @@
         );
     }
 }
+
+/// Guards against a state that no frame between VMs can carry (8 MiB), so that a VM which starts would get it from none:
+/// 5,000 endpoints with the longest names, all of which are about to change, as many evacuations, and a large
+/// configuration.
+#[gtest]
+fn the_state_of_many_entries_fits_a_frame() {
+    const ENTRIES: usize = 5_000;
+    let name = |number: usize| format!("{number:0>63}");
+    let document = CONFIGURATION.replace(' ', &" ".repeat(1_000_000));
+    let configuration = decode_configuration(Bytes::from(document)).unwrap();
+    let entry = |number| {
+        let endpoint = Arc::new(Endpoint {
+            id: name(number).parse().unwrap(),
+            service: name(number).parse().unwrap(),
+            address: "100.100.100.100:60000".parse().unwrap(),
+            data_centre: name(number).parse().unwrap(),
+            slots: u32::MAX,
+            is_ready: true,
+            cold_until: Time::from_millis(1_000_000_000),
+            started_ms: u64::MAX,
+        });
+        SnapshotEntry {
+            id: name(number),
+            revision: u64::MAX,
+            endpoint: Some(Arc::clone(&endpoint)),
+            next: Some(ScheduledEntry {
+                at: Time::from_millis(1_000_000_000),
+                endpoint: Some(endpoint),
+            }),
+        }
+    };
+    let snapshot = StoreSnapshot {
+        configuration: Some(Arc::new(configuration)),
+        evacuated: (0..ENTRIES).map(name).collect(),
+        entries: (0..ENTRIES).map(entry).collect(),
+        ..StoreSnapshot::default()
+    };
+    let size_bytes = encode_state(Time::ZERO, &snapshot).encoded_len();
+    expect_that!(size_bytes, le(8 * 1024 * 1024));
+}
+
+const CONFIGURATION: &str = r#"{"Version":1,"Routes":[],"Services":[],"Limits":{"MaxHeaderBytes":1,"MaxBodyBytes":1,
+"HeaderTimeoutMs":1,"IdleTimeoutMs":1}, "Tenants":[]}"#;
