--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -270,12 +270,23 @@
             "the service {service} cannot be used"
         );
     }
-    for (number, stage) in route.stages.iter().enumerate() {
-        ensure!(
-            stage.after.iter().all(|before| *before < number),
-            "stage {number} reads results of stages that do not come before it"
-        );
+    check_stages(&route.stages)
+}
+
+/// Checks that the stages of a route can run one after the other, in whatever order they are listed.
+fn check_stages(stages: &[WireStage]) -> anyhow::Result<()> {
+    let mut has_run: SmallVec<[bool; 4]> = SmallVec::from_elem(false, stages.len());
+    let can_run = |has_run: &[bool], number: usize| {
+        let mut inputs = stages[number].after.iter();
+        !has_run[number] && inputs.all(|input| has_run.get(*input) == Some(&true))
+    };
+    while let Some(number) = (0..stages.len()).find(|number| can_run(&has_run, *number)) {
+        has_run[number] = true;
     }
+    ensure!(
+        !has_run.contains(&false),
+        "a stage reads results of a stage that is not there, or stages read each other's"
+    );
     Ok(())
 }
 
--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -244,6 +244,43 @@
     },
 ];
 
+/// Guards against a route that is refused since its stages are listed in another order than they run in.
+#[gtest]
+fn stages_may_be_listed_in_any_order() {
+    struct Case {
+        /// The stages that each stage reads.
+        after: &'static [&'static [usize]],
+        is_usable: bool,
+    }
+    let case = |after, is_usable| Case { after, is_usable };
+    let cases = [
+        case(&[&[], &[0]], true),
+        case(&[&[1], &[]], true),
+        case(&[&[2], &[0], &[]], true),
+        case(&[&[0]], false),
+        case(&[&[1], &[0]], false),
+        case(&[&[], &[2]], false),
+    ];
+    for Case { after, is_usable } in cases {
+        let stages = after
+            .iter()
+            .map(|after| json!({ "Service": "s", "After": after }));
+        let document = json!({
+            "Version": 1,
+            "Routes": [{ "Host": "h", "PathPrefix": "/", "RouteKind": "streaming", "TimeoutMs": 1,
+                "Service": "s", "Stages": stages.collect::<Vec<_>>() }],
+            "Services": [{ "Name": "s" }],
+            "Limits": { "MaxHeaderBytes": 1, "MaxBodyBytes": 1, "HeaderTimeoutMs": 1, "IdleTimeoutMs": 1 },
+        });
+        let decoded = decode_configuration(document.to_string().into()).unwrap();
+        expect_that!(
+            decoded.findings.items().is_empty(),
+            eq(is_usable),
+            "{after:?}"
+        );
+    }
+}
+
 /// Guards against one name or field that leaves a whole version out of force, and with it every change since: the requests
 /// that an odd part concerns are refused as not run, all others are served, and none is handled more widely.
 #[gtest]
