--- a/src/decisions/store_view.rs
+++ b/src/decisions/store_view.rs
@@ -698,6 +698,10 @@
         let grace_ends = self
             .returned_at
             .map(|at| at + self.config.re_registration_grace);
+        if endpoint.is_none() && !self.entries.contains_key(&id) {
+            // Keys of other writers would make the view grow for as long as the process runs.
+            return false;
+        }
         let entry = self.entries.entry(id).or_insert(Entry::unknown());
         if revision < entry.revision || (revision == entry.revision && endpoint.is_some()) {
             return false;
--- a/tests/fleet_rules/store_view.rs
+++ b/tests/fleet_rules/store_view.rs
@@ -381,3 +381,15 @@
         }
     }
 }
+
+/// Guards against a view that grows with each new key of another writer for as long as its process runs.
+#[gtest]
+fn entries_that_never_named_an_endpoint_are_not_kept() {
+    let mut view = view();
+    let odd = |number: u64| entry(&format!("odd-{number}"), number, None);
+    for number in 1..=500 {
+        view.apply_changes(at(0), [odd(number)], number);
+    }
+    view.apply_listing(at(0), (501..=1_000).map(odd).collect(), 1_000);
+    expect_that!(format!("{view:?}").contains("odd-"), eq(false));
+}
