fix(configuration): fields that nothing reads cost nothing

The change that decodes a configuration part by part read each part as a whole value first, so that a number out of range, half of a surrogate pair or deep nesting in a field that nothing reads refused the version and all later ones, or all outcomes of a batch; and of a field that stands twice, such as Public, the last one counted. Parts are now kept as text and decoded from it.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
+use serde_json::value::RawValue;
 use smallvec::SmallVec;
 
 use crate::findings::Findings;
@@ -31,21 +32,23 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-struct Document {
+struct Document<'a> {
     version: u64,
     /// The parts of the lists are decoded one by one, so that an odd one costs only itself.
-    routes: Vec<Value>,
-    services: Vec<Value>,
+    #[serde(borrow)]
+    routes: Vec<&'a RawValue>,
+    #[serde(borrow)]
+    services: Vec<&'a RawValue>,
     limits: WireLimits,
     /// `None` only without the field: an empty list means that no key is valid.
-    #[serde(default, deserialize_with = "list_of_tenants")]
-    tenants: Option<Vec<Value>>,
+    #[serde(borrow, default, deserialize_with = "list_of_tenants")]
+    tenants: Option<Vec<&'a RawValue>>,
 }
 
 /// Decodes a list that must not be null, which would turn the check of keys off.
 fn list_of_tenants<'de, D: Deserializer<'de>>(
     deserializer: D,
-) -> Result<Option<Vec<Value>>, D::Error> {
+) -> Result<Option<Vec<&'de RawValue>>, D::Error> {
     Vec::deserialize(deserializer).map(Some)
 }
 
@@ -178,7 +181,7 @@
 /// Returns what is wrong with the document as a whole, or with a part of which it cannot be read whom it concerns. The
 /// caller then keeps the configuration that is in force.
 pub fn decode_configuration(document: Bytes) -> anyhow::Result<Configuration> {
-    let decoded: Document =
+    let decoded: Document<'_> =
         serde_json::from_slice(&document).context("the configuration cannot be decoded")?;
     let mut findings = Findings::default();
     let services = decode_services(&decoded.services, &mut findings)?;
@@ -211,7 +214,7 @@
     unusable: HashSet<String>,
 }
 
-fn decode_services(parts: &[Value], findings: &mut Findings) -> anyhow::Result<Services> {
+fn decode_services(parts: &[&RawValue], findings: &mut Findings) -> anyhow::Result<Services> {
     let mut services = Services {
         usable: HashMap::new(),
         unusable: HashSet::new(),
@@ -219,8 +222,8 @@
     for (index, part) in parts.iter().enumerate() {
         let place = format!("Services[{index}]");
         let WireServiceName { name } =
-            WireServiceName::deserialize(part).with_context(|| place.clone())?;
-        match WireService::deserialize(part) {
+            serde_json::from_str::<WireServiceName>(part.get()).with_context(|| place.clone())?;
+        match serde_json::from_str::<WireService>(part.get()) {
             Ok(service) => {
                 let service = decode_service(service);
                 services.usable.insert(service.name.clone(), service);
@@ -235,15 +238,16 @@
 }
 
 fn decode_routes(
-    parts: &[Value],
+    parts: &[&RawValue],
     services: &Services,
     findings: &mut Findings,
 ) -> anyhow::Result<HashMap<String, Vec<Arc<Route>>>> {
     let mut routes: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
     for (index, part) in parts.iter().enumerate() {
         let place = format!("Routes[{index}]");
-        let requests = WireRoutePlace::deserialize(part).with_context(|| place.clone())?;
-        let decoded = WireRoute::deserialize(part).map_err(anyhow::Error::from);
+        let requests =
+            serde_json::from_str::<WireRoutePlace>(part.get()).with_context(|| place.clone())?;
+        let decoded = serde_json::from_str::<WireRoute>(part.get()).map_err(anyhow::Error::from);
         let route = decoded.and_then(|route| {
             check_route(&route, services)?;
             Ok(decode_route(route))
@@ -297,15 +301,16 @@
     unusable: HashSet<String>,
 }
 
-fn decode_keys(parts: &[Value], findings: &mut Findings) -> anyhow::Result<Keys> {
+fn decode_keys(parts: &[&RawValue], findings: &mut Findings) -> anyhow::Result<Keys> {
     let mut decoded = Keys {
         usable: HashMap::new(),
         unusable: HashSet::new(),
     };
     for (index, part) in parts.iter().enumerate() {
         let place = format!("Tenants[{index}]");
-        let keys = WireTenantKeys::deserialize(part).with_context(|| place.clone())?;
-        match WireTenant::deserialize(part) {
+        let keys =
+            serde_json::from_str::<WireTenantKeys>(part.get()).with_context(|| place.clone())?;
+        match serde_json::from_str::<WireTenant>(part.get()) {
             Ok(tenant) => {
                 let organisation = Arc::new(Organisation {
                     name: tenant.name,
--- a/src/platform/stage_call.rs
+++ b/src/platform/stage_call.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context as _;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::value::RawValue;
 
 use crate::decisions::batching::{ItemFailure, ItemInput, ItemSpec};
 
@@ -44,9 +44,10 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-struct RunAnswer {
+struct RunAnswer<'a> {
     /// Decoded one by one, since they belong to different requests.
-    entries: Vec<Value>,
+    #[serde(borrow)]
+    entries: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -97,7 +98,7 @@
     answer: &[u8],
     expected: usize,
 ) -> anyhow::Result<Vec<Result<String, ItemFailure>>> {
-    let answer: RunAnswer = serde_json::from_slice(answer).context("the answer is not JSON")?;
+    let answer: RunAnswer<'_> = serde_json::from_slice(answer).context("the answer is not JSON")?;
     anyhow::ensure!(
         answer.entries.len() == expected,
         "the answer has {} outcomes for {expected} items",
@@ -107,8 +108,8 @@
 }
 
 /// An outcome that cannot be read fails its item alone.
-fn decode_outcome(entry: Value) -> Result<String, ItemFailure> {
-    let Ok(outcome) = serde_json::from_value::<RunOutcome>(entry) else {
+fn decode_outcome(entry: &RawValue) -> Result<String, ItemFailure> {
+    let Ok(outcome) = serde_json::from_str::<RunOutcome>(entry.get()) else {
         return Err(ItemFailure::Failed);
     };
     match (outcome.handle, outcome.reason.as_deref()) {
--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -244,6 +244,45 @@
     },
 ];
 
+/// Guards against a field that nothing reads, such as one of a later platform, which costs its part or the whole document.
+#[gtest]
+fn fields_that_nothing_reads_cost_nothing() {
+    let values = [
+        "1e400".to_owned(),
+        r#""\ud800""#.to_owned(),
+        "[".repeat(200) + &"]".repeat(200),
+    ];
+    for value in values {
+        let odd = format!(r#""Later":{value}"#);
+        let document = format!(
+            r#"{{"Version":1,{odd},"Routes":[{{"Host":"h","PathPrefix":"/","RouteKind":"idempotent","TimeoutMs":1,
+            "Service":"s",{odd}}}],"Services":[{{"Name":"s",{odd}}}],"Limits":{{"MaxHeaderBytes":1,"MaxBodyBytes":1,
+            "HeaderTimeoutMs":1,"IdleTimeoutMs":1,{odd}}},"Tenants":[{{"Name":"o","ApiKeys":["k"],{odd}}}]}}"#
+        );
+        let decoded = decode_configuration(document.into());
+        let findings = decoded.map(|decoded| decoded.findings.items().len());
+        expect_that!(findings.ok(), some(eq(0)), "{odd}");
+        let answer = format!(r#"{{"Entries":[{{"Handle":"10.1.64.7:8080/a",{odd}}}],{odd}}}"#);
+        let outcomes = decode_run(answer.as_bytes(), 1).unwrap_or_default();
+        expect_that!(
+            outcomes,
+            eq(&vec![Ok("10.1.64.7:8080/a".to_owned())]),
+            "{odd}"
+        );
+    }
+}
+
+/// Guards against a field that stands twice and is read as the wider of its values.
+#[gtest]
+fn a_route_with_a_field_that_stands_twice_is_not_used() {
+    let document = r#"{"Version":1,"Routes":[{"Host":"h","PathPrefix":"/","RouteKind":"idempotent","TimeoutMs":1,
+        "Service":"s","Public":false,"Public":true}],"Services":[{"Name":"s"}],"Limits":{"MaxHeaderBytes":1,
+        "MaxBodyBytes":1,"HeaderTimeoutMs":1,"IdleTimeoutMs":1}}"#;
+    let decoded = decode_configuration(document.into()).unwrap();
+    expect_that!(decoded.findings.items().len(), eq(1));
+    expect_that!(decoded.route("h", "/x").unwrap().targets.len(), eq(0));
+}
+
 /// Guards against a route that is refused since its stages are listed in another order than they run in.
 #[gtest]
 fn stages_may_be_listed_in_any_order() {
