fix(store): VMs of a fleet that starts give way to one listing

Callers got nothing from a fleet whose VMs all started beside thousands of entries and a store that refuses calls beyond its rate: each VM asked again after 0.9 s at most, and where refused calls count toward the limit, none got its pages.

After a refusal (429), VMs that know nothing pause the longer the later their place in the fleet is, list one part after the other, and for 5 s leave further pages to the first VM, whose state they take. Deputies and listeners whose sources say that they list wait 5 s instead of 1 s. A VM that takes a state drops its own listing. VMs with word of the store keep the shorter pauses.

A page that a listing does not wait for is ignored: a late answer as the last page would have completed a listing that lacks those between. This was found by reading; the decision test has no run before the change.

--- a/src/decisions/listing.rs
+++ b/src/decisions/listing.rs
@@ -94,12 +94,21 @@
         self.items
     }
 
-    /// Adds the page that was asked for at `asked_at`.
+    /// Adds the page that was asked for at `asked_at`, after the key `after`. One that the listing does not wait for is
+    /// ignored: taken as the next page, it would hide those between.
     ///
     /// # Errors
     ///
     /// Fails if the page brings nothing new, or is of another era than the pages before, which are then dropped.
-    pub fn add(&mut self, asked_at: Time, page: ListingPage<T>) -> Result<(), ListingFault> {
+    pub fn add(
+        &mut self,
+        asked_at: Time,
+        after: Option<&str>,
+        page: ListingPage<T>,
+    ) -> Result<(), ListingFault> {
+        if self.is_complete || after != self.after() {
+            return Ok(());
+        }
         let (position, _) = *self.first.get_or_insert((page.position, asked_at));
         if position.era != page.position.era {
             *self = Self::default();
--- a/src/decisions/store_source.rs
+++ b/src/decisions/store_source.rs
@@ -27,6 +27,10 @@
 const SOURCES_TIMEOUT: Duration = Duration::from_millis(300);
 /// The same for a VM that has just started: its whole fleet may start, and the relays have to list the store first.
 const START_SOURCES_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The same for a VM that has just started while a source lists the store.
+const LISTING_SOURCES_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Time for which a source that listed the store is taken to go on.
+const LISTING_PERIOD: Duration = Duration::from_millis(1_000);
 /// The same for a deputy, for whose word the others wait.
 const DEPUTY_SOURCES_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time over which the VMs of a fleet spread their own calls.
@@ -50,6 +54,11 @@
 const INITIAL_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Maximum pause after a failed call.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(900);
+/// By how much this pause is longer for each VM of the fleet than for the one before, at a start and after a listing
+/// that the store refused for its rate limit. The first VMs then complete theirs, and the others take their state.
+const REFUSED_PAUSE_STEP: Duration = Duration::from_millis(800);
+/// Longest such pause.
+const MAX_REFUSED_PAUSE: Duration = Duration::from_millis(10_000);
 /// Time for which a deputy that has asked the store watches it.
 const DEPUTY_PERIOD: Duration = Duration::from_secs(4);
 /// Time for which a source that failed is not chosen.
@@ -125,6 +134,12 @@
     last_call_ended_at: Option<Time>,
     /// When a VM that watches the store may call it.
     retry_at: Time,
+    /// Number of listings in a row that the store refused for its rate limit.
+    refusals: u32,
+    /// When a VM whose listing was refused may call the store again.
+    refused_until: Time,
+    /// When a source last said that it lists the store.
+    lister_heard_at: Option<Time>,
     /// Until when this VM watches the store as a deputy.
     acts_until: Time,
 }
@@ -147,6 +162,9 @@
             failures: 0,
             last_call_ended_at: None,
             retry_at: now,
+            refusals: 0,
+            refused_until: Time::ZERO,
+            lister_heard_at: None,
             acts_until: Time::ZERO,
         }
     }
@@ -179,7 +197,8 @@
         let store_call = match in_doubt_since {
             _ if watches => self.watcher_call(now, order.role, &mut next_at),
             Some(since) => {
-                let call_at = self.own_call_at(order, since, word_at);
+                let call_at = self.own_call_at(now, order, since, word_at);
+                let call_at = call_at.max(self.refused_until);
                 if now < call_at {
                     next_at = next_at.min(call_at);
                 }
@@ -237,7 +256,7 @@
             let acts_at = since
                 + match word_at {
                     Some(_) => DEPUTY_SOURCES_TIMEOUT,
-                    None => START_SOURCES_TIMEOUT,
+                    None => self.start_timeout(now),
                 };
             if now >= acts_at {
                 self.acts_until = now + DEPUTY_PERIOD;
@@ -258,6 +277,7 @@
             Some(at) if role == Role::Deputy => self.retry_at.max(at + MIN_DEPUTY_PAUSE),
             _ => self.retry_at,
         };
+        let retry_at = retry_at.max(self.refused_until);
         if now < retry_at {
             *next_at = (*next_at).min(retry_at);
             return None;
@@ -270,11 +290,26 @@
         self.witnesses.len() >= MIN_WITNESSES
     }
 
+    /// Returns the time that the sources of a VM that has just started have to answer.
+    fn start_timeout(&self, now: Time) -> Duration {
+        let heard_at = self.lister_heard_at;
+        match heard_at.is_some_and(|at| now.since(at) < LISTING_PERIOD) {
+            true => LISTING_SOURCES_TIMEOUT,
+            false => START_SOURCES_TIMEOUT,
+        }
+    }
+
     /// Returns when a VM that does not watch the store asks it, in doubt since `since`.
-    fn own_call_at(&self, order: &SourceOrder, since: Time, word_at: Option<Time>) -> Time {
+    fn own_call_at(
+        &self,
+        now: Time,
+        order: &SourceOrder,
+        since: Time,
+        word_at: Option<Time>,
+    ) -> Time {
         let timeout = match word_at {
             Some(_) => SOURCES_TIMEOUT,
-            None => START_SOURCES_TIMEOUT,
+            None => self.start_timeout(now),
         };
         let fleet_interval = Duration::from_secs_f64(order.fleet_size as f64 / FLEET_CALLS_PER_S);
         let interval = fleet_interval.max(MIN_CALL_INTERVAL);
@@ -311,6 +346,9 @@
             self.is_doubted = false;
             return;
         }
+        if word.asks_store && !word.has_lost_store {
+            self.lister_heard_at = Some(now);
+        }
         if word.has_lost_store || word.asks_store {
             self.witnesses.insert(ip);
         }
@@ -336,6 +374,7 @@
         self.knows_store = true;
         self.is_doubted = false;
         self.failures = 0;
+        self.refusals = 0;
         self.last_call_ended_at = Some(now);
         self.offers_to = self.witnesses.iter().copied().collect();
         self.offers_until = now + OFFERING_PERIOD;
@@ -347,6 +386,17 @@
         self.knows_store = false;
     }
 
+    /// Records that the store refused a listing of a VM without word for its rate limit, toward which refused calls may
+    /// count. `jitter` is as in [`StoreSource::on_store_failed`].
+    pub fn on_listing_refused(&mut self, now: Time, order: &SourceOrder, jitter: f64) {
+        let place = order.share * order.fleet_size as f64;
+        let pause = INITIAL_RETRY_PAUSE * 2_u32.saturating_pow(self.refusals.min(8));
+        let max_pause = MAX_RETRY_PAUSE + REFUSED_PAUSE_STEP.mul_f64(place);
+        let pause = pause.mul_f64(1.0 + place).min(max_pause);
+        self.refused_until = now + pause.min(MAX_REFUSED_PAUSE).mul_f64(0.75 + jitter / 4.0);
+        self.refusals += 1;
+    }
+
     /// Records that the store answered a part of a call, such as some pages of a listing, and not all of it. `jitter`
     /// is as in [`StoreSource::on_store_failed`].
     pub fn on_call_interrupted(&mut self, now: Time, jitter: f64) {
--- a/src/fleet/store_calls.rs
+++ b/src/fleet/store_calls.rs
@@ -19,7 +19,7 @@
 use crate::fleet::control_state::Control;
 use crate::fleet::metric;
 use crate::fleet::store_apply::{OLDER_BY, apply_state};
-use crate::fleet::store_listing::{IncompleteListing, Listed, list};
+use crate::fleet::store_listing::{FullListing, IncompleteListing, Listed, list};
 use crate::fleet::wire::{Body, Empty, FleetState};
 use crate::platform::store::{StoreAnswer, StoreClient, StoreError, WatchOutcome};
 use crate::units::{StorePosition, Time};
@@ -71,6 +71,11 @@
     pub(super) fn has_progressed(&self) -> bool {
         matches!(self, Self::Listing(listing) if listing.has_progressed)
     }
+
+    /// Returns whether a listing was not completed since the store gets more calls than it allows.
+    pub(super) fn is_refusal(&self) -> bool {
+        matches!(self, Self::Listing(listing) if listing.is_refused)
+    }
 }
 
 impl Control {
@@ -84,7 +89,7 @@
 }
 
 /// Makes one call to the store. It becomes a listing if this VM knows nothing yet, or if the store cannot tell the
-/// changes since.
+/// changes since. A VM that `yields` leaves the calls that the store allows to the listing of another one at its start.
 ///
 /// # Errors
 ///
@@ -92,15 +97,23 @@
 pub(super) async fn call_store(
     control: &Control,
     call: StoreCall,
+    yields: bool,
 ) -> Result<StoreNewsOfCall, CallFault> {
     if control.store.lock().position == StorePosition::default() {
         take_fleet_state(control).await;
     }
     let client = control.store_client();
-    let after = control.store.lock().position;
-    if after == StorePosition::default() {
-        return Ok(StoreNewsOfCall::Listing(list(control, client).await?));
+    let is_first = control.store.lock().position == StorePosition::default();
+    if is_first {
+        let listed = list(control, client, yields).await;
+        let has_state = control.store.lock().position != StorePosition::default();
+        match listed {
+            // Another VM has sent its state meanwhile.
+            Err(_) if has_state => *control.listing.lock() = FullListing::default(),
+            listed => return Ok(StoreNewsOfCall::Listing(listed?)),
+        }
     }
+    let after = control.store.lock().position;
     let outcome = match call {
         StoreCall::Watch => {
             metric::store_called("watch");
@@ -132,7 +145,9 @@
         }
         Err(error) => return Err(error.into()),
     }
-    Ok(StoreNewsOfCall::Listing(list(control, client).await?))
+    Ok(StoreNewsOfCall::Listing(
+        list(control, client, false).await?,
+    ))
 }
 
 /// Takes the state of the VM that has run for longest: it knows what the store has lost if it came back from an
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -337,8 +337,9 @@
         let number = self.last_call_number;
         let began_at = clock::now();
         let control = Arc::clone(&self.control);
+        let yields = self.order.share > 0.0;
         let task = self.tasks.spawn(async move {
-            let answer = call_store(&control, call).await;
+            let answer = call_store(&control, call, yields).await;
             Event::Called {
                 number,
                 call,
@@ -511,6 +512,11 @@
 
     fn on_store_failure(&mut self, call: StoreCall, began_at: Time, error: &CallFault) {
         let now = clock::now();
+        let is_starting = self.control.word_at.lock().is_none();
+        if error.is_refusal() && is_starting {
+            self.source
+                .on_listing_refused(now, &self.order, self.rng.random());
+        }
         if error.has_progressed() {
             self.maybe_answered_at = now;
             self.source.on_call_interrupted(now, self.rng.random());
@@ -759,7 +765,7 @@
             word_at: *self.control.word_at.lock(),
             answering_since: self.answering_since,
             has_lost_store: self.lost_since.is_some() || self.control.store.lock().is_unreachable(),
-            asks_store: plan.store_call.is_some(),
+            asks_store: plan.store_call.is_some() || self.control.listing.lock().is_begun(),
         };
         self.control.feed.send_if_modified(|feed| {
             let is_same = feed.word_at == next.word_at
--- a/src/fleet/store_listing.rs
+++ b/src/fleet/store_listing.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use hyper::StatusCode;
 use slog::{error, warn};
 use thiserror::Error;
 
@@ -20,11 +21,16 @@
 /// Age of its first page from which a listing begins again: the store may no longer have the changes since.
 const MAX_LISTING_AGE: Duration = Duration::from_secs(30);
 
+/// Time from its first page for which a listing that the store has limited is left to the first VM of the fleet.
+const YIELD_PERIOD: Duration = Duration::from_secs(5);
+
 /// Listings of all keys that this system reads, in progress.
 #[derive(Debug, Default)]
 pub(super) struct FullListing {
     operator: Listing<StoreChange>,
     endpoints: Listing<StoreChange>,
+    /// Whether the store has refused a page for its rate limit.
+    is_limited: bool,
 }
 
 impl FullListing {
@@ -35,6 +41,11 @@
         }
     }
 
+    /// Returns whether there are pages to go on from.
+    pub(super) fn is_begun(&self) -> bool {
+        self.pages() > 0
+    }
+
     fn pages(&self) -> usize {
         self.operator.pages() + self.endpoints.pages()
     }
@@ -84,6 +95,10 @@
     Listing(#[from] ListingFault),
     #[error("the store came back from an older copy between two listings")]
     ErasDiffer,
+    #[error("another VM has sent its state meanwhile")]
+    Overtaken,
+    #[error("the store limits calls, and another VM lists first")]
+    Yielded,
     #[error("the store lists {listed}, which is before {known}")]
     Older {
         listed: StorePosition,
@@ -100,9 +115,19 @@
             Self::Store(_) => "no_answer",
             Self::Listing(ListingFault::NoProgress { .. }) => "no_progress",
             Self::Listing(ListingFault::EraChanged) | Self::ErasDiffer => "era",
+            Self::Overtaken => "overtaken",
+            Self::Yielded => "yielded",
             Self::Older { .. } => "older",
         }
     }
+
+    /// Returns whether the store gets more calls than it allows.
+    fn is_refusal(&self) -> bool {
+        matches!(
+            self,
+            Self::Yielded | Self::Store(StoreError::Status(StatusCode::TOO_MANY_REQUESTS))
+        )
+    }
 }
 
 /// A call that did not complete a listing.
@@ -111,11 +136,14 @@
 pub(super) struct IncompleteListing {
     /// Whether it brought a page.
     pub(super) has_progressed: bool,
+    /// Whether the store gets more calls than it allows.
+    pub(super) is_refused: bool,
     error: PageFault,
 }
 
 /// Lists the store, from the pages on that earlier calls have brought. Both parts are listed at the same time, and a
-/// page of one that fails does not end the other.
+/// page of one that fails does not end the other, but for one that the store refuses for its rate limit: they are then
+/// listed one after the other, so that a call costs one refusal. One that `yields` then asks for a page at a time.
 ///
 /// # Errors
 ///
@@ -123,38 +151,60 @@
 pub(super) async fn list(
     control: &Control,
     client: StoreClient,
+    yields: bool,
 ) -> Result<Listed, IncompleteListing> {
     metric::store_called("list");
     let known = control.store.lock().position;
-    let pages_before = {
+    let (pages_before, is_limited) = {
         let mut listing = control.listing.lock();
         if !listing.is_fresh(clock::now(), known) {
             *listing = FullListing::default();
         }
-        listing.pages()
+        (listing.pages(), listing.is_limited)
+    };
+    let list_part = |part| list_part(control, client, part, known, yields);
+    let (operator, endpoints) = if is_limited {
+        let operator = list_part(Part::Operator).await;
+        match operator {
+            Err(error) if error.is_refusal() => (Err(error), Ok(())),
+            operator => (operator, list_part(Part::Endpoints).await),
+        }
+    } else {
+        tokio::join!(list_part(Part::Operator), list_part(Part::Endpoints))
     };
-    let (operator, endpoints) = tokio::join!(
-        list_part(control, client, Part::Operator),
-        list_part(control, client, Part::Endpoints)
-    );
+    let is_refused = [&operator, &endpoints]
+        .into_iter()
+        .any(|part| part.as_ref().is_err_and(PageFault::is_refusal));
     let listed = match operator.and(endpoints) {
         Ok(()) => take_listed(control, known),
         Err(error) => Err(error),
     };
     listed.map_err(|error| {
         metric::listing_failed(error.cause());
-        let listing = control.listing.lock();
+        let mut listing = control.listing.lock();
+        listing.is_limited |= is_refused;
         report_fault(control, &listing, &error);
         IncompleteListing {
             has_progressed: listing.pages() > pages_before,
+            // A page that is lost leaves the calls to the first VM too.
+            is_refused: is_refused || (yields && listing.is_limited),
             error,
         }
     })
 }
 
-/// Asks for pages until there are no more, or one fails.
-async fn list_part(control: &Control, client: StoreClient, part: Part) -> Result<(), PageFault> {
+/// Asks for pages until there are no more, one fails, or this VM, which knew nothing, has the state of another one.
+async fn list_part(
+    control: &Control,
+    client: StoreClient,
+    part: Part,
+    known: StorePosition,
+    yields: bool,
+) -> Result<(), PageFault> {
     loop {
+        if known == StorePosition::default() && control.store.lock().position != known {
+            return Err(PageFault::Overtaken);
+        }
         let after = {
             let mut listing = control.listing.lock();
             let listing = listing.part(part);
@@ -186,13 +236,18 @@
             has_more: page.has_more,
             position: page.position,
         };
-        control.listing.lock().part(part).add(asked_at, page)?;
+        let mut listing = control.listing.lock();
+        listing.part(part).add(asked_at, after.as_deref(), page)?;
+        let first = listing.part(part).first();
+        let is_early = first.is_some_and(|(_, at)| clock::now().since(at) < YIELD_PERIOD);
+        if yields && listing.is_limited && is_early && !listing.part(part).is_complete() {
+            return Err(PageFault::Yielded);
+        }
     }
 }
 
 /// Returns whether a status rejects the call itself, so that the same call is rejected again.
-fn is_rejection(status: hyper::StatusCode) -> bool {
-    use hyper::StatusCode;
+fn is_rejection(status: StatusCode) -> bool {
     let may_pass = [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS];
     status.is_client_error() && !may_pass.contains(&status)
 }
@@ -202,6 +257,7 @@
     let FullListing {
         operator,
         endpoints,
+        ..
     } = std::mem::take(&mut *control.listing.lock());
     let (Some((operator_at, operator_asked_at)), Some((endpoints_at, endpoints_asked_at))) =
         (operator.first(), endpoints.first())
--- /dev/null
+++ b/tests/fleet_rules/listing.rs
@@ -0,0 +1,367 @@
+//! Guards how a listing of the store is assembled from its pages, and which VMs of a fleet that starts list the store.
+
+use googletest::prelude::*;
+use primrosewalk::decisions::listing::{Listing, ListingFault, ListingPage};
+use primrosewalk::decisions::store_source::{
+    Role, SourceList, SourceOrder, SourceWord, StoreCall, StoreSource,
+};
+use primrosewalk::units::{StoreEra, StorePosition};
+
+use crate::at;
+
+/// A page of one item, whose key is also its last one.
+fn page(key: &str, has_more: bool) -> ListingPage<String> {
+    ListingPage {
+        items: vec![key.to_owned()],
+        last_key: Some(key.to_owned()),
+        last_plain_key: None,
+        has_more,
+        position: StorePosition::from(7),
+    }
+}
+
+/// Adds a page as the answer to the call that the listing makes now.
+fn add(
+    listing: &mut Listing<String>,
+    page: ListingPage<String>,
+) -> std::result::Result<(), ListingFault> {
+    let after = listing.after().map(str::to_owned);
+    listing.add(at(0), after.as_deref(), page)
+}
+
+fn stuck(after: &str) -> ListingFault {
+    ListingFault::NoProgress {
+        after: after.to_owned(),
+    }
+}
+
+#[gtest]
+fn a_listing_goes_on_after_the_last_key_of_each_page() {
+    let mut listing = Listing::default();
+    expect_that!(listing.after(), none());
+    for (key, has_more, after) in [("a", true, "a"), ("b", true, "b"), ("c", false, "b")] {
+        expect_that!(add(&mut listing, page(key, has_more)), ok(eq(&())));
+        expect_that!(listing.after(), some(eq(after)));
+        expect_that!(listing.is_complete(), eq(!has_more));
+    }
+    expect_that!(listing.pages(), eq(3));
+    expect_that!(
+        listing.into_items(),
+        elements_are![eq("a"), eq("b"), eq("c")]
+    );
+}
+
+/// A watch from a later page would miss what was changed behind the first one.
+#[gtest]
+fn a_listing_is_as_old_as_its_first_page() {
+    let mut listing = Listing::default();
+    let later = ListingPage {
+        position: StorePosition::from(9),
+        ..page("b", false)
+    };
+    expect_that!(listing.add(at(10), None, page("a", true)), ok(eq(&())));
+    expect_that!(listing.add(at(900), Some("a"), later), ok(eq(&())));
+    let first = Some((StorePosition::from(7), at(10)));
+    expect_that!(listing.first(), eq(first));
+}
+
+/// What a store answers that does not let a listing go on, and what comes of it.
+struct StuckCase {
+    name: &'static str,
+    /// Last keys of the pages: any, and plain.
+    pages: &'static [(Option<&'static str>, Option<&'static str>)],
+    /// Key after which the listing goes on at the end, or at which it is stuck.
+    outcome: std::result::Result<&'static str, &'static str>,
+}
+
+const STUCK_CASES: [StuckCase; 6] = [
+    StuckCase {
+        name: "the first page again, without another key to go on from",
+        pages: &[(Some("a%"), None), (Some("a%"), None)],
+        outcome: Err("a%"),
+    },
+    StuckCase {
+        name: "the first page again, with a plain key before its end",
+        pages: &[(Some("a%"), Some("a")), (Some("a%"), Some("a"))],
+        outcome: Ok("a"),
+    },
+    StuckCase {
+        name: "the first page again, after the plain key too",
+        pages: &[
+            (Some("a%"), Some("a")),
+            (Some("a%"), Some("a")),
+            (Some("a%"), Some("a")),
+        ],
+        outcome: Err("a"),
+    },
+    StuckCase {
+        name: "an earlier page again",
+        pages: &[(Some("a"), None), (Some("b"), None), (Some("a"), None)],
+        outcome: Err("b"),
+    },
+    StuckCase {
+        name: "a page without keys that says there are more",
+        pages: &[(Some("a"), None), (None, None)],
+        outcome: Err("a"),
+    },
+    StuckCase {
+        name: "a first page without keys that says there are more",
+        pages: &[(None, None)],
+        outcome: Err(""),
+    },
+];
+
+#[gtest]
+fn a_listing_without_progress_steps_back_once_and_then_fails() {
+    for case in &STUCK_CASES {
+        let mut listing = Listing::default();
+        let mut outcome: std::result::Result<(), ListingFault> = Ok(());
+        for (last_key, last_plain_key) in case.pages {
+            expect_that!(outcome.is_ok(), eq(true), "{}", case.name);
+            let answer = ListingPage {
+                last_key: last_key.map(str::to_owned),
+                last_plain_key: last_plain_key.map(str::to_owned),
+                ..page("", true)
+            };
+            outcome = add(&mut listing, answer);
+        }
+        let outcome = outcome.map(|()| listing.after().unwrap_or_default().to_owned());
+        let expected = case.outcome.map(str::to_owned).map_err(stuck);
+        expect_that!(outcome, eq(&expected), "{}", case.name);
+        expect_that!(listing.is_complete(), eq(false), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn a_rejected_key_is_given_up_for_a_plain_one_and_only_once() {
+    let mut listing = Listing::default();
+    let odd = ListingPage {
+        last_plain_key: Some("a".to_owned()),
+        ..page("a%", true)
+    };
+    expect_that!(add(&mut listing, odd), ok(eq(&())));
+    expect_that!(listing.step_back(), ok(eq(&())));
+    expect_that!(listing.after(), some(eq("a")));
+    expect_that!(listing.step_back(), err(eq(&stuck("a"))));
+}
+
+/// Revisions of two eras cannot be compared, so that pages of both are no listing.
+#[gtest]
+fn pages_of_another_era_drop_those_before() {
+    let in_era = |era, key, has_more| ListingPage {
+        position: StorePosition {
+            era: Some(StoreEra(era)),
+            revision: 7,
+        },
+        ..page(key, has_more)
+    };
+    let mut listing = Listing::default();
+    expect_that!(add(&mut listing, in_era(1, "a", true)), ok(eq(&())));
+    let changed = add(&mut listing, in_era(2, "b", false));
+    expect_that!(changed, err(eq(&ListingFault::EraChanged)));
+    expect_that!(listing.after(), none());
+    expect_that!(listing.is_complete(), eq(false));
+    expect_that!(add(&mut listing, in_era(2, "c", false)), ok(eq(&())));
+    expect_that!(listing.into_items(), elements_are![eq("c")]);
+}
+
+/// A late answer to an earlier call, as the last page, would complete a listing without the pages between.
+#[gtest]
+fn a_page_that_was_asked_for_from_elsewhere_is_ignored() {
+    let mut listing = Listing::default();
+    let begin_again = listing.add(at(0), Some("q"), page("z", false));
+    expect_that!(begin_again, ok(eq(&())));
+    expect_that!((listing.pages(), listing.is_complete()), eq((0, false)));
+    expect_that!(add(&mut listing, page("a", true)), ok(eq(&())));
+    for late in [None, Some("q")] {
+        let added = listing.add(at(0), late, page("z", false));
+        expect_that!(added, ok(eq(&())), "{late:?}");
+        expect_that!(
+            (listing.pages(), listing.is_complete()),
+            eq((1, false)),
+            "{late:?}"
+        );
+    }
+    expect_that!(add(&mut listing, page("b", false)), ok(eq(&())));
+    expect_that!(listing.add(at(0), Some("a"), page("b", false)), ok(eq(&())));
+    expect_that!(listing.into_items(), elements_are![eq("a"), eq("b")]);
+}
+
+const SOURCES: [[u8; 4]; 2] = [[10, 0, 0, 1], [10, 0, 0, 2]];
+
+fn order(role: Role, share: f64) -> SourceOrder {
+    SourceOrder {
+        role,
+        relays: SOURCES.map(Into::into).into_iter().collect(),
+        deputies: SourceList::new(),
+        share,
+        fleet_size: 60,
+    }
+}
+
+/// What the sources of a VM that starts say, and when it then asks the store itself.
+struct StartCase {
+    name: &'static str,
+    role: Role,
+    has_lost_store: bool,
+    asks_store: bool,
+    /// Time after which the sources say no more.
+    until_ms: u64,
+    calls_at_ms: std::ops::RangeInclusive<u64>,
+}
+
+const START_CASES: [StartCase; 6] = [
+    StartCase {
+        name: "a listener whose relays list",
+        role: Role::Listener,
+        has_lost_store: false,
+        asks_store: true,
+        until_ms: 60_000,
+        calls_at_ms: 5_000..=5_000,
+    },
+    StartCase {
+        name: "a deputy whose relays list",
+        role: Role::Deputy,
+        has_lost_store: false,
+        asks_store: true,
+        until_ms: 60_000,
+        calls_at_ms: 5_000..=5_000,
+    },
+    StartCase {
+        name: "a listener whose relays fall silent while they list",
+        role: Role::Listener,
+        has_lost_store: false,
+        asks_store: true,
+        until_ms: 2_000,
+        calls_at_ms: 2_900..=3_100,
+    },
+    StartCase {
+        name: "a deputy whose relays fall silent while they list",
+        role: Role::Deputy,
+        has_lost_store: false,
+        asks_store: true,
+        until_ms: 2_000,
+        calls_at_ms: 2_900..=3_100,
+    },
+    StartCase {
+        name: "a listener whose relays have lost the store",
+        role: Role::Listener,
+        has_lost_store: true,
+        asks_store: true,
+        until_ms: 60_000,
+        calls_at_ms: 1_000..=1_000,
+    },
+    StartCase {
+        name: "a listener whose relays do not ask",
+        role: Role::Listener,
+        has_lost_store: false,
+        asks_store: false,
+        until_ms: 60_000,
+        calls_at_ms: 1_000..=1_000,
+    },
+];
+
+/// Guards against a whole fleet that lists the store since the listings of its relays take longer than a second.
+#[gtest]
+fn vms_that_start_wait_for_a_relay_that_lists() {
+    for case in &START_CASES {
+        let order = order(case.role, 0.0);
+        let mut source = StoreSource::new(at(0));
+        let word = SourceWord {
+            is_recent: false,
+            has_lost_store: case.has_lost_store,
+            asks_store: case.asks_store,
+        };
+        let called_at_ms = (0..10_000).step_by(100).find(|ms| {
+            for ip in SOURCES.iter().filter(|_| *ms < case.until_ms) {
+                source.on_source_word(at(*ms), (*ip).into(), at(*ms), word);
+            }
+            let plan = source.plan(at(*ms), &order, None);
+            plan.store_call == Some(StoreCall::Check)
+        });
+        let is_expected = called_at_ms.is_some_and(|at_ms| case.calls_at_ms.contains(&at_ms));
+        expect_that!(is_expected, eq(true), "{}: {called_at_ms:?}", case.name);
+    }
+}
+
+/// A VM of 60 whose listings are refused, and its pauses.
+struct RefusedCase {
+    role: Role,
+    share: f64,
+    first_pause_ms: u64,
+    last_pause_ms: u64,
+}
+
+const REFUSED_CASES: [RefusedCase; 5] = [
+    RefusedCase {
+        role: Role::Direct,
+        share: 0.0,
+        first_pause_ms: 200,
+        last_pause_ms: 900,
+    },
+    RefusedCase {
+        role: Role::Direct,
+        share: 0.05,
+        first_pause_ms: 800,
+        last_pause_ms: 3_300,
+    },
+    RefusedCase {
+        role: Role::Relay,
+        share: 0.1,
+        first_pause_ms: 1_400,
+        last_pause_ms: 5_700,
+    },
+    RefusedCase {
+        role: Role::Deputy,
+        share: 0.9,
+        first_pause_ms: 10_000,
+        last_pause_ms: 10_000,
+    },
+    RefusedCase {
+        role: Role::Listener,
+        share: 0.9,
+        first_pause_ms: 10_000,
+        last_pause_ms: 10_000,
+    },
+];
+
+/// Guards against a store that refuses all calls for ever, since refused ones count toward its rate limit too.
+#[gtest]
+fn the_last_vms_pause_longest_after_refused_listings() {
+    for case in &REFUSED_CASES {
+        let what = format!("{:?}, {}", case.role, case.share);
+        let order = order(case.role, case.share);
+        let mut source = StoreSource::new(at(0));
+        let pauses_from = |source: &mut StoreSource, from_ms: u64| {
+            let mut calls_at_ms = Vec::new();
+            for ms in (from_ms..from_ms + 60_000).step_by(20) {
+                if source.plan(at(ms), &order, None).store_call.is_some() {
+                    source.on_listing_refused(at(ms), &order, 1.0);
+                    source.on_call_interrupted(at(ms), 1.0);
+                    calls_at_ms.push(ms);
+                }
+            }
+            let pauses = calls_at_ms.windows(2).map(|two| two[1] - two[0]);
+            pauses.collect::<Vec<u64>>()
+        };
+        let is_near =
+            |pause_ms: u64, expected_ms: u64| (expected_ms..=expected_ms + 20).contains(&pause_ms);
+        // A listing that the store answers ends the series.
+        for from_ms in [0, 100_000] {
+            let pauses = pauses_from(&mut source, from_ms);
+            let (first, last) = (pauses[0], pauses[pauses.len() - 1]);
+            expect_that!(
+                is_near(first, case.first_pause_ms),
+                eq(true),
+                "{what}: {pauses:?}"
+            );
+            expect_that!(
+                is_near(last, case.last_pause_ms),
+                eq(true),
+                "{what}: {pauses:?}"
+            );
+            source.on_store_answer(at(from_ms + 60_000));
+            source.on_store_unsure();
+        }
+    }
+}
--- a/tests/fleet_rules/main.rs
+++ b/tests/fleet_rules/main.rs
@@ -10,6 +10,7 @@
 mod endpoint_load;
 mod generation_times;
 mod gossip;
+mod listing;
 mod quarantine;
 mod retry_window;
 mod revision_lag;
