fix(store): a VM that the store serves notices it within a second, in a fleet of any size

Callers were handled by old configurations for up to 5 s while the store turned 95 of 100 VMs away, although it served the others and the operator.

Cause: a VM to which two sources say that the store is down waited for its place among 10 calls a second of the whole fleet, 7.6 s at 76 VMs. In the trace of the base no VM got a version from 4.3 to 9.2 s, and the four that were served had made no call. An offer of word was lost besides if its receiver was not in doubt yet, kept four older ones, or still held an earlier call (found by reading).

Each VM in doubt now probes the store by a stale read once a second, whatever its role; one that gets an answer asks the store at once, and listeners make no other call to a store that is taken for down. A VM with word offers it to all sources that had none until they have it; the newest four offers are kept. If the store answers probes and no calls, each listener calls twice and then all together 10 times a second. Messages between VMs are unchanged.

The stand-in store of the tests also answers 429 and resets connections by caller. Versions of a test can be of several series.

--- a/src/decisions/store_source.rs
+++ b/src/decisions/store_source.rs
@@ -40,16 +40,19 @@
     DOUBT_AGE.saturating_add(SOURCES_TIMEOUT.saturating_add(OWN_CALL_SPREAD));
 /// Number of sources that have asked the store in vain from which a VM takes it for down.
 const MIN_WITNESSES: usize = 2;
-/// Calls per second to a store that is taken for down, of all VMs but relays and deputies together.
+/// Time that all sources have to answer before a VM probes the store.
+const PROBE_SOURCES_TIMEOUT: Duration = Duration::from_millis(100);
+/// Shortest time between two probes of a VM in doubt.
+pub const DOUBT_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Calls per second of all VMs but relays and deputies together to a store that answers probes and fails the calls
+/// after them.
 const FLEET_CALLS_PER_S: f64 = 10.0;
-/// Shortest time between two such calls of a VM.
-const MIN_CALL_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Pause of a deputy after a call to such a store.
 const DEPUTY_RETRY_PAUSE: Duration = Duration::from_millis(2_000);
 /// Shortest pause of a deputy after a failed call: relays call again sooner.
 const MIN_DEPUTY_PAUSE: Duration = Duration::from_millis(500);
-/// Longest time between two calls of a VM that does not know whether the store is down, since no source answers.
-const MAX_LONELY_INTERVAL: Duration = Duration::from_millis(2_000);
+/// Time between two calls of a VM that does not know whether the store is down, since no source answers.
+const LONELY_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Initial pause of a VM that watches the store after a failed call; it doubles with each further failure.
 const INITIAL_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Maximum pause after a failed call.
@@ -90,8 +93,12 @@
     pub listen_to: SourceList,
     /// The call to the store itself that is to be in progress.
     pub store_call: Option<StoreCall>,
+    /// Whether to probe the store now, so that a VM which the store serves notices it.
+    pub is_probe_due: bool,
     /// Whether this VM asks all its sources, since its word of the store is late.
     pub is_in_doubt: bool,
+    /// Whether it offers its word to sources that may have none.
+    pub is_offering: bool,
     /// When time alone changes the plan.
     pub next_at: Time,
 }
@@ -124,11 +131,21 @@
     in_doubt_since: Option<Time>,
     /// Sources that have asked the store in vain in this doubt.
     witnesses: HashSet<Ipv4Addr>,
+    /// Sources in the last doubt.
+    doubted_sources: SourceList,
     /// Sources that are to learn that this VM has word of the store.
     offers_to: SourceList,
     offers_until: Time,
     /// Whether the store has answered this VM's last call, and has given no cause for doubt since.
     knows_store: bool,
+    /// When the last probe in doubt began.
+    last_probe_at: Option<Time>,
+    /// Whether the store has answered such a probe since the last call began.
+    is_served: bool,
+    /// Whether it had when the last call began.
+    was_served: bool,
+    /// Number of calls in a row that failed although the store had answered a probe before.
+    refutations: u32,
     /// Number of own calls in a row that failed.
     failures: u32,
     last_call_ended_at: Option<Time>,
@@ -156,9 +173,14 @@
             is_doubted: false,
             in_doubt_since: None,
             witnesses: HashSet::new(),
+            doubted_sources: SourceList::new(),
             offers_to: SourceList::new(),
             offers_until: Time::ZERO,
             knows_store: false,
+            last_probe_at: None,
+            is_served: false,
+            was_served: false,
+            refutations: 0,
             failures: 0,
             last_call_ended_at: None,
             retry_at: now,
@@ -178,6 +200,11 @@
         ] {
             times.retain(|_, until| now < *until);
         }
+        if word_at.is_some() {
+            // The pauses are for listings at a start; now others may depend on this VM.
+            self.refused_until = Time::ZERO;
+            self.refusals = 0;
+        }
         let mut doubt_at = word_at.map_or(self.started_at, |at| at + DOUBT_AGE);
         if order.role == Role::Direct && self.knows_store {
             // Its own watch brings the changes, and nobody else depends on it.
@@ -190,20 +217,32 @@
         } else {
             self.in_doubt_since = None;
             self.witnesses.clear();
+            self.is_served = false;
             next_at = next_at.min(doubt_at);
         }
         let in_doubt_since = is_in_doubt.then(|| *self.in_doubt_since.get_or_insert(now));
+        // Returns whether a time has come, at which the plan changes.
+        let is_due = |at: Time, next_at: &mut Time| {
+            if now < at {
+                *next_at = at.min(*next_at);
+            }
+            now >= at
+        };
+        let probe_at = in_doubt_since.map(|since| self.probe_at(now, order, since, word_at));
+        let is_probe_due = probe_at.is_some_and(|at| is_due(at, &mut next_at));
         let watches = self.watches(now, order, in_doubt_since, word_at, &mut next_at);
+        let served_call_at = in_doubt_since.and_then(|_| self.served_call_at(now, order));
         let store_call = match in_doubt_since {
-            _ if watches => self.watcher_call(now, order.role, &mut next_at),
-            Some(since) => {
-                let call_at = self.own_call_at(now, order, since, word_at);
-                let call_at = call_at.max(self.refused_until);
-                if now < call_at {
-                    next_at = next_at.min(call_at);
-                }
-                (now >= call_at).then_some(StoreCall::Check)
+            _ if served_call_at
+                .is_some_and(|at| is_due(at.max(self.refused_until), &mut next_at)) =>
+            {
+                Some(StoreCall::Check)
             }
+            _ if watches => self.watcher_call(now, order.role, &mut next_at),
+            Some(since) => self
+                .own_call_at(now, order, since, word_at)
+                .is_some_and(|at| is_due(at.max(self.refused_until), &mut next_at))
+                .then_some(StoreCall::Check),
             None => None,
         };
         let is_starting = word_at.is_none() && self.failures == 0;
@@ -213,6 +252,7 @@
             SourceList::new()
         } else if is_in_doubt {
             let mut all: SourceList = order.sources().collect();
+            self.doubted_sources.clone_from(&all);
             all.extend(self.offers.keys().copied());
             all.retain(|ip| !self.paused_until.contains_key(ip));
             let paused = self.paused_until.values().copied();
@@ -225,7 +265,8 @@
             self.choose(order);
             self.current.into_iter().collect()
         };
-        if now < self.offers_until {
+        let is_offering = now < self.offers_until;
+        if is_offering {
             listen_to.extend(self.offers_to.iter().copied());
         }
         listen_to.sort_unstable();
@@ -233,11 +274,42 @@
         Plan {
             listen_to,
             store_call,
+            is_probe_due,
             is_in_doubt,
+            is_offering,
             next_at,
         }
     }
 
+    /// Returns when a VM in doubt since `since` probes the store. A probe is cheap and counts toward no limit, so each VM
+    /// makes its own, and the time until one that the store serves notices it does not grow with the fleet.
+    fn probe_at(&self, now: Time, order: &SourceOrder, since: Time, word_at: Option<Time>) -> Time {
+        let timeout = match word_at {
+            Some(_) => PROBE_SOURCES_TIMEOUT,
+            None => self.start_timeout(now),
+        };
+        let first_at = since + timeout + OWN_CALL_SPREAD.mul_f64(order.share);
+        let next_at = self.last_probe_at.map(|at| at + DOUBT_PROBE_INTERVAL);
+        next_at.map_or(first_at, |at| at.max(first_at))
+    }
+
+    /// Returns when a VM asks the store because it has answered a probe: at once, or after a pause if calls after probes
+    /// failed all the same. One of them may have been lost.
+    fn served_call_at(&self, now: Time, order: &SourceOrder) -> Option<Time> {
+        if !self.is_served {
+            return None;
+        }
+        let fleet_interval = Duration::from_secs_f64(order.fleet_size as f64 / FLEET_CALLS_PER_S);
+        let pause = match self.refutations {
+            0 => return Some(now),
+            1 => DOUBT_PROBE_INTERVAL,
+            _ => fleet_interval
+                .max(DOUBT_PROBE_INTERVAL)
+                .mul_f64(1.0 + order.share),
+        };
+        Some(self.last_call_ended_at.map_or(now, |at| at + pause))
+    }
+
     /// Returns whether this VM watches the store: as a relay, or as a deputy whose sources have no word of it.
     fn watches(
         &mut self,
@@ -299,28 +371,25 @@
         }
     }
 
-    /// Returns when a VM that does not watch the store asks it, in doubt since `since`.
+    /// Returns when a VM that does not watch the store asks it without a probe, in doubt since `since`. `None` if it takes
+    /// the store for down.
     fn own_call_at(
         &self,
         now: Time,
         order: &SourceOrder,
         since: Time,
         word_at: Option<Time>,
-    ) -> Time {
+    ) -> Option<Time> {
+        if self.is_store_down() {
+            return None;
+        }
         let timeout = match word_at {
             Some(_) => SOURCES_TIMEOUT,
             None => self.start_timeout(now),
         };
-        let fleet_interval = Duration::from_secs_f64(order.fleet_size as f64 / FLEET_CALLS_PER_S);
-        let interval = fleet_interval.max(MIN_CALL_INTERVAL);
-        let is_down = self.is_store_down();
         let last_call = self.last_call_ended_at.filter(|at| *at >= since);
-        match (last_call, is_down) {
-            (Some(at), true) => at + interval,
-            (Some(at), false) => at + interval.min(MAX_LONELY_INTERVAL),
-            (None, true) => since + timeout + interval.mul_f64(order.share),
-            (None, false) => since + timeout + OWN_CALL_SPREAD.mul_f64(order.share),
-        }
+        let first_at = since + timeout + OWN_CALL_SPREAD.mul_f64(order.share);
+        Some(last_call.map_or(first_at, |at| at + LONELY_INTERVAL))
     }
 
     /// Chooses the VM to listen to. A relay that works is kept, so that one that returns from a cut gets listeners
@@ -344,6 +413,7 @@
                 self.current = Some(ip);
             }
             self.is_doubted = false;
+            self.offers_to.retain(|offered| *offered != ip);
             return;
         }
         if word.asks_store && !word.has_lost_store {
@@ -359,25 +429,55 @@
     pub fn on_source_failed(&mut self, now: Time, ip: Ipv4Addr, called_at: Time) {
         self.avoided_until.insert(ip, now + AVOID_PERIOD);
         self.paused_until.insert(ip, called_at + ASK_AGAIN_PAUSE);
-        self.is_doubted |= self.current == Some(ip);
+        // The store has answered this VM since.
+        let is_outdated =
+            self.failures == 0 && self.last_call_ended_at.is_some_and(|at| called_at < at);
+        self.is_doubted |= self.current == Some(ip) && !is_outdated;
     }
 
     /// Records that another VM has a later word of the store than this one.
     pub fn on_offer(&mut self, now: Time, ip: Ipv4Addr) {
-        if self.in_doubt_since.is_some() && self.offers.len() < MAX_OFFERS {
-            self.offers.insert(ip, now + OFFER_PERIOD);
+        if self.in_doubt_since.is_none() {
+            return;
+        }
+        self.offers.insert(ip, now + OFFER_PERIOD);
+        if self.offers.len() > MAX_OFFERS {
+            // The VMs that the store serves may be others by now.
+            let oldest = self.offers.iter().min_by_key(|(ip, until)| (**until, **ip));
+            if let Some(oldest) = oldest.map(|(ip, _)| *ip) {
+                self.offers.remove(&oldest);
+            }
         }
     }
 
+    /// Records that a probe in doubt began.
+    pub fn on_probe_began(&mut self, now: Time) {
+        self.last_probe_at = Some(now);
+    }
+
+    /// Records that the store has answered such a probe.
+    pub fn on_probe_answered(&mut self) {
+        self.is_served = true;
+    }
+
+    /// Records that a call to the store began.
+    pub fn on_call_began(&mut self) {
+        self.was_served = std::mem::take(&mut self.is_served);
+    }
+
     /// Records that the store has answered a call of this VM.
     pub fn on_store_answer(&mut self, now: Time) {
         self.knows_store = true;
         self.is_doubted = false;
+        self.is_served = false;
+        self.refutations = 0;
         self.failures = 0;
         self.refusals = 0;
         self.last_call_ended_at = Some(now);
-        self.offers_to = self.witnesses.iter().copied().collect();
-        self.offers_until = now + OFFERING_PERIOD;
+        if self.in_doubt_since.is_some() {
+            self.offers_to.clone_from(&self.doubted_sources);
+            self.offers_until = now + OFFERING_PERIOD;
+        }
     }
 
     /// Records that it is not known whether the store answers: a watch ended without an answer, which a sound store
@@ -401,6 +501,7 @@
     /// is as in [`StoreSource::on_store_failed`].
     pub fn on_call_interrupted(&mut self, now: Time, jitter: f64) {
         self.failures = 0;
+        self.was_served = false;
         self.on_store_failed(now, jitter);
     }
 
@@ -408,6 +509,7 @@
     /// several VMs.
     pub fn on_store_failed(&mut self, now: Time, jitter: f64) {
         self.knows_store = false;
+        self.refutations += u32::from(self.was_served);
         self.is_doubted |= self.failures == 0;
         let pause = INITIAL_RETRY_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
         self.retry_at = now + pause.min(MAX_RETRY_PAUSE).mul_f64(0.75 + jitter / 4.0);
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -3,7 +3,7 @@
 //! All calls run at the same time as tasks of their own, so that one that is not answered delays no other
 //! (`docs/platform.md`, "The way of a change").
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -145,6 +145,8 @@
     /// The store answered a probe, or did not.
     Probed {
         began_at: Time,
+        /// Whether the probe was made in doubt, and not beside a watch.
+        is_in_doubt: bool,
         position: Result<StorePosition, StoreError>,
     },
 }
@@ -178,8 +180,8 @@
     /// Whether the next call to a source asks for the whole state: a change of the era was noticed.
     wants_state: bool,
     tasks: JoinSet<Event>,
-    /// Sources that have not answered yet.
-    listening_to: HashSet<Ipv4Addr>,
+    /// When the last call to each source began that has not answered yet.
+    listening_to: HashMap<Ipv4Addr, Time>,
     call: Option<CallInProgress>,
     last_call_number: u64,
     /// When the next watch may begin.
@@ -214,7 +216,7 @@
             heard_of_loss: false,
             wants_state: false,
             tasks: JoinSet::new(),
-            listening_to: HashSet::new(),
+            listening_to: HashMap::new(),
             call: None,
             last_call_number: 0,
             watch_from: now,
@@ -276,10 +278,15 @@
         let now = clock::now();
         let mut wake_at = plan.next_at;
         for ip in &plan.listen_to {
-            if self.listening_to.insert(*ip) {
-                self.listen(*ip, plan.is_in_doubt);
+            if !self.listening_to.contains_key(ip) {
+                self.listening_to.insert(*ip, now);
+                self.listen(*ip, plan, now);
             }
         }
+        if plan.is_probe_due && !self.is_probing {
+            self.source.on_probe_began(now);
+            self.start_probe(now, true);
+        }
         let in_progress = self.call.as_ref().map(|call| call.call);
         if in_progress == Some(StoreCall::Watch) && plan.store_call != in_progress {
             self.abort_call();
@@ -298,11 +305,11 @@
     }
 
     /// Listens to another VM until it has changes or a later word, or says that there are none.
-    fn listen(&mut self, ip: Ipv4Addr, is_in_doubt: bool) {
+    fn listen(&mut self, ip: Ipv4Addr, plan: &Plan, called_at: Time) {
         metric::store_called("relay");
-        let called_at = clock::now();
         let after = self.control.store.lock().position;
-        let hold_time = if is_in_doubt {
+        // An offer is made again soon: its receiver may not have noticed yet that it has no word.
+        let hold_time = if plan.is_in_doubt || plan.is_offering {
             DOUBT_HOLD_TIME
         } else {
             HOLD_TIME
@@ -310,7 +317,7 @@
         let word_at = *self.control.word_at.lock();
         let call = ListenToStore {
             after: if self.wants_state { 0 } else { after.revision },
-            at_once: is_in_doubt,
+            at_once: plan.is_in_doubt,
             era: after.era.map(|era| era.0),
             hold_ms: Some(hold_time.as_millis() as u64),
             word_age_ms: word_at.map(|at| called_at.since(at).as_millis() as u64),
@@ -333,6 +340,7 @@
     }
 
     fn call_store(&mut self, call: StoreCall) {
+        self.source.on_call_began();
         self.last_call_number += 1;
         let number = self.last_call_number;
         let began_at = clock::now();
@@ -377,16 +385,8 @@
         let mut next_at = due_at(self.asked_at);
         if now >= next_at && !self.is_probing {
             next_at = due_at(now);
-            metric::store_called("probe");
             self.asked_at = now;
-            self.is_probing = true;
-            let client = self.control.store_client();
-            self.tasks.spawn(async move {
-                Event::Probed {
-                    began_at: now,
-                    position: client.probe().await,
-                }
-            });
+            self.start_probe(now, false);
         }
         let watch = self
             .call
@@ -412,6 +412,19 @@
         overdue_at.min(next_at)
     }
 
+    fn start_probe(&mut self, began_at: Time, is_in_doubt: bool) {
+        metric::store_called("probe");
+        self.is_probing = true;
+        let client = self.control.store_client();
+        self.tasks.spawn(async move {
+            Event::Probed {
+                began_at,
+                is_in_doubt,
+                position: client.probe().await,
+            }
+        });
+    }
+
     fn take_offers(&mut self) {
         for ip in self.control.offers.take() {
             self.source.on_offer(clock::now(), ip);
@@ -426,7 +439,9 @@
                 after,
                 answer,
             } => {
-                self.listening_to.remove(&ip);
+                if self.listening_to.get(&ip) == Some(&called_at) {
+                    self.listening_to.remove(&ip);
+                }
                 if let Err(error) = self.on_heard(ip, called_at, after, answer) {
                     self.source.on_source_failed(clock::now(), ip, called_at);
                     self.report(ip, &error);
@@ -444,10 +459,18 @@
                     Err(error) => self.on_store_failure(call, began_at, &error),
                 }
             }
-            Event::Probed { began_at, position } => {
+            Event::Probed {
+                began_at,
+                is_in_doubt,
+                position,
+            } => {
                 self.is_probing = false;
-                if let Ok(position) = position {
-                    self.on_probed(began_at, position);
+                match position {
+                    // A stale read shows that the store serves this VM, and nothing about the present state without
+                    // a watch beside it.
+                    Ok(_) if is_in_doubt => self.source.on_probe_answered(),
+                    Ok(position) => self.on_probed(began_at, position),
+                    Err(_) => {}
                 }
             }
         }
@@ -457,6 +480,10 @@
         let now = clock::now();
         let known_at = *self.control.word_at.lock();
         self.asked_at = self.asked_at.max(began_at);
+        if self.was_in_doubt {
+            // Calls from before state an older word than the one that is offered now.
+            self.listening_to.clear();
+        }
         self.source.on_store_answer(now);
         self.maybe_answered_at = now;
         // Entries that lapsed in an outage have to be known as such when their removal is applied.
--- a/tests/fleet_rules/store_source.rs
+++ b/tests/fleet_rules/store_source.rs
@@ -419,6 +419,161 @@
     }
 }
 
+/// How the store treats the calls of a VM that it does not serve.
+struct Refusal {
+    name: &'static str,
+    /// Time that a call and a probe take to fail.
+    call_time: Duration,
+    probe_time: Duration,
+    answers_probes: bool,
+}
+
+const REFUSALS: [Refusal; 2] = [
+    Refusal {
+        name: "busy",
+        call_time: Duration::from_millis(10),
+        probe_time: Duration::from_millis(10),
+        answers_probes: false,
+    },
+    Refusal {
+        name: "silent",
+        call_time: Duration::from_millis(1_000),
+        probe_time: Duration::from_millis(400),
+        answers_probes: false,
+    },
+];
+/// Later than all that a test runs.
+const NEVER: Time = Time::from_millis(1_000_000_000);
+/// Time that an answer of the store takes.
+const ANSWER_TIME: Duration = Duration::from_millis(10);
+
+/// What a VM does while its sources say that the store is down.
+#[derive(Default)]
+struct Doubt {
+    /// When the store first answered a call of the VM.
+    answered_at: Option<Time>,
+    calls: Vec<Time>,
+    probes: Vec<Time>,
+}
+
+/// Runs a VM whose sources have no word and whose last word is of the time 0, up to the first answer of the store. The store
+/// serves it from a time on.
+fn run_doubt(order: &SourceOrder, refusal: &Refusal, served_from: Time, until: Time) -> Doubt {
+    let mut source = StoreSource::new(at(0));
+    let mut doubt = Doubt::default();
+    // Ends of the call and of the probe in progress, and whether they are answered.
+    let (mut call, mut probe) = (None::<(Time, bool)>, None::<(Time, bool)>);
+    let mut now = at(0);
+    while now < until {
+        if let Some((_, is_answered)) = call.take_if(|(ends_at, _)| now >= *ends_at) {
+            if is_answered {
+                doubt.answered_at = Some(now);
+                return doubt;
+            }
+            source.on_store_failed(now, 1.0);
+        }
+        if let Some((_, true)) = probe.take_if(|(ends_at, _)| now >= *ends_at) {
+            source.on_probe_answered();
+        }
+        let plan = source.plan(now, order, Some(at(0)));
+        for ip in &plan.listen_to {
+            source.on_source_word(now, *ip, now, LOST);
+        }
+        let is_served = now >= served_from;
+        if plan.is_probe_due && probe.is_none() {
+            source.on_probe_began(now);
+            doubt.probes.push(now);
+            let time = if is_served {
+                ANSWER_TIME
+            } else {
+                refusal.probe_time
+            };
+            probe = Some((now + time, is_served || refusal.answers_probes));
+        }
+        if plan.store_call.is_some() && call.is_none() {
+            source.on_call_began();
+            doubt.calls.push(now);
+            let time = if is_served {
+                ANSWER_TIME
+            } else {
+                refusal.call_time
+            };
+            call = Some((now + time, is_served));
+        }
+        now = now + Duration::from_millis(10);
+    }
+    doubt
+}
+
+/// The store is taken for down and serves one VM, or begins to after a while: the VM has its word in a time that does not
+/// grow with the fleet, whatever its role.
+#[gtest]
+fn a_vm_that_the_store_serves_has_word_in_time_in_a_fleet_of_any_size() {
+    // Age of its word, or a second from the moment at which the store begins to serve it, and the calls.
+    let calls = ANSWER_TIME * 2 + Duration::from_millis(10);
+    for count in [13, 30, 76, 295, 1_000] {
+        let vms = vms(count);
+        for vm in vms.values().step_by(1 + count / 15) {
+            let order = SourceOrder::new(vm, &vms);
+            for refusal in &REFUSALS {
+                for served_from in [0, 1_000, 1_300, 2_222, 5_000, 5_450, 9_800].map(at) {
+                    let doubt = run_doubt(&order, refusal, served_from, at(20_000));
+                    let limit = (at(0) + MAX_WORD_AGE).max(served_from + Duration::from_secs(1));
+                    expect_that!(
+                        doubt.answered_at,
+                        some(le(limit + calls)),
+                        "{count} VMs, {:?}, {}, from {served_from}",
+                        order.role,
+                        refusal.name
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// The bound on probes: one a second for each VM, whatever the fleet. No VM but relays and deputies makes a call without an
+/// answer to a probe.
+#[gtest]
+fn a_vm_in_doubt_probes_once_a_second() {
+    for count in [13, 30, 295] {
+        let vms = vms(count);
+        for vm in vms.values().step_by(1 + count / 15) {
+            let order = SourceOrder::new(vm, &vms);
+            for refusal in &REFUSALS {
+                let doubt = run_doubt(&order, refusal, NEVER, at(16_000));
+                let times = doubt.probes.windows(2).map(|pair| pair[1].since(pair[0]));
+                let shortest = times.min().unwrap_or_default();
+                expect_that!(shortest, ge(Duration::from_secs(1)), "{count} VMs");
+                expect_that!(doubt.probes.len(), ge(14), "{count} VMs");
+                if order.role == Role::Listener {
+                    expect_that!(doubt.calls, is_empty(), "{count} VMs, {}", refusal.name);
+                }
+            }
+        }
+    }
+}
+
+/// Load pattern: the store answers stale reads and no others. Each VM calls it twice, and then all but relays and deputies
+/// make 10 calls a second together.
+#[gtest]
+fn few_vms_press_on_a_store_that_answers_only_probes() {
+    let refusal = Refusal {
+        name: "stale reads only",
+        answers_probes: true,
+        ..REFUSALS[0]
+    };
+    for count in [30, 100, 295] {
+        let vms = vms(count);
+        let orders = vms.values().map(|vm| SourceOrder::new(vm, &vms));
+        let listeners = orders.filter(|order| order.role == Role::Listener);
+        let calls = listeners
+            .map(|order| run_doubt(&order, &refusal, NEVER, at(20_000)).calls.len())
+            .sum::<usize>();
+        expect_that!(calls, le(2 * count + 20 * 10), "{count} VMs");
+    }
+}
+
 /// Random members come and go 300 times while sources fail: a VM never listens to itself, to a VM that
 /// is gone or to one that is no source of its own.
 #[gtest]
--- a/tests/users_platform/store.rs
+++ b/tests/users_platform/store.rs
@@ -30,6 +30,10 @@
     Up,
     /// Answers each call with status 503.
     Busy,
+    /// Answers each call with status 429.
+    Many,
+    /// Closes the connection of each call without an answer.
+    Reset,
     /// Accepts calls and never answers.
     Silent,
 }
@@ -445,6 +449,8 @@
     match mode {
         Mode::Up => {}
         Mode::Busy => return Ok(empty_answer(StatusCode::SERVICE_UNAVAILABLE)),
+        Mode::Many => return Ok(empty_answer(StatusCode::TOO_MANY_REQUESTS)),
+        Mode::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
         Mode::Silent => std::future::pending().await,
     }
     if is_over_limit {
--- a/tests/users_platform/versions.rs
+++ b/tests/users_platform/versions.rs
@@ -19,39 +19,57 @@
 /// Number of the newest versions that have a route; older routes are removed.
 const MAX_ROUTES: usize = 40;
 
-/// When the store acknowledged each version, the first one with number 0.
+/// When the store acknowledged each version of a series, the first one with number 0.
 #[derive(Clone, Default)]
-pub struct Versions(Arc<Mutex<Vec<Instant>>>);
+pub struct Versions {
+    acked: Arc<Mutex<Vec<Instant>>>,
+    /// Distinguishes the series from those before it in the same fleet.
+    series: usize,
+}
 
 impl Versions {
+    /// Returns a series without versions.
+    pub fn of_series(series: usize) -> Self {
+        Self {
+            series,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the name of a version's route, which is also its path.
+    fn name(&self, number: usize) -> String {
+        format!("version-{}-{number}", self.series)
+    }
+
     /// Publishes the next version.
     pub fn publish(&self, fleet: &mut Fleet) {
-        let mut acked = self.0.lock();
-        let number = acked.len();
+        let mut acked = self.acked.lock();
+        let name = self.name(acked.len());
         fleet.change_configuration(|configuration| {
             let routes = configuration["Routes"].as_array_mut().unwrap();
             let mut route = routes[0].clone();
-            route["Name"] = json!(format!("version-{number}"));
-            route["PathPrefix"] = json!(format!("/version-{number}/"));
+            route["Name"] = json!(name);
+            route["PathPrefix"] = json!(format!("/{name}/"));
             routes.push(route);
             let is_version = |route: &serde_json::Value| {
                 let name = route["Name"].as_str().unwrap_or_default();
                 name.starts_with("version-")
             };
-            if let Some(number) = number.checked_sub(MAX_ROUTES) {
-                let old = json!(format!("version-{number}"));
-                routes.retain(|route| !is_version(route) || route["Name"] != old);
+            let count = routes.iter().filter(|route| is_version(route)).count();
+            if count > MAX_ROUTES {
+                let oldest = routes.iter().position(is_version);
+                oldest.map(|index| routes.remove(index));
             }
         });
         acked.push(Instant::now());
     }
 
     fn acked_at(&self, number: usize) -> Option<Instant> {
-        self.0.lock().get(number).copied()
+        self.acked.lock().get(number).copied()
     }
 
     fn count(&self) -> usize {
-        self.0.lock().len()
+        self.acked.lock().len()
     }
 }
 
@@ -83,7 +101,7 @@
         };
         let was_bound = is_bound();
         let sent_at = Instant::now();
-        let path = format!("/version-{number}/x");
+        let path = format!("/{}/x", versions.name(number));
         let answer = request(vm, &path, "version", "key-1").await;
         match answer.map(|answer| answer.status) {
             Some(404) => {
