test(soak): entries of other writers in the store

A draw `odd_entries` beside the others: odd names, values and items come, change and go beside kills and starts of all VMs, planned stops, reloads, outages of the store, 429, lost and slow pages and pages of changing sizes. Besides the guarantees of the other runs: all VMs serve within 12 s after they were started, calls to the store stay bounded and well formed, and a process reports a change once.

--- a/tests/fleet_soak/main.rs
+++ b/tests/fleet_soak/main.rs
@@ -9,7 +9,8 @@
 //! engines that answer them. Half of the callers keep their connections open until a VM closes them. The guarantees of
 //! the system are checked from what callers and endpoints see, and each VM that runs has to answer.
 //! Runs without unplanned faults (`planned`) have seeds of their own, and so have those in which the store comes back
-//! from an older copy (`restores`), and those in which most VMs are silent (`silent_sources`).
+//! from an older copy (`restores`), those in which most VMs are silent (`silent_sources`), and those with entries of other
+//! writers in the store (`odd_entries`).
 //!
 //! `SOAK_SEED` is the first seed, `SOAK_RUNS` the number of seeds, `SOAK_SECONDS` the time
 //! during which faults occur for each seed and `SOAK_VMS` the number of VMs. `SOAK_SEEDS.txt` beside
@@ -20,6 +21,7 @@
 mod delayed_reads;
 mod liveness;
 mod observations;
+mod odd_entries;
 mod planned;
 mod restores;
 mod silent_sources;
@@ -37,6 +39,7 @@
 use futures::stream::{self, StreamExt as _};
 use liveness::{VmStates, check_liveness};
 use observations::Observations;
+use odd_entries::soak_odd_entries;
 use parking_lot::Mutex;
 use planned::soak_planned;
 use rand::{RngExt, SeedableRng};
@@ -221,10 +224,10 @@
 }
 
 /// Schedules steps from a time on, each after the pause of the one before. Returns the end of the last pause.
-fn schedule(
-    scheduled: &mut Vec<(Instant, Step)>,
+fn schedule<S>(
+    scheduled: &mut Vec<(Instant, S)>,
     from: Instant,
-    steps: Vec<(Step, Duration)>,
+    steps: Vec<(S, Duration)>,
 ) -> Instant {
     steps.into_iter().fold(from, |at, (step, pause)| {
         scheduled.push((at, step));
@@ -429,3 +432,9 @@
 async fn silent_sources_delay_no_change() {
     run_seeds(1..=3, soak_silent_sources).await;
 }
+
+/// Guards against entries of other writers that keep VMs from reading the store, or from serving after a start.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_entries_cost_nothing_else() {
+    run_seeds(1..=3, soak_odd_entries).await;
+}
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod odd_items;
 pub mod peer_proxy;
 pub mod ranks;
 pub mod silence;
