--- a/src/fleet/store_apply.rs
+++ b/src/fleet/store_apply.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use slog::{error, info, warn};
 use tokio::time::timeout;
 
@@ -104,7 +105,8 @@
                 Some(StoreChange::Configuration(Arc::new(configuration)))
             }
             Err(error) => {
-                if control.reports.is_new(("configuration", revision)) {
+                let era = control.store.lock().position.era;
+                if control.reports.is_new(("configuration", revision, era)) {
                     metric::item_unreadable("configuration");
                     error!(control.logger, "configuration: cannot be decoded, the former one stays";
                         "revision" => revision, "error" => format!("{error:#}"));
@@ -114,10 +116,7 @@
         },
         StoreKey::Evacuation(data_centre) => {
             if let Err(error) = data_centre.parse::<DataCentreName>() {
-                if control
-                    .reports
-                    .is_new(("evacuation", &data_centre, revision))
-                {
+                if control.reports.is_new(("evacuation", &data_centre)) {
                     metric::item_unreadable("evacuation");
                     warn!(control.logger, "evacuation: no data centre has this name";
                         "data_centre" => &data_centre, "error" => %error);
@@ -133,9 +132,12 @@
             })
         }
         StoreKey::Endpoint(id) => {
+            let is_empty = value.as_ref().is_some_and(Bytes::is_empty);
             let endpoint = match value.map(|value| decode_endpoint(&id, &value, clock::now())) {
                 Some(Err(error)) => {
-                    report_endpoint(control, &id, revision, &error);
+                    // An item without a readable revision has another one in each listing, and no value.
+                    let change = (!is_empty).then_some(revision);
+                    report_endpoint(control, &id, revision, change, &error);
                     None
                 }
                 decoded => {
@@ -168,8 +170,16 @@
 }
 
 /// Reports an endpoint's entry that cannot be used. Whoever had an earlier state of it stops using the endpoint.
-fn report_endpoint(control: &Control, id: &str, revision: u64, error: &anyhow::Error) {
-    if control.reports.is_new(("endpoint", id, revision)) {
+fn report_endpoint(
+    control: &Control,
+    id: &str,
+    revision: u64,
+    change: Option<u64>,
+    error: &anyhow::Error,
+) {
+    // Revisions of an earlier era are given out again.
+    let era = control.store.lock().position.era;
+    if control.reports.is_new(("endpoint", id, change, era)) {
         metric::item_unreadable("endpoint");
         warn!(control.logger, "endpoints: an entry cannot be used"; "endpoint" => id,
             "revision" => revision, "error" => format!("{error:#}"));
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -15,6 +15,7 @@
 use crate::fleet::model::{
     BatchLimits, CallerLimits, Configuration, Organisation, Route, RouteKind, RouteStage, Service,
 };
+use crate::platform::object::parse_object;
 use crate::units::{OrganisationName, ServiceName};
 
 /// Longest duration that a configuration may give, in milliseconds: a day.
@@ -182,7 +183,7 @@
 /// caller then keeps the configuration that is in force.
 pub fn decode_configuration(document: Bytes) -> anyhow::Result<Configuration> {
     let decoded: Document<'_> =
-        serde_json::from_slice(&document).context("the configuration cannot be decoded")?;
+        parse_object(&document).context("the configuration cannot be decoded")?;
     let mut findings = Findings::default();
     let services = decode_services(&decoded.services, &mut findings)?;
     let routes = decode_routes(&decoded.routes, &services, &mut findings)?;
@@ -221,9 +222,9 @@
     };
     for (index, part) in parts.iter().enumerate() {
         let place = format!("Services[{index}]");
-        let WireServiceName { name } =
-            serde_json::from_str::<WireServiceName>(part.get()).with_context(|| place.clone())?;
-        match serde_json::from_str::<WireService>(part.get()) {
+        let WireServiceName { name } = parse_object::<WireServiceName>(part.get().as_bytes())
+            .with_context(|| place.clone())?;
+        match parse_object::<WireService>(part.get().as_bytes()) {
             Ok(service) => {
                 let service = decode_service(service);
                 services.usable.insert(service.name.clone(), service);
@@ -246,8 +247,8 @@
     for (index, part) in parts.iter().enumerate() {
         let place = format!("Routes[{index}]");
         let requests =
-            serde_json::from_str::<WireRoutePlace>(part.get()).with_context(|| place.clone())?;
-        let decoded = serde_json::from_str::<WireRoute>(part.get()).map_err(anyhow::Error::from);
+            parse_object::<WireRoutePlace>(part.get().as_bytes()).with_context(|| place.clone())?;
+        let decoded = parse_object::<WireRoute>(part.get().as_bytes()).map_err(anyhow::Error::from);
         let route = decoded.and_then(|route| {
             check_route(&route, services)?;
             Ok(decode_route(route))
@@ -309,8 +310,8 @@
     for (index, part) in parts.iter().enumerate() {
         let place = format!("Tenants[{index}]");
         let keys =
-            serde_json::from_str::<WireTenantKeys>(part.get()).with_context(|| place.clone())?;
-        match serde_json::from_str::<WireTenant>(part.get()) {
+            parse_object::<WireTenantKeys>(part.get().as_bytes()).with_context(|| place.clone())?;
+        match parse_object::<WireTenant>(part.get().as_bytes()) {
             Ok(tenant) => {
                 let organisation = Arc::new(Organisation {
                     name: tenant.name,
--- a/src/platform/endpoint_entry.rs
+++ b/src/platform/endpoint_entry.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::fleet::model::Endpoint;
+use crate::platform::object::parse_object;
 use crate::units::{EndpointName, Time};
 
 #[derive(Deserialize)]
@@ -29,7 +30,7 @@
 /// Returns which part of the entry is missing or unreadable. The endpoint of such an entry
 /// gets no requests.
 pub fn decode_endpoint(id: &str, value: &[u8], now: Time) -> anyhow::Result<Endpoint> {
-    let entry: Entry = serde_json::from_slice(value)?;
+    let entry: Entry = parse_object(value)?;
     let is_ready = match entry.state.as_str() {
         "ready" => true,
         "draining" => false,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,5 +8,6 @@
 pub mod directory;
 pub mod endpoint_call;
 pub mod endpoint_entry;
+mod object;
 pub mod stage_call;
 pub mod store;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,12 +8,12 @@
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
 use serde::Deserialize;
-use serde_json::Value;
 use serde_json::value::RawValue;
 use thiserror::Error;
 
 use crate::decisions::listing::ListingPage;
 use crate::http::{Call, IncompleteBody, fetch_response};
+use crate::platform::object::parse_object;
 use crate::query::target;
 use crate::units::{StoreEra, StorePosition};
 
@@ -30,11 +30,11 @@
 /// Timeout of one page of a listing: a healthy store answers within milliseconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout of a call for the changes so far. A store that is slow answers within some hundred milliseconds.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub const CHECK_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Wait that such a call asks for: the shortest one of a watch.
 const CHECK_WAIT: Duration = Duration::from_millis(1);
-/// Timeout of a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout of a probe beside a watch.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Prefix that a probe lists. No key has it, which makes the shortest answer.
 const PROBE_PREFIX: &str = "op/probe/";
 /// Time that a watch may take beyond the wait that it asks for, before it times out.
@@ -139,16 +139,20 @@
 #[serde(rename_all = "PascalCase")]
 struct WireKey {
     key: String,
-    #[serde(default)]
-    revision: Value,
+}
+
+/// The revision of such an item, which may not be one either.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireRevision {
+    revision: u64,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct WireRange<'a> {
-    #[serde(borrow, default)]
-    entries: Option<Vec<&'a RawValue>>,
-    #[serde(default)]
+    #[serde(borrow)]
+    entries: Vec<&'a RawValue>,
     has_more: bool,
     store_revision: u64,
 }
@@ -157,8 +161,8 @@
 #[serde(rename_all = "PascalCase")]
 struct WireEvents<'a> {
     // Named in lower case on the wire, unlike its neighbours.
-    #[serde(borrow, default, rename = "events")]
-    events: Option<Vec<&'a RawValue>>,
+    #[serde(borrow, rename = "events")]
+    events: Vec<&'a RawValue>,
     store_revision: u64,
 }
 
@@ -228,9 +232,9 @@
     ///
     /// Fails when the store cannot be reached, takes too long, answers with another status than 200, or does not state
     /// its revision.
-    pub async fn probe(&self) -> Result<StorePosition, StoreError> {
+    pub async fn probe(&self, max_time: Duration) -> Result<StorePosition, StoreError> {
         let query = [("PathPrefix", PROBE_PREFIX), ("AllowStale", "1")];
-        let answer = self.get(&target(RANGE_PATH, query), PROBE_TIMEOUT).await?;
+        let answer = self.get(&target(RANGE_PATH, query), max_time).await?;
         match answer.status() {
             StatusCode::OK => {}
             status => return Err(StoreError::Status(status)),
@@ -293,10 +297,10 @@
     era: Option<StoreEra>,
 ) -> Result<(ListingPage<StoreItem>, Vec<UnreadableItem>), StoreError> {
     let text = String::from_utf8_lossy(body);
-    let page: WireRange<'_> = serde_json::from_str(&text).map_err(StoreError::Unreadable)?;
+    let page: WireRange<'_> = parse_object(text.as_bytes()).map_err(StoreError::Unreadable)?;
     let revision = page.store_revision;
     let mut decoded = DecodedItems::default();
-    for item in page.entries.unwrap_or_default() {
+    for item in page.entries {
         decoded.add(item, revision);
     }
     let is_plain = |key: &&String| {
@@ -323,14 +327,14 @@
 /// Fails if the text is no answer to a watch as a whole.
 pub fn decode_events(body: &[u8], after: StorePosition) -> Result<StoreAnswer, StoreError> {
     let text = String::from_utf8_lossy(body);
-    let answer: WireEvents<'_> = serde_json::from_str(&text).map_err(StoreError::Unreadable)?;
+    let answer: WireEvents<'_> = parse_object(text.as_bytes()).map_err(StoreError::Unreadable)?;
     let mut decoded = DecodedItems::default();
-    // Changes are in order, so that one without a revision of its own comes after the one before.
+    // A change without a revision of its own is taken to come after the one before it.
     let mut revision = after.revision.saturating_add(1);
-    for item in answer.events.unwrap_or_default() {
+    for item in answer.events {
         decoded.add(item, revision);
         let last = decoded.items.last().map_or(0, |item| item.revision);
-        revision = revision.max(last);
+        revision = revision.max(last.saturating_add(1));
     }
     Ok(StoreAnswer {
         items: decoded.items,
@@ -355,13 +359,13 @@
     /// Decodes an item. One of which only the key can be read has an empty value, whose decoder reports it, and
     /// `revision` if its own cannot be read.
     fn add(&mut self, raw: &RawValue, revision: u64) {
-        let item = serde_json::from_str(raw.get()).or_else(|error| {
-            let WireKey { key, revision: own } =
-                serde_json::from_str(raw.get()).map_err(|_| error)?;
+        let item = parse_object(raw.get().as_bytes()).or_else(|error| {
+            let WireKey { key } = parse_object(raw.get().as_bytes()).map_err(|_| error)?;
+            let own = parse_object(raw.get().as_bytes()).ok();
             Ok(WireItem {
                 key,
                 value: Some(String::new()),
-                revision: own.as_u64().unwrap_or(revision),
+                revision: own.map_or(revision, |WireRevision { revision }| revision),
                 deleted: false,
             })
         });
--- a/tests/store_fuzz/listings.rs
+++ b/tests/store_fuzz/listings.rs
@@ -184,7 +184,8 @@
             Some(body) => {
                 let (page, unreadable) = decode_page(body.as_bytes(), None).unwrap();
                 assert_eq!(unreadable, []);
-                listing.add(asked_at, page)
+                let after = listing.after().map(str::to_owned);
+                listing.add(asked_at, after.as_deref(), page)
             }
             None => listing.step_back(),
         };
