fix(store): an unreadable item is reported once also by a VM that starts

The reports of a VM that starts had no era yet, and those after its first listing had one. The era no longer belongs to what identifies a report. The test's silent store now holds probes for as long as a VM waits for them.

--- a/src/fleet/store_apply.rs
+++ b/src/fleet/store_apply.rs
@@ -105,8 +105,7 @@
                 Some(StoreChange::Configuration(Arc::new(configuration)))
             }
             Err(error) => {
-                let era = control.store.lock().position.era;
-                if control.reports.is_new(("configuration", revision, era)) {
+                if control.reports.is_new(("configuration", revision)) {
                     metric::item_unreadable("configuration");
                     error!(control.logger, "configuration: cannot be decoded, the former one stays";
                         "revision" => revision, "error" => format!("{error:#}"));
@@ -177,9 +176,7 @@
     change: Option<u64>,
     error: &anyhow::Error,
 ) {
-    // Revisions of an earlier era are given out again.
-    let era = control.store.lock().position.era;
-    if control.reports.is_new(("endpoint", id, change, era)) {
+    if control.reports.is_new(("endpoint", id, change)) {
         metric::item_unreadable("endpoint");
         warn!(control.logger, "endpoints: an entry cannot be used"; "endpoint" => id,
             "revision" => revision, "error" => format!("{error:#}"));
--- a/tests/fleet_rules/store_source.rs
+++ b/tests/fleet_rules/store_source.rs
@@ -438,7 +438,7 @@
     Refusal {
         name: "silent",
         call_time: Duration::from_millis(1_000),
-        probe_time: Duration::from_millis(400),
+        probe_time: Duration::from_millis(1_000),
         answers_probes: false,
     },
 ];
