fix(store): a refused listing is left to an earlier VM of the fleet

Refused calls count toward the limit, and the VMs behind the first one went on to call beside it, each by its pauses. A VM whose first call was refused also said that it had lost the store, so that nobody took it for one that lists.

A refused VM now leaves its listing for up to 5 s to a source before it in the order of the fleet that says it lists; one that was refused says so, and has not lost the store.

--- a/src/decisions/store_source.rs
+++ b/src/decisions/store_source.rs
@@ -27,7 +27,8 @@
 const SOURCES_TIMEOUT: Duration = Duration::from_millis(300);
 /// The same for a VM that has just started: its whole fleet may start, and the relays have to list the store first.
 const START_SOURCES_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// The same for a VM that has just started while a source lists the store.
+/// The same for a VM that has just started while a source lists the store, and time from its first refusal for which a
+/// listing that the store refuses is left to a source before this VM in the order of the fleet.
 const LISTING_SOURCES_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Time for which a source that listed the store is taken to go on.
 const LISTING_PERIOD: Duration = Duration::from_millis(1_000);
@@ -153,10 +154,12 @@
     retry_at: Time,
     /// Number of listings in a row that the store refused for its rate limit.
     refusals: u32,
+    /// When the first one was.
+    refused_since: Option<Time>,
     /// When a VM whose listing was refused may call the store again.
     refused_until: Time,
-    /// When a source last said that it lists the store.
-    lister_heard_at: Option<Time>,
+    /// When each source last said that it lists the store.
+    listers_heard_at: HashMap<Ipv4Addr, Time>,
     /// Until when this VM watches the store as a deputy.
     acts_until: Time,
 }
@@ -185,8 +188,9 @@
             last_call_ended_at: None,
             retry_at: now,
             refusals: 0,
+            refused_since: None,
             refused_until: Time::ZERO,
-            lister_heard_at: None,
+            listers_heard_at: HashMap::new(),
             acts_until: Time::ZERO,
         }
     }
@@ -203,8 +207,14 @@
         if word_at.is_some() {
             // The pauses are for listings at a start; now others may depend on this VM.
             self.refused_until = Time::ZERO;
+            self.refused_since = None;
             self.refusals = 0;
         }
+        self.listers_heard_at
+            .retain(|_, heard_at| now.since(*heard_at) < LISTING_PERIOD);
+        if let Some(until) = self.leaves_listing_until(now, order) {
+            self.refused_until = self.refused_until.max(until);
+        }
         let mut doubt_at = word_at.map_or(self.started_at, |at| at + DOUBT_AGE);
         if order.role == Role::Direct && self.knows_store {
             // Its own watch brings the changes, and nobody else depends on it.
@@ -228,7 +238,7 @@
             }
             now >= at
         };
-        let probe_at = in_doubt_since.map(|since| self.probe_at(now, order, since, word_at));
+        let probe_at = in_doubt_since.map(|since| self.probe_at(order, since, word_at));
         let is_probe_due = probe_at.is_some_and(|at| is_due(at, &mut next_at));
         let watches = self.watches(now, order, in_doubt_since, word_at, &mut next_at);
         let is_starting = word_at.is_none();
@@ -243,13 +253,13 @@
             }
             _ if watches => self.watcher_call(now, order.role, &mut next_at),
             Some(since) => self
-                .own_call_at(now, order, since, word_at)
+                .own_call_at(order, since, word_at)
                 .is_some_and(|at| is_due(at.max(self.refused_until), &mut next_at))
                 .then_some(StoreCall::Check),
             None => None,
         };
-        let is_starting = word_at.is_none() && self.failures == 0;
-        let mut listen_to = if is_starting && matches!(order.role, Role::Direct | Role::Relay) {
+        let is_first_call = is_starting && self.failures == 0;
+        let mut listen_to = if is_first_call && matches!(order.role, Role::Direct | Role::Relay) {
             // The first call takes the state of the VMs that have run for longest, which other relays that have just
             // started do not know.
             SourceList::new()
@@ -286,10 +296,10 @@
 
     /// Returns when a VM in doubt since `since` probes the store. A probe is cheap and counts toward no limit, so each VM
     /// makes its own, and the time until one that the store serves notices it does not grow with the fleet.
-    fn probe_at(&self, now: Time, order: &SourceOrder, since: Time, word_at: Option<Time>) -> Time {
+    fn probe_at(&self, order: &SourceOrder, since: Time, word_at: Option<Time>) -> Time {
         let timeout = match word_at {
             Some(_) => PROBE_SOURCES_TIMEOUT,
-            None => self.start_timeout(now),
+            None => self.start_timeout(),
         };
         let first_at = since + timeout + OWN_CALL_SPREAD.mul_f64(order.share);
         let next_at = self.last_probe_at.map(|at| at + DOUBT_PROBE_INTERVAL);
@@ -334,7 +344,7 @@
             let acts_at = since
                 + match word_at {
                     Some(_) => DEPUTY_SOURCES_TIMEOUT,
-                    None => self.start_timeout(now),
+                    None => self.start_timeout(),
                 };
             if now >= acts_at {
                 self.acts_until = now + DEPUTY_PERIOD;
@@ -369,29 +379,30 @@
     }
 
     /// Returns the time that the sources of a VM that has just started have to answer.
-    fn start_timeout(&self, now: Time) -> Duration {
-        let heard_at = self.lister_heard_at;
-        match heard_at.is_some_and(|at| now.since(at) < LISTING_PERIOD) {
-            true => LISTING_SOURCES_TIMEOUT,
-            false => START_SOURCES_TIMEOUT,
+    fn start_timeout(&self) -> Duration {
+        match self.listers_heard_at.is_empty() {
+            true => START_SOURCES_TIMEOUT,
+            false => LISTING_SOURCES_TIMEOUT,
         }
     }
 
+    /// Returns until when a VM whose listing was refused leaves it to a source before it that lists, unless it hears more.
+    fn leaves_listing_until(&self, now: Time, order: &SourceOrder) -> Option<Time> {
+        let leaves_until = self.refused_since? + LISTING_SOURCES_TIMEOUT;
+        let heard_at = |ip| self.listers_heard_at.get(ip).copied();
+        let heard_at = order.earlier.iter().filter_map(heard_at).max()?;
+        (now < leaves_until).then_some(leaves_until.min(heard_at + LISTING_PERIOD))
+    }
+
     /// Returns when a VM that does not watch the store asks it without a probe, in doubt since `since`. `None` if it takes
     /// the store for down.
-    fn own_call_at(
-        &self,
-        now: Time,
-        order: &SourceOrder,
-        since: Time,
-        word_at: Option<Time>,
-    ) -> Option<Time> {
+    fn own_call_at(&self, order: &SourceOrder, since: Time, word_at: Option<Time>) -> Option<Time> {
         if self.is_store_down() {
             return None;
         }
         let timeout = match word_at {
             Some(_) => SOURCES_TIMEOUT,
-            None => self.start_timeout(now),
+            None => self.start_timeout(),
         };
         let last_call = self.last_call_ended_at.filter(|at| *at >= since);
         let first_at = since + timeout + OWN_CALL_SPREAD.mul_f64(order.share);
@@ -423,7 +434,7 @@
             return;
         }
         if word.asks_store && !word.has_lost_store {
-            self.lister_heard_at = Some(now);
+            self.listers_heard_at.insert(ip, now);
         }
         if word.has_lost_store || word.asks_store {
             self.witnesses.insert(ip);
@@ -479,6 +490,7 @@
         self.refutations = 0;
         self.failures = 0;
         self.refusals = 0;
+        self.refused_since = None;
         self.last_call_ended_at = Some(now);
         if self.in_doubt_since.is_some() {
             self.offers_to.clone_from(&self.doubted_sources);
@@ -501,6 +513,12 @@
         let pause = pause.mul_f64(1.0 + place).min(max_pause);
         self.refused_until = now + pause.min(MAX_REFUSED_PAUSE).mul_f64(0.75 + jitter / 4.0);
         self.refusals += 1;
+        self.refused_since.get_or_insert(now);
+    }
+
+    /// Returns whether the store has refused a listing that is still to be made.
+    pub fn is_refused(&self) -> bool {
+        self.refused_since.is_some()
     }
 
     /// Records that the store answered a part of a call, such as some pages of a listing, and not all of it. `jitter`
--- a/src/decisions/store_source/order.rs
+++ b/src/decisions/store_source/order.rs
@@ -50,6 +50,8 @@
     pub share: f64,
     /// Number of live VMs.
     pub fleet_size: usize,
+    /// The sources that come before this VM in the order of `share`.
+    pub earlier: SourceList,
 }
 
 impl SourceOrder {
@@ -88,9 +90,14 @@
             deputies,
             share: share_of(own, vms),
             fleet_size: vms.len(),
+            earlier: SourceList::new(),
         };
         order.relays.retain(|ip| *ip != own.ip);
         order.deputies.retain(|ip| *ip != own.ip);
+        let earlier = vms_before(own, vms).map(|vm| vm.ip);
+        order.earlier = earlier
+            .filter(|ip| order.sources().any(|source| source == *ip))
+            .collect();
         order
     }
 
@@ -103,11 +110,19 @@
 /// Returns the part of the VMs that come before `own` in the order of their weights. Places are evenly spaced, unlike the
 /// weights of a few VMs.
 fn share_of(own: &FleetVm, vms: &BTreeMap<VmId, FleetVm>) -> f64 {
+    vms_before(own, vms).count() as f64 / vms.len().max(1) as f64
+}
+
+/// Returns the VMs that come before `own` in the order of their weights.
+fn vms_before<'a>(
+    own: &FleetVm,
+    vms: &'a BTreeMap<VmId, FleetVm>,
+) -> impl Iterator<Item = &'a FleetVm> {
     let own_weight = weight_of(&own.name.as_str());
-    let before = vms
-        .keys()
-        .filter(|name| weight_of(&name.as_str()) < own_weight);
-    before.count() as f64 / vms.len().max(1) as f64
+    let is_before = move |name: &VmId| weight_of(&name.as_str()) < own_weight;
+    vms.iter()
+        .filter(move |(name, _)| is_before(name))
+        .map(|(_, vm)| vm)
 }
 
 /// Returns whether a VM watches the store while all is well.
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -591,12 +591,16 @@
     fn on_store_failure(&mut self, call: StoreCall, began_at: Time, error: &CallFault) {
         let now = clock::now();
         let is_starting = self.control.word_at.lock().is_none();
-        if error.is_refusal() && is_starting {
+        let is_refused = error.is_refusal() && is_starting;
+        if is_refused {
             self.source
                 .on_listing_refused(now, &self.order, self.rng.random());
         }
         if error.has_progressed() {
             self.maybe_answered_at = now;
+            if is_starting {
+                self.lost_since = None;
+            }
             self.source.on_call_interrupted(now, self.rng.random());
             return;
         }
@@ -610,6 +614,10 @@
             return;
         }
         self.source.on_store_failed(now, self.rng.random());
+        if is_refused {
+            // The store answers, and others may leave the listing to this VM.
+            return;
+        }
         if self
             .lost_since
             .replace(self.lost_since.unwrap_or(now))
@@ -843,7 +851,9 @@
             word_at: *self.control.word_at.lock(),
             answering_since: self.answering_since,
             has_lost_store: self.lost_since.is_some() || self.control.store.lock().is_unreachable(),
-            asks_store: plan.store_call.is_some() || self.control.listing.lock().is_begun(),
+            asks_store: plan.store_call.is_some()
+                || self.source.is_refused()
+                || self.control.listing.lock().is_begun(),
         };
         self.control.feed.send_if_modified(|feed| {
             let is_same = feed.word_at == next.word_at
--- a/tests/fleet_rules/listing.rs
+++ b/tests/fleet_rules/listing.rs
@@ -196,6 +196,7 @@
         deputies: SourceList::new(),
         share,
         fleet_size: 60,
+        earlier: SourceList::new(),
     }
 }
 
@@ -371,3 +372,94 @@
         }
     }
 }
+
+/// What a source says to a VM whose first listing was refused, and when that VM then asks the store again.
+struct LeavingCase {
+    name: &'static str,
+    role: Role,
+    /// Whether the source comes before the VM in the order of the fleet.
+    is_earlier: bool,
+    has_lost_store: bool,
+    /// Time after which the source says no more.
+    until_ms: u64,
+    calls_at_ms: std::ops::RangeInclusive<u64>,
+}
+
+const LEAVING_CASES: [LeavingCase; 6] = [
+    LeavingCase {
+        name: "an earlier source lists, and the VM is a relay",
+        role: Role::Relay,
+        is_earlier: true,
+        has_lost_store: false,
+        until_ms: 60_000,
+        calls_at_ms: 5_000..=5_000,
+    },
+    LeavingCase {
+        name: "an earlier source lists, in a small fleet",
+        role: Role::Direct,
+        is_earlier: true,
+        has_lost_store: false,
+        until_ms: 60_000,
+        calls_at_ms: 5_000..=5_000,
+    },
+    LeavingCase {
+        name: "an earlier source lists, and the VM is a deputy",
+        role: Role::Deputy,
+        is_earlier: true,
+        has_lost_store: false,
+        until_ms: 60_000,
+        calls_at_ms: 5_000..=5_100,
+    },
+    LeavingCase {
+        name: "an earlier source falls silent while it lists",
+        role: Role::Relay,
+        is_earlier: true,
+        has_lost_store: false,
+        until_ms: 3_000,
+        calls_at_ms: 3_900..=4_000,
+    },
+    LeavingCase {
+        name: "an earlier source has lost the store",
+        role: Role::Relay,
+        is_earlier: true,
+        has_lost_store: true,
+        until_ms: 60_000,
+        calls_at_ms: 1_300..=1_500,
+    },
+    LeavingCase {
+        name: "a later source lists",
+        role: Role::Relay,
+        is_earlier: false,
+        has_lost_store: false,
+        until_ms: 60_000,
+        calls_at_ms: 1_300..=1_500,
+    },
+];
+
+/// Guards against VMs that list beside each other under a limit which lets one of them list in time.
+#[gtest]
+fn a_refused_listing_is_left_to_an_earlier_vm_that_lists() {
+    for case in &LEAVING_CASES {
+        let mut order = order(case.role, 0.1);
+        if case.is_earlier {
+            order.earlier.push(SOURCES[0].into());
+        }
+        let mut source = StoreSource::new(at(0));
+        source.on_listing_refused(at(0), &order, 1.0);
+        source.on_store_failed(at(0), 1.0);
+        expect_that!(source.is_refused(), eq(true));
+        let word = SourceWord {
+            is_recent: false,
+            has_lost_store: case.has_lost_store,
+            asks_store: true,
+        };
+        let called_at_ms = (0..10_000).step_by(100).find(|ms| {
+            if *ms < case.until_ms {
+                source.on_source_word(at(*ms), SOURCES[0].into(), at(*ms), word);
+            }
+            source.plan(at(*ms), &order, None).store_call.is_some()
+        });
+        let is_expected = called_at_ms.is_some_and(|at_ms| case.calls_at_ms.contains(&at_ms));
+        expect_that!(is_expected, eq(true), "{}: {called_at_ms:?}", case.name);
+    }
+}
