fix(callers): a key of a caller may end in a blank beyond ASCII

An organisation whose key ends in U+00A0 or another blank beyond ASCII got 401 on each request, since keys are read as UTF-8 and were trimmed as such, while those of the configuration are not. texts_of_callers_beyond_ascii_are_read failed before.

--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -95,7 +95,7 @@
             .map(Duration::from_millis),
         api_key: text("authorization")
             .and_then(|value| value.strip_prefix("Token "))
-            .map(|key| key.trim().to_owned()),
+            .map(|key| key.trim_ascii().to_owned()),
         prompt_parts,
         prompt_tokens,
         output_tokens,
--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -96,6 +96,10 @@
     expect_that!(caller.id, eq(TEXT));
     expect_that!(caller.stage_key, some(eq(TEXT)));
     expect_that!(caller.api_key, some(eq(TEXT)));
+    // A key may end in a blank that is no ASCII one.
+    let key = format!("{TEXT}\u{a0}");
+    headers.insert("authorization", value(&format!("Token  {key} ")));
+    expect_that!(decode_caller(&headers).api_key, some(eq(&key)));
     let signed = HeaderMap::from_iter([
         (HeaderName::from_static("request-id"), value(TEXT)),
         (HeaderName::from_static("response-signature"), value("x")),
