--- a/tests/store_fuzz/decoders.rs
+++ b/tests/store_fuzz/decoders.rs
@@ -294,11 +294,34 @@
 #[test]
 fn a_change_without_a_revision_comes_after_the_one_before() {
     let body = br#"{"events":[{"Key":"servers/i-1","Value":"e30=","Revision":21},
-        {"Key":"servers/i-1","Value":17},{"Key":"servers/i-1","Revision":"x"}],"StoreRevision":23}"#;
+        {"Key":"servers/i-1","Value":17},{"Key":"servers/i-1","Revision":"x"},
+        {"Key":"servers/i-1","Value":"e30="},{"Key":"servers/i-1","Deleted":true}],"StoreRevision":25}"#;
     let after = StorePosition::from(20);
     let revisions = decode_events(body, after).unwrap().items.into_iter();
     let revisions: Vec<u64> = revisions.map(|item| item.revision).collect();
-    assert_eq!(revisions, [21, 22, 23]);
+    assert_eq!(revisions, [21, 22, 23, 24, 25]);
+}
+
+/// Guards against the removal of an evacuation that sets it, since another field of the change cannot be read.
+#[test]
+fn a_removal_with_an_odd_field_is_one() {
+    for (fields, is_removal) in [
+        (r#""Revision":"x","Deleted":true"#, true),
+        (r#""Revision":9,"Value":17,"Deleted":true"#, true),
+        (r#""Revision":"x","Deleted":false"#, false),
+        (r#""Revision":9,"Deleted":1"#, false),
+    ] {
+        let body =
+            format!(r#"{{"events":[{{"Key":"op/evacuate/z1",{fields}}}],"StoreRevision":9}}"#);
+        let after = StorePosition::from(8);
+        let items = decode_events(body.as_bytes(), after).unwrap().items;
+        let item = StoreItem {
+            key: StoreKey::Evacuation("z1".to_owned()),
+            revision: 9,
+            value: (!is_removal).then(Bytes::new),
+        };
+        assert_eq!(items, [item], "{fields}");
+    }
 }
 
 /// The same for the answer to a watch.
