fix(stages): only the successors of silent owners are asked

With all successors, a VM of a fleet of hundreds opened a connection to nearly every other one when a single owner was silent (by reading).

--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -32,6 +32,8 @@
 const SIGN_OF_LIFE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that these have for it. The call to the first one fails later.
 const OWNERS_TIMEOUT: Duration = Duration::from_millis(400);
+/// Part of it after which the successors of those that have given none are asked too.
+const SUCCESSORS_DELAY: Duration = Duration::from_millis(150);
 /// Maximum number of groups that a job is sent to because groups before had no endpoint left.
 const MAX_GROUPS_TRIED: usize = 3;
 /// Interval between two reports of the load of a group.
@@ -182,19 +184,28 @@
     answer.await
 }
 
-/// Asks the owners of all groups for a sign of life, and avoids those that give none. Their successors are asked too:
-/// one may become an owner meanwhile, and a job that is sent to it would wait for it once more.
+/// Asks the owners of all groups for a sign of life, and avoids those that give none. The successors of such owners are
+/// asked too: they may become owners meanwhile, and a job that is sent to a silent one would wait once more.
 async fn avoid_silent_owners(node: &Arc<Node>) {
     let view = node.view();
-    let groups = view.stage_groups.iter();
-    let owners = groups.flat_map(|group| group.owners.iter().chain(&group.successors));
-    let others = owners.filter(|vm| vm.name != node.settings.vm && !node.peers.is_avoided(vm.ip));
-    let ips: BTreeSet<Ipv4Addr> = others.map(|vm| vm.ip).collect();
+    let is_asked = |vm: &&FleetVm| vm.name != node.settings.vm && !node.peers.is_avoided(vm.ip);
     let asked_at = Instant::now();
-    for ip in &ips {
-        node.peers.ping(*ip);
-    }
-    sleep(OWNERS_TIMEOUT).await;
+    let mut ips: BTreeSet<Ipv4Addr> = BTreeSet::new();
+    let mut ask = |vm: &FleetVm| {
+        if ips.insert(vm.ip) {
+            node.peers.ping(vm.ip);
+        }
+    };
+    let owners = view.stage_groups.iter().flat_map(|group| &group.owners);
+    owners.filter(is_asked).for_each(&mut ask);
+    sleep(SUCCESSORS_DELAY).await;
+    let is_silent =
+        |vm: &FleetVm| vm.name != node.settings.vm && !node.peers.has_heard(vm.ip, asked_at);
+    let silent = |group: &&StageGroup| group.owners.iter().any(is_silent);
+    let groups = view.stage_groups.iter().filter(silent);
+    let successors = groups.flat_map(|group| &group.successors);
+    successors.filter(is_asked).for_each(ask);
+    sleep(OWNERS_TIMEOUT - SUCCESSORS_DELAY).await;
     for ip in ips {
         if !node.peers.has_heard(ip, asked_at) {
             info!(node.logger, "stages: an owner gives no sign of life"; "vm" => %ip);
