fix(store): a VM that the store turns away does not hold up the listings of others

A fleet of six of which the store answers three 429 for good did not serve within 12 s: the others left their listings to one that was turned away, for as long as it asked. A VM now counts as one that lists for 2.5 s after its first refusal or last page, and one that says it does not list is not waited for.

And by the trace of 60 VMs: the VM that all others left the listing to was not the first in the order of pauses, and paused for 3 s; all others asked at once after 5 s. The relays now come first in the order of the fleet, each VM hears the first of all, and calls after these 5 s are spread over the fleet. Asking for a page at a time is no longer needed.

--- a/src/decisions/store_source.rs
+++ b/src/decisions/store_source.rs
@@ -27,9 +27,12 @@
 const SOURCES_TIMEOUT: Duration = Duration::from_millis(300);
 /// The same for a VM that has just started: its whole fleet may start, and the relays have to list the store first.
 const START_SOURCES_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// The same for a VM that has just started while a source lists the store, and time from its first refusal for which a
-/// listing that the store refuses is left to a source before this VM in the order of the fleet.
+/// The same for a VM that has just started while a source lists the store; the last VMs of a fleet wait longer, by
+/// [`FLEET_CALLS_PER_S`]. From its first refusal, a VM also leaves its listing for so long to one before it.
 const LISTING_SOURCES_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Time without a page after which a VM whose listing is refused no longer counts as one that lists: a store may also turn
+/// a VM away for good.
+const REFUSED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time for which a source that listed the store is taken to go on.
 const LISTING_PERIOD: Duration = Duration::from_millis(1_000);
 /// The same for a deputy, for whose word the others wait.
@@ -156,8 +159,12 @@
     refusals: u32,
     /// When the first one was.
     refused_since: Option<Time>,
+    /// When the last page came since, or the first refusal if none did.
+    last_page_at: Time,
     /// When a VM whose listing was refused may call the store again.
     refused_until: Time,
+    /// Until when it leaves the listing to a source, unless it hears more of it.
+    leaves_until: Time,
     /// When each source last said that it lists the store.
     listers_heard_at: HashMap<Ipv4Addr, Time>,
     /// Until when this VM watches the store as a deputy.
@@ -189,7 +196,9 @@
             retry_at: now,
             refusals: 0,
             refused_since: None,
+            last_page_at: Time::ZERO,
             refused_until: Time::ZERO,
+            leaves_until: Time::ZERO,
             listers_heard_at: HashMap::new(),
             acts_until: Time::ZERO,
         }
@@ -212,9 +221,8 @@
         }
         self.listers_heard_at
             .retain(|_, heard_at| now.since(*heard_at) < LISTING_PERIOD);
-        if let Some(until) = self.leaves_listing_until(now, order) {
-            self.refused_until = self.refused_until.max(until);
-        }
+        self.leaves_until = self.leaves_until(now, order).unwrap_or(Time::ZERO);
+        let refused_until = self.refused_until.max(self.leaves_until);
         let mut doubt_at = word_at.map_or(self.started_at, |at| at + DOUBT_AGE);
         if order.role == Role::Direct && self.knows_store {
             // Its own watch brings the changes, and nobody else depends on it.
@@ -246,15 +254,13 @@
             .filter(|_| !(is_starting && watches))
             .and_then(|_| self.served_call_at(now, order, is_starting));
         let store_call = match in_doubt_since {
-            _ if served_call_at
-                .is_some_and(|at| is_due(at.max(self.refused_until), &mut next_at)) =>
-            {
+            _ if served_call_at.is_some_and(|at| is_due(at.max(refused_until), &mut next_at)) => {
                 Some(StoreCall::Check)
             }
             _ if watches => self.watcher_call(now, order.role, &mut next_at),
             Some(since) => self
                 .own_call_at(order, since, word_at)
-                .is_some_and(|at| is_due(at.max(self.refused_until), &mut next_at))
+                .is_some_and(|at| is_due(at.max(refused_until), &mut next_at))
                 .then_some(StoreCall::Check),
             None => None,
         };
@@ -267,6 +273,9 @@
             let mut all: SourceList = order.sources().collect();
             self.doubted_sources.clone_from(&all);
             all.extend(self.offers.keys().copied());
+            if self.refused_since.is_some() {
+                all.extend_from_slice(&order.earlier);
+            }
             all.retain(|ip| !self.paused_until.contains_key(ip));
             let paused = self.paused_until.values().copied();
             next_at = paused.fold(next_at, Time::min);
@@ -299,7 +308,7 @@
     fn probe_at(&self, order: &SourceOrder, since: Time, word_at: Option<Time>) -> Time {
         let timeout = match word_at {
             Some(_) => PROBE_SOURCES_TIMEOUT,
-            None => self.start_timeout(),
+            None => self.start_timeout(order),
         };
         let first_at = since + timeout + OWN_CALL_SPREAD.mul_f64(order.share);
         let next_at = self.last_probe_at.map(|at| at + DOUBT_PROBE_INTERVAL);
@@ -315,7 +324,7 @@
         if !self.is_served {
             return None;
         }
-        let fleet_interval = Duration::from_secs_f64(order.fleet_size as f64 / FLEET_CALLS_PER_S);
+        let fleet_interval = fleet_interval(order);
         let pause = match self.refutations {
             0 if !is_starting => return Some(now),
             1 if !is_starting => DOUBT_PROBE_INTERVAL,
@@ -344,7 +353,7 @@
             let acts_at = since
                 + match word_at {
                     Some(_) => DEPUTY_SOURCES_TIMEOUT,
-                    None => self.start_timeout(),
+                    None => self.start_timeout(order),
                 };
             if now >= acts_at {
                 self.acts_until = now + DEPUTY_PERIOD;
@@ -365,7 +374,7 @@
             Some(at) if role == Role::Deputy => self.retry_at.max(at + MIN_DEPUTY_PAUSE),
             _ => self.retry_at,
         };
-        let retry_at = retry_at.max(self.refused_until);
+        let retry_at = retry_at.max(self.refused_until).max(self.leaves_until);
         if now < retry_at {
             *next_at = (*next_at).min(retry_at);
             return None;
@@ -379,19 +388,19 @@
     }
 
     /// Returns the time that the sources of a VM that has just started have to answer.
-    fn start_timeout(&self) -> Duration {
+    fn start_timeout(&self, order: &SourceOrder) -> Duration {
         match self.listers_heard_at.is_empty() {
             true => START_SOURCES_TIMEOUT,
-            false => LISTING_SOURCES_TIMEOUT,
+            false => LISTING_SOURCES_TIMEOUT + fleet_interval(order).mul_f64(order.share),
         }
     }
 
-    /// Returns until when a VM whose listing was refused leaves it to a source before it that lists, unless it hears more.
-    fn leaves_listing_until(&self, now: Time, order: &SourceOrder) -> Option<Time> {
-        let leaves_until = self.refused_since? + LISTING_SOURCES_TIMEOUT;
+    /// Returns until when a VM whose listing was refused leaves it to one before it that lists, unless it hears more.
+    fn leaves_until(&self, now: Time, order: &SourceOrder) -> Option<Time> {
+        let max_until = self.refused_since? + self.start_timeout(order);
         let heard_at = |ip| self.listers_heard_at.get(ip).copied();
         let heard_at = order.earlier.iter().filter_map(heard_at).max()?;
-        (now < leaves_until).then_some(leaves_until.min(heard_at + LISTING_PERIOD))
+        (now < max_until).then_some(max_until.min(heard_at + LISTING_PERIOD))
     }
 
     /// Returns when a VM that does not watch the store asks it without a probe, in doubt since `since`. `None` if it takes
@@ -402,7 +411,7 @@
         }
         let timeout = match word_at {
             Some(_) => SOURCES_TIMEOUT,
-            None => self.start_timeout(),
+            None => self.start_timeout(order),
         };
         let last_call = self.last_call_ended_at.filter(|at| *at >= since);
         let first_at = since + timeout + OWN_CALL_SPREAD.mul_f64(order.share);
@@ -435,6 +444,8 @@
         }
         if word.asks_store && !word.has_lost_store {
             self.listers_heard_at.insert(ip, now);
+        } else {
+            self.listers_heard_at.remove(&ip);
         }
         if word.has_lost_store || word.asks_store {
             self.witnesses.insert(ip);
@@ -513,12 +524,16 @@
         let pause = pause.mul_f64(1.0 + place).min(max_pause);
         self.refused_until = now + pause.min(MAX_REFUSED_PAUSE).mul_f64(0.75 + jitter / 4.0);
         self.refusals += 1;
-        self.refused_since.get_or_insert(now);
+        if self.refused_since.is_none() {
+            self.refused_since = Some(now);
+            self.last_page_at = now;
+        }
     }
 
-    /// Returns whether the store has refused a listing that is still to be made.
-    pub fn is_refused(&self) -> bool {
-        self.refused_since.is_some()
+    /// Returns whether the store has refused a listing that goes on, or that this VM leaves to another one.
+    pub fn is_refused(&self, now: Time) -> bool {
+        let goes_on = now.since(self.last_page_at) < REFUSED_TIMEOUT;
+        self.refused_since.is_some() && (goes_on || now < self.leaves_until)
     }
 
     /// Records that the store answered a part of a call, such as some pages of a listing, and not all of it. `jitter`
@@ -526,6 +541,7 @@
     pub fn on_call_interrupted(&mut self, now: Time, jitter: f64) {
         self.failures = 0;
         self.was_served = false;
+        self.last_page_at = now;
         self.on_store_failed(now, jitter);
     }
 
@@ -541,3 +557,8 @@
         self.last_call_ended_at = Some(now);
     }
 }
+
+/// Returns the time over which the VMs of a fleet spread calls to a store that may fail them.
+fn fleet_interval(order: &SourceOrder) -> Duration {
+    Duration::from_secs_f64(order.fleet_size as f64 / FLEET_CALLS_PER_S)
+}
--- a/src/decisions/store_source/order.rs
+++ b/src/decisions/store_source/order.rs
@@ -1,6 +1,6 @@
 //! The part of each VM in the way of a change: which VMs watch the store, and to whom the others listen.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::Ipv4Addr;
 
 use smallvec::SmallVec;
@@ -46,11 +46,11 @@
     pub relays: SourceList,
     /// The deputies of its data centre.
     pub deputies: SourceList,
-    /// Place of the VM among the live ones, from 0 to 1, in an order on which all agree.
+    /// Place of the VM among the live ones, from 0 to 1, in an order on which all agree: the relays come first.
     pub share: f64,
     /// Number of live VMs.
     pub fleet_size: usize,
-    /// The sources that come before this VM in the order of `share`.
+    /// VMs that come before this one in this order: the first one of all, and those of its sources.
     pub earlier: SourceList,
 }
 
@@ -76,28 +76,29 @@
             .collect();
         others.sort();
         others.dedup();
-        let relays_of = |name| {
-            ranked_in(name, vms)
-                .into_iter()
-                .take(RELAYS_PER_DATA_CENTRE)
-        };
-        let mut remote: Vec<Ipv4Addr> = others.into_iter().flat_map(relays_of).collect();
+        let mut remote: Vec<Ipv4Addr> = others
+            .into_iter()
+            .flat_map(|name| relays_of(name, vms))
+            .collect();
         remote.sort_by_cached_key(own_order);
         remote.truncate(REMOTE_RELAYS);
+        let before = vms_before(own, vms);
         let mut order = Self {
             role,
             relays: near.into_iter().chain(remote).collect(),
             deputies,
-            share: share_of(own, vms),
+            share: before.len() as f64 / vms.len().max(1) as f64,
             fleet_size: vms.len(),
             earlier: SourceList::new(),
         };
         order.relays.retain(|ip| *ip != own.ip);
         order.deputies.retain(|ip| *ip != own.ip);
-        let earlier = vms_before(own, vms).map(|vm| vm.ip);
-        order.earlier = earlier
-            .filter(|ip| order.sources().any(|source| source == *ip))
-            .collect();
+        let first = before.iter().min().map(|(_, ip)| *ip);
+        let is_before = |ip: &Ipv4Addr| before.iter().any(|(_, other)| other == ip);
+        let earlier = order
+            .sources()
+            .filter(|ip| is_before(ip) && Some(*ip) != first);
+        order.earlier = first.into_iter().chain(earlier).collect();
         order
     }
 
@@ -107,22 +108,18 @@
     }
 }
 
-/// Returns the part of the VMs that come before `own` in the order of their weights. Places are evenly spaced, unlike the
-/// weights of a few VMs.
-fn share_of(own: &FleetVm, vms: &BTreeMap<VmId, FleetVm>) -> f64 {
-    vms_before(own, vms).count() as f64 / vms.len().max(1) as f64
-}
-
-/// Returns the VMs that come before `own` in the order of their weights.
-fn vms_before<'a>(
-    own: &FleetVm,
-    vms: &'a BTreeMap<VmId, FleetVm>,
-) -> impl Iterator<Item = &'a FleetVm> {
-    let own_weight = weight_of(&own.name.as_str());
-    let is_before = move |name: &VmId| weight_of(&name.as_str()) < own_weight;
-    vms.iter()
-        .filter(move |(name, _)| is_before(name))
-        .map(|(_, vm)| vm)
+/// Returns the VMs that come before `own` in the order of the fleet, with what orders them. Places are evenly spaced,
+/// unlike the weights of a few VMs.
+fn vms_before(own: &FleetVm, vms: &BTreeMap<VmId, FleetVm>) -> Vec<((bool, u64), Ipv4Addr)> {
+    let data_centres: BTreeSet<&DataCentreName> = vms.values().map(|vm| &vm.data_centre).collect();
+    let relays = data_centres
+        .into_iter()
+        .flat_map(|name| relays_of(name, vms));
+    let relays: HashSet<Ipv4Addr> = relays.collect();
+    let place = |vm: &FleetVm| (!relays.contains(&vm.ip), weight_of(&vm.name.as_str()));
+    let own_place = place(own);
+    let places = vms.values().map(|vm| (place(vm), vm.ip));
+    places.filter(|(place, _)| *place < own_place).collect()
 }
 
 /// Returns whether a VM watches the store while all is well.
@@ -131,6 +128,15 @@
     matches!(role, Role::Direct | Role::Relay)
 }
 
+fn relays_of(
+    data_centre: &DataCentreName,
+    vms: &BTreeMap<VmId, FleetVm>,
+) -> impl Iterator<Item = Ipv4Addr> {
+    ranked_in(data_centre, vms)
+        .into_iter()
+        .take(RELAYS_PER_DATA_CENTRE)
+}
+
 /// Returns the relays of a data centre and after them its deputies: of the larger VMs, those with the highest weights.
 fn ranked_in(data_centre: &DataCentreName, vms: &BTreeMap<VmId, FleetVm>) -> SourceList {
     let local = || vms.values().filter(|vm| vm.data_centre == *data_centre);
--- a/src/fleet/store_calls.rs
+++ b/src/fleet/store_calls.rs
@@ -72,7 +72,7 @@
         matches!(self, Self::Listing(listing) if listing.has_progressed)
     }
 
-    /// Returns whether a listing was not completed since the store gets more calls than it allows.
+    /// Returns whether a listing was not completed since the store refused it for its rate limit.
     pub(super) fn is_refusal(&self) -> bool {
         matches!(self, Self::Listing(listing) if listing.is_refused)
     }
@@ -89,7 +89,7 @@
 }
 
 /// Makes one call to the store. It becomes a listing if this VM knows nothing yet, or if the store cannot tell the
-/// changes since. A VM that `yields` leaves the calls that the store allows to the listing of another one at its start.
+/// changes since.
 ///
 /// # Errors
 ///
@@ -97,7 +97,6 @@
 pub(super) async fn call_store(
     control: &Control,
     call: StoreCall,
-    yields: bool,
 ) -> Result<StoreNewsOfCall, CallFault> {
     if control.store.lock().position == StorePosition::default() {
         take_fleet_state(control).await;
@@ -105,7 +104,7 @@
     let client = control.store_client();
     let is_first = control.store.lock().position == StorePosition::default();
     if is_first {
-        let listed = list(control, client, yields).await;
+        let listed = list(control, client).await;
         let has_state = control.store.lock().position != StorePosition::default();
         match listed {
             // Another VM has sent its state meanwhile.
@@ -153,9 +152,7 @@
         }
         Err(error) => return Err(error.into()),
     }
-    Ok(StoreNewsOfCall::Listing(
-        list(control, client, false).await?,
-    ))
+    Ok(StoreNewsOfCall::Listing(list(control, client).await?))
 }
 
 /// Sorts changes by their revisions: the platform does not say in which order they stand in an answer.
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -352,9 +352,8 @@
         let number = self.last_call_number;
         let began_at = clock::now();
         let control = Arc::clone(&self.control);
-        let yields = self.order.share > 0.0;
         let task = self.tasks.spawn(async move {
-            let answer = call_store(&control, call, yields).await;
+            let answer = call_store(&control, call).await;
             Event::Called {
                 number,
                 call,
@@ -591,8 +590,7 @@
     fn on_store_failure(&mut self, call: StoreCall, began_at: Time, error: &CallFault) {
         let now = clock::now();
         let is_starting = self.control.word_at.lock().is_none();
-        let is_refused = error.is_refusal() && is_starting;
-        if is_refused {
+        if error.is_refusal() && is_starting {
             self.source
                 .on_listing_refused(now, &self.order, self.rng.random());
         }
@@ -614,7 +612,7 @@
             return;
         }
         self.source.on_store_failed(now, self.rng.random());
-        if is_refused {
+        if error.is_refusal() && self.source.is_refused(now) {
             // The store answers, and others may leave the listing to this VM.
             return;
         }
@@ -846,13 +844,17 @@
 
     /// Publishes what this VM knows for listeners, if it has changed.
     fn publish_feed(&self, plan: &Plan) {
+        let word_at = *self.control.word_at.lock();
+        // A VM that starts says only what its own calls have shown. That others cannot reach the store says nothing of
+        // those that list it.
+        let has_lost_word = word_at.is_some() && self.control.store.lock().is_unreachable();
         let next = StoreFeed {
             changes: Arc::clone(&self.changes),
-            word_at: *self.control.word_at.lock(),
+            word_at,
             answering_since: self.answering_since,
-            has_lost_store: self.lost_since.is_some() || self.control.store.lock().is_unreachable(),
+            has_lost_store: self.lost_since.is_some() || has_lost_word,
             asks_store: plan.store_call.is_some()
-                || self.source.is_refused()
+                || self.source.is_refused(clock::now())
                 || self.control.listing.lock().is_begun(),
         };
         self.control.feed.send_if_modified(|feed| {
--- a/src/fleet/store_listing.rs
+++ b/src/fleet/store_listing.rs
@@ -26,15 +26,12 @@
 /// Age of its first page up to which a listing is used before its watch begins.
 const MAX_UNCHECKED_AGE: Duration = Duration::from_millis(500);
 
-/// Time from its first page for which a listing that the store has limited is left to the first VM of the fleet.
-const YIELD_PERIOD: Duration = Duration::from_secs(5);
-
 /// Listings of all keys that this system reads, in progress.
 #[derive(Debug, Default)]
 pub(super) struct FullListing {
     operator: Listing<StoreChange>,
     endpoints: Listing<StoreChange>,
-    /// Whether the store has refused a page for its rate limit.
+    /// Whether the store has refused a call for its rate limit.
     is_limited: bool,
 }
 
@@ -106,8 +103,6 @@
     HistoryLost,
     #[error("another VM has sent its state meanwhile")]
     Overtaken,
-    #[error("the store limits calls, and another VM lists first")]
-    Yielded,
     #[error("the store lists {listed}, which is before {known}")]
     Older {
         listed: StorePosition,
@@ -126,16 +121,15 @@
             Self::Listing(ListingFault::EraChanged) | Self::ErasDiffer => "era",
             Self::HistoryLost => "history",
             Self::Overtaken => "overtaken",
-            Self::Yielded => "yielded",
             Self::Older { .. } => "older",
         }
     }
 
-    /// Returns whether the store gets more calls than it allows.
+    /// Returns whether the store refused a call for its rate limit.
     fn is_refusal(&self) -> bool {
         matches!(
             self,
-            Self::Yielded | Self::Store(StoreError::Status(StatusCode::TOO_MANY_REQUESTS))
+            Self::Store(StoreError::Status(StatusCode::TOO_MANY_REQUESTS))
         )
     }
 }
@@ -146,14 +140,14 @@
 pub(super) struct IncompleteListing {
     /// Whether it brought a page.
     pub(super) has_progressed: bool,
-    /// Whether the store gets more calls than it allows.
+    /// Whether the store refused it for its rate limit.
     pub(super) is_refused: bool,
     error: PageFault,
 }
 
 /// Lists the store, from the pages on that earlier calls have brought. Both parts are listed at the same time, and a
 /// page of one that fails does not end the other, but for one that the store refuses for its rate limit: they are then
-/// listed one after the other, so that a call costs one refusal. One that `yields` then asks for a page at a time.
+/// listed one after the other, so that a call costs one refusal.
 ///
 /// # Errors
 ///
@@ -161,7 +155,6 @@
 pub(super) async fn list(
     control: &Control,
     client: StoreClient,
-    yields: bool,
 ) -> Result<Listed, IncompleteListing> {
     metric::store_called("list");
     let known = control.store.lock().position;
@@ -172,7 +165,7 @@
         }
         (listing.pages(), listing.is_limited)
     };
-    let list_part = |part| list_part(control, client, part, known, yields);
+    let list_part = |part| list_part(control, client, part, known);
     let (operator, endpoints) = if is_limited {
         let operator = list_part(Part::Operator).await;
         match operator {
@@ -182,7 +175,7 @@
     } else {
         tokio::join!(list_part(Part::Operator), list_part(Part::Endpoints))
     };
-    let is_refused = [&operator, &endpoints]
+    let is_part_refused = [&operator, &endpoints]
         .into_iter()
         .any(|part| part.as_ref().is_err_and(PageFault::is_refusal));
     let listed = match (operator, endpoints) {
@@ -193,13 +186,13 @@
     };
     listed.map_err(|error| {
         metric::listing_failed(error.cause());
+        let is_refused = is_part_refused || error.is_refusal();
         let mut listing = control.listing.lock();
         listing.is_limited |= is_refused;
         report_fault(control, &listing, &error);
         IncompleteListing {
             has_progressed: listing.pages() > pages_before,
-            // A page that is lost leaves the calls to the first VM too.
-            is_refused: is_refused || (yields && listing.is_limited),
+            is_refused,
             error,
         }
     })
@@ -211,7 +204,6 @@
     client: StoreClient,
     part: Part,
     known: StorePosition,
-    yields: bool,
 ) -> Result<(), PageFault> {
     loop {
         if known == StorePosition::default() && control.store.lock().position != known {
@@ -250,14 +242,9 @@
         };
         let mut listing = control.listing.lock();
         listing.part(part).add(asked_at, after.as_deref(), page)?;
-        let first = listing.part(part).first();
-        if let Some((listed, _)) = first {
+        if let Some((listed, _)) = listing.part(part).first() {
             check_age(listed, known)?;
         }
-        let is_early = first.is_some_and(|(_, at)| clock::now().since(at) < YIELD_PERIOD);
-        if yields && listing.is_limited && is_early && !listing.part(part).is_complete() {
-            return Err(PageFault::Yielded);
-        }
     }
 }
 
@@ -367,7 +354,7 @@
     let (pages, cause) = (listing.pages(), fault.cause());
     let is_first = known == StorePosition::default();
     match fault {
-        PageFault::Overtaken | PageFault::Yielded => {
+        PageFault::Overtaken => {
             info!(logger, "store: a listing is left to another VM"; "pages" => pages, "cause" => cause);
         }
         _ if is_first || after.is_some() => {
--- a/tests/large_listings.rs
+++ b/tests/large_listings.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, timeout};
 use users_platform::Fleet;
 use users_platform::caller::request;
-use users_platform::store::Limits;
+use users_platform::store::{Limits, Mode};
 
 /// Time within which all VMs serve again once they run, on the smallest deployment of the platform (`RecoverS`).
 const RECOVER_TIME: Duration = Duration::from_secs(12);
@@ -246,6 +246,32 @@
     check(16, &[LIMITED]).await;
 }
 
+/// The same while the store turns away half of the VMs, of which one is the first in the order of the fleet in one of the
+/// two rounds: the others must not leave the listing to it for ever.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fleet_starts_beside_a_limit_and_vms_that_are_turned_away() {
+    if std::env::var_os("LARGE_LISTINGS").is_some() {
+        return;
+    }
+    let mut fleet = Fleet::start(6).await;
+    let limits = FAULTS.iter().find(|fault| fault.name == LIMITED);
+    let limits = limits.map_or(CALM, |fault| fault.limits);
+    for turned_away in [0..3, 3..6] {
+        for number in 0..fleet.vms.len() {
+            let mode = match turned_away.contains(&number) {
+                true => Mode::Many,
+                false => Mode::Up,
+            };
+            fleet.store.set_mode_for(fleet.vms[number].ip.into(), mode);
+        }
+        let start = start_beside(&mut fleet, 5_000, Names::Plain, limits, RECOVER_TIME).await;
+        let what = format!("{LIMITED}, {turned_away:?} turned away");
+        print(6, 5_000, Names::Plain, &what, &start);
+        expect_that!(start.all_served_after(), some(anything()), "{what}");
+    }
+}
+
 /// The same for more VMs than may list the store at this limit, while pages are lost too.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
