fix(store): an item without a revision is reported once

Its page gives each item a revision; one without it now counts like one whose revision cannot be read, and has no value.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -128,7 +128,7 @@
     key: String,
     #[serde(default)]
     value: Option<String>,
-    revision: Option<u64>,
+    revision: u64,
     #[serde(default)]
     deleted: bool,
 }
@@ -362,8 +362,8 @@
 }
 
 impl DecodedItems {
-    /// Decodes an item, which has `revision` if its own is missing or cannot be read. One whose value cannot be read has
-    /// an empty one, whose decoder reports it.
+    /// Decodes an item. One of which only the key can be read has an empty value, whose decoder reports it, and
+    /// `revision` if its own is missing or cannot be read.
     fn add(&mut self, raw: &RawValue, revision: u64) {
         let item = parse_object(raw.get().as_bytes()).or_else(|error| {
             let WireKey { key } = parse_object(raw.get().as_bytes()).map_err(|_| error)?;
@@ -372,14 +372,14 @@
             Ok(WireItem {
                 key,
                 value: Some(String::new()),
-                revision: own.map(|WireRevision { revision }| revision),
+                revision: own.map_or(revision, |WireRevision { revision }| revision),
                 deleted: removal.is_some_and(|WireRemoval { deleted }| deleted),
             })
         });
         match item {
             Ok(item) => {
                 self.keys.push(item.key.clone());
-                self.items.push(decode_item(item, revision));
+                self.items.push(decode_item(item));
             }
             Err(error) => self.unreadable.push(UnreadableItem {
                 excerpt: raw.get().chars().take(MAX_EXCERPT_CHARS).collect(),
@@ -395,7 +395,7 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
-fn decode_item(item: WireItem, revision: u64) -> StoreItem {
+fn decode_item(item: WireItem) -> StoreItem {
     let key = if item.key == CONFIGURATION_KEY {
         StoreKey::Configuration
     } else if let Some(id) = item.key.strip_prefix(ENDPOINTS_PREFIX) {
@@ -418,7 +418,7 @@
     });
     StoreItem {
         key,
-        revision: item.revision.unwrap_or(revision),
+        revision: item.revision,
         value,
     }
 }
