fix(store): listings that stopped no longer hold others up

Relays and then deputies now come first in the order of the fleet, pages are dropped with the first word, a VM counts as one that lists for 3.5 s after its last page, and refused ones leave it their listing for up to 8 s.

--- a/src/decisions/store_source.rs
+++ b/src/decisions/store_source.rs
@@ -28,11 +28,13 @@
 /// The same for a VM that has just started: its whole fleet may start, and the relays have to list the store first.
 const START_SOURCES_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The same for a VM that has just started while a source lists the store; the last VMs of a fleet wait longer, by
-/// [`FLEET_CALLS_PER_S`]. From its first refusal, a VM also leaves its listing for so long to one before it.
+/// [`FLEET_CALLS_PER_S`].
 const LISTING_SOURCES_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Time from its first refusal for which a VM leaves its listing to one before it, in addition to the spread over the fleet.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(8_000);
 /// Time without a page after which a VM whose listing is refused no longer counts as one that lists: a store may also turn
 /// a VM away for good.
-const REFUSED_TIMEOUT: Duration = Duration::from_millis(2_500);
+const PAGE_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Time for which a source that listed the store is taken to go on.
 const LISTING_PERIOD: Duration = Duration::from_millis(1_000);
 /// The same for a deputy, for whose word the others wait.
@@ -159,8 +161,8 @@
     refusals: u32,
     /// When the first one was.
     refused_since: Option<Time>,
-    /// When the last page came since, or the first refusal if none did.
-    last_page_at: Time,
+    /// When the last page of the first listing came, or its first refusal if none did.
+    listed_at: Option<Time>,
     /// When a VM whose listing was refused may call the store again.
     refused_until: Time,
     /// Until when it leaves the listing to a source, unless it hears more of it.
@@ -196,7 +198,7 @@
             retry_at: now,
             refusals: 0,
             refused_since: None,
-            last_page_at: Time::ZERO,
+            listed_at: None,
             refused_until: Time::ZERO,
             leaves_until: Time::ZERO,
             listers_heard_at: HashMap::new(),
@@ -217,6 +219,7 @@
             // The pauses are for listings at a start; now others may depend on this VM.
             self.refused_until = Time::ZERO;
             self.refused_since = None;
+            self.listed_at = None;
             self.refusals = 0;
         }
         self.listers_heard_at
@@ -273,7 +276,7 @@
             let mut all: SourceList = order.sources().collect();
             self.doubted_sources.clone_from(&all);
             all.extend(self.offers.keys().copied());
-            if self.refused_since.is_some() {
+            if self.refused_since.is_some() && order.role != Role::Listener {
                 all.extend_from_slice(&order.earlier);
             }
             all.retain(|ip| !self.paused_until.contains_key(ip));
@@ -397,7 +400,8 @@
 
     /// Returns until when a VM whose listing was refused leaves it to one before it that lists, unless it hears more.
     fn leaves_until(&self, now: Time, order: &SourceOrder) -> Option<Time> {
-        let max_until = self.refused_since? + self.start_timeout(order);
+        let spread = fleet_interval(order).mul_f64(order.share);
+        let max_until = self.refused_since? + LEAVE_TIMEOUT + spread;
         let heard_at = |ip| self.listers_heard_at.get(ip).copied();
         let heard_at = order.earlier.iter().filter_map(heard_at).max()?;
         (now < max_until).then_some(max_until.min(heard_at + LISTING_PERIOD))
@@ -502,6 +506,7 @@
         self.failures = 0;
         self.refusals = 0;
         self.refused_since = None;
+        self.listed_at = None;
         self.last_call_ended_at = Some(now);
         if self.in_doubt_since.is_some() {
             self.offers_to.clone_from(&self.doubted_sources);
@@ -524,16 +529,16 @@
         let pause = pause.mul_f64(1.0 + place).min(max_pause);
         self.refused_until = now + pause.min(MAX_REFUSED_PAUSE).mul_f64(0.75 + jitter / 4.0);
         self.refusals += 1;
-        if self.refused_since.is_none() {
-            self.refused_since = Some(now);
-            self.last_page_at = now;
-        }
+        self.refused_since.get_or_insert(now);
+        self.listed_at.get_or_insert(now);
     }
 
-    /// Returns whether the store has refused a listing that goes on, or that this VM leaves to another one.
-    pub fn is_refused(&self, now: Time) -> bool {
-        let goes_on = now.since(self.last_page_at) < REFUSED_TIMEOUT;
-        self.refused_since.is_some() && (goes_on || now < self.leaves_until)
+    /// Returns whether this VM, which starts, is in a listing that goes on between its calls, or leaves it to another one.
+    pub fn is_listing(&self, now: Time) -> bool {
+        let goes_on = self
+            .listed_at
+            .is_some_and(|at| now.since(at) < PAGE_TIMEOUT);
+        goes_on || now < self.leaves_until
     }
 
     /// Records that the store answered a part of a call, such as some pages of a listing, and not all of it. `jitter`
@@ -541,7 +546,7 @@
     pub fn on_call_interrupted(&mut self, now: Time, jitter: f64) {
         self.failures = 0;
         self.was_served = false;
-        self.last_page_at = now;
+        self.listed_at = Some(now);
         self.on_store_failed(now, jitter);
     }
 
--- a/src/decisions/store_source/order.rs
+++ b/src/decisions/store_source/order.rs
@@ -1,6 +1,6 @@
 //! The part of each VM in the way of a change: which VMs watch the store, and to whom the others listen.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::Ipv4Addr;
 
 use smallvec::SmallVec;
@@ -46,7 +46,8 @@
     pub relays: SourceList,
     /// The deputies of its data centre.
     pub deputies: SourceList,
-    /// Place of the VM among the live ones, from 0 to 1, in an order on which all agree: the relays come first.
+    /// Place of the VM among the live ones, from 0 to 1, in an order on which all agree: the relays come first,
+    /// and then the deputies.
     pub share: f64,
     /// Number of live VMs.
     pub fleet_size: usize,
@@ -76,10 +77,12 @@
             .collect();
         others.sort();
         others.dedup();
-        let mut remote: Vec<Ipv4Addr> = others
-            .into_iter()
-            .flat_map(|name| relays_of(name, vms))
-            .collect();
+        let relays_of = |name| {
+            ranked_in(name, vms)
+                .into_iter()
+                .take(RELAYS_PER_DATA_CENTRE)
+        };
+        let mut remote: Vec<Ipv4Addr> = others.into_iter().flat_map(relays_of).collect();
         remote.sort_by_cached_key(own_order);
         remote.truncate(REMOTE_RELAYS);
         let before = vms_before(own, vms);
@@ -108,15 +111,19 @@
     }
 }
 
-/// Returns the VMs that come before `own` in the order of the fleet, with what orders them. Places are evenly spaced,
-/// unlike the weights of a few VMs.
-fn vms_before(own: &FleetVm, vms: &BTreeMap<VmId, FleetVm>) -> Vec<((bool, u64), Ipv4Addr)> {
+/// Returns the VMs that come before `own` in the order of the fleet, with what orders them: whether they are relays, deputies or
+/// neither, and then their weights. Places are evenly spaced, unlike the weights of a few VMs.
+fn vms_before(own: &FleetVm, vms: &BTreeMap<VmId, FleetVm>) -> Vec<((usize, u64), Ipv4Addr)> {
     let data_centres: BTreeSet<&DataCentreName> = vms.values().map(|vm| &vm.data_centre).collect();
-    let relays = data_centres
-        .into_iter()
-        .flat_map(|name| relays_of(name, vms));
-    let relays: HashSet<Ipv4Addr> = relays.collect();
-    let place = |vm: &FleetVm| (!relays.contains(&vm.ip), weight_of(&vm.name.as_str()));
+    let ranked = data_centres.into_iter().flat_map(|name| {
+        let classes = ranked_in(name, vms).into_iter().enumerate();
+        classes.map(|(rank, ip)| (ip, rank / RELAYS_PER_DATA_CENTRE))
+    });
+    let classes: HashMap<Ipv4Addr, usize> = ranked.collect();
+    let place = |vm: &FleetVm| {
+        let class = classes.get(&vm.ip).copied();
+        (class.unwrap_or(usize::MAX), weight_of(&vm.name.as_str()))
+    };
     let own_place = place(own);
     let places = vms.values().map(|vm| (place(vm), vm.ip));
     places.filter(|(place, _)| *place < own_place).collect()
@@ -128,15 +135,6 @@
     matches!(role, Role::Direct | Role::Relay)
 }
 
-fn relays_of(
-    data_centre: &DataCentreName,
-    vms: &BTreeMap<VmId, FleetVm>,
-) -> impl Iterator<Item = Ipv4Addr> {
-    ranked_in(data_centre, vms)
-        .into_iter()
-        .take(RELAYS_PER_DATA_CENTRE)
-}
-
 /// Returns the relays of a data centre and after them its deputies: of the larger VMs, those with the highest weights.
 fn ranked_in(data_centre: &DataCentreName, vms: &BTreeMap<VmId, FleetVm>) -> SourceList {
     let local = || vms.values().filter(|vm| vm.data_centre == *data_centre);
--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -33,7 +33,7 @@
 /// Time that these have for it. The call to the first one fails later.
 const OWNERS_TIMEOUT: Duration = Duration::from_millis(400);
 /// Part of it after which the successors of those that have given none are asked too.
-const SUCCESSORS_DELAY: Duration = Duration::from_millis(150);
+const SUCCESSORS_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of groups that a job is sent to because groups before had no endpoint left.
 const MAX_GROUPS_TRIED: usize = 3;
 /// Interval between two reports of the load of a group.
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -27,7 +27,7 @@
 use crate::fleet::store_apply::{apply_changes, apply_state, decode_change, report_unreadable};
 use crate::fleet::store_calls::{CallFault, StoreNewsOfCall, WATCH_WAIT, call_store};
 use crate::fleet::store_feed::{DOUBT_HOLD_TIME, HOLD_TIME, StoreFeed, decode_item, logged};
-use crate::fleet::store_listing::Listed;
+use crate::fleet::store_listing::{FullListing, Listed};
 use crate::fleet::wire::{Body, FleetState, ListenToStore, StoreNews};
 use crate::platform::store::{CHECK_TIMEOUT, PROBE_TIMEOUT, StoreError, StoreItem};
 use crate::units::{StoreEra, StorePosition, Time, VmId};
@@ -612,8 +612,9 @@
             return;
         }
         self.source.on_store_failed(now, self.rng.random());
-        if error.is_refusal() && self.source.is_refused(now) {
+        if error.is_refusal() && self.source.is_listing(now) {
             // The store answers, and others may leave the listing to this VM.
+            self.lost_since = None;
             return;
         }
         if self
@@ -791,12 +792,15 @@
 
     /// Notes that this VM has all changes up to `word_at`.
     fn note_word(&mut self, word_at: Time) {
-        {
+        let before = {
             let mut known_at = self.control.word_at.lock();
             if *known_at >= Some(word_at) {
                 return;
             }
-            *known_at = Some(word_at);
+            known_at.replace(word_at)
+        };
+        if before.is_none() {
+            *self.control.listing.lock() = FullListing::default();
         }
         let now = clock::now();
         if let Some(before) = self.last_note_at.replace(now) {
@@ -853,9 +857,7 @@
             word_at,
             answering_since: self.answering_since,
             has_lost_store: self.lost_since.is_some() || has_lost_word,
-            asks_store: plan.store_call.is_some()
-                || self.source.is_refused(clock::now())
-                || self.control.listing.lock().is_begun(),
+            asks_store: plan.store_call.is_some() || self.source.is_listing(clock::now()),
         };
         self.control.feed.send_if_modified(|feed| {
             let is_same = feed.word_at == next.word_at
--- a/src/fleet/store_listing.rs
+++ b/src/fleet/store_listing.rs
@@ -43,11 +43,6 @@
         }
     }
 
-    /// Returns whether there are pages to go on from.
-    pub(super) fn is_begun(&self) -> bool {
-        self.pages() > 0
-    }
-
     fn pages(&self) -> usize {
         self.operator.pages() + self.endpoints.pages()
     }
@@ -187,9 +182,10 @@
     listed.map_err(|error| {
         metric::listing_failed(error.cause());
         let is_refused = is_part_refused || error.is_refusal();
+        let known = control.store.lock().position;
         let mut listing = control.listing.lock();
         listing.is_limited |= is_refused;
-        report_fault(control, &listing, &error);
+        report_fault(control, &listing, known, &error);
         IncompleteListing {
             has_progressed: listing.pages() > pages_before,
             is_refused,
@@ -337,12 +333,11 @@
 
 /// Logs why a listing is not complete: at once and as an error if the store does not let it go on, and as long as
 /// this VM knows nothing else of the store.
-fn report_fault(control: &Control, listing: &FullListing, fault: &PageFault) {
+fn report_fault(control: &Control, listing: &FullListing, known: StorePosition, fault: &PageFault) {
     let after = match fault {
         PageFault::Listing(ListingFault::NoProgress { after }) => Some(after.as_str()),
         _ => None,
     };
-    let known = control.store.lock().position;
     // Each again once this VM knows a later state of the store.
     if !control
         .reports
