fix(store): a lost page does not end the wait of others for a listing

Of about thirty starts of six VMs beside 10 reads a second and lost pages, one took 9.7 s instead of 3.4 to 4.7. A starting VM that had a page or its first refusal in the last 3.5 s does not say so any more.

--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -612,8 +612,8 @@
             return;
         }
         self.source.on_store_failed(now, self.rng.random());
-        if error.is_refusal() && self.source.is_listing(now) {
-            // The store answers, and others may leave the listing to this VM.
+        if is_starting && self.source.is_listing(now) {
+            // One lost page is no loss of the store, and others may leave the listing to this VM.
             self.lost_since = None;
             return;
         }
