fix(store): a listing that loses its pages during its last check is not taken for the whole

Cause: a listing that took longer than 0.5 s asks for the changes since before it is used. The VM may get the state of another VM meanwhile, and its first word then drops the pages of the listing. The listing was completed from what was left, which was nothing, and removed all endpoints; no later change brought them back. Seen at 60 VMs beside load: one to three VMs answered 503 "no endpoint" for as long as they ran, in four of about 40 starts.

Change: a listing is whole only while both of its parts are, and it is taken in the same step that finds that it still is the one whose changes were asked for. Otherwise the VM goes on from the state that it got. The store of the tests can delay watches and checks, and the soak draws such delays.

--- a/src/fleet/store_listing.rs
+++ b/src/fleet/store_listing.rs
@@ -270,7 +270,8 @@
     client: StoreClient,
     known: StorePosition,
 ) -> Result<Listed, PageFault> {
-    let (listed, asked_at) = firsts(&mut control.listing.lock())?;
+    let first = firsts(&mut control.listing.lock())?;
+    let (listed, asked_at) = first;
     check_age(listed, known)?;
     let position = StorePosition {
         era: listed.era.or(known.era),
@@ -296,11 +297,19 @@
             Err(error) => return Err(error.into()),
         }
     }
+    // The pages are dropped when this VM gets the state of another one, which may be during the check.
+    let taken = {
+        let mut listing = control.listing.lock();
+        if firsts(&mut listing)? != first {
+            return Err(PageFault::Overtaken);
+        }
+        std::mem::take(&mut *listing)
+    };
     let FullListing {
         operator,
         endpoints,
         ..
-    } = std::mem::take(&mut *control.listing.lock());
+    } = taken;
     let mut changes = operator.into_items();
     changes.extend(endpoints.into_items());
     Ok(Listed {
@@ -311,13 +320,15 @@
     })
 }
 
-/// Returns the lower position of the two first pages, from which a watch reports what was changed between the listings,
-/// and when the earlier one was asked for. If they are of different eras, drops the part of the earlier one.
+/// Returns the lower position of the two first pages of a whole listing, from which a watch reports what was changed
+/// between them, and when the earlier one was asked for. If they are of different eras, drops the part of the earlier one.
 fn firsts(listing: &mut FullListing) -> Result<(StorePosition, Time), PageFault> {
-    let (Some((operator_at, operator_asked_at)), Some((endpoints_at, endpoints_asked_at))) =
-        (listing.operator.first(), listing.endpoints.first())
-    else {
-        return Err(PageFault::ErasDiffer);
+    let first_of_whole = |part: &Listing<StoreChange>| part.first().filter(|_| part.is_complete());
+    let (Some((operator_at, operator_asked_at)), Some((endpoints_at, endpoints_asked_at))) = (
+        first_of_whole(&listing.operator),
+        first_of_whole(&listing.endpoints),
+    ) else {
+        return Err(PageFault::Overtaken);
     };
     if operator_at.era != endpoints_at.era {
         let earlier = match operator_at.era < endpoints_at.era {
--- a/tests/fleet_soak/odd_entries.rs
+++ b/tests/fleet_soak/odd_entries.rs
@@ -138,6 +138,7 @@
         reads_per_s: rng.random_bool(0.3).then(|| fleet.vms.len() * 8),
         lose_each: rng.random_bool(0.5).then(|| rng.random_range(3..8)),
         page_delay: Duration::from_millis([0, 50, 300][rng.random_range(0..3)]),
+        watch_delay: Duration::from_millis([0, 0, 300, 850][rng.random_range(0..4)]),
         ..calm
     }
 }
@@ -204,6 +205,7 @@
                 reads_per_s: rng.random_bool(0.4).then(|| rng.random_range(2..40)),
                 lose_each: rng.random_bool(0.4).then(|| rng.random_range(2..6)),
                 page_delay: Duration::from_millis([0, 0, 100, 1_700][rng.random_range(0..4)]),
+                watch_delay: Duration::from_millis([0, 0, 300, 1_700][rng.random_range(0..4)]),
             };
             return vec![
                 (Event::Limits(limits), pause),
--- a/tests/large_listings.rs
+++ b/tests/large_listings.rs
@@ -12,9 +12,9 @@
 use googletest::prelude::*;
 use serde_json::json;
 use tokio::time::{sleep, timeout};
-use users_platform::Fleet;
 use users_platform::caller::request;
 use users_platform::store::{Limits, Mode};
+use users_platform::{Fleet, eventually};
 
 /// Time within which all VMs serve again once they run, on the smallest deployment of the platform (`RecoverS`).
 const RECOVER_TIME: Duration = Duration::from_secs(12);
@@ -40,6 +40,7 @@
     reads_per_s: None,
     lose_each: None,
     page_delay: Duration::ZERO,
+    watch_delay: Duration::ZERO,
 };
 
 const FAULTS: [Fault; 6] = [
@@ -272,6 +273,41 @@
     }
 }
 
+/// Guards against a VM that takes a part of a listing for the whole: another VM sends its state while the changes since a
+/// slow listing are asked for.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_state_that_arrives_during_the_last_check_of_a_listing_costs_no_endpoint() {
+    if std::env::var_os("LARGE_LISTINGS").is_some() {
+        return;
+    }
+    let mut fleet = Fleet::start(3).await;
+    fleet.vms.iter_mut().for_each(|vm| vm.kill());
+    // A listing then takes so long that its last step is a check.
+    fleet.store.set_limits(Limits {
+        page_delay: Duration::from_millis(350),
+        watch_delay: Duration::from_millis(850),
+        ..Limits::default()
+    });
+    // After a call in vain a VM asks the others, and is behind them with its listing.
+    let late = fleet.vms[0].ip.into();
+    let calls = fleet.store.calls_of(late);
+    fleet.store.set_mode_for(late, Mode::Reset);
+    fleet.vms.iter_mut().for_each(|vm| vm.start());
+    eventually("a call in vain", || async {
+        fleet.store.calls_of(late) > calls
+    })
+    .await;
+    fleet.store.set_mode_for(late, Mode::Up);
+    sleep(COUNTED_TIME).await;
+    for number in 0..10 {
+        let id = format!("after-{number}");
+        let answer = request(fleet.vms[0].caller_address(), "/look/x", &id, "key-1").await;
+        let status = answer.map(|answer| answer.status);
+        expect_that!(status, some(eq(200)), "request {number} after the start");
+    }
+}
+
 /// The same for more VMs than may list the store at this limit, while pages are lost too.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/users_platform/store.rs
+++ b/tests/users_platform/store.rs
@@ -59,6 +59,8 @@
     pub lose_each: Option<usize>,
     /// Time that each page takes.
     pub page_delay: Duration,
+    /// Time that each watch and check takes besides.
+    pub watch_delay: Duration,
 }
 
 impl Default for Limits {
@@ -68,6 +70,7 @@
             reads_per_s: None,
             lose_each: None,
             page_delay: Duration::ZERO,
+            watch_delay: Duration::ZERO,
         }
     }
 }
@@ -477,7 +480,11 @@
             prefix,
             after,
             wait,
-        }) => watch(&state, &changed, from, &prefix, after, wait).await,
+        }) => {
+            let delay = state.lock().limits.watch_delay;
+            tokio::time::sleep(delay).await;
+            watch(&state, &changed, from, &prefix, after, wait).await
+        }
         Err(status) => {
             if status == StatusCode::BAD_REQUEST {
                 let path = request.uri().to_string();
