fix(peers): a call without a number is not taken; fix(store): a listing that gives way is no loss of the store

One of its random frames is a stage job without a call number. Frames without one have no answer and run to their end, so that neither a cancellation nor the end of the connection ended the job; no endpoint had room for its results, and 1,500 items stood in the queue of the group until a deadline in the far future. Whether the job was taken depended on whether the VM knew the groups when it came. No VM of a fleet sends such a frame. By review: a listing whose pages were dropped since the VM got the state of another one counted as a loss of the store, and a VM with an empty log could pass on its word (each by reading, no test).

Change: a call without a number is dropped and logged. Pages that came are counted themselves, not by what is left of the listing. A word without a position counts as none. The test of malformed messages waits until its frames are read and until what endpoints still run has ended, at most 3 s, before its 20 strict requests: proper jobs among its frames are load like any other.

--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -436,6 +436,7 @@
                 return;
             }
         };
+        let kind = frame.kind();
         match frame.body {
             Some(Body::Cancel(_)) => drop(running.remove(&frame.call)),
             Some(Body::Ping(_)) => {
@@ -445,6 +446,10 @@
                 };
                 let _ = answers.try_send(pong);
             }
+            // Nobody could cancel it, and nothing would end it with its connection.
+            Some(body) if frame.call == 0 && body.is_call() => {
+                warn!(logger, "peers: a call has no number"; "kind" => kind);
+            }
             Some(body) => {
                 let answer = handle(body);
                 let answers = answers.clone();
--- a/src/fleet/store_follow.rs
+++ b/src/fleet/store_follow.rs
@@ -703,7 +703,9 @@
             Some(offset_ms) => Some(offset_by(called_at, offset_ms)),
             None => news.is_current.then_some(now),
         };
-        let Some(word_at) = word_at.filter(|_| position.era >= own.era) else {
+        // A VM that has lost its log has nothing to pass on yet, whatever its word.
+        let knows_store = position != StorePosition::default();
+        let Some(word_at) = word_at.filter(|_| knows_store && position.era >= own.era) else {
             self.heard_of_loss |= news.has_lost_store;
             self.source.on_source_word(now, ip, called_at, word(false));
             self.report(
--- a/src/fleet/store_listing.rs
+++ b/src/fleet/store_listing.rs
@@ -3,6 +3,7 @@
 //! A listing outlives the calls that bring its pages. When a page fails, the next call goes on from the pages that are
 //! there, as soon as `store_source` plans it (`docs/platform.md`, "Listings").
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -120,6 +121,11 @@
         }
     }
 
+    /// Returns whether the store answered the call all the same.
+    fn is_answered(&self) -> bool {
+        matches!(self, Self::Overtaken | Self::HistoryLost)
+    }
+
     /// Returns whether the store refused a call for its rate limit.
     fn is_refusal(&self) -> bool {
         matches!(
@@ -133,7 +139,7 @@
 #[derive(Debug, Error)]
 #[error("{error}")]
 pub(super) struct IncompleteListing {
-    /// Whether it brought a page.
+    /// Whether it brought a page, or the store answered its last check.
     pub(super) has_progressed: bool,
     /// Whether the store refused it for its rate limit.
     pub(super) is_refused: bool,
@@ -153,14 +159,15 @@
 ) -> Result<Listed, IncompleteListing> {
     metric::store_called("list");
     let known = control.store.lock().position;
-    let (pages_before, is_limited) = {
+    let is_limited = {
         let mut listing = control.listing.lock();
         if !listing.is_fresh(clock::now(), known) {
             *listing = FullListing::default();
         }
-        (listing.pages(), listing.is_limited)
+        listing.is_limited
     };
-    let list_part = |part| list_part(control, client, part, known);
+    let added_pages = AtomicUsize::new(0);
+    let list_part = |part| list_part(control, client, part, known, &added_pages);
     let (operator, endpoints) = if is_limited {
         let operator = list_part(Part::Operator).await;
         match operator {
@@ -187,7 +194,7 @@
         listing.is_limited |= is_refused;
         report_fault(control, &listing, known, &error);
         IncompleteListing {
-            has_progressed: listing.pages() > pages_before,
+            has_progressed: added_pages.load(Ordering::Relaxed) > 0 || error.is_answered(),
             is_refused,
             error,
         }
@@ -195,11 +202,13 @@
 }
 
 /// Asks for pages until there are no more, one fails, or this VM, which knew nothing, has the state of another one.
+/// `added_pages` counts those that came.
 async fn list_part(
     control: &Control,
     client: StoreClient,
     part: Part,
     known: StorePosition,
+    added_pages: &AtomicUsize,
 ) -> Result<(), PageFault> {
     loop {
         if known == StorePosition::default() && control.store.lock().position != known {
@@ -238,6 +247,7 @@
         };
         let mut listing = control.listing.lock();
         listing.part(part).add(asked_at, after.as_deref(), page)?;
+        added_pages.fetch_add(1, Ordering::Relaxed);
         if let Some((listed, _)) = listing.part(part).first() {
             check_age(listed, known)?;
         }
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -304,6 +304,16 @@
     }
 }
 
+impl Body {
+    /// Returns whether this is a call, which the other VM answers.
+    pub fn is_call(&self) -> bool {
+        matches!(
+            self,
+            Self::StageJob(_) | Self::StateRequest(_) | Self::ListenToStore(_)
+        )
+    }
+}
+
 /// Content of a [`Frame`].
 #[derive(Clone, PartialEq, Oneof)]
 pub enum Body {
--- a/tests/large_listings.rs
+++ b/tests/large_listings.rs
@@ -14,7 +14,7 @@
 use tokio::time::{sleep, timeout};
 use users_platform::caller::request;
 use users_platform::store::{Limits, Mode};
-use users_platform::{Fleet, eventually};
+use users_platform::{Fleet, eventually, within};
 
 /// Time within which all VMs serve again once they run, on the smallest deployment of the platform (`RecoverS`).
 const RECOVER_TIME: Duration = Duration::from_secs(12);
@@ -299,7 +299,15 @@
     })
     .await;
     fleet.store.set_mode_for(late, Mode::Up);
+    // A VM that has lost its endpoints serves before that, and never again.
     sleep(COUNTED_TIME).await;
+    let started = Instant::now();
+    let is_served = || async {
+        let id = format!("wait-{}", started.elapsed().as_micros());
+        let answer = request(fleet.vms[0].caller_address(), "/look/x", &id, "key-1").await;
+        answer.is_some_and(|answer| answer.status == 200)
+    };
+    within("the VM serves", RECOVER_TIME, is_served).await;
     for number in 0..10 {
         let id = format!("after-{number}");
         let answer = request(fleet.vms[0].caller_address(), "/look/x", &id, "key-1").await;
--- a/tests/malformed_messages.rs
+++ b/tests/malformed_messages.rs
@@ -31,10 +31,11 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, o};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
+use tokio::task::JoinSet;
 use users_platform::caller::request;
-use users_platform::{Fleet, eventually};
+use users_platform::{Fleet, eventually, within};
 
 fn number_from_env(name: &str, default: u64) -> u64 {
     let text = std::env::var(name).ok();
@@ -359,6 +360,7 @@
         };
         let _ = socket.send_to(&datagram, (vm, gossip_port)).await;
     }
+    let mut connections = JoinSet::new();
     for _ in 0..40 {
         let mut stream = TcpStream::connect((vm, peer_port)).await.unwrap();
         for _ in 0..50 {
@@ -377,9 +379,24 @@
                 break;
             }
         }
+        connections.spawn(async move {
+            let _ = stream.shutdown().await;
+            stream.read_to_end(&mut Vec::new()).await
+        });
     }
+    // Some frames are proper jobs, which compete with requests. The VM has read all of them once it has closed the
+    // connections, and what it has passed on to endpoints ends soon.
+    let closed = tokio::time::timeout(Duration::from_secs(10), connections.join_all()).await;
+    expect_that!(closed.is_ok(), eq(true), "the VM closes the connections");
     let vm = &fleet.vms[0];
     eventually("the VM is ready", || vm.is_ready()).await;
+    let tries = AtomicU32::new(0);
+    let is_served = || async {
+        let id = format!("try-{}", tries.fetch_add(1, Ordering::Relaxed));
+        let answer = request(vm.caller_address(), "/stream/x", &id, "key-1").await;
+        answer.is_some_and(|answer| answer.status == 200)
+    };
+    within("the VM serves", Duration::from_secs(3), is_served).await;
     for number in 0..20 {
         let id = format!("r-{number}");
         let answer = request(vm.caller_address(), "/stream/x", &id, "key-1").await;
@@ -398,6 +415,51 @@
     eventually("the other VMs still name the VM", names_all).await;
 }
 
+/// Guards against a call without a number, which no cancellation and no end of its connection would end: a stage job that no
+/// endpoint has room for would fill the queue of its group until its deadline.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_without_a_number_is_not_taken() {
+    let fleet = Fleet::start(3).await;
+    let serves = |vm: usize, id: String| {
+        let address = fleet.vms[vm].caller_address();
+        async move {
+            let answer = request(address, "/stream/x", &id, "key-1").await;
+            answer.is_some_and(|answer| answer.status == 200)
+        }
+    };
+    for vm in 0..fleet.vms.len() {
+        let served = || serves(vm, format!("before-{vm}"));
+        eventually("a VM serves", served).await;
+        let job = Body::StageJob(StageJob {
+            service: "first".to_owned(),
+            request: "r-1".to_owned(),
+            items: 1_500,
+            key: Some("key".to_owned()),
+            due_ms: 1,
+            deadline_ms: u64::MAX / 2,
+            result_bytes: u64::MAX / 2,
+            group: Some("first@#0".to_owned()),
+            ..StageJob::default()
+        });
+        for call in [0, 1] {
+            let body = Some(job.clone());
+            let frame = Frame { call, body }.encode_to_vec();
+            let message = [&(frame.len() as u32).to_be_bytes(), &*frame].concat();
+            let mut stream = TcpStream::connect((fleet.vms[vm].ip, 7_741)).await.unwrap();
+            stream.write_all(&message).await.unwrap();
+            // Once it has closed the connection, the VM has read the frame and ended the calls that have a number.
+            stream.shutdown().await.unwrap();
+            let _ = stream.read_to_end(&mut Vec::new()).await;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        for number in 0..5 {
+            let is_served = serves(vm, format!("after-{vm}-{number}")).await;
+            expect_that!(is_served, eq(true), "VM {vm}, request {number}");
+        }
+    }
+}
+
 /// A task that panics starts again, so that for example a VM does not stop following the store.
 #[gtest]
 #[tokio::test]
