refactor(store_source): one name for the time until which a refused VM makes no call

Cause: two places put the same two times together, and constants that were added between others left "The same for a deputy" speaking of another one. Change: one function; the constants of how long sources have to answer stand together, and each comment reads alone. Behaviour is the same. Result: formatter and linter clean; fleet_rules 152 and store_fuzz 20 tests held.

--- a/src/decisions/store_source.rs
+++ b/src/decisions/store_source.rs
@@ -25,10 +25,12 @@
 pub const DOUBT_AGE: Duration = Duration::from_millis(900);
 /// Time that all sources have to answer before a VM asks the store itself.
 const SOURCES_TIMEOUT: Duration = Duration::from_millis(300);
-/// The same for a VM that has just started: its whole fleet may start, and the relays have to list the store first.
+/// Time that all sources of a deputy have to answer, for whose word the others wait.
+const DEPUTY_SOURCES_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time that all sources of a VM have to answer that has just started: its whole fleet may start, and the relays have to list
+/// the store first.
 const START_SOURCES_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// The same for a VM that has just started while a source lists the store; the last VMs of a fleet wait longer, by
-/// [`FLEET_CALLS_PER_S`].
+/// Time that they have while one of them lists the store; the last VMs of a fleet wait longer, by [`FLEET_CALLS_PER_S`].
 const LISTING_SOURCES_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Time from its first refusal for which a VM leaves its listing to one before it, in addition to the spread over the fleet.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(8_000);
@@ -37,8 +39,6 @@
 const PAGE_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Time for which a source that listed the store is taken to go on.
 const LISTING_PERIOD: Duration = Duration::from_millis(1_000);
-/// The same for a deputy, for whose word the others wait.
-const DEPUTY_SOURCES_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time over which the VMs of a fleet spread their own calls.
 const OWN_CALL_SPREAD: Duration = Duration::from_millis(350);
 /// Largest age of a VM's word when it asks the store itself at the latest, however many sources do not answer.
@@ -225,7 +225,7 @@
         self.listers_heard_at
             .retain(|_, heard_at| now.since(*heard_at) < LISTING_PERIOD);
         self.leaves_until = self.leaves_until(now, order).unwrap_or(Time::ZERO);
-        let refused_until = self.refused_until.max(self.leaves_until);
+        let refused_until = self.refused_or_leaves_until();
         let mut doubt_at = word_at.map_or(self.started_at, |at| at + DOUBT_AGE);
         if order.role == Role::Direct && self.knows_store {
             // Its own watch brings the changes, and nobody else depends on it.
@@ -377,7 +377,7 @@
             Some(at) if role == Role::Deputy => self.retry_at.max(at + MIN_DEPUTY_PAUSE),
             _ => self.retry_at,
         };
-        let retry_at = retry_at.max(self.refused_until).max(self.leaves_until);
+        let retry_at = retry_at.max(self.refused_or_leaves_until());
         if now < retry_at {
             *next_at = (*next_at).min(retry_at);
             return None;
@@ -398,6 +398,12 @@
         }
     }
 
+    /// Returns until when a VM whose listing was refused makes no call: for its own pause, and while it leaves the listing to
+    /// another one.
+    fn refused_or_leaves_until(&self) -> Time {
+        self.refused_until.max(self.leaves_until)
+    }
+
     /// Returns until when a VM whose listing was refused leaves it to one before it that lists, unless it hears more.
     fn leaves_until(&self, now: Time, order: &SourceOrder) -> Option<Time> {
         let spread = fleet_interval(order).mul_f64(order.share);
