fix(control): a name that cannot be read costs its part of a message only

What callers saw: nothing in a fleet of one build. A VM of an earlier build beside one that names an endpoint in a way it cannot read (own edge) lost all grants, load reports and cold notices behind that name, in each message.

Cause: the names of a message were read one by one while it was applied, and the first that could not be read ended the message and closed the connection; each later message met the same name.

Change: grants, recalls, demands, load reports and cold notices with such a name are left out and counted (`primrosewalk_control_unreadable_parts_total`). Sender, votes and lists are read before anything is applied, and refuse the message whole as before, since a vote or lease must not come from a part of it.

Test: an_odd_name_in_a_message, with five odd names before, around and behind a sound one. Grants and recalls share the code and have no test of their own.

--- a/src/control/messages.rs
+++ b/src/control/messages.rs
@@ -9,7 +9,9 @@
 use crate::clock;
 use crate::control::state::{Control, ControlState, PeerAddresses};
 use crate::decisions::placement::FencingNumber;
-use crate::peer::message::{MessageError, StateMessage, WireAcknowledgement, WireColdNotice};
+use crate::peer::message::{
+    MessageError, StateMessage, WireAcknowledgement, WireColdNotice, readable,
+};
 use crate::units::{EndpointName, Incarnation, Time, Version, VmId};
 
 /// Time without a message from a peer after which messages to it carry this VM's address. A peer
@@ -76,11 +78,11 @@
         message
     }
 
-    /// Handles a message from a peer.
+    /// Handles a message from a peer. Parts that name an endpoint which this build cannot read are left out.
     ///
     /// # Errors
     ///
-    /// Returns why the message is not valid. The caller then closes the connection.
+    /// Returns why the message is not valid, before anything of it is applied. The caller then closes the connection.
     pub fn handle_message(self: &Rc<Self>, message: &StateMessage) -> Result<(), MessageError> {
         let vm: VmId = message.sender.parse()?;
         let me = &self.context.vm;
@@ -110,11 +112,11 @@
         if let Some(peer) = state.peers.get_mut(&vm) {
             peer.acknowledgement = Some(acknowledgement);
         }
-        state.handle_answers(now, &vm, message, self.context.incarnation)?;
-        state.handle_reports(now, &vm, message)?;
-        let newly_cold = state.handle_cold_notices(now, &vm, message)?;
-        for wire in &message.loads {
-            let (endpoint, load) = wire.load(now)?;
+        state.handle_answers(now, &vm, message, self.context.incarnation);
+        state.handle_reports(now, &vm, message);
+        let newly_cold = state.handle_cold_notices(now, &vm, message);
+        let loads = message.loads.iter().map(|wire| wire.load(now));
+        for (endpoint, load) in loads.filter_map(readable) {
             if state.manifest_names(&endpoint) {
                 state.loads.insert(endpoint, load);
             }
@@ -247,7 +249,7 @@
         now: Time,
         vm: &VmId,
         message: &StateMessage,
-    ) -> Result<Vec<EndpointName>, MessageError> {
+    ) -> Vec<EndpointName> {
         let last_handled = self.peers.get(vm).map_or(0, |peer| peer.last_cold_notice);
         let mut highest = last_handled;
         let mut newly_cold = Vec::new();
@@ -257,7 +259,9 @@
             .filter(|notice| notice.number > last_handled)
         {
             highest = highest.max(notice.number);
-            let endpoint: EndpointName = notice.endpoint.parse()?;
+            let Some(endpoint) = readable(notice.endpoint.parse()) else {
+                continue;
+            };
             if self.manifest_names(&endpoint) && self.record_cold_sign(now, &endpoint) {
                 newly_cold.push(endpoint);
             }
@@ -265,6 +269,6 @@
         if let Some(peer) = self.peers.get_mut(vm) {
             peer.last_cold_notice = highest;
         }
-        Ok(newly_cold)
+        newly_cold
     }
 }
--- a/src/control/slot_messages.rs
+++ b/src/control/slot_messages.rs
@@ -6,7 +6,7 @@
 use crate::blackboard::SlotDemand;
 use crate::control::state::ControlState;
 use crate::decisions::slots::SlotUpdate;
-use crate::peer::message::{MessageError, StateMessage, WireDemand, WireGrant, WireLoad};
+use crate::peer::message::{StateMessage, WireDemand, WireGrant, WireLoad, readable};
 use crate::units::{EndpointName, Incarnation, Time, VmId};
 
 /// Time for which a peer gets the load reports of an endpoint after it last used the endpoint.
@@ -57,43 +57,30 @@
 
     /// Handles the answers and recalls from an allocator, unless they are for an earlier
     /// incarnation of this VM.
-    ///
-    /// # Errors
-    ///
-    /// Returns the first name that is not valid.
     pub fn handle_answers(
         &mut self,
         now: Time,
         vm: &VmId,
         message: &StateMessage,
         me: Incarnation,
-    ) -> Result<(), MessageError> {
+    ) {
         if message.grants_answer_incarnation != me.0 {
-            return Ok(());
+            return;
         }
-        for wire in &message.grants {
-            let (endpoint, answer) = wire.answer(message)?;
+        let answers = message.grants.iter().map(|wire| wire.answer(message));
+        for (endpoint, answer) in answers.filter_map(readable) {
             self.handle_answer(now, vm, &endpoint, &answer);
         }
-        for recall in &message.recalls {
-            self.handle_recall(now, vm, &recall.parse()?);
+        let recalls = message.recalls.iter().map(|endpoint| endpoint.parse());
+        for endpoint in recalls.filter_map(readable) {
+            self.handle_recall(now, vm, &endpoint);
         }
-        Ok(())
     }
 
     /// Handles the slot reports of `vm`, with their totals of completed attempts, as the allocator.
-    ///
-    /// # Errors
-    ///
-    /// Returns the first name that is not valid.
-    pub fn handle_reports(
-        &mut self,
-        now: Time,
-        vm: &VmId,
-        message: &StateMessage,
-    ) -> Result<(), MessageError> {
-        for wire in &message.demands {
-            let (endpoint, report) = wire.report(message)?;
+    pub fn handle_reports(&mut self, now: Time, vm: &VmId, message: &StateMessage) {
+        let reports = message.demands.iter().map(|wire| wire.report(message));
+        for (endpoint, report) in reports.filter_map(readable) {
             if !self.allocates(now, &endpoint) {
                 continue;
             }
@@ -108,7 +95,6 @@
             }
             self.send_due_updates(now, &endpoint);
         }
-        Ok(())
     }
 
     /// Returns the load reports of the endpoints that a peer uses, except those sent to it before.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use metrics::counter;
 use prost::Message;
 use thiserror::Error;
 
@@ -221,6 +222,15 @@
     Name(#[from] ParseError),
 }
 
+/// Returns a part of a message, unless it has a name that this build cannot read, as one of a later build may have. Such
+/// parts are counted.
+pub fn readable<T, E>(part: Result<T, E>) -> Option<T> {
+    if part.is_err() {
+        counter!("primrosewalk_control_unreadable_parts_total").increment(1);
+    }
+    part.ok()
+}
+
 impl StateMessage {
     /// Returns the heartbeat that the message carries.
     pub fn heartbeat(&self) -> Heartbeat {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,7 +4,8 @@
 mod control_fakes;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,8 +17,12 @@
 use primrosewalk::decisions::ownership_keys::{endpoint_key, organisation_key};
 use primrosewalk::decisions::rendezvous::rendezvous_order;
 use primrosewalk::manifest::{ManifestIndex, PartReference, VmState, part_digest};
+use primrosewalk::peer::message::{
+    StateMessage, WireAcknowledgement, WireColdNotice, WireDemand, WireLoad,
+};
 use primrosewalk::settings::QuotaMode;
 use primrosewalk::units::{EndpointName, OrganisationName, Version, VmId};
+use prost::Message;
 use tokio::sync::oneshot;
 
 /// Address at which nothing listens.
@@ -314,6 +319,118 @@
     vms.iter_mut().for_each(FakeVm::end);
 }
 
+/// Sends a state message on a connection.
+fn send_state(connection: &mut TcpStream, message: &StateMessage) {
+    let bytes = message.encode_to_vec();
+    let length = u32::try_from(bytes.len()).unwrap();
+    connection.write_all(&length.to_be_bytes()).unwrap();
+    connection.write_all(&bytes).unwrap();
+}
+
+/// Guards against one name of a message, such as one of a later build, that costs the parts after it, or the connection.
+#[gtest]
+fn an_odd_name_in_a_message_of_a_vm_costs_only_its_part() {
+    const ODD: [&str; 5] = ["", "a b", "e-1%", "e&b=+#", "\u{e9}"];
+    let platform = FakePlatform::start();
+    let (mut vm, sender) = (FakeVm::bind("vm-1"), FakeVm::bind("vm-2"));
+    platform.publish_vms(1, &[&vm, &sender]);
+    platform.publish_manifest(1, &manifest_part(unused_address(), &["o-1"], 10.0));
+    vm.start(&platform);
+    vm.wait_for_manifest(1);
+    let address = vm.entry["peer_state_address"].as_str().unwrap();
+    let mut connection = TcpStream::connect(address).unwrap();
+    let mut sequence = 0;
+    for round in 1..=3_u32 {
+        let names = |place: usize| {
+            let mut names = ODD.to_vec();
+            names.insert(place, "e-1");
+            names.into_iter().map(str::to_owned)
+        };
+        let place = [0, 2, ODD.len()][round as usize - 1];
+        let endpoint: EndpointName = "e-1".parse().unwrap();
+        wait_for("the load of the endpoint", || {
+            sequence += 1;
+            let load = |endpoint| WireLoad {
+                endpoint,
+                running: round,
+                ..WireLoad::default()
+            };
+            let notice = |endpoint| WireColdNotice {
+                endpoint,
+                number: u64::from(round),
+            };
+            let message = StateMessage {
+                sender: "vm-2".to_owned(),
+                recipient: "vm-1".to_owned(),
+                incarnation: 7,
+                sequence,
+                demands: names(place)
+                    .map(|endpoint| WireDemand {
+                        endpoint,
+                        ..WireDemand::default()
+                    })
+                    .collect(),
+                loads: names(place).map(load).collect(),
+                cold_notices: names(place).map(notice).collect(),
+                ..StateMessage::default()
+            };
+            send_state(&mut connection, &message);
+            let snapshot = vm.snapshot();
+            let load = snapshot.loads.get(&endpoint);
+            load.is_some_and(|load| load.running == round)
+        });
+    }
+    expect_that!(vm.lines.count("slots: e-1 is cold"), ge(1));
+    vm.end();
+}
+
+/// Guards against votes and leases that are taken from a part of a message.
+#[gtest]
+fn a_message_with_an_odd_vote_is_refused_before_anything_of_it_is_applied() {
+    let platform = FakePlatform::start();
+    let (mut vm, sender) = (FakeVm::bind("vm-1"), FakeVm::bind("vm-2"));
+    platform.publish_vms(1, &[&vm, &sender]);
+    platform.publish_manifest(1, &manifest_part(unused_address(), &["o-1"], 10.0));
+    vm.start(&platform);
+    vm.wait_for_manifest(1);
+    let address = vm.entry["peer_state_address"].as_str().unwrap();
+    let load = |running| WireLoad {
+        endpoint: "e-1".to_owned(),
+        running,
+        ..WireLoad::default()
+    };
+    let message = |sequence, running, absence_votes| StateMessage {
+        sender: "vm-2".to_owned(),
+        recipient: "vm-1".to_owned(),
+        incarnation: 7,
+        sequence,
+        loads: vec![load(running)],
+        acknowledgement: Some(WireAcknowledgement {
+            absence_votes,
+            ..WireAcknowledgement::default()
+        }),
+        ..StateMessage::default()
+    };
+    let mut connection = TcpStream::connect(address).unwrap();
+    send_state(
+        &mut connection,
+        &message(1, 9, vec!["vm-3".to_owned(), "vm 3%".to_owned()]),
+    );
+    let closed = connection.read(&mut [0]);
+    expect_that!(closed.unwrap_or_default(), eq(0));
+    let endpoint: EndpointName = "e-1".parse().unwrap();
+    expect_that!(vm.snapshot().loads.get(&endpoint).is_none(), eq(true));
+    // The same sequence is taken, since the message before it left nothing.
+    let mut connection = TcpStream::connect(address).unwrap();
+    send_state(&mut connection, &message(1, 3, vec!["vm-3".to_owned()]));
+    wait_for("the load of the endpoint", || {
+        let snapshot = vm.snapshot();
+        let load = snapshot.loads.get(&endpoint);
+        load.is_some_and(|load| load.running == 3)
+    });
+    vm.end();
+}
+
 #[gtest]
 fn a_planned_stop_is_announced_to_peers_and_control_serves_until_traffic_ends() {
     let platform = FakePlatform::start();
