fix(caller): a stage key that is no text is refused

Cause: a header that cannot be read was taken for a missing one, and a missing key was sent as an empty one.

Change: on a route with stages such a request gets 400, before anything of it is sent. Where no stage needs the key, it is served as before.

Test: odd_headers, 24 odd headers of a caller, each followed by a sound request, and 21 odd headers in all answers of endpoints, also of those that refuse. Without the change one case failed (status 200, five calls reached endpoints); the others, ids, keys, prompt parts, numbers, loads and `Retry-After` among them, held already and are kept. `Retry-After` stands in few refusals only, as repeats come from a budget. Result: odd_headers 2, odd_parts 10, platform_decoders 12 tests held.

--- a/src/fleet/admission.rs
+++ b/src/fleet/admission.rs
@@ -204,6 +204,10 @@
         let reply = reply::text(StatusCode::BAD_REQUEST, "the request has no id");
         return Err(RequestEnd::new(reply, "no id"));
     }
+    if caller.is_stage_key_unreadable && !route.stages.is_empty() {
+        let reply = reply::text(StatusCode::BAD_REQUEST, "the key of the items is no UTF-8");
+        return Err(RequestEnd::new(reply, "unreadable stage key"));
+    }
     let Some(service) = pick_service(route, &caller.id) else {
         let reply = reply::not_run("the route has no service", NO_SERVICE_RETRY_AFTER);
         return Err(RequestEnd::new(reply, "no service"));
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -8,6 +8,9 @@
 use crate::decisions::generation_times::ExpectedTokens;
 use crate::units::PartId;
 
+/// Header with the key of the items of a request.
+const STAGE_KEY: &str = "piece-key";
+
 /// One part of a prompt, which requests may have in common.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -41,6 +44,8 @@
     pub stage_item_counts: SmallVec<[u32; 4]>,
     /// Key that is sent with items of stages without predecessors, in place of inputs.
     pub stage_key: Option<String>,
+    /// Whether the caller has sent such a key that is no text, so that no item can be sent with it.
+    pub is_stage_key_unreadable: bool,
 }
 
 impl CallerRequest {
@@ -102,7 +107,8 @@
         length_hint: text("length-hint").and_then(|value| value.trim().parse().ok()),
         last_event: text("last-event-id").and_then(|value| value.trim().parse().ok()),
         stage_item_counts,
-        stage_key: text("piece-key").map(str::to_owned),
+        stage_key: text(STAGE_KEY).map(str::to_owned),
+        is_stage_key_unreadable: headers.contains_key(STAGE_KEY) && text(STAGE_KEY).is_none(),
     }
 }
 
