test(odd_entries): a page without keys costs no VM beside others, and is reported

A page of which no item has a readable key gives no place to go on from, and the store has no other way to its successors.

--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -13,7 +13,7 @@
 use users_platform::caller::request;
 use users_platform::odd_items::pages_of_listing;
 use users_platform::store::Limits;
-use users_platform::{Fleet, within};
+use users_platform::{Fleet, Vm, within};
 
 /// Time within which VMs serve again once they run, on the smallest deployment of the platform (`RecoverS`).
 const RECOVER_TIME: Duration = Duration::from_secs(12);
@@ -48,6 +48,8 @@
     "\u{0}",
     "../x",
 ];
+/// Shortest pause after a listing that failed (`docs/platform.md`, "Listings").
+const MIN_LISTING_PAUSE: Duration = Duration::from_millis(200);
 /// Number of fleets that run at a time.
 const FLEETS: usize = 3;
 const VMS: usize = 3;
@@ -340,3 +342,41 @@
         }
     }
 }
+
+/// A page without a key gives no place to go on from. Guards against one that costs VMs which run, or one that starts beside
+/// them, and against a fleet that starts and does not say what keeps it from serving.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_page_without_keys_costs_no_vm_beside_others_and_is_reported() {
+    const LISTING_ERROR: &str = "a listing cannot be completed";
+    const KEYLESS: &str = "servers/a";
+    let mut fleet = Fleet::start(VMS).await;
+    fleet.store.set_limits(Limits {
+        page_items: 1,
+        ..Limits::default()
+    });
+    fleet.store.put_wire(KEYLESS, |revision| {
+        format!(r#"{{"Value":"e30=","Revision":{revision}}}"#)
+    });
+    wait_until_served(&fleet, "VMs that run").await;
+    fleet.vms[0].kill();
+    fleet.vms[0].start();
+    wait_until_served(&fleet, "a VM that starts beside others").await;
+    let reports = |vm: &Vm| vm.log().matches(LISTING_ERROR).count();
+    let reports_before: Vec<usize> = fleet.vms.iter().map(reports).collect();
+    let calls_before = fleet.store.call_count();
+    restart_all(&mut fleet);
+    let started = Instant::now();
+    for (vm, before) in fleet.vms.iter().zip(reports_before) {
+        let is_reported = || async { reports(vm) > before };
+        within("the listing is reported", RECOVER_TIME, is_reported).await;
+    }
+    sleep(Duration::from_secs(2)).await;
+    let calls = fleet.store.call_count() - calls_before;
+    let max_tries = started.elapsed().as_millis() / MIN_LISTING_PAUSE.as_millis() + 1;
+    // A try asks for a page of each list.
+    let max_calls = VMS as u64 * max_tries as u64 * 2;
+    expect_that!(calls, le(max_calls), "calls beside a page without keys");
+    fleet.store.delete(KEYLESS);
+    wait_until_served(&fleet, "once the item is gone").await;
+}
