fix(loads): a load report from a former address counts no more

What callers saw: nothing certain. For up to half a second after the manifest has moved an endpoint (own edge), slots and placement went by the load of whatever runs at its former address, and by the last one from there until the next read.

Cause: reports were kept by the name of the endpoint alone, while they are asked for at an address.

Change: a report counts only if the manifest in force names the endpoint at the address from which it was asked, and loads of endpoints that a manifest moves are dropped.

Test: the_load_at_a_former_address, with reads that wait at the former address while the manifest changes, and with one read before. Not covered: a load that another VM, still on the former manifest, passes on by name.

--- a/src/control/loads.rs
+++ b/src/control/loads.rs
@@ -20,7 +20,7 @@
 use crate::decisions::ownership_keys::PLACEMENT_KEY;
 use crate::decisions::placement::EngineReport;
 use crate::manifest::StageKind;
-use crate::units::{EndpointName, ModelName};
+use crate::units::{EndpointName, ModelName, Time};
 
 /// Settings of load reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,7 +129,7 @@
             Err(error) => Err(error.to_string()),
         };
         match report {
-            Ok(report) => handle_load_report(&control, &endpoint, asked_at, report),
+            Ok(report) => handle_load_report(&control, &endpoint, address, asked_at, report),
             Err(error) => {
                 counter!("primrosewalk_control_load_failures_total").increment(1);
                 debug!(
@@ -141,12 +141,18 @@
     }
 }
 
+/// Handles a report that was asked for at `read_at` from `address`. Another endpoint may run there if the manifest has moved
+/// this one meanwhile.
 fn handle_load_report(
     control: &Control,
     endpoint: &EndpointName,
-    read_at: crate::units::Time,
+    address: SocketAddr,
+    read_at: Time,
     report: LoadReport,
 ) {
+    if !control.state.borrow().is_at(endpoint, address) {
+        return;
+    }
     let cold = report.state == ReportedState::Cold;
     let load = EndpointLoad {
         read_at,
--- a/src/control/slots.rs
+++ b/src/control/slots.rs
@@ -5,6 +5,7 @@
 //! answers are passed by function calls.
 
 use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use slog::info;
@@ -106,6 +107,13 @@
         catalogue.is_some_and(|catalogue| catalogue.endpoint(endpoint).is_some())
     }
 
+    /// Returns whether the manifest in force names an endpoint at an address.
+    pub fn is_at(&self, endpoint: &EndpointName, address: SocketAddr) -> bool {
+        let catalogue = self.catalogue.as_ref();
+        let entry = catalogue.and_then(|catalogue| catalogue.endpoint(endpoint));
+        entry.is_some_and(|entry| entry.address == address)
+    }
+
     /// Returns the allocator of an endpoint, which divides its slots among the VMs.
     pub fn allocator_of(&mut self, now: Time, endpoint: &EndpointName) -> Option<VmId> {
         if let Some(vm) = self.allocator_cache.get(endpoint) {
@@ -295,11 +303,17 @@
         }
     }
 
-    /// Drops all state of endpoints that the `next` catalogue no longer names.
+    /// Drops all state of endpoints that the `next` catalogue no longer names, and the loads of those that it moves.
     pub fn forget_endpoints(&mut self, next: &Catalogue) {
         let keep = |endpoint: &EndpointName| next.endpoint(endpoint).is_some();
+        let former = self.catalogue.clone();
+        let stays = |endpoint: &EndpointName| {
+            let address_in = |catalogue: &Catalogue| Some(catalogue.endpoint(endpoint)?.address);
+            former.as_deref().and_then(address_in) == address_in(next)
+        };
+        self.loads
+            .retain(|endpoint, _| keep(endpoint) && stays(endpoint));
         self.demands.retain(|endpoint, _| keep(endpoint));
-        self.loads.retain(|endpoint, _| keep(endpoint));
         self.allocator_cache.retain(|endpoint, _| keep(endpoint));
         self.logged_slots.retain(|endpoint, _| keep(endpoint));
         self.cold_signs.retain(keep);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -6,7 +6,9 @@
 use std::collections::HashMap;
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use control_fakes::{FakePlatform, FakeVm, manifest_part, serve_http, wait_for};
@@ -28,6 +30,9 @@
 /// Address at which nothing listens.
 const UNUSED_ADDRESS: &str = "127.0.0.1:9";
 
+/// Time after which a read of a load has ended, and the next one of its endpoint has begun.
+const LOAD_READ_TIME: Duration = Duration::from_millis(600);
+
 fn unused_address() -> SocketAddr {
     UNUSED_ADDRESS.parse().unwrap()
 }
@@ -431,6 +436,88 @@
     vm.end();
 }
 
+/// Endpoint whose answers to reads of its load wait for the test.
+struct HeldEndpoint {
+    address: SocketAddr,
+    /// Number of reads that have come.
+    asked: Arc<AtomicUsize>,
+    /// Number of reads that may be answered.
+    answered: Arc<AtomicUsize>,
+}
+
+impl HeldEndpoint {
+    fn start(running: u32) -> Self {
+        let (asked, answered) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let counts = (Arc::clone(&asked), Arc::clone(&answered));
+        let address = serve_http(move |_| {
+            let (asked, answered) = counts.clone();
+            async move {
+                let number = asked.fetch_add(1, Ordering::SeqCst);
+                while answered.load(Ordering::SeqCst) <= number {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                let body = format!(r#"{{"state":"warm","running":{running},"queued":0}}"#);
+                (200, 0, Bytes::from(body))
+            }
+        });
+        Self {
+            address,
+            asked,
+            answered,
+        }
+    }
+}
+
+/// Guards against a load that was asked for, or read, at the former address of an endpoint, where another one may run.
+#[gtest]
+fn the_load_at_a_former_address_counts_no_more() {
+    let platform = FakePlatform::start();
+    let mut vm = FakeVm::bind("vm-1");
+    let endpoint: EndpointName = "e-1".parse().unwrap();
+    platform.publish_vms(1, &[&vm]);
+    platform.publish_manifest(1, &manifest_part(unused_address(), &["o-1"], 10.0));
+    vm.start(&platform);
+    vm.wait_for_manifest(1);
+    for round in 1..=4_u32 {
+        let version = u64::from(round) * 2;
+        let former = HeldEndpoint::start(round);
+        platform.publish_manifest(version, &manifest_part(former.address, &["o-1"], 10.0));
+        vm.wait_for_manifest(version);
+        // In each second round, one load is read before the move.
+        let read_before = usize::from(round % 2 == 0);
+        former.answered.store(read_before, Ordering::SeqCst);
+        wait_for("a read that waits", || {
+            former.asked.load(Ordering::SeqCst) > read_before
+        });
+        let running = || {
+            let snapshot = vm.snapshot();
+            snapshot.loads.get(&endpoint).map(|load| load.running)
+        };
+        if read_before > 0 {
+            wait_for("the load before the move", || running() == Some(round));
+        }
+        platform.publish_manifest(
+            version + 1,
+            &manifest_part(unused_address(), &["o-1"], 10.0),
+        );
+        vm.wait_for_manifest(version + 1);
+        former.answered.store(usize::MAX, Ordering::SeqCst);
+        let moved_at = Instant::now();
+        while moved_at.elapsed() < LOAD_READ_TIME {
+            let snapshot = vm.snapshot();
+            let running = snapshot.loads.get(&endpoint).map(|load| load.running);
+            assert_ne!(
+                running,
+                Some(round),
+                "{:?} after the move",
+                moved_at.elapsed()
+            );
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+    vm.end();
+}
+
 #[gtest]
 fn a_planned_stop_is_announced_to_peers_and_control_serves_until_traffic_ends() {
     let platform = FakePlatform::start();
