fix(store_view): entries that are gone are forgotten

What callers saw: nothing yet. A writer of valid entries under ever new names made each VM grow by 220 to 290 bytes a name for as long as its process ran.

Cause: the entry of an endpoint stayed after its removal, as did an evacuation that had ended, to tell older changes of it.

Change: the 2,048 entries that were removed last stay, and evacuations that ended while there are no more than that. Older changes are told by the position of the view, up to which changes are not applied again; one that is removed at a later revision stays, and another VM's state that keeps a forgotten entry for a while does not bring it back. What a copy of the store may bring back was removed within the last seconds.

--- a/src/decisions/store_view.rs
+++ b/src/decisions/store_view.rs
@@ -13,7 +13,7 @@
 //! again. What this VM knows from the era before then holds against the copy until the items have been
 //! written again (`docs/platform.md`, "A store that comes back from an older copy").
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +21,10 @@
 use crate::fleet::model::{Configuration, Endpoint};
 use crate::units::{StoreEra, StorePosition, Time};
 
+/// Number of removed items of each kind that are known as such. Those of the last seconds matter, in which a copy may have
+/// been made from which the store comes back.
+const MAX_REMOVED_ITEMS: usize = 2_048;
+
 /// Settings of the view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreViewConfig {
@@ -150,6 +154,11 @@
         next.endpoint.is_none().then_some(next.at)
     }
 
+    /// Returns whether the store does not list the endpoint, and it is not used.
+    fn is_removed(&self) -> bool {
+        self.endpoint.is_none() && self.next.is_none()
+    }
+
     fn set_endpoint(&mut self, endpoint: Option<Arc<Endpoint>>) {
         if let Some(endpoint) = &endpoint {
             self.started_ms = endpoint.started_ms;
@@ -190,6 +199,8 @@
     /// Evacuations by data centre. Their revisions and those of the entries are of the era of `position`.
     evacuations: BTreeMap<String, Evacuation>,
     entries: BTreeMap<String, Entry>,
+    /// Ids of entries that were removed, oldest first. One that has registered again since may be among them.
+    removed: VecDeque<String>,
     /// Newest position that the view reflects.
     pub position: StorePosition,
     /// `None` while the store answers.
@@ -346,6 +357,7 @@
             is_any_newer |= !is_overtaken && self.apply(now, change);
         }
         self.position = self.position.max(position);
+        self.forget_removed();
         is_any_newer
     }
 
@@ -482,10 +494,13 @@
     /// what the store lists since it came back from an older copy. Returns whether there was anything.
     pub fn expire(&mut self, now: Time) -> bool {
         let mut has_changed = false;
-        for entry in self.entries.values_mut() {
+        for (id, entry) in &mut self.entries {
             if let Some(next) = entry.next.take_if(|next| now >= next.at) {
                 entry.set_endpoint(next.endpoint);
                 has_changed = true;
+                if entry.is_removed() {
+                    self.removed.push_back(id.clone());
+                }
             }
         }
         for evacuation in self.evacuations.values_mut() {
@@ -565,6 +580,30 @@
             }
         }
         self.position = self.position.max(position);
+        self.forget_removed();
+    }
+
+    /// Forgets the oldest removed entries, and evacuations that ended if there are many. Changes up to `position` are not
+    /// applied again, so that only later ones are needed to tell which change is older.
+    fn forget_removed(&mut self) {
+        let revision = self.position.revision;
+        if self.evacuations.len() > MAX_REMOVED_ITEMS {
+            self.evacuations
+                .retain(|_, evacuation| evacuation.is_evacuated || evacuation.revision > revision);
+        }
+        while self.removed.len() > MAX_REMOVED_ITEMS {
+            let Some(id) = self.removed.pop_front() else {
+                return;
+            };
+            let Some(entry) = self.entries.get(&id).filter(|entry| entry.is_removed()) else {
+                continue;
+            };
+            if entry.revision > revision {
+                self.removed.push_back(id);
+                return;
+            }
+            self.entries.remove(&id);
+        }
     }
 
     /// Applies an endpoint that a complete state lists. In a new era that state may be of the copy: what drained
@@ -668,6 +707,10 @@
         endpoint: Arc<Endpoint>,
         next: ScheduledEntry,
     ) {
+        let is_forgotten = !self.entries.contains_key(&id) && revision <= self.position.revision;
+        if is_forgotten {
+            return;
+        }
         let entry = self.entries.entry(id).or_insert(Entry::unknown());
         if revision <= entry.revision {
             return;
@@ -702,17 +745,22 @@
             // Keys of other writers would make the view grow for as long as the process runs.
             return false;
         }
-        let entry = self.entries.entry(id).or_insert(Entry::unknown());
+        let entry = self.entries.entry(id.clone());
+        let entry = entry.or_insert(Entry::unknown());
         if revision < entry.revision || (revision == entry.revision && endpoint.is_some()) {
             return false;
         }
         entry.revision = revision;
+        let was_removed = entry.is_removed();
         if endpoint.is_none() && is_after_outage && entry.endpoint.is_some() {
             let expires_at = entry.expires_at().or(grace_ends);
             entry.next = expires_at.map(|at| ScheduledEntry { at, endpoint: None });
             return true;
         }
         entry.set_endpoint(endpoint);
+        if entry.is_removed() && !was_removed {
+            self.removed.push_back(id);
+        }
         true
     }
 }
--- a/tests/fleet_rules/store_view.rs
+++ b/tests/fleet_rules/store_view.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use googletest::prelude::*;
-use primrosewalk::decisions::store_view::{StoreChange, StoreView, StoreViewConfig};
+use primrosewalk::decisions::store_view::{
+    ScheduledEntry, SnapshotEntry, StoreChange, StoreView, StoreViewConfig,
+};
 use primrosewalk::fleet::model::{CallerLimits, Configuration, Endpoint};
 use primrosewalk::fleet::peer_state::{decode_state, encode_state};
 use primrosewalk::fleet::view::FleetView;
@@ -393,3 +395,62 @@
     view.apply_listing(at(0), (501..=1_000).map(odd).collect(), 1_000);
     expect_that!(format!("{view:?}").contains("odd-"), eq(false));
 }
+
+/// Guards against a view that grows with each new entry of an endpoint, or evacuation, that goes again.
+#[gtest]
+fn items_that_are_gone_are_forgotten_and_do_not_come_back() {
+    const ITEMS: u64 = 5_000;
+    let mut view = view();
+    let name = |number: u64| format!("n-{number}-");
+    let listed = endpoint("n", "a");
+    let evacuation = |number: u64, revision: u64, is_evacuated: bool| StoreChange::Evacuation {
+        data_centre: format!("z-{number}-"),
+        revision,
+        is_evacuated,
+    };
+    view.apply_changes(at(0), [entry("e-1", 1, Some(&endpoint("e-1", "a")))], 1);
+    view.apply_changes(at(0), [evacuation(0, 2, true)], 2);
+    for number in 1..=ITEMS {
+        let revision = number * 10;
+        let added = [
+            entry(&name(number), revision, Some(&listed)),
+            evacuation(number, revision + 1, true),
+        ];
+        view.apply_changes(at(0), added, revision + 1);
+        let removed = [
+            entry(&name(number), revision + 2, None),
+            evacuation(number, revision + 3, false),
+        ];
+        view.apply_changes(at(0), removed, revision + 3);
+    }
+    let text = format!("{view:?}");
+    let is_known = |prefix: &str, number: u64| text.contains(&format!("\"{prefix}-{number}-\""));
+    for prefix in ["n", "z"] {
+        let known = (1..=ITEMS).filter(|number| is_known(prefix, *number));
+        expect_that!(known.count(), le(2_048), "{prefix}");
+    }
+    expect_that!(is_known("n", 1), eq(false));
+    expect_that!(is_known("n", ITEMS), eq(true));
+    // What stands all the while stays.
+    expect_that!(is_known("z", 0), eq(true));
+    expect_that!(usable_endpoints(&view), eq(&vec!["e-1".to_owned()]));
+    // A change that another VM has passed on late, and a state in which the removed entry is kept for a while.
+    let late = [entry(&name(1), 10, Some(&listed))];
+    expect_that!(view.apply_changes(at(0), late, 11), eq(false));
+    view.on_unreachable(at(10), at(5));
+    let position = view.position.revision + 1;
+    let mut state = view.snapshot();
+    state.position = position.into();
+    state.entries.push(SnapshotEntry {
+        id: name(1),
+        revision: 12,
+        endpoint: Some(listed),
+        next: Some(ScheduledEntry {
+            at: at(60_000),
+            endpoint: None,
+        }),
+    });
+    view.apply_snapshot(at(20), state);
+    expect_that!(view.position.revision, eq(position));
+    expect_that!(usable_endpoints(&view), eq(&vec!["e-1".to_owned()]));
+}
--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -138,8 +138,17 @@
 
     /// Returns the largest memory that the process has used since its start.
     pub fn peak_memory_bytes(&self) -> usize {
-        let peak = self.process_status("VmHWM").unwrap();
-        let kib: usize = peak.strip_suffix(" kB").unwrap().parse().unwrap();
+        self.process_size("VmHWM")
+    }
+
+    /// Returns the memory that the process uses.
+    pub fn memory_bytes(&self) -> usize {
+        self.process_size("VmRSS")
+    }
+
+    fn process_size(&self, field: &str) -> usize {
+        let size = self.process_status(field).unwrap();
+        let kib: usize = size.strip_suffix(" kB").unwrap().parse().unwrap();
         kib * 1024
     }
 
