fix(peers): a message that does not fit a frame costs no other call

What callers saw: beside tens of thousands of valid entries, the connection between two VMs ended each time that one asked the other for its state of the store, and the stage jobs of other requests on that connection failed with it.

Cause: a state of more than 8 MiB cannot be encoded as a frame, and the error of the encoder ended the task that writes all answers of the connection. The calling side did not notice until it sent again.

Change: the size of a message is checked before it reaches the connection. A call that is too large fails alone, and its VM is not avoided for that; in place of an answer, the caller gets that there is no word of the store, or that its items failed. Both are logged and counted (`primrosewalk_peer_messages_too_large_total`).

Still open: a VM that the store turns away gets no such state, and does not serve; states in parts would mend it.

--- a/src/fleet/metric.rs
+++ b/src/fleet/metric.rs
@@ -211,6 +211,11 @@
     counter!("primrosewalk_peer_bytes_total", &labels).increment(bytes as u64);
 }
 
+/// Counts a message to another VM that does not fit a frame.
+pub fn peer_message_too_large(kind: &'static str) {
+    counter!("primrosewalk_peer_messages_too_large_total", "kind" => kind).increment(1);
+}
+
 /// Records how many frames wait to be sent to another VM.
 pub fn peer_frames_waiting(frames: usize) {
     histogram!("primrosewalk_peer_waiting_frames").record(frames as f64);
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -19,6 +19,7 @@
 use parking_lot::Mutex;
 use prost::Message;
 use slog::{Logger, info, warn};
+use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
@@ -29,7 +30,7 @@
 use crate::decisions::caller_memory::Phase;
 use crate::fleet::caller_memory::{CallerAccount, CallerAccounts, Held};
 use crate::fleet::metric;
-use crate::fleet::wire::{Body, Empty, Frame};
+use crate::fleet::wire::{Body, Empty, Frame, ITEM_FAILED, JobFailed, StoreNews};
 
 /// Timeout of connecting to another VM; VMs are a few milliseconds apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -136,6 +137,8 @@
     /// Fails when the VM cannot be reached, stops answering, or too many frames wait for its
     /// connection. The VM may have done what the call asked for.
     pub async fn call(self: &Arc<Self>, ip: Ipv4Addr, body: Body) -> anyhow::Result<Body> {
+        // The other VM is as good as before, and so are its other calls.
+        let body = check_size(body)?;
         let result = self.call_once(ip, body).await;
         if let Err(error) = &result {
             warn!(self.logger, "peers: a call failed"; "vm" => %ip, "error" => format!("{error:#}"));
@@ -169,8 +172,15 @@
     }
 
     /// Sends a message that has no answer. It is dropped if too many frames wait for the
-    /// connection.
+    /// connection, or if it is too large.
     pub fn send_one_way(self: &Arc<Self>, ip: Ipv4Addr, body: Body) {
+        let body = match check_size(body) {
+            Ok(body) => body,
+            Err(error) => {
+                warn!(self.logger, "peers: a message was dropped: {error}"; "vm" => %ip);
+                return;
+            }
+        };
         let frame = Frame {
             call: 0,
             body: Some(body),
@@ -298,6 +308,43 @@
         .new_codec()
 }
 
+/// Returns a body that fits a frame. A larger one would end the connection, and with it the calls of others.
+fn check_size(body: Body) -> Result<Body, TooLarge> {
+    // The number of a call takes some bytes besides.
+    const MAX_BODY_BYTES: usize = MAX_FRAME_BYTES - 32;
+    let size_bytes = body.encoded_len();
+    if size_bytes <= MAX_BODY_BYTES {
+        return Ok(body);
+    }
+    let kind = body.kind();
+    metric::peer_message_too_large(kind);
+    Err(TooLarge { kind, size_bytes })
+}
+
+/// Returns an answer that fits a frame: in place of a larger one, that this VM has no word of the store for the caller, or
+/// that the items of its job failed.
+fn answer_that_fits(body: Body, logger: &Logger) -> Body {
+    let is_state = matches!(body, Body::State(_));
+    check_size(body).unwrap_or_else(|error| {
+        warn!(logger, "peers: an answer was left out: {error}");
+        match is_state {
+            true => Body::StoreNews(StoreNews::default()),
+            false => Body::JobFailed(JobFailed {
+                reason: ITEM_FAILED,
+                ..JobFailed::default()
+            }),
+        }
+    })
+}
+
+/// Says that a message does not fit a frame.
+#[derive(Debug, Error)]
+#[error("a message {kind} of {size_bytes} bytes does not fit a frame")]
+struct TooLarge {
+    kind: &'static str,
+    size_bytes: usize,
+}
+
 fn encode(frame: &Frame) -> Bytes {
     let bytes = Bytes::from(frame.encode_to_vec());
     metric::peer_message("sent", frame.kind(), bytes.len());
@@ -452,16 +499,17 @@
             }
             Some(body) => {
                 let answer = handle(body);
-                let answers = answers.clone();
+                let (answers, logger) = (answers.clone(), logger.clone());
                 let call = frame.call;
                 let task = tokio::spawn(async move {
-                    if let Some(body) = answer.await {
-                        let frame = Frame {
-                            call,
-                            body: Some(body),
-                        };
-                        let _ = answers.send(frame).await;
-                    }
+                    let Some(body) = answer.await else {
+                        return;
+                    };
+                    let frame = Frame {
+                        call,
+                        body: Some(answer_that_fits(body, &logger)),
+                    };
+                    let _ = answers.send(frame).await;
                 });
                 if call != 0 {
                     running.insert(call, AbortOnDropHandle::new(task));
--- a/src/fleet/stage_jobs.rs
+++ b/src/fleet/stage_jobs.rs
@@ -22,7 +22,7 @@
 use crate::fleet::peer_state::encode_state;
 use crate::fleet::store_feed::answer_listener;
 use crate::fleet::view::FleetView;
-use crate::fleet::wire::{Body, Handles, JobFailed, StageJob, WireGroupLoad};
+use crate::fleet::wire::{Body, Handles, ITEM_FAILED, JobFailed, StageJob, WireGroupLoad};
 use crate::units::{ServiceName, Time};
 
 /// Maximum number of other VMs that are asked to run a job before this VM runs it itself.
@@ -470,7 +470,7 @@
         JobFailure::Item(ItemFailure::Late) => 2,
         JobFailure::Item(ItemFailure::InputGone) => 3,
         JobFailure::Item(ItemFailure::NoRoom) => 4,
-        JobFailure::Item(ItemFailure::Failed) => 5,
+        JobFailure::Item(ItemFailure::Failed) => ITEM_FAILED,
         JobFailure::Moved(group) => {
             failed.group = Some(group.to_string());
             6
--- a/src/fleet/wire.rs
+++ b/src/fleet/wire.rs
@@ -287,24 +287,28 @@
 impl Frame {
     /// Returns the name of what the frame carries, for the metrics.
     pub fn kind(&self) -> &'static str {
-        match &self.body {
-            None => "empty",
-            Some(Body::StageJob(_)) => "stage_job",
-            Some(Body::Cancel(_)) => "cancel",
-            Some(Body::Free(_)) => "free_results",
-            Some(Body::Results(_)) => "stage_results",
-            Some(Body::JobFailed(_)) => "stage_failure",
-            Some(Body::Ping(_) | Body::Pong(_)) => "ping",
-            Some(Body::StateRequest(_)) => "state_request",
-            Some(Body::State(_)) => "store_state",
-            Some(Body::GroupLoad(_)) => "group_load",
-            Some(Body::ListenToStore(_)) => "listen",
-            Some(Body::StoreNews(_)) => "store_changes",
-        }
+        self.body.as_ref().map_or("empty", Body::kind)
     }
 }
 
 impl Body {
+    /// Returns the name of the message, for the metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::StageJob(_) => "stage_job",
+            Self::Cancel(_) => "cancel",
+            Self::Free(_) => "free_results",
+            Self::Results(_) => "stage_results",
+            Self::JobFailed(_) => "stage_failure",
+            Self::Ping(_) | Self::Pong(_) => "ping",
+            Self::StateRequest(_) => "state_request",
+            Self::State(_) => "store_state",
+            Self::GroupLoad(_) => "group_load",
+            Self::ListenToStore(_) => "listen",
+            Self::StoreNews(_) => "store_changes",
+        }
+    }
+
     /// Returns whether this is a call, which the other VM answers.
     pub fn is_call(&self) -> bool {
         matches!(
@@ -442,6 +446,9 @@
     pub items_per_s: f32,
 }
 
+/// Reason of a [`JobFailed`] whose items failed.
+pub const ITEM_FAILED: u32 = 5;
+
 /// Says why a stage job has no results.
 #[derive(Clone, PartialEq, Message)]
 pub struct JobFailed {
