fix(stage_call): an outcome that is no text, or no object, costs its item only

What callers saw: an endpoint of a stage that put bytes which are no UTF-8 into one outcome of a batch failed the items of all requests in it. An outcome that is a list of values was read as an object, its first value as a handle.

Cause: the answer was parsed as a whole, and the parser refuses it for one byte; outcomes were parsed by a parser that takes a list for a struct.

Change: the answer is read with replaced bytes, as pages of the store are, and outcomes, the answer and `FreeMb` come from objects only. A handle has at most 1,024 bytes: all of a request go to the engine in one header.

Test: odd_parts (bytes_that_are_no_text; a list among the odd outcomes; a long handle).

--- a/src/platform/stage_call.rs
+++ b/src/platform/stage_call.rs
@@ -5,6 +5,7 @@
 use serde_json::value::RawValue;
 
 use crate::decisions::batching::{ItemFailure, ItemInput, ItemSpec};
+use crate::platform::object::parse_object;
 
 /// Path of the call that runs a batch of items.
 pub const RUN_PATH: &str = "/api/stage-run";
@@ -13,6 +14,8 @@
 /// Path of the call that reports an endpoint's load and its memory for results.
 pub const REPORT_PATH: &str = "/api/report";
 
+/// Longest handle. It has an address and an id, and an engine gets all handles of a request in one header.
+const MAX_HANDLE_BYTES: usize = 1_024;
 /// Bytes in a megabyte in the platform's documents; not 1024 * 1024.
 const MEGABYTE_BYTES: f64 = 1e6;
 
@@ -98,7 +101,10 @@
     answer: &[u8],
     expected: usize,
 ) -> anyhow::Result<Vec<Result<String, ItemFailure>>> {
-    let answer: RunAnswer<'_> = serde_json::from_slice(answer).context("the answer is not JSON")?;
+    // Bytes that are no UTF-8 make their outcome unreadable, and not the others.
+    let text = String::from_utf8_lossy(answer);
+    let answer: RunAnswer<'_> =
+        parse_object(text.as_bytes()).context("the answer is no JSON object")?;
     anyhow::ensure!(
         answer.entries.len() == expected,
         "the answer has {} outcomes for {expected} items",
@@ -109,7 +115,7 @@
 
 /// An outcome that cannot be read fails its item alone.
 fn decode_outcome(entry: &RawValue) -> Result<String, ItemFailure> {
-    let Ok(outcome) = serde_json::from_str::<RunOutcome>(entry.get()) else {
+    let Ok(outcome) = parse_object::<RunOutcome>(entry.get().as_bytes()) else {
         return Err(ItemFailure::Failed);
     };
     match (outcome.handle, outcome.reason.as_deref()) {
@@ -124,7 +130,7 @@
 /// Returns whether a text can be one of the handles that an engine gets in a header, separated by commas.
 fn is_handle(text: &str) -> bool {
     let is_allowed = |byte: u8| byte.is_ascii_graphic() && byte != b',';
-    !text.is_empty() && text.bytes().all(is_allowed)
+    (1..=MAX_HANDLE_BYTES).contains(&text.len()) && text.bytes().all(is_allowed)
 }
 
 /// Encodes the call that frees results that are no longer needed.
@@ -135,7 +141,7 @@
 /// Decodes an upper bound on an endpoint's free memory for results; `None` if the answer does not
 /// report it. The endpoint reports whole megabytes, rounded down, so one megabyte is added.
 pub fn decode_free_bytes(answer: &[u8]) -> Option<u64> {
-    let report: Report = serde_json::from_slice(answer).ok()?;
+    let report: Report = parse_object(answer).ok()?;
     let free_mb = report.free_mb.max(0.0) + 1.0;
     Some((free_mb * MEGABYTE_BYTES) as u64)
 }
--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -40,6 +40,7 @@
         "7",
         "null",
         "[]",
+        r#"["10.1.64.7:8080/z",null]"#,
         r#""10.1.64.7:8080/a""#,
         "{}",
         r#"{"Handle":7}"#,
@@ -61,6 +62,26 @@
     }
 }
 
+/// The same for bytes that are no text.
+#[gtest]
+fn bytes_that_are_no_text_cost_only_their_outcome() {
+    let mut answer = br#"{"Entries":[{"Handle":"10.1.64.7:8080/a"},{"Reason":""#.to_vec();
+    answer.extend(b"\xff\xfe");
+    answer.extend(br#""},{"Handle":""#);
+    answer.extend(b"\xc3");
+    answer.extend(br#""},{"Handle":"10.1.64.7:8080/b"}]}"#);
+    let outcomes = decode_run(&answer, 4).unwrap_or_default();
+    let failed = || Err(ItemFailure::Failed);
+    let sound = |handle: &str| Ok(handle.to_owned());
+    let expected = vec![
+        sound("10.1.64.7:8080/a"),
+        failed(),
+        failed(),
+        sound("10.1.64.7:8080/b"),
+    ];
+    expect_that!(outcomes, eq(&expected));
+}
+
 /// Guards against a handle that reads as several, or breaks the header, once it stands in the list of inputs.
 #[gtest]
 fn a_handle_that_cannot_stand_in_a_list_is_no_result() {
@@ -75,7 +96,8 @@
         r"10.1.64.7:8080/\u007f",
         "10.1.64.7:8080/\u{e9}",
     ];
-    for handle in handles {
+    let long = "x".repeat(2_000);
+    for handle in handles.into_iter().chain([long.as_str()]) {
         let answer = format!(r#"{{"Entries":[{{"Handle":"{handle}"}}]}}"#);
         let outcomes = decode_run(answer.as_bytes(), 1).unwrap();
         expect_that!(outcomes[0], err(eq(&ItemFailure::Failed)), "{handle:?}");
