fix(loads): a model that no manifest can name costs no load report

What callers saw: an endpoint of the own edge that also has a model with an odd name, such as one with a blank, counted as one without load reports: its cold starts showed late, and placement knew none of its models.

Cause: names of models were parsed with the report, and one that is no name failed it.

Change: such names are left out; no manifest can have them. In messages between VMs only names that were read are sent.

Test: an_odd_name_of_a_model (control).

--- a/src/control/loads.rs
+++ b/src/control/loads.rs
@@ -50,9 +50,14 @@
     running: u32,
     queued: u32,
     #[serde(default)]
-    models: Vec<ModelName>,
+    models: Vec<String>,
     /// Models that the endpoint is loading, or `None` from an endpoint that does not report them.
-    loading: Option<Vec<ModelName>>,
+    loading: Option<Vec<String>>,
+}
+
+/// Returns the models that a manifest can name. An endpoint may have others too.
+fn readable_models(names: &[String]) -> Vec<ModelName> {
+    names.iter().filter_map(|name| name.parse().ok()).collect()
 }
 
 #[derive(Debug, PartialEq, Eq, Deserialize)]
@@ -159,14 +164,14 @@
         cold,
         running: report.running,
         queued: report.queued,
-        models: report.models,
+        models: readable_models(&report.models),
     };
     let mut state = control.state.borrow_mut();
     if state.allocates(read_at, endpoint) {
         state.allocator.on_load(clock::now(), endpoint, &load);
     }
     // An engine that does not report what it is loading is assumed to carry out its orders.
-    let loading = report.loading;
+    let loading = report.loading.as_deref().map(readable_models);
     let loading = loading.unwrap_or_else(|| state.placement.ordered_loads(endpoint));
     let report = EngineReport {
         read_at,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -436,6 +436,30 @@
     vm.end();
 }
 
+/// Guards against one name of a model, such as one that no manifest can have, that costs the whole report of its endpoint.
+#[gtest]
+fn an_odd_name_of_a_model_costs_no_load_report() {
+    let report = r#"{"state":"warm","running":3,"queued":1,"models":["","m-1","m 2%","m&b=+#"],
+        "loading":["\u00e9 ","m-3"]}"#;
+    let endpoint = serve_http(move |_| async move { (200, 0, Bytes::from(report)) });
+    let platform = FakePlatform::start();
+    let mut vm = FakeVm::bind("vm-1");
+    platform.publish_vms(1, &[&vm]);
+    platform.publish_manifest(1, &manifest_part(endpoint, &["o-1"], 10.0));
+    vm.start(&platform);
+    vm.wait_for_manifest(1);
+    let name: EndpointName = "e-1".parse().unwrap();
+    wait_for("the load report", || {
+        let snapshot = vm.snapshot();
+        let load = snapshot.loads.get(&name);
+        load.is_some_and(|load| {
+            let models: Vec<&str> = load.models.iter().map(|model| model.as_str()).collect();
+            (load.running, models) == (3, vec!["m-1"])
+        })
+    });
+    vm.end();
+}
+
 /// Endpoint whose answers to reads of its load wait for the test.
 struct HeldEndpoint {
     address: SocketAddr,
