--- a/tests/users_platform/mod.rs
+++ b/tests/users_platform/mod.rs
@@ -169,6 +169,16 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Returns the metrics of the VM as text.
+    pub async fn metrics(&self) -> String {
+        let address = (self.ip, METRICS_PORT).into();
+        let call = Call::get(address, "/metrics", STEP_TIMEOUT);
+        let (_, body) = primrosewalk::http::fetch(&call, STEP_TIMEOUT)
+            .await
+            .unwrap();
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
     pub async fn is_ready(&self) -> bool {
         let address = (self.ip, 8621).into();
         let call = Call::get(address, "/api/readyz", Duration::from_millis(500));
@@ -210,6 +220,8 @@
     _files: tempfile::TempDir,
 }
 
+/// Port on which a VM serves its metrics.
+const METRICS_PORT: u16 = 7742;
 /// Port on which an endpoint listens.
 const ENDPOINT_PORT: u16 = 9_000;
 /// Port on which the proxy listens for an endpoint, at the endpoint's IP address.
@@ -453,7 +465,7 @@
 platform_address = "{}"
 seeds = {}
 peer_ports = [7740, 7755]
-metrics_port = 7742
+metrics_port = {METRICS_PORT}
 grace_s = 8
 address_ttl_most_s = 5
 repeat_ratio = 0.2
