fix(settings): a time beyond any range is a finding

What callers saw: nothing. After a change of the settings file with a time such as `grace_s = 1e300` a VM read its settings never again; one that starts with it ends.

Cause: the check asked for a finite number above 0, and the conversion to a duration panics above 1.8e19 s. One odd value cost the task that reads the settings, where it should have left the former ones in force.

--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -16,6 +16,9 @@
 use crate::fleet::model::VmSize;
 use crate::units::{DataCentreName, VmId};
 
+/// Longest time that a setting may give, in seconds: a day.
+const MAX_DURATION_S: f64 = 86_400.0;
+
 /// Environment variable with the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "PRIMROSEWALK_BOOT";
 
@@ -184,11 +187,13 @@
         );
     }
     let mut positive_duration = |place: &str, value: f64| {
-        if !value.is_finite() || value <= 0.0 {
-            findings.add(place, format!("{value} is not a number above 0"));
-            return Duration::ZERO;
+        // A number that is not finite is in no range.
+        if value > 0.0 && value <= MAX_DURATION_S {
+            return Duration::from_secs_f64(value);
         }
-        Duration::from_secs_f64(value)
+        let range = format!("{value} is not a number above 0 and up to {MAX_DURATION_S}");
+        findings.add(place, range);
+        Duration::ZERO
     };
     let grace = positive_duration("grace_s", document.grace_s);
     let retry_window = positive_duration("repeat_window_s", document.retry_window_s);
