--- a/tests/odd_parts.rs
+++ b/tests/odd_parts.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures::future::join_all;
 use googletest::prelude::*;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
@@ -26,6 +27,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 use users_platform::Fleet;
+use users_platform::backend::{Fault, Kind};
 use users_platform::caller::request;
 
 /// Time from the store's acknowledgement of a version within which it is in force, on the smaller deployments
@@ -463,6 +465,32 @@
     }
 }
 
+/// The order of the outcomes says nothing then, so that all items of a batch fail. Guards against one that costs the
+/// requests, while another endpoint runs their items.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_with_too_few_outcomes_costs_no_request() {
+    let mut fleet = Fleet::start(2).await;
+    let odd = fleet
+        .backends
+        .iter()
+        .position(|backend| backend.service == "first");
+    fleet.add_backend("first", Kind::Stage).await;
+    fleet.backends[odd.unwrap()].set_fault(Fault::FewOutcomes);
+    for number in 0..10 {
+        let requests = fleet.vms.iter().map(|vm| async move {
+            let id = format!("few-{number}-{}", vm.name);
+            let answer = request(vm.caller_address(), "/stream/x", &id, "key-1").await;
+            answer.map(|answer| (answer.status, answer.is_complete))
+        });
+        for answer in join_all(requests).await {
+            expect_that!(answer, some(eq((200, true))), "round {number}");
+        }
+    }
+    let asked = fleet.backends[odd.unwrap()].received();
+    expect_that!(asked.len(), ge(1));
+}
+
 /// Guards against a state that no frame between VMs can carry (8 MiB), so that a VM which starts would get it from none:
 /// 5,000 endpoints with the longest names, all of which are about to change, as many evacuations, and a large
 /// configuration.
--- a/tests/users_platform/backend.rs
+++ b/tests/users_platform/backend.rs
@@ -61,6 +61,8 @@
     Unframed(UnframedEnd),
     /// Refuses a request that it runs, and does not state that it has not run.
     LateRefusal(LateRefusal),
+    /// Answers a batch of a stage with one outcome too few.
+    FewOutcomes,
 }
 
 /// How an endpoint refuses a request that it runs.
@@ -827,7 +829,11 @@
             json!({ "Handle": handle })
         })
         .collect();
-    let body = json!({ "Entries": entries }).to_string();
+    let outcomes = match fault {
+        Fault::FewOutcomes => &entries[1..],
+        _ => &entries,
+    };
+    let body = json!({ "Entries": outcomes }).to_string();
     let length = match fault {
         Fault::Unframed(_) => String::new(),
         _ => format!("Content-Length: {}\r\n", body.len()),
