--- a/src/fleet/store_listing.rs
+++ b/src/fleet/store_listing.rs
@@ -127,8 +127,8 @@
         matches!(self, Self::Overtaken | Self::HistoryLost)
     }
 
-    /// Returns whether the listing begins again and may fail in the same way.
-    fn is_in_vain(&self) -> bool {
+    /// Returns whether the pages so far are dropped, so that those of the same call are no progress.
+    fn drops_pages(&self) -> bool {
         matches!(self, Self::Listing(ListingFault::ItemLeftOut { .. }))
     }
 
@@ -201,7 +201,7 @@
         report_fault(control, &listing, known, &error);
         let has_new_pages = added_pages.load(Ordering::Relaxed) > 0;
         IncompleteListing {
-            has_progressed: (has_new_pages && !error.is_in_vain()) || error.is_answered(),
+            has_progressed: (has_new_pages && !error.drops_pages()) || error.is_answered(),
             is_refused,
             error,
         }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -324,6 +324,17 @@
     vms.iter_mut().for_each(FakeVm::end);
 }
 
+/// Starts a VM beside another one on its list, `vm-2`, for which the test may send messages.
+fn start_beside_silent_vm() -> (FakePlatform, FakeVm) {
+    let platform = FakePlatform::start();
+    let (mut vm, silent) = (FakeVm::bind("vm-1"), FakeVm::bind("vm-2"));
+    platform.publish_vms(1, &[&vm, &silent]);
+    platform.publish_manifest(1, &manifest_part(unused_address(), &["o-1"], 10.0));
+    vm.start(&platform);
+    vm.wait_for_manifest(1);
+    (platform, vm)
+}
+
 /// Sends a state message on a connection.
 fn send_state(connection: &mut TcpStream, message: &StateMessage) {
     let bytes = message.encode_to_vec();
@@ -336,12 +347,7 @@
 #[gtest]
 fn an_odd_name_in_a_message_of_a_vm_costs_only_its_part() {
     const ODD: [&str; 5] = ["", "a b", "e-1%", "e&b=+#", "\u{e9}"];
-    let platform = FakePlatform::start();
-    let (mut vm, sender) = (FakeVm::bind("vm-1"), FakeVm::bind("vm-2"));
-    platform.publish_vms(1, &[&vm, &sender]);
-    platform.publish_manifest(1, &manifest_part(unused_address(), &["o-1"], 10.0));
-    vm.start(&platform);
-    vm.wait_for_manifest(1);
+    let (_platform, mut vm) = start_beside_silent_vm();
     let address = vm.entry["peer_state_address"].as_str().unwrap();
     let mut connection = TcpStream::connect(address).unwrap();
     let mut sequence = 0;
@@ -392,12 +398,7 @@
 /// Guards against votes and leases that are taken from a part of a message.
 #[gtest]
 fn a_message_with_an_odd_vote_is_refused_before_anything_of_it_is_applied() {
-    let platform = FakePlatform::start();
-    let (mut vm, sender) = (FakeVm::bind("vm-1"), FakeVm::bind("vm-2"));
-    platform.publish_vms(1, &[&vm, &sender]);
-    platform.publish_manifest(1, &manifest_part(unused_address(), &["o-1"], 10.0));
-    vm.start(&platform);
-    vm.wait_for_manifest(1);
+    let (_platform, mut vm) = start_beside_silent_vm();
     let address = vm.entry["peer_state_address"].as_str().unwrap();
     let load = |running| WireLoad {
         endpoint: "e-1".to_owned(),
