test(store_restores): the fleet knows that the endpoint left before the store goes back

Cause: the test. It wrote the configuration, then deleted the entry, and waited for the configuration only. Whoever's watch was answered between the two writes asks again 0.45 s later (CHANGES_PAUSE), and by then the store was away. Where that happened to every VM, no VM had ever heard of the deletion, and the copy lists the endpoint: there was nothing for the fleet to know.

Change: the entry is deleted before the configuration is written. A VM has every change up to its position, so one that serves the new path knows of the deletion.

--- a/tests/store_restores.rs
+++ b/tests/store_restores.rs
@@ -311,8 +311,9 @@
         let mut fleet = Fleet::start(vms).await;
         let copy = fleet.store.copy();
         let id = fleet.backends[0].id.clone();
-        set_path(&mut fleet, "newer");
+        // In this order, a VM that serves the new path knows that the endpoint left.
         fleet.store.delete(&format!("servers/{id}"));
+        set_path(&mut fleet, "newer");
         wait_until_served(&fleet, "newer").await;
         fleet.store.set_mode(Mode::Busy);
         starting.iter().for_each(|vm| fleet.vms[*vm].kill());
